--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks and experiments: `make bench`."""
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A small fleet on loopback that shows what canvasyoke does while things fail."""
--- /dev/null
+++ b/fakes/http_base.py
@@ -0,0 +1,77 @@
+"""A small threaded HTTP server on the standard library, for all stand-ins."""
+
+from __future__ import annotations
+
+import json
+import socket
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+
+class Server(ThreadingHTTPServer):
+    """Listens with a long queue and lets threads die with the process."""
+
+    daemon_threads = True
+    request_queue_size = 1024
+    allow_reuse_address = True
+
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """Stay quiet when a peer goes away in the middle of an answer."""
+
+
+class Handler(BaseHTTPRequestHandler):
+    """Reads requests and writes answers; subclasses add ``handle_request``."""
+
+    protocol_version = "HTTP/1.1"
+
+    def setup(self) -> None:
+        """Send each write at once."""
+        super().setup()
+        self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def log_message(self, format: str, *args: Any) -> None:
+        """Write no log."""
+
+    def handle_request(self, method: str, path: str, query: dict[str, str], body: bytes) -> None:
+        """Answer one request."""
+        raise NotImplementedError
+
+    def _dispatch(self) -> None:
+        length = int(self.headers.get("Content-Length") or 0)
+        body = self.rfile.read(length) if length else b""
+        parts = urlsplit(self.path)
+        query = {name: values[-1] for name, values in parse_qs(parts.query).items()}
+        self.handle_request(self.command, parts.path, query, body)
+
+    do_GET = do_POST = do_PUT = do_DELETE = do_PATCH = do_HEAD = do_OPTIONS = _dispatch
+
+    def reply(self, status: int, body: bytes = b"", headers: dict[str, str] | None = None) -> None:
+        """Write a whole answer."""
+        self.send_response(status)
+        for name, value in (headers or {}).items():
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        if self.command != "HEAD":
+            self.wfile.write(body)
+
+    def reply_json(self, value: Any, status: int = 200) -> None:
+        """Write ``value`` as JSON."""
+        self.reply(status, json.dumps(value).encode(), {"Content-Type": "application/json"})
+
+    def begin_chunked(self, content_type: str) -> None:
+        """Begin an answer of unknown length."""
+        self.send_response(200)
+        self.send_header("Content-Type", content_type)
+        self.send_header("Transfer-Encoding", "chunked")
+        self.end_headers()
+
+    def write_chunk(self, data: bytes) -> None:
+        """Write one piece of it; an empty one ends it."""
+        self.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
+
+    def break_off(self) -> None:
+        """Close the connection without an answer."""
+        self.close_connection = True
+        self.connection.shutdown(socket.SHUT_RDWR)
--- /dev/null
+++ b/fakes/launcher.py
@@ -0,0 +1,351 @@
+"""Starts a small fleet as real processes on loopback, for the demo, tests and bench.
+
+The system's own processes start none; this launcher does, and ends only those it
+started.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+import urllib3
+import yaml
+
+LINK_KEY = "5f" * 32
+ROOT = Path(__file__).resolve().parent.parent
+_STOP_SECONDS = 30.0
+
+
+class FleetError(RuntimeError):
+    """The fleet did not do what was asked of it."""
+
+
+@dataclass(frozen=True)
+class TargetSpec:
+    """One target instance: the stand-in and the process beside it."""
+
+    name: str
+    domain: str
+    service: str
+    #: ``engine`` or ``plain``.
+    kind: str
+    rank: int = -1
+    slots: int = 8
+
+
+@dataclass(frozen=True)
+class FleetSpec:
+    """What to start."""
+
+    domains: Sequence[str]
+    entries_per_domain: int
+    targets: Sequence[TargetSpec]
+    experts: int = 16
+    layers: int = 1
+    token_ms: float = 5.0
+    plain_ms: int = 5
+    streams: int = 320
+    log_level: str = "info"
+
+
+@dataclass
+class Ports:
+    """Addresses of everything in one fleet."""
+
+    platform: str = ""
+    entries: dict[str, str] = field(default_factory=dict)
+    admin: dict[str, str] = field(default_factory=dict)
+    links: dict[str, str] = field(default_factory=dict)
+    backends: dict[str, str] = field(default_factory=dict)
+    ranks: dict[str, str] = field(default_factory=dict)
+
+
+def free_address(kind: int = socket.SOCK_STREAM) -> str:
+    """Return a loopback address with a port that was free a moment ago."""
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def wait_until(condition: Callable[[], bool], what: str, seconds: float = 30.0) -> None:
+    """Return once ``condition`` holds; raise :class:`FleetError` if it does not in time."""
+    end = time.monotonic() + seconds
+    while not condition():
+        if time.monotonic() > end:
+            raise FleetError(f"not within {seconds:g} s: {what}")
+        time.sleep(0.02)
+
+
+class Fleet:
+    """A running fleet; a context manager that ends all it started."""
+
+    def __init__(self, spec: FleetSpec) -> None:
+        self.spec = spec
+        self.ports = Ports()
+        self.folder = Path(tempfile.mkdtemp(prefix="canvasyoke-"))
+        self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._http = urllib3.PoolManager(maxsize=8, retries=False)
+        self._targets = {t.name: t for t in spec.targets}
+        self._assign_ports()
+
+    def __enter__(self) -> Fleet:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        value: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.close()
+
+    def _assign_ports(self) -> None:
+        ports = self.ports
+        ports.platform = free_address()
+        for domain in self.spec.domains:
+            for number in range(1, self.spec.entries_per_domain + 1):
+                name = f"{domain}-entry-{number}"
+                ports.entries[name] = free_address()
+                ports.admin[name] = free_address()
+        for target in self.spec.targets:
+            ports.links[target.name] = free_address()
+            ports.backends[target.name] = free_address()
+            if target.rank >= 0:
+                ports.ranks[target.name] = free_address(socket.SOCK_DGRAM)
+
+    # Processes.
+
+    def start(self) -> None:
+        """Start everything, in no particular order of readiness."""
+        self.start_platform()
+        for target in self.spec.targets:
+            self.start_backend(target.name)
+            self.start_target(target.name)
+        for name in self.ports.entries:
+            self.start_entry(name)
+
+    def start_platform(self) -> None:
+        """Start the platform stand-in and fill its instance list."""
+        self._start("platform", ["-m", "fakes.platform", self.ports.platform])
+        wait_until(lambda: answers(self.ports.platform), "platform answers")
+        for target in self.spec.targets:
+            self.list_instance(target.name, "target", target.domain, self.ports.links[target.name])
+        for name, address in self.ports.admin.items():
+            self.list_instance(name, "entry", name.rsplit("-entry-", 1)[0], address)
+
+    def list_instance(
+        self, name: str, role: str, domain: str, address: str, state: str = "live"
+    ) -> None:
+        """Put a line into the instance list."""
+        line = {"role": role, "domain": domain, "address": address, "state": state}
+        self.platform_call("PUT", f"/instances/{name}", line)
+
+    def start_backend(self, name: str) -> None:
+        """Start the stand-in of one target."""
+        target = self._targets[name]
+        address = self.ports.backends[name]
+        if target.kind == "plain":
+            words = ["-m", "fakes.plain", address, str(self.ledger(name)), str(self.spec.plain_ms)]
+        else:
+            words = ["-m", "fakes.engine", json.dumps(self._engine_settings(target))]
+        self._start(f"{name}-backend", words)
+
+    def _engine_settings(self, target: TargetSpec) -> dict[str, Any]:
+        ranked = sorted(
+            (t for t in self.spec.targets if t.rank >= 0 and t.service == target.service),
+            key=lambda t: t.rank,
+        )
+        return {
+            "address": self.ports.backends[target.name],
+            "slots": target.slots,
+            "token_ms": self.spec.token_ms,
+            "rank": target.rank,
+            "ranks": [self.ports.ranks[t.name] for t in ranked] if target.rank >= 0 else [],
+            "experts": self.spec.experts,
+            "layers": self.spec.layers,
+        }
+
+    def start_target(self, name: str) -> None:
+        """Start the target process of one target instance."""
+        target = self._targets[name]
+        adapter = "plain-http" if target.kind == "plain" else "engine-http"
+        settings = {
+            "instance": name,
+            "domain": target.domain,
+            "service": target.service,
+            "listen": self.ports.links[name],
+            "backend": {"address": self.ports.backends[name], "adapter": adapter},
+            **self._common_settings(),
+        }
+        self._start_role("target", name, settings)
+
+    def start_entry(self, name: str) -> None:
+        """Start one entry process."""
+        settings = {
+            "instance": name,
+            "domain": name.rsplit("-entry-", 1)[0],
+            "http": self.ports.entries[name],
+            "admin": self.ports.admin[name],
+            "streams": self.spec.streams,
+            **self._common_settings(),
+        }
+        self._start_role("entry", name, settings)
+
+    def _common_settings(self) -> dict[str, Any]:
+        return {
+            "link_key": LINK_KEY,
+            "platform": {"address": self.ports.platform},
+            "log": {"level": self.spec.log_level},
+        }
+
+    def _start_role(self, role: str, name: str, settings: Mapping[str, Any]) -> None:
+        path = self.folder / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(dict(settings), sort_keys=False))
+        self._start(name, ["-m", "canvasyoke", role, "--settings", str(path)])
+
+    def _start(self, name: str, words: Sequence[str]) -> None:
+        env = {**os.environ, "PYTHONPATH": f"{ROOT / 'src'}:{ROOT}"}
+        with open(self.log(name), "ab") as log:
+            self._processes[name] = subprocess.Popen(
+                [sys.executable, *words], cwd=ROOT, env=env, stdout=log, stderr=log
+            )
+
+    def pid(self, name: str) -> int:
+        """Return the process id of a part."""
+        return self._processes[name].pid
+
+    def pids(self) -> dict[str, int]:
+        """Return the process ids of all parts that run."""
+        return {n: p.pid for n, p in self._processes.items() if p.poll() is None}
+
+    def kill(self, name: str) -> None:
+        """Kill a part at once."""
+        process = self._processes[name]
+        process.kill()
+        process.wait()
+
+    def pause(self, name: str) -> None:
+        """Stop a part where it is."""
+        self._processes[name].send_signal(signal.SIGSTOP)
+
+    def unpause(self, name: str) -> None:
+        """Let a paused part go on."""
+        self._processes[name].send_signal(signal.SIGCONT)
+
+    def terminate(self, name: str) -> None:
+        """Ask a part to drain, without waiting for it."""
+        self._processes[name].terminate()
+
+    def wait(self, name: str, seconds: float = _STOP_SECONDS) -> int:
+        """Wait for a part to end; return its exit code."""
+        return self._processes[name].wait(seconds)
+
+    def close(self) -> None:
+        """Kill whatever still runs of what was started here."""
+        for process in self._processes.values():
+            if process.poll() is None:
+                process.kill()
+        for process in self._processes.values():
+            process.wait()
+
+    # What the fleet says.
+
+    def log(self, name: str) -> Path:
+        """Return the file with the output of one part."""
+        return self.folder / f"{name}.log"
+
+    def ledger(self, name: str) -> Path:
+        """Return the ledger of one plain stand-in."""
+        return self.folder / f"{name}.ledger"
+
+    def platform_call(self, method: str, path: str, value: Any = None) -> Any:
+        """Call the platform stand-in directly."""
+        body = json.dumps(value).encode() if value is not None else b""
+        url = f"http://{self.ports.platform}{path}"
+        response = self._http.request(method, url, body=body, timeout=5.0, retries=False)
+        return json.loads(response.data) if response.data else None
+
+    def set_faults(self, **faults: object) -> None:
+        """Set faults of the platform stand-in."""
+        self.platform_call("PUT", "/faults", faults)
+
+    def status(self, entry: str) -> dict[str, Any]:
+        """Return one entry's status; empty when it does not answer."""
+        try:
+            url = f"http://{self.ports.admin[entry]}/status"
+            response = self._http.request("GET", url, timeout=2.0, retries=False)
+        except (urllib3.exceptions.HTTPError, OSError):
+            return {}
+        status: dict[str, Any] = json.loads(response.data) if response.status == 200 else {}
+        return status
+
+    def command(self, *words: str) -> tuple[int, str]:
+        """Run an operator's command; return its exit code and output."""
+        env = {**os.environ, "PYTHONPATH": f"{ROOT / 'src'}:{ROOT}"}
+        done = subprocess.run(
+            [sys.executable, "-m", "canvasyoke", *words],
+            cwd=ROOT,
+            env=env,
+            capture_output=True,
+            text=True,
+            check=False,
+            timeout=60,
+        )
+        return done.returncode, done.stdout + done.stderr
+
+    def apply(self, files: Sequence[Path | str], generation: int) -> int:
+        """Apply files; return the generation now in force."""
+        words = [str(f) for f in files]
+        code, output = self.command(
+            "apply", *words, "--platform", self.ports.platform, "--generation", str(generation)
+        )
+        if code:
+            raise FleetError(f"apply failed: {output}")
+        return int(output.rsplit(" ", 1)[1])
+
+    def in_force_everywhere(self, generation: int) -> bool:
+        """Tell whether every entry and every target it sees has ``generation``."""
+        return all(self._has_generation(entry, generation) for entry in self.ports.entries)
+
+    def _has_generation(self, entry: str, generation: int) -> bool:
+        status = self.status(entry)
+        if not status or status["entry"]["generation"] < generation:
+            return False
+        up = [t for t in status["targets"] if t["connected"]]
+        return len(up) == len(self._targets) and all(t["generation"] >= generation for t in up)
+
+    def wait_ready(self, generation: int, seconds: float = 30.0) -> None:
+        """Wait until ``generation`` is in force everywhere and keys have homes."""
+        wait_until(lambda: self.in_force_everywhere(generation), "in force everywhere", seconds)
+        wait_until(self._keys_have_homes, "all key slots are held", seconds)
+
+    def _keys_have_homes(self) -> bool:
+        plain = {t.service for t in self.spec.targets if t.kind == "plain"}
+        for entry in self.ports.entries:
+            targets = self.status(entry).get("targets", [])
+            for service in plain:
+                if sum(t["key_slots"] for t in targets if t["service"] == service) < 16:
+                    return False
+        return True
+
+
+def answers(address: str) -> bool:
+    """Tell whether something listens on ``address``."""
+    host, port = address.rsplit(":", 1)
+    try:
+        with socket.create_connection((host, int(port)), timeout=1.0):
+            return True
+    except OSError:
+        return False
--- /dev/null
+++ b/src/canvasyoke/__main__.py
@@ -0,0 +1,8 @@
+"""Runs the command line: ``python -m canvasyoke``."""
+
+import sys
+
+from canvasyoke.cli import main
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/canvasyoke/cli/_main.py
@@ -0,0 +1,129 @@
+"""Finds the command, checks its arguments strictly, and runs it.
+
+Fire turns a function into a command, but takes stray arguments and turns values
+into Python objects. Here each argument is checked against the function's
+signature first and stays a string. The two long-running roles are started
+without fire, which would stay in their memory.
+"""
+
+from __future__ import annotations
+
+import inspect
+import sys
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+from canvasyoke.cli import _operator, _roles  # noqa: F401  (they fill the registry)
+from canvasyoke.cli._registry import COMMANDS, DAEMONS, USAGE, Command
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run the command in ``argv`` (default: the process's) and return its exit code.
+
+    0 means done, 1 refused or failed, 2 that the command was not understood.
+    """
+    arguments = list(sys.argv[1:] if argv is None else argv)
+    if not arguments or arguments[0] in ("-h", "--help", "help"):
+        print(_overview())
+        return 0 if arguments else USAGE
+    name, rest = arguments[0], arguments[1:]
+    if name not in COMMANDS.names():
+        return _usage(f"no command is called {name!r}; see canvasyoke --help")
+    command = COMMANDS.get(name)
+    if any(argument in ("-h", "--help") for argument in rest):
+        print(_help(name, command))
+        return 0
+    bound = _bind(command, rest)
+    if isinstance(bound, str):
+        return _usage(f"{bound}; see canvasyoke {name} --help")
+    if name in DAEMONS:
+        return command(*bound.positional, **bound.options)
+    return _run_with_fire(command, bound)
+
+
+@dataclass(slots=True)
+class _Bound:
+    """Arguments that fit a command."""
+
+    positional: list[str] = field(default_factory=list)
+    options: dict[str, str] = field(default_factory=dict)
+
+    def words(self) -> list[str]:
+        """Return the arguments as words, options last."""
+        words = list(self.positional)
+        for name, value in self.options.items():
+            words.append(f"--{name}={value}")
+        return words
+
+
+def _run_with_fire(command: Command, bound: _Bound) -> int:
+    import fire
+    from fire.decorators import SetParseFn
+
+    results: list[int] = []
+
+    def run(*args: str, **options: str) -> None:
+        results.append(command(*args, **options))
+
+    fire.Fire(SetParseFn(str)(run), command=bound.words(), name="canvasyoke")
+    return results[0]
+
+
+def _bind(command: Command, words: Sequence[str]) -> _Bound | str:
+    """Return the arguments in ``words``, or what is wrong with them."""
+    parameters = inspect.signature(command).parameters.values()
+    options = {p.name: p for p in parameters if p.kind is p.KEYWORD_ONLY}
+    takes_files = any(p.kind is p.VAR_POSITIONAL for p in parameters)
+    bound = _Bound()
+    rest = iter(words)
+    for word in rest:
+        if not word.startswith("-") or word == "-":
+            bound.positional.append(word)
+            continue
+        name, equals, value = word.lstrip("-").partition("=")
+        name = name.replace("-", "_")
+        if name not in options or not word.startswith("--"):
+            return f"unknown option {word}"
+        if name in bound.options:
+            return f"option --{name} stands twice"
+        if not equals:
+            following = next(rest, None)
+            if following is None or following.startswith("--"):
+                return f"option --{name} needs a value"
+            value = following
+        bound.options[name] = value
+    if bound.positional and not takes_files:
+        return f"unexpected argument {bound.positional[0]!r}"
+    if takes_files and not bound.positional:
+        return "at least one FILE is needed"
+    for name, parameter in options.items():
+        if parameter.default is parameter.empty and name not in bound.options:
+            return f"option --{name} is required"
+    return bound
+
+
+def _overview() -> str:
+    lines = ["canvasyoke: a load balancer for expert-parallel model groups", "", "Commands:"]
+    for name in COMMANDS.names():
+        summary = (COMMANDS.get(name).__doc__ or "").strip().splitlines()[0]
+        lines.append(f"  {name:<9}{summary}")
+    lines += ["", "canvasyoke COMMAND --help tells more. Exit codes: 0 done, 1 refused, 2 usage."]
+    return "\n".join(lines)
+
+
+def _help(name: str, command: Callable[..., int]) -> str:
+    parameters = inspect.signature(command).parameters.values()
+    words = [f"canvasyoke {name}"]
+    for parameter in parameters:
+        if parameter.kind is parameter.VAR_POSITIONAL:
+            words.append("FILE...")
+        elif parameter.default is parameter.empty:
+            words.append(f"--{parameter.name} VALUE")
+        else:
+            words.append(f"[--{parameter.name} VALUE]")
+    return f"usage: {' '.join(words)}\n\n{inspect.getdoc(command)}"
+
+
+def _usage(text: str) -> int:
+    print(f"canvasyoke: {text}", file=sys.stderr)
+    return USAGE
--- /dev/null
+++ b/src/canvasyoke/cli/_operator.py
@@ -0,0 +1,289 @@
+"""The operators' commands: ``check``, ``apply``, ``status``, ``audit``, ``version``."""
+
+from __future__ import annotations
+
+import datetime
+import getpass
+import os
+import sys
+import uuid
+from collections.abc import Mapping, Sequence
+from typing import Final
+
+import msgspec
+import urllib3
+
+from canvasyoke._clock import SystemClock
+from canvasyoke._version import PROTOCOL_VERSION, VERSION
+from canvasyoke.cli._registry import COMMANDS, DONE, REFUSED, USAGE
+from canvasyoke.cli._render import render_audit, render_status
+from canvasyoke.state import (
+    PLATFORMS,
+    Accepted,
+    Ambiguous,
+    AuditEntry,
+    AuditTrail,
+    Document,
+    Fault,
+    FileModel,
+    Platform,
+    ReferenceFault,
+    Rejected,
+    Root,
+    Submission,
+    SubmitResult,
+    Unavailable,
+    build_config,
+    parse_document,
+    read_root,
+    submit,
+    validate,
+)
+
+_OUTPUTS: Final = ("text", "json")
+_STATUS_TIMEOUT: Final = 5.0
+
+
+class _Loaded(msgspec.Struct):
+    """Files that are each in order, and the documents that tell their lines."""
+
+    models: dict[str, FileModel]
+    documents: dict[str, Document]
+
+
+def _load(files: Sequence[str]) -> _Loaded | list[Fault]:
+    """Return the files, or every fault in any of them."""
+    loaded = _Loaded({}, {})
+    faults: list[Fault] = []
+    for file in files:
+        name = os.path.basename(file)
+        try:
+            with open(file, encoding="utf-8") as stream:
+                document = parse_document(stream.read(), file)
+        except (OSError, UnicodeDecodeError) as exc:
+            faults.append(Fault(file, 1, "", f"cannot be read: {exc}"))
+            continue
+        model = document if isinstance(document, list) else validate(document, FileModel)
+        if isinstance(model, list):
+            faults.extend(model)
+        elif name in loaded.models:
+            faults.append(Fault(file, 1, "", f"a file called {name} is given twice"))
+        else:
+            assert isinstance(document, Document)
+            loaded.models[name] = model
+            loaded.documents[name] = document
+    return faults or loaded
+
+
+def _place(faults: Sequence[ReferenceFault], documents: Mapping[str, Document]) -> list[Fault]:
+    """Return ``faults`` with lines, where their file was given."""
+    placed = []
+    for fault in faults:
+        document = documents.get(fault.file)
+        if document is None:
+            placed.append(Fault(fault.file, 1, ".".join(fault.path), fault.expected))
+        else:
+            placed.append(document.fault(fault.path, fault.expected))
+    return placed
+
+
+def _print_faults(faults: Sequence[Fault]) -> int:
+    for fault in faults:
+        print(fault, file=sys.stderr)
+    return REFUSED
+
+
+@COMMANDS.register("check")
+def check(*files: str) -> int:
+    """Check configuration files, alone and together.
+
+    FILE...   files that would be in force together
+
+    Prints every fault with file, line, path and what was expected.
+    """
+    loaded = _load(files)
+    if isinstance(loaded, list):
+        return _print_faults(loaded)
+    built = build_config(1, loaded.models)
+    if isinstance(built, list):
+        return _print_faults(_place(built, loaded.documents))
+    print(f"{len(loaded.models)} file(s) in order")
+    return DONE
+
+
+@COMMANDS.register("apply")
+def apply(
+    *files: str,
+    platform: str,
+    generation: str,
+    operator: str = "",
+    remove: str = "",
+    adapter: str = "http-json",
+) -> int:
+    """Put configuration files in force, all of them or none.
+
+    FILE...                files to put in force; one of the same name is replaced
+    --platform IP:PORT     the platform's object API
+    --generation N         generation the files were written against; 0 for the first
+    --operator NAME        who submits, for the audit trail (default: the user's name)
+    --remove NAME[,NAME]   files to take out of force
+    --adapter NAME         platform adapter
+
+    Refused when another generation is in force by now; what changed is shown.
+    """
+    if not generation.isdigit():
+        return _usage_error(f"--generation takes a number, not {generation!r}")
+    loaded = _load(files)
+    if isinstance(loaded, list):
+        return _print_faults(loaded)
+    clock = SystemClock()
+    store = PLATFORMS.get(adapter)(platform)
+    submission = Submission(
+        id=uuid.uuid4().hex,
+        operator=operator or getpass.getuser(),
+        base=int(generation),
+        files=loaded.models,
+        removed=tuple(name for name in remove.split(",") if name),
+    )
+    result = submit(store, submission, clock)
+    recorded = AuditTrail(store).append(_audit_entry(submission, result, clock.wall()))
+    if not recorded:
+        print("canvasyoke: the audit trail could not be written", file=sys.stderr)
+    return _report(result, loaded)
+
+
+def _audit_entry(submission: Submission, result: SubmitResult, wall: int) -> AuditEntry:
+    match result:
+        case Accepted(generation):
+            outcome, why, after = "accepted", "", generation
+        case Rejected(detail):
+            outcome, why, after = "refused", detail, submission.base
+        case Ambiguous(detail):
+            outcome, why, after = "unknown", detail, submission.base
+    return AuditEntry(
+        wall=wall,
+        id=submission.id,
+        who=submission.operator,
+        action="submission",
+        before=submission.base,
+        after=after,
+        changed=sorted({*submission.files, *submission.removed}),
+        outcome=outcome,
+        why=why,
+    )
+
+
+def _report(result: SubmitResult, loaded: _Loaded) -> int:
+    match result:
+        case Accepted(generation):
+            print(f"accepted: generation {generation}")
+            return DONE
+        case Rejected():
+            print(f"refused: {result.detail}", file=sys.stderr)
+            for change in result.changes:
+                what = f"generation {change.generation} by {change.operator}"
+                print(f"  {what}: {', '.join(change.files)}", file=sys.stderr)
+            _print_faults(_place(result.faults, loaded.documents))
+        case Ambiguous(detail):
+            print(f"unknown: {detail}; see canvasyoke audit before trying again", file=sys.stderr)
+    return REFUSED
+
+
+@COMMANDS.register("status")
+def status(*, entry: str, output: str = "text") -> int:
+    """Show what is in force and what is wrong, as one entry sees it.
+
+    --entry IP:PORT     admin address of any entry
+    --output text|json  for people or for programs
+    """
+    if output not in _OUTPUTS:
+        return _usage_error(f"--output takes text or json, not {output!r}")
+    try:
+        response = urllib3.PoolManager().request(
+            "GET", f"http://{entry}/status", timeout=_STATUS_TIMEOUT, retries=False
+        )
+    except (urllib3.exceptions.HTTPError, OSError) as exc:
+        print(f"canvasyoke: the entry does not answer: {exc}", file=sys.stderr)
+        return REFUSED
+    print(response.data.decode() if output == "json" else render_status(response.data))
+    return DONE
+
+
+@COMMANDS.register("audit")
+def audit(
+    *,
+    platform: str,
+    since: str = "",
+    service: str = "",
+    output: str = "text",
+    adapter: str = "http-json",
+) -> int:
+    """Show the audit trail: who changed what, when, and what was refused.
+
+    --platform IP:PORT  the platform's object API
+    --since TIME        from this time on, as 2026-01-31 or 2026-01-31T08:00 (UTC)
+    --service NAME      only what concerns this service, group or file
+    --output text|json  for people or for programs
+    --adapter NAME      platform adapter
+    """
+    if output not in _OUTPUTS:
+        return _usage_error(f"--output takes text or json, not {output!r}")
+    try:
+        start = _parse_time(since)
+    except ValueError:
+        return _usage_error(f"--since takes a time like 2026-01-31T08:00, not {since!r}")
+    entries = _read_trail(PLATFORMS.get(adapter)(platform), start, service)
+    if isinstance(entries, Unavailable):
+        print(f"canvasyoke: the platform does not answer: {entries.detail}", file=sys.stderr)
+        return REFUSED
+    print(msgspec.json.encode(entries).decode() if output == "json" else render_audit(entries))
+    return DONE
+
+
+def _read_trail(platform: Platform, since: int, subject: str) -> list[AuditEntry] | Unavailable:
+    """Return the trail, with changes from the root that never reached it."""
+    entries = AuditTrail(platform).read(since, subject)
+    root = read_root(platform)
+    if isinstance(entries, Unavailable) or isinstance(root, Unavailable):
+        return entries if isinstance(entries, Unavailable) else Unavailable("no root")
+    if not isinstance(root, Root):
+        return entries
+    known = {entry.id for entry in entries}
+    for change in root.history:
+        if change.submission in known or change.wall < since or subject not in ("", *change.files):
+            continue
+        entries.append(
+            AuditEntry(
+                wall=change.wall,
+                id=change.submission,
+                who=change.operator,
+                action="submission",
+                before=change.generation - 1,
+                after=change.generation,
+                changed=change.files,
+                outcome="accepted",
+                why="from the root's history",
+            )
+        )
+    return sorted(entries, key=lambda entry: entry.wall)
+
+
+def _parse_time(text: str) -> int:
+    if not text:
+        return 0
+    moment = datetime.datetime.fromisoformat(text)
+    if moment.tzinfo is None:
+        moment = moment.replace(tzinfo=datetime.UTC)
+    return round(moment.timestamp() * 1_000)
+
+
+def _usage_error(text: str) -> int:
+    print(f"canvasyoke: {text}", file=sys.stderr)
+    return USAGE
+
+
+@COMMANDS.register("version")
+def version() -> int:
+    """Print the versions of the program and of its protocol."""
+    print(f"canvasyoke {VERSION}, protocol {PROTOCOL_VERSION}")
+    return DONE
--- /dev/null
+++ b/src/canvasyoke/cli/_render.py
@@ -0,0 +1,106 @@
+"""Status and audit trail as text for people."""
+
+from __future__ import annotations
+
+import datetime
+from collections.abc import Sequence
+
+import msgspec
+
+from canvasyoke.state import AuditEntry
+
+
+class _Entry(msgspec.Struct):
+    instance: str
+    domain: str
+    generation: int
+    leaving: bool
+    in_flight: int
+    platform: bool
+
+
+class _Target(msgspec.Struct):
+    instance: str
+    domain: str
+    service: str
+    connected: bool
+    leaving: bool
+    healthy: bool
+    ejected: bool
+    generation: int
+    running: int
+    queued: int
+    slots: int
+    key_slots: int
+
+
+class _Group(msgspec.Struct):
+    group: str
+    owner: str
+    epoch: int
+    number: int
+    ranks_on_map: int
+    ranks: int
+    skew: float
+    moves: int
+
+
+class _Status(msgspec.Struct):
+    entry: _Entry
+    targets: list[_Target]
+    groups: list[_Group]
+    findings: list[str]
+
+
+def render_status(data: bytes) -> str:
+    """Return the JSON of an entry's status as text."""
+    status = msgspec.json.decode(data, type=_Status)
+    entry = status.entry
+    lines = [
+        f"entry {entry.instance} in {entry.domain}: generation {entry.generation}, "
+        f"{entry.in_flight} requests held, platform {'up' if entry.platform else 'DOWN'}"
+        f"{', leaving' if entry.leaving else ''}",
+        "",
+        f"{'target':<20}{'domain':<14}{'service':<14}{'state':<10}"
+        f"{'gen':>4}{'running':>9}{'queued':>8}{'keys':>6}",
+    ]
+    for target in status.targets:
+        lines.append(
+            f"{target.instance:<20}{target.domain:<14}{target.service:<14}{_state(target):<10}"
+            f"{target.generation:>4}{f'{target.running}/{target.slots}':>9}"
+            f"{target.queued:>8}{target.key_slots:>6}"
+        )
+    for group in status.groups:
+        lines += [
+            "",
+            f"group {group.group}: map {group.epoch}.{group.number} on "
+            f"{group.ranks_on_map} of {group.ranks} ranks, skew {group.skew:.2f}, "
+            f"{group.moves} moves under way, owner {group.owner or 'none'}",
+        ]
+    lines += ["", *(f"! {finding}" for finding in status.findings or [])]
+    lines += [] if status.findings else ["nothing is wrong"]
+    return "\n".join(lines)
+
+
+def _state(target: _Target) -> str:
+    if not target.connected:
+        return "no link"
+    if target.leaving:
+        return "leaving"
+    if not target.healthy:
+        return "down"
+    return "ejected" if target.ejected else "up"
+
+
+def render_audit(entries: Sequence[AuditEntry]) -> str:
+    """Return the audit trail as text, oldest first."""
+    lines = []
+    for entry in entries:
+        moment = datetime.datetime.fromtimestamp(entry.wall / 1_000, datetime.UTC)
+        subject = entry.subject or "fleet"
+        why = f" ({entry.why})" if entry.why else ""
+        lines.append(
+            f"{moment:%Y-%m-%dT%H:%M:%SZ} {entry.who}: {entry.action} of {subject} "
+            f"{entry.before} -> {entry.after} {entry.outcome}: {', '.join(entry.changed)}{why}"
+        )
+    return "\n".join(lines) or "the trail is empty"
--- /dev/null
+++ b/src/canvasyoke/coordination/__init__.py
@@ -0,0 +1,75 @@
+"""Decisions: typed views, a clock and a seeded random source in, typed values out.
+
+Nothing here opens a socket, so that a test or an experiment runs the very code
+that a process runs.
+"""
+
+from canvasyoke.coordination._ejection import Ejection
+from canvasyoke.coordination._fair_queue import FairQueue, Offer, Waiting
+from canvasyoke.coordination._homes import (
+    CLOCK_MARGIN,
+    HomeVerdict,
+    HomeView,
+    KeyedRequest,
+    KeyMemory,
+    KeyState,
+    Slot,
+    SlotTable,
+    check_key,
+    slot_of,
+)
+from canvasyoke.coordination._lease import LEASE, RENEW_EVERY, Lease, LeaseWatch
+from canvasyoke.coordination._planner import (
+    POLICIES,
+    ExpertMap,
+    PlanPolicy,
+    initial_map,
+    map_skew,
+    plan_map,
+)
+from canvasyoke.coordination._retry import Attempted, RetryBudget, Step, next_step
+from canvasyoke.coordination._routing import (
+    RANKERS,
+    Candidate,
+    Filtered,
+    Ranker,
+    RouteRequest,
+    filter_candidates,
+)
+
+__all__ = [
+    "CLOCK_MARGIN",
+    "LEASE",
+    "POLICIES",
+    "RANKERS",
+    "RENEW_EVERY",
+    "Attempted",
+    "Candidate",
+    "Ejection",
+    "ExpertMap",
+    "FairQueue",
+    "Filtered",
+    "HomeVerdict",
+    "HomeView",
+    "KeyMemory",
+    "KeyState",
+    "KeyedRequest",
+    "Lease",
+    "LeaseWatch",
+    "Offer",
+    "PlanPolicy",
+    "Ranker",
+    "RetryBudget",
+    "RouteRequest",
+    "Slot",
+    "SlotTable",
+    "Step",
+    "Waiting",
+    "check_key",
+    "filter_candidates",
+    "initial_map",
+    "map_skew",
+    "next_step",
+    "plan_map",
+    "slot_of",
+]
--- /dev/null
+++ b/src/canvasyoke/coordination/_routing.py
@@ -0,0 +1,182 @@
+"""Choosing a target: first what is ruled out, then which of the rest.
+
+A constraint is never traded against a preference: a target that is leaving is
+not merely a worse one. Reports lag and many entries act at once, so an entry that
+always takes the least loaded target herds with all others; the default ranker
+draws two at random and takes the better by an estimate that corrects the report
+with what this entry has sent and seen end since.
+"""
+
+from __future__ import annotations
+
+import random
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Final
+
+from canvasyoke._registry import Registry
+from canvasyoke.protocol import Reason
+
+#: Milliseconds that a target in another domain is taken to cost more.
+OTHER_DOMAIN_COST: Final = 2
+#: Milliseconds assumed for a request at a target that has ended none yet.
+DEFAULT_DURATION: Final = 50
+#: Age of a report, in milliseconds, after which a target counts as unheard of.
+REPORT_LIMIT: Final = 10_000
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """What an entry knows of one target when it chooses."""
+
+    instance: str
+    domain: str
+    service: str
+    #: Whether the link to it stands.
+    connected: bool
+    leaving: bool
+    #: Whether its backend answered when it last reported.
+    healthy: bool
+    #: Whether evidence from traffic speaks against it for now.
+    ejected: bool
+    slots: int
+    queue: int
+    #: Requests it reported running and waiting.
+    reported: int
+    #: Milliseconds since the report arrived.
+    report_age: int
+    #: Requests of this entry under way there at the time of the report, and now.
+    own_reported: int
+    own: int
+    #: Milliseconds a request takes there; 0 when unknown.
+    duration: int
+
+    @property
+    def load(self) -> int:
+        """Return the requests it is estimated to have."""
+        return max(self.own, self.reported - self.own_reported + self.own)
+
+    @property
+    def wait(self) -> float:
+        """Return the milliseconds until a new request there would have ended."""
+        duration = self.duration or DEFAULT_DURATION
+        return duration * (1 + self.load / max(1, self.slots))
+
+
+@dataclass(frozen=True, slots=True)
+class RouteRequest:
+    """What a request needs of a target."""
+
+    service: str
+    domain: str
+    #: Targets that have been tried.
+    tried: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class Filtered:
+    """Who may take a request, and why nobody may when nobody does."""
+
+    candidates: tuple[Candidate, ...]
+    #: The least hopeless cause among the targets ruled out.
+    reason: Reason = Reason.NO_TARGET
+
+
+def filter_candidates(candidates: Sequence[Candidate], req: RouteRequest) -> Filtered:
+    """Return the targets that may take ``req``.
+
+    Ejection is evidence, not a rule: when all that is left is ejected, they are
+    allowed, since the last target must not be lost to a suspicion.
+    """
+    able = [c for c in candidates if _is_able(c, req)]
+    if not able:
+        leaving = any(c.leaving for c in candidates if c.service == req.service)
+        return Filtered((), Reason.LEAVING if leaving else Reason.NO_TARGET)
+    sound = [c for c in able if not c.ejected] or able
+    roomy = [c for c in sound if c.load < c.slots + c.queue]
+    if not roomy:
+        return Filtered((), Reason.OVERLOADED)
+    return Filtered(tuple(roomy))
+
+
+def _is_able(candidate: Candidate, req: RouteRequest) -> bool:
+    return (
+        candidate.service == req.service
+        and candidate.connected
+        and not candidate.leaving
+        and candidate.healthy
+        and candidate.report_age <= REPORT_LIMIT
+        and candidate.instance not in req.tried
+    )
+
+
+class Ranker(ABC):
+    """Chooses one of the targets that may take a request."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+
+    @abstractmethod
+    def choose(self, candidates: Sequence[Candidate], req: RouteRequest) -> Candidate:
+        """Return one of ``candidates``, of which there is at least one."""
+
+
+#: Rankers by name.
+RANKERS: Registry[type[Ranker]] = Registry("ranker")
+
+
+def _cost(candidate: Candidate, req: RouteRequest) -> float:
+    return candidate.wait + (OTHER_DOMAIN_COST if candidate.domain != req.domain else 0)
+
+
+@RANKERS.register("random")
+class RandomRanker(Ranker):
+    """Any target alike; a baseline."""
+
+    def choose(self, candidates: Sequence[Candidate], req: RouteRequest) -> Candidate:
+        """Return one at random."""
+        return self._rng.choice(candidates)
+
+
+@RANKERS.register("round_robin")
+class RoundRobinRanker(Ranker):
+    """Each in turn; a baseline."""
+
+    def __init__(self, rng: random.Random) -> None:
+        super().__init__(rng)
+        self._turn = rng.randrange(1 << 16)
+
+    def choose(self, candidates: Sequence[Candidate], req: RouteRequest) -> Candidate:
+        """Return the next one."""
+        self._turn += 1
+        return candidates[self._turn % len(candidates)]
+
+
+@RANKERS.register("least_reported")
+class LeastReportedRanker(Ranker):
+    """The lowest load reported; a baseline that herds when reports lag."""
+
+    def choose(self, candidates: Sequence[Candidate], req: RouteRequest) -> Candidate:
+        """Return the least loaded by report, ties at random."""
+        return min(candidates, key=lambda c: (c.reported / max(1, c.slots), self._rng.random()))
+
+
+@RANKERS.register("two_choices_reported")
+class TwoChoicesReportedRanker(Ranker):
+    """The better of two by report alone; a baseline."""
+
+    def choose(self, candidates: Sequence[Candidate], req: RouteRequest) -> Candidate:
+        """Return the less loaded of two drawn at random."""
+        drawn = self._rng.sample(candidates, min(2, len(candidates)))
+        return min(drawn, key=lambda c: c.reported / max(1, c.slots))
+
+
+@RANKERS.register("two_choices")
+class TwoChoicesRanker(Ranker):
+    """The better of two by the corrected estimate of the wait; the default."""
+
+    def choose(self, candidates: Sequence[Candidate], req: RouteRequest) -> Candidate:
+        """Return the one of two drawn at random where the wait is shorter."""
+        drawn = self._rng.sample(candidates, min(2, len(candidates)))
+        return min(drawn, key=lambda c: _cost(c, req))
--- /dev/null
+++ b/src/canvasyoke/entry/_dispatch.py
@@ -0,0 +1,227 @@
+"""Takes one request to a whole answer or to one final refusal."""
+
+from __future__ import annotations
+
+import itertools
+import queue
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from typing import Final, TypeAlias
+
+import msgspec
+
+from canvasyoke._clock import SECOND, Clock
+from canvasyoke.coordination import Attempted, RetryBudget, RouteRequest, Step, next_step
+from canvasyoke.entry._peer import Attempt, Lost, Peer
+from canvasyoke.entry._peers import Peers
+from canvasyoke.protocol import Chunk, End, Head, Outcome, Reason, Refusal, Refused, Run
+
+#: Milliseconds a target gets past the deadline to say what became of a request.
+_CONFIRM: Final = 300
+#: Milliseconds a broken link gets to come back before an attempt is given up:
+#: short when another target can take over, longer when nothing else may.
+_RESUME_REPEATABLE: Final = 300
+_RESUME_ONCE: Final = 3 * SECOND
+#: Milliseconds between looks at whether the caller and the link are still there.
+_LOOK: Final = 200
+#: Milliseconds between looks for a target when none can be had at once.
+_PAUSE: Final = 50
+#: Milliseconds a request waits for a target to appear.
+_WAIT_FOR_TARGET: Final = 1 * SECOND
+_RETRY_AFTER: Final = 1 * SECOND
+#: Refusals for which the target is to blame.
+_BLAMED: Final = frozenset({Reason.LINK_LOST, Reason.BACKEND_FAILED, Reason.BACKEND_UNREACHABLE})
+
+
+@dataclass(frozen=True, slots=True)
+class CallerGone:
+    """The caller closed its connection; there is nobody to tell."""
+
+
+#: What a request comes to, piece by piece: a head, chunks, and an end or a refusal.
+Piece: TypeAlias = Head | Chunk | End | Refusal | CallerGone
+
+
+@dataclass(slots=True)
+class Call:
+    """A request that has been authenticated and checked."""
+
+    #: The request as it will be sent; request and attempt number are filled in here.
+    run: Run
+    #: Time on the clock at which the caller gives up.
+    deadline: int
+    #: Slots of the service's keys.
+    key_slots: int
+    #: Whether another target can go on where an answer broke off.
+    resumable: bool
+    #: Tells whether the caller has gone.
+    gone: Callable[[], bool]
+    #: Targets that refused or failed.
+    tried: set[str] = field(default_factory=set)
+    attempts: int = 0
+    #: Whether the head went to the caller, and the chunks that did.
+    head_sent: bool = False
+    delivered: int = 0
+    #: HTTP status in that head.
+    status: int = 0
+
+
+class Dispatcher:
+    """Chooses targets, sends attempts and joins their pieces to one answer."""
+
+    def __init__(self, peers: Peers, domain: str, clock: Clock) -> None:
+        self._peers = peers
+        self._domain = domain
+        self._clock = clock
+        self._numbers = itertools.count(1)
+        self._budget = RetryBudget()
+
+    def run(self, call: Call) -> Iterator[Piece]:
+        """Yield the pieces of the answer; the last is an end, a refusal or caller-gone."""
+        number = next(self._numbers)
+        while True:
+            peer = self._find_peer(call)
+            if not isinstance(peer, Peer):
+                yield peer
+                return
+            last: Piece | None = None
+            for piece in self._attempt(call, peer, number):
+                last = piece
+                if not isinstance(piece, Refusal):
+                    yield piece
+            if isinstance(last, End):
+                self._budget.earn()
+            if not isinstance(last, Refusal):
+                return
+            if not self._try_again(call, last):
+                yield last
+                return
+
+    def _try_again(self, call: Call, refusal: Refusal) -> bool:
+        attempted = Attempted(
+            refusal, call.run.repeatable, call.attempts, call.deadline - self._clock.now()
+        )
+        if call.head_sent and not (call.run.repeatable and call.resumable):
+            return False
+        return next_step(attempted, self._budget) is Step.RETRY
+
+    def _find_peer(self, call: Call) -> Peer | Refusal | CallerGone:
+        """Return a target, waiting a little for one to appear."""
+        patience = min(call.deadline, self._clock.now() + _WAIT_FOR_TARGET)
+        while True:
+            found = self._choose(call)
+            if isinstance(found, Peer):
+                return found
+            if found is Reason.OVERLOADED or self._clock.now() >= patience:
+                detail = "no target can take the request now"
+                return Refusal(Outcome.NOT_RUN, found, detail, _RETRY_AFTER)
+            if call.gone():
+                return CallerGone()
+            if call.tried:
+                # Every target has been tried once: they may be tried again.
+                call.tried.clear()
+            time.sleep(_PAUSE / SECOND)
+
+    def _choose(self, call: Call) -> Peer | Reason:
+        req = RouteRequest(call.run.service, self._domain, frozenset(call.tried))
+        if call.run.repeatable:
+            return self._peers.choose(req)
+        return self._peers.choose_home(req, call.run.key, call.key_slots)
+
+    def _attempt(self, call: Call, peer: Peer, number: int) -> Iterator[Piece]:
+        """Make one attempt; a refusal that ends it is the last piece."""
+        call.attempts += 1
+        call.tried.add(peer.instance)
+        remaining = max(0, call.deadline - self._clock.now())
+        run = msgspec.structs.replace(
+            call.run,
+            request=number,
+            attempt=call.attempts,
+            remaining=remaining,
+            offset=call.delivered,
+        )
+        attempt = peer.begin(run)
+        if attempt is None:
+            yield Refusal(Outcome.NOT_RUN, Reason.LINK_LOST, "the link does not stand", 100)
+            return
+        whole = False
+        try:
+            for piece in self._receive(call, peer, attempt):
+                whole = isinstance(piece, End)
+                yield piece
+        finally:
+            peer.finish(attempt, whole=whole)
+
+    def _receive(self, call: Call, peer: Peer, attempt: Attempt) -> Iterator[Piece]:
+        while True:
+            event = self._next_event(call, peer, attempt)
+            match event:
+                case Head():
+                    if call.head_sent and event.status != call.status:
+                        yield _lost("another target answered otherwise")
+                        return
+                    if not call.head_sent:
+                        call.head_sent, call.status = True, event.status
+                        yield event
+                case Chunk():
+                    call.delivered += 1
+                    yield event
+                case End():
+                    peer.ejection.succeeded()
+                    yield event
+                    return
+                case Refused():
+                    yield self._judge(peer, event)
+                    return
+                case Lost():
+                    peer.ejection.failed()
+                    yield _lost("the target's process ended")
+                    return
+                case _:
+                    yield event
+                    return
+
+    def _judge(self, peer: Peer, refused: Refused) -> Refusal:
+        refusal = Refusal(
+            Outcome(refused.outcome), Reason(refused.reason), refused.detail, refused.retry_after
+        )
+        if refusal.reason in _BLAMED:
+            peer.ejection.failed()
+        return refusal
+
+    def _next_event(
+        self, call: Call, peer: Peer, attempt: Attempt
+    ) -> Head | Chunk | End | Refused | Lost | Refusal | CallerGone:
+        """Return what comes next, or why nothing more will."""
+        down_since = 0
+        cancelled = False
+        patience = _RESUME_REPEATABLE if call.run.repeatable else _RESUME_ONCE
+        while True:
+            now = self._clock.now()
+            until_deadline = call.deadline - now
+            timeout = max(1, min(_LOOK, until_deadline if not cancelled else _LOOK))
+            try:
+                return attempt.get(timeout / SECOND)
+            except queue.Empty:
+                pass
+            if call.gone():
+                return CallerGone()
+            now = self._clock.now()
+            if now >= call.deadline and not cancelled:
+                peer.cancel(attempt)
+                cancelled = True
+            if now >= call.deadline + _CONFIRM:
+                detail = "the deadline passed and the target did not say whether it ran"
+                return Refusal(Outcome.UNKNOWN, Reason.DEADLINE, detail)
+            if peer.connected:
+                down_since = 0
+            elif not down_since:
+                down_since = now
+            elif now - down_since > patience:
+                peer.ejection.failed()
+                return _lost("the link to the target broke")
+
+
+def _lost(detail: str) -> Refusal:
+    return Refusal(Outcome.UNKNOWN, Reason.LINK_LOST, detail)
--- /dev/null
+++ b/src/canvasyoke/entry/_peer.py
@@ -0,0 +1,247 @@
+"""One target as an entry knows it: its link, its last report, the requests there."""
+
+from __future__ import annotations
+
+import queue
+import random
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TypeAlias
+
+from canvasyoke._clock import Clock
+from canvasyoke.coordination import Candidate, Ejection
+from canvasyoke.observe import part_logger
+from canvasyoke.protocol import (
+    Cancel,
+    Chunk,
+    ConfigOffer,
+    ConfigWanted,
+    Drained,
+    End,
+    Forget,
+    Head,
+    LoadReport,
+    Message,
+    Refused,
+    Resume,
+    Run,
+)
+from canvasyoke.transport import LinkClient, Session
+
+_log = part_logger("peer")
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """The target's process is another one now: nothing more will come of the attempt."""
+
+
+#: What an attempt may get from its target.
+Event: TypeAlias = Head | Chunk | End | Refused | Lost
+
+
+class Attempt:
+    """One try at a request, waiting for what its target sends."""
+
+    def __init__(self, run: Run, incarnation: str) -> None:
+        self.run = run
+        #: Run of the target's process that the attempt was sent to.
+        self.incarnation = incarnation
+        #: Index of the next chunk wanted.
+        self.next_offset = run.offset
+        #: Whether the head has come.
+        self.has_head = False
+        self._events: queue.SimpleQueue[Event] = queue.SimpleQueue()
+
+    def put(self, event: Event) -> None:
+        """Add an event, on the peer's task."""
+        self._events.put(event)
+
+    def get(self, timeout: float) -> Event:
+        """Return the next event; raises ``queue.Empty`` after ``timeout`` seconds."""
+        return self._events.get(timeout=timeout)
+
+
+class Peer:
+    """One target. The link's task writes the report; requests' tasks read it."""
+
+    def __init__(
+        self,
+        instance: str,
+        address: str,
+        link_key: bytes,
+        entry: str,
+        incarnation: str,
+        clock: Clock,
+        rng: random.Random,
+        on_offer: Callable[[ConfigOffer], None],
+        on_wanted: Callable[[Session, int], None],
+    ) -> None:
+        #: Name of the target's instance.
+        self.instance = instance
+        #: Address of the target's link.
+        self.address = address
+        #: Evidence from traffic.
+        self.ejection = Ejection(clock)
+        #: Last report; ``None`` before the first.
+        self.report: LoadReport | None = None
+        self._reported_at = 0
+        self._own_reported = 0
+        self._clock = clock
+        self._on_offer = on_offer
+        self._on_wanted = on_wanted
+        self._lock = threading.Lock()
+        self._attempts: dict[tuple[int, int], Attempt] = {}
+        self._session: Session | None = None
+        #: Whether the target said goodbye.
+        self.drained = False
+        self._client = LinkClient(
+            address,
+            link_key,
+            "entry",
+            entry,
+            incarnation,
+            clock,
+            rng,
+            self._received,
+            self._opened,
+            self._closed,
+        )
+
+    def start(self) -> None:
+        """Start the link's task."""
+        self._client.start()
+
+    def stop(self) -> None:
+        """End the link."""
+        self._client.stop()
+
+    @property
+    def connected(self) -> bool:
+        """Tell whether the link stands."""
+        return self._session is not None
+
+    @property
+    def fault(self) -> str:
+        """Return why the link does not stand; empty when it does."""
+        return "" if self.connected else self._client.last_fault
+
+    @property
+    def in_flight(self) -> int:
+        """Return this entry's requests under way at the target."""
+        return len(self._attempts)
+
+    def candidate(self, queue_limit: int) -> Candidate | None:
+        """Return the target as a choice; ``None`` before its first report."""
+        report = self.report
+        if report is None:
+            return None
+        return Candidate(
+            instance=self.instance,
+            domain=report.domain,
+            service=report.service,
+            connected=self.connected,
+            leaving=report.leaving or self.drained,
+            healthy=report.healthy,
+            ejected=self.ejection.ejected,
+            slots=report.slots,
+            queue=queue_limit,
+            reported=report.running + report.queued,
+            report_age=self._clock.now() - self._reported_at,
+            own_reported=self._own_reported,
+            own=self.in_flight,
+            duration=report.duration,
+        )
+
+    def begin(self, run: Run) -> Attempt | None:
+        """Send ``run``; ``None`` when the link does not stand, so it was not sent."""
+        with self._lock:
+            session = self._session
+            if session is None:
+                return None
+            attempt = Attempt(run, session.incarnation)
+            self._attempts[run.request, run.attempt] = attempt
+        self.ejection.sent()
+        session.send(run)
+        return attempt
+
+    def finish(self, attempt: Attempt, *, whole: bool) -> None:
+        """Stop listening; tell the target that the answer came or is not wanted."""
+        run = attempt.run
+        with self._lock:
+            self._attempts.pop((run.request, run.attempt), None)
+            session = self._session
+        if session is not None:
+            kind = Forget if whole else Cancel
+            session.send(kind(run.request, run.attempt))
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Ask the target to stop, and keep listening for what it says to that."""
+        session = self._session
+        if session is not None:
+            session.send(Cancel(attempt.run.request, attempt.run.attempt))
+
+    def send(self, message: Message) -> None:
+        """Send ``message`` if the link stands."""
+        session = self._session
+        if session is not None:
+            session.send(message)
+
+    # On the link's task.
+
+    def _opened(self, session: Session) -> None:
+        _log.info("target is up", target=session.peer, address=self.address)
+        self.drained = False
+        with self._lock:
+            self._session = session
+            attempts = list(self._attempts.values())
+        for attempt in attempts:
+            if attempt.incarnation == session.incarnation:
+                run = attempt.run
+                session.send(Resume(run.request, run.attempt, attempt.next_offset))
+            else:
+                attempt.put(Lost())
+
+    def _closed(self, session: Session) -> None:
+        _log.info("target is down", target=session.peer, fault=self._client.last_fault)
+        with self._lock:
+            if self._session is session:
+                self._session = None
+
+    def _received(self, session: Session, message: Message) -> None:
+        match message:
+            case Head() | Chunk() | End() | Refused():
+                self._pass_on(message)
+            case LoadReport():
+                self._take_report(message)
+            case Drained():
+                self.drained = True
+            case ConfigOffer():
+                self._on_offer(message)
+            case ConfigWanted():
+                self._on_wanted(session, message.generation)
+            case _:
+                _log.warning("message of the wrong kind", target=session.peer)
+
+    def _take_report(self, report: LoadReport) -> None:
+        self.report = report
+        self._reported_at = self._clock.now()
+        self._own_reported = self.in_flight
+
+    def _pass_on(self, message: Head | Chunk | End | Refused) -> None:
+        """Give a piece of an answer to its attempt, once and in order."""
+        attempt = self._attempts.get((message.request, message.attempt))
+        if attempt is None:
+            return
+        if isinstance(message, Head):
+            if attempt.has_head:
+                return
+            attempt.has_head = True
+        elif isinstance(message, Chunk):
+            if message.offset != attempt.next_offset:
+                return
+            attempt.next_offset += 1
+        elif isinstance(message, End) and message.chunks != attempt.next_offset:
+            return
+        attempt.put(message)
--- /dev/null
+++ b/src/canvasyoke/entry/_status.py
@@ -0,0 +1,149 @@
+"""What an entry tells operators: what is in force and what is wrong, as data."""
+
+from __future__ import annotations
+
+import msgspec
+
+from canvasyoke.entry._peer import Peer
+from canvasyoke.entry._peers import Peers
+from canvasyoke.state import ConfigView
+
+
+class EntryStatus(msgspec.Struct, frozen=True):
+    """The entry itself."""
+
+    instance: str
+    domain: str
+    generation: int
+    leaving: bool
+    in_flight: int
+    #: Whether the platform answered last time.
+    platform: bool
+
+
+class TargetStatus(msgspec.Struct, frozen=True):
+    """One target as the entry sees it."""
+
+    instance: str
+    domain: str
+    service: str
+    connected: bool
+    fault: str
+    leaving: bool
+    healthy: bool
+    ejected: bool
+    generation: int
+    running: int
+    queued: int
+    slots: int
+    key_slots: int
+
+
+class GroupStatus(msgspec.Struct, frozen=True):
+    """One rank group."""
+
+    group: str
+    owner: str
+    epoch: int
+    number: int
+    #: Ranks that have this map in force, and all ranks.
+    ranks_on_map: int
+    ranks: int
+    skew: float
+    moves: int
+
+
+class Status(msgspec.Struct, frozen=True):
+    """All of it."""
+
+    entry: EntryStatus
+    targets: list[TargetStatus]
+    groups: list[GroupStatus]
+    #: What is wrong and what to do, most urgent first.
+    findings: list[str]
+
+
+def collect_status(entry: EntryStatus, peers: Peers, view: ConfigView) -> Status:
+    """Return the status that one entry can see."""
+    targets = [_target_status(peer) for peer in peers.all()]
+    groups = _group_status(peers, view)
+    return Status(entry, targets, groups, _findings(entry, targets, groups, view))
+
+
+def _target_status(peer: Peer) -> TargetStatus:
+    report = peer.report
+    return TargetStatus(
+        instance=peer.instance,
+        domain=report.domain if report else "",
+        service=report.service if report else "",
+        connected=peer.connected,
+        fault=peer.fault,
+        leaving=bool(report and report.leaving) or peer.drained,
+        healthy=bool(report and report.healthy),
+        ejected=peer.ejection.ejected,
+        generation=report.generation if report else 0,
+        running=report.running if report else 0,
+        queued=report.queued if report else 0,
+        slots=report.slots if report else 0,
+        key_slots=len(report.homes) if report else 0,
+    )
+
+
+def _group_status(peers: Peers, view: ConfigView) -> list[GroupStatus]:
+    groups = []
+    for name, group in sorted(view.current.groups.items()):
+        reports = [p.report for p in peers.all() if p.report and p.report.group == name]
+        best = max(((r.map_epoch, r.map_number) for r in reports), default=(0, 0))
+        owner = next((r for r in reports if r.owner), None)
+        groups.append(
+            GroupStatus(
+                group=name,
+                owner=owner.instance if owner else "",
+                epoch=best[0],
+                number=best[1],
+                ranks_on_map=sum((r.map_epoch, r.map_number) == best for r in reports),
+                ranks=group.model.ranks,
+                skew=(owner.skew if owner else 0) / 1_000,
+                moves=owner.moves if owner else 0,
+            )
+        )
+    return groups
+
+
+def _findings(
+    entry: EntryStatus,
+    targets: list[TargetStatus],
+    groups: list[GroupStatus],
+    view: ConfigView,
+) -> list[str]:
+    findings = []
+    if not entry.generation:
+        findings.append("no configuration is in force: apply one with `canvasyoke apply`")
+    if not entry.platform:
+        findings.append("the platform does not answer: what is in force stays; check its API")
+    known = {t.instance for t in targets}
+    for name in sorted(set(view.current.engines) - known):
+        findings.append(f"engine {name} is configured but not in the instance list: start it")
+    for target in targets:
+        findings.extend(_target_findings(target, entry.generation))
+    for group in groups:
+        if not group.owner:
+            findings.append(f"group {group.group} has no owner: its experts stay where they are")
+        if group.ranks_on_map < group.ranks:
+            behind = group.ranks - group.ranks_on_map
+            findings.append(f"group {group.group}: {behind} of {group.ranks} ranks off the map")
+    return findings
+
+
+def _target_findings(target: TargetStatus, generation: int) -> list[str]:
+    name = target.instance
+    if not target.connected:
+        return [f"target {name} cannot be reached: {target.fault or 'no link yet'}"]
+    findings = []
+    if not target.healthy:
+        findings.append(f"target {name}: its backend does not answer; look at the engine there")
+    if target.ejected:
+        findings.append(f"target {name} is passed over after failures; it is probed in turn")
+    if target.generation < generation:
+        findings.append(f"target {name} is at generation {target.generation}, not {generation}")
+    return findings
--- /dev/null
+++ b/src/canvasyoke/observe/_logs.py
@@ -0,0 +1,100 @@
+"""Logs through logbook: short sentences, a fixed prefix for each part.
+
+>>> log = part_logger("link")
+>>> log.info("peer is up", peer="ink-1")
+
+writes ``2026-01-05T07:00:00.000Z INFO link: peer is up peer=ink-1``, or the same
+as one JSON object a line. Neither bodies nor tokens are ever passed to a logger.
+"""
+
+from __future__ import annotations
+
+import datetime
+import sys
+import threading
+from typing import Any, Final, TextIO
+
+import logbook
+import msgspec
+
+from canvasyoke.state import LogSettings
+
+_LEVELS: Final = {
+    "debug": logbook.DEBUG,
+    "info": logbook.INFO,
+    "warning": logbook.WARNING,
+    "error": logbook.ERROR,
+}
+
+
+class PartLogger:
+    """The logger of one part of the program."""
+
+    def __init__(self, part: str) -> None:
+        self._logger = logbook.Logger(part)
+
+    def debug(self, message: str, **fields: object) -> None:
+        """Log what helps while developing."""
+        self._logger.debug(message, extra=fields)
+
+    def info(self, message: str, **fields: object) -> None:
+        """Log what an operator may want to know later."""
+        self._logger.info(message, extra=fields)
+
+    def warning(self, message: str, **fields: object) -> None:
+        """Log what should be looked at."""
+        self._logger.warning(message, extra=fields)
+
+    def error(self, message: str, **fields: object) -> None:
+        """Log what went wrong in the program itself."""
+        self._logger.error(message, extra=fields)
+
+
+def part_logger(part: str) -> PartLogger:
+    """Return the logger of ``part``, whose name is the prefix of its lines."""
+    return PartLogger(part)
+
+
+class _LineHandler(logbook.Handler):  # type: ignore[misc]
+    """Writes one line for each record."""
+
+    def __init__(self, stream: TextIO, as_json: bool, level: int, instance: str) -> None:
+        super().__init__(level=level, bubble=False)
+        self._lock = threading.Lock()
+        self._stream = stream
+        self._as_json = as_json
+        self._instance = instance
+
+    def emit(self, record: Any) -> None:
+        """Write ``record``."""
+        line = self._format_json(record) if self._as_json else self._format_text(record)
+        with self._lock:
+            self._stream.write(line + "\n")
+            self._stream.flush()
+
+    def _format_text(self, record: Any) -> str:
+        fields = "".join(f" {name}={value}" for name, value in record.extra.items())
+        level = record.level_name
+        return f"{_time(record)} {level} {record.channel}: {record.message}{fields}"
+
+    def _format_json(self, record: Any) -> str:
+        line = {
+            "time": _time(record),
+            "level": record.level_name.lower(),
+            "part": record.channel,
+            "instance": self._instance,
+            "message": record.message,
+            **record.extra,
+        }
+        return msgspec.json.encode(line, enc_hook=str).decode()
+
+
+def _time(record: Any) -> str:
+    moment: datetime.datetime = record.time
+    return moment.isoformat(timespec="milliseconds").replace("+00:00", "") + "Z"
+
+
+def set_up_logs(settings: LogSettings, instance: str, stream: TextIO = sys.stderr) -> None:
+    """Send the logs of this process to ``stream`` as ``settings`` say."""
+    handler = _LineHandler(stream, settings.format == "json", _LEVELS[settings.level], instance)
+    handler.push_application()
--- /dev/null
+++ b/src/canvasyoke/observe/_metrics.py
@@ -0,0 +1,140 @@
+"""Counters, gauges and timers, printed in the Prometheus text format.
+
+Timers are HDR histograms (hdrhistogram): three significant digits from 10
+microseconds to ten minutes, so a quantile is as good far out as near the middle.
+"""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from typing import Final
+
+from hdrh.histogram import HdrHistogram
+
+_LOWEST: Final = 10
+_HIGHEST: Final = 600_000_000
+_DIGITS: Final = 2
+_QUANTILES: Final = (0.5, 0.95, 0.99, 0.999)
+_MICROSECONDS: Final = 1_000
+#: Series of one metric at the most; further label values are counted as ``other``.
+_SERIES_LIMIT: Final = 500
+
+
+class Counter:
+    """A number that only grows, by label value."""
+
+    def __init__(self, name: str, help_text: str, label: str) -> None:
+        self.name = name
+        self._help = help_text
+        self._label = label
+        self._lock = threading.Lock()
+        self._values: dict[str, int] = {}
+
+    def add(self, label_value: str = "", amount: int = 1) -> None:
+        """Count ``amount``."""
+        with self._lock:
+            if label_value not in self._values and len(self._values) >= _SERIES_LIMIT:
+                label_value = "other"
+            self._values[label_value] = self._values.get(label_value, 0) + amount
+
+    def value(self, label_value: str = "") -> int:
+        """Return the count so far."""
+        with self._lock:
+            return self._values.get(label_value, 0)
+
+    def render(self) -> list[str]:
+        """Return the lines of this metric."""
+        with self._lock:
+            values = sorted(self._values.items())
+        lines = [f"# HELP {self.name} {self._help}", f"# TYPE {self.name} counter"]
+        return lines + [f"{self.name}{self._labels(k)} {v}" for k, v in values]
+
+    def _labels(self, value: str) -> str:
+        return f'{{{self._label}="{_escape(value)}"}}' if self._label else ""
+
+
+class Gauge:
+    """A number read when asked for."""
+
+    def __init__(self, name: str, help_text: str, read: Callable[[], float]) -> None:
+        self.name = name
+        self._help = help_text
+        self._read = read
+
+    def render(self) -> list[str]:
+        """Return the lines of this metric."""
+        head = [f"# HELP {self.name} {self._help}", f"# TYPE {self.name} gauge"]
+        return [*head, f"{self.name} {self._read():g}"]
+
+
+class Timer:
+    """A distribution of durations, given in milliseconds."""
+
+    def __init__(self, name: str, help_text: str) -> None:
+        self.name = name
+        self._help = help_text
+        self._lock = threading.Lock()
+        self._histogram = HdrHistogram(_LOWEST, _HIGHEST, _DIGITS)
+        self._sum = 0.0
+
+    def record(self, duration: float) -> None:
+        """Add one duration in milliseconds."""
+        value = min(_HIGHEST, max(_LOWEST, round(duration * _MICROSECONDS)))
+        with self._lock:
+            self._histogram.record_value(value)
+            self._sum += duration
+
+    def quantile(self, fraction: float) -> float:
+        """Return the duration in milliseconds under which ``fraction`` of all lie."""
+        with self._lock:
+            value = self._histogram.get_value_at_percentile(fraction * 100)
+        return float(value) / _MICROSECONDS
+
+    @property
+    def count(self) -> int:
+        """Return the number of durations."""
+        return int(self._histogram.get_total_count())
+
+    def render(self) -> list[str]:
+        """Return the lines of this metric, in seconds."""
+        lines = [f"# HELP {self.name} {self._help}", f"# TYPE {self.name} summary"]
+        for fraction in _QUANTILES if self.count else ():
+            seconds = self.quantile(fraction) / 1_000
+            lines.append(f'{self.name}{{quantile="{fraction}"}} {seconds:.6f}')
+        lines.append(f"{self.name}_sum {self._sum / 1_000:.6f}")
+        lines.append(f"{self.name}_count {self.count}")
+        return lines
+
+
+class Metrics:
+    """All metrics of one process."""
+
+    def __init__(self) -> None:
+        self._all: list[Counter | Gauge | Timer] = []
+
+    def counter(self, name: str, help_text: str, label: str = "") -> Counter:
+        """Add a counter."""
+        counter = Counter(name, help_text, label)
+        self._all.append(counter)
+        return counter
+
+    def gauge(self, name: str, help_text: str, read: Callable[[], float]) -> Gauge:
+        """Add a gauge."""
+        gauge = Gauge(name, help_text, read)
+        self._all.append(gauge)
+        return gauge
+
+    def timer(self, name: str, help_text: str) -> Timer:
+        """Add a timer."""
+        timer = Timer(name, help_text)
+        self._all.append(timer)
+        return timer
+
+    def render(self) -> str:
+        """Return all metrics as text."""
+        return "\n".join(line for metric in self._all for line in metric.render()) + "\n"
+
+
+def _escape(value: str) -> str:
+    return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
--- /dev/null
+++ b/src/canvasyoke/protocol/_messages.py
@@ -0,0 +1,235 @@
+"""The messages between an entry and a target, and between targets of a group.
+
+Every message is a tagged msgspec structure, so that the codec checks types and
+bounds on arrival. ``request`` names a request within one entry incarnation and
+``attempt`` one try at it: an answer to an old attempt never reaches the caller
+of a newer one.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated, TypeAlias
+
+import msgspec
+
+#: A name of an instance, service, organisation, file or group.
+Name: TypeAlias = Annotated[str, msgspec.Meta(max_length=200)]
+#: Header names and values in the order they came.
+Headers: TypeAlias = Annotated[list[tuple[str, str]], msgspec.Meta(max_length=100)]
+#: A count or a duration in milliseconds.
+Count: TypeAlias = Annotated[int, msgspec.Meta(ge=0)]
+
+
+class Run(msgspec.Struct, frozen=True, tag="run"):
+    """Entry to target: run this request."""
+
+    request: Count
+    attempt: Count
+    #: Id that appears in the logs of every process the request passes.
+    request_id: Name
+    organisation: Name
+    service: Name
+    method: Name
+    #: Path below the service, with its query string.
+    path: Annotated[str, msgspec.Meta(max_length=8_192)]
+    headers: Headers
+    body: bytes
+    #: Milliseconds the caller will still wait.
+    remaining: Count
+    #: Lower runs first.
+    priority: Annotated[int, msgspec.Meta(ge=0, le=7)]
+    repeatable: bool
+    #: Key that makes repetitions recognisable; empty for repeatable requests.
+    key: Name = ""
+    #: Index of the first chunk wanted; larger than 0 when a stream is resumed.
+    offset: Count = 0
+
+
+class Resume(msgspec.Struct, frozen=True, tag="resume"):
+    """Entry to target: after a link broke, send again from ``offset``."""
+
+    request: Count
+    attempt: Count
+    offset: Count
+
+
+class Cancel(msgspec.Struct, frozen=True, tag="cancel"):
+    """Entry to target: the caller has gone; stop what can be stopped."""
+
+    request: Count
+    attempt: Count
+
+
+class Forget(msgspec.Struct, frozen=True, tag="forget"):
+    """Entry to target: the answer arrived whole; its buffer may go."""
+
+    request: Count
+    attempt: Count
+
+
+class Head(msgspec.Struct, frozen=True, tag="head"):
+    """Target to entry: the answer begins."""
+
+    request: Count
+    attempt: Count
+    status: Annotated[int, msgspec.Meta(ge=100, le=599)]
+    headers: Headers
+
+
+class Chunk(msgspec.Struct, frozen=True, tag="chunk"):
+    """Target to entry: one piece of the answer."""
+
+    request: Count
+    attempt: Count
+    #: Index of this piece; pieces are consecutive.
+    offset: Count
+    data: bytes
+
+
+class End(msgspec.Struct, frozen=True, tag="end"):
+    """Target to entry: the answer is whole and has this many pieces."""
+
+    request: Count
+    attempt: Count
+    chunks: Count
+
+
+class Refused(msgspec.Struct, frozen=True, tag="refused"):
+    """Target to entry: there will be no more of an answer to this attempt."""
+
+    request: Count
+    attempt: Count
+    outcome: Name
+    reason: Name
+    detail: Annotated[str, msgspec.Meta(max_length=2_000)] = ""
+    retry_after: Count = 0
+
+
+class SlotClaim(msgspec.Struct, frozen=True):
+    """A slot of a service's keys that the reporting target holds."""
+
+    slot: Count
+    #: Version of the service's slot table under which it is held.
+    epoch: Count
+
+
+class LoadReport(msgspec.Struct, frozen=True, tag="load"):
+    """Target to entry: what the target knows of itself, sent on change and in turn."""
+
+    instance: Name
+    domain: Name
+    service: Name
+    #: Requests running and waiting, and how many may run at once.
+    running: Count
+    queued: Count
+    slots: Count
+    #: Milliseconds a request takes at present, smoothed; 0 when none has ended.
+    duration: Count
+    #: Generation of the configuration in force at the target.
+    generation: Count
+    leaving: bool
+    #: Whether the backend answers.
+    healthy: bool
+    #: Slots of non-repeatable keys held, when the service has any.
+    homes: Annotated[list[SlotClaim], msgspec.Meta(max_length=1_024)] = []
+    #: Rank group, rank and what the rank last reported; empty without a group.
+    group: Name = ""
+    rank: Count = 0
+    #: Epoch and number of the expert map in force at the rank.
+    map_epoch: Count = 0
+    map_number: Count = 0
+    #: Skew of the group's recent steps in thousandths of the mean, by the owner.
+    skew: Count = 0
+    #: Moves of experts under way, by the owner.
+    moves: Count = 0
+    #: Whether this target's process owns the group's map.
+    owner: bool = False
+
+
+class ConfigOffer(msgspec.Struct, frozen=True, tag="config"):
+    """Entry to target: a generation of the configuration, whole."""
+
+    generation: Count
+    #: The root object and each content object, as kept in the platform.
+    root: bytes
+    contents: Annotated[dict[str, bytes], msgspec.Meta(max_length=1_000)]
+
+
+class ConfigWanted(msgspec.Struct, frozen=True, tag="config_wanted"):
+    """Either way: send your configuration if its generation is above this one."""
+
+    generation: Count
+
+
+class Drained(msgspec.Struct, frozen=True, tag="drained"):
+    """Target to entry: the target has finished its work and is about to exit."""
+
+    instance: Name
+
+
+class ExpertReplica(msgspec.Struct, frozen=True):
+    """One copy of an expert on one rank."""
+
+    layer: Count
+    expert: Count
+    rank: Count
+
+
+class GroupOrder(msgspec.Struct, frozen=True, tag="group_order"):
+    """Map owner to a rank's target: do one thing with an expert map."""
+
+    order: Count
+    group: Name
+    #: Rank the order is for; a target that is another rank refuses it.
+    rank: Count
+    epoch: Count
+    number: Count
+    #: One of ``highest``, ``prepare``, ``activate``, ``release`` and ``counts``.
+    action: Name
+    #: Step at which an activation takes effect.
+    step: Count = 0
+    #: For ``prepare``: begin no further step until this map is in force. For
+    #: ``activate``: give up an earlier step that cannot end.
+    jump: bool = False
+    #: Ranks of the map, for ``prepare``.
+    ranks: Annotated[list[int], msgspec.Meta(max_length=1_024)] = []
+    #: The whole map, for ``prepare``.
+    replicas: Annotated[list[ExpertReplica], msgspec.Meta(max_length=200_000)] = []
+
+
+class GroupReply(msgspec.Struct, frozen=True, tag="group_reply"):
+    """A rank's target to the map owner."""
+
+    order: Count
+    ok: bool
+    detail: Annotated[str, msgspec.Meta(max_length=2_000)] = ""
+    #: Highest map the rank has in force or prepared.
+    epoch: Count = 0
+    number: Count = 0
+    step: Count = 0
+    #: Tokens per expert, layer by layer, since the last ``counts`` order.
+    counts: Annotated[list[list[int]], msgspec.Meta(max_length=200)] = []
+    #: Mean time of the rank's own part of recent steps, in microseconds.
+    step_time: Count = 0
+    #: The map in force at the rank, for ``highest``.
+    ranks: Annotated[list[int], msgspec.Meta(max_length=1_024)] = []
+    replicas: Annotated[list[ExpertReplica], msgspec.Meta(max_length=200_000)] = []
+
+
+#: Whatever may stand in a frame.
+Message: TypeAlias = (
+    Run
+    | Resume
+    | Cancel
+    | Forget
+    | Head
+    | Chunk
+    | End
+    | Refused
+    | LoadReport
+    | ConfigOffer
+    | ConfigWanted
+    | Drained
+    | GroupOrder
+    | GroupReply
+)
--- /dev/null
+++ b/src/canvasyoke/protocol/_outcome.py
@@ -0,0 +1,94 @@
+"""What a caller is told: answered, certainly not run, or unknown.
+
+The three are distinct because callers act on them differently: a request that
+was not run may be sent again at once, one whose outcome is unknown may not when
+it must not be repeated.
+"""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+from typing import Final
+
+
+class Outcome(enum.StrEnum):
+    """The certainty with which a request is known to have run."""
+
+    #: The whole answer was delivered.
+    ANSWERED = "answered"
+    #: The request did not run and never will.
+    NOT_RUN = "not_run"
+    #: The request may have run, wholly or in part.
+    UNKNOWN = "unknown"
+
+
+class Reason(enum.StrEnum):
+    """Why a request was refused; each has a line in docs/REFUSALS.md."""
+
+    MALFORMED = "malformed"
+    UNAUTHENTICATED = "unauthenticated"
+    FORBIDDEN = "forbidden"
+    UNKNOWN_SERVICE = "unknown_service"
+    BODY_TOO_LARGE = "body_too_large"
+    NO_CONFIGURATION = "no_configuration"
+    NO_TARGET = "no_target"
+    OVERLOADED = "overloaded"
+    OVER_LIMIT = "over_limit"
+    DEADLINE = "deadline"
+    LEAVING = "leaving"
+    NOT_HOME = "not_home"
+    KEY_BEFORE_HOME = "key_before_home"
+    KEY_EXPIRED = "key_expired"
+    KEY_IN_FUTURE = "key_in_future"
+    KEY_REUSED = "key_reused"
+    ANSWER_NOT_KEPT = "answer_not_kept"
+    CANCELLED = "cancelled"
+    LINK_LOST = "link_lost"
+    BACKEND_UNREACHABLE = "backend_unreachable"
+    BACKEND_FAILED = "backend_failed"
+
+
+#: HTTP status of a refusal, by reason.
+HTTP_STATUS: Final[dict[Reason, int]] = {
+    Reason.MALFORMED: 400,
+    Reason.UNAUTHENTICATED: 401,
+    Reason.FORBIDDEN: 403,
+    Reason.UNKNOWN_SERVICE: 404,
+    Reason.BODY_TOO_LARGE: 413,
+    Reason.NO_CONFIGURATION: 503,
+    Reason.NO_TARGET: 503,
+    Reason.OVERLOADED: 503,
+    Reason.OVER_LIMIT: 429,
+    Reason.DEADLINE: 504,
+    Reason.LEAVING: 503,
+    Reason.NOT_HOME: 503,
+    Reason.KEY_BEFORE_HOME: 409,
+    Reason.KEY_EXPIRED: 409,
+    Reason.KEY_IN_FUTURE: 400,
+    Reason.KEY_REUSED: 422,
+    Reason.ANSWER_NOT_KEPT: 409,
+    Reason.CANCELLED: 499,
+    Reason.LINK_LOST: 502,
+    Reason.BACKEND_UNREACHABLE: 503,
+    Reason.BACKEND_FAILED: 502,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A request's final answer when there is no answer to give."""
+
+    #: Whether the request may have run; never ``ANSWERED``.
+    outcome: Outcome
+    #: The cause, from a closed list.
+    reason: Reason
+    #: One sentence for a person.
+    detail: str = ""
+    #: Milliseconds after which asking again makes sense; 0 when it never does.
+    retry_after: int = 0
+
+    @property
+    def status(self) -> int:
+        """Return the HTTP status that goes with the reason."""
+        return HTTP_STATUS[self.reason]
--- /dev/null
+++ b/src/canvasyoke/state/_document.py
@@ -0,0 +1,102 @@
+"""YAML text as plain values that remember the line each came from."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any, TypeAlias
+
+import yaml
+
+#: Keys and indices that lead from the top of a document to a value.
+Path: TypeAlias = tuple[str | int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One thing wrong with a file."""
+
+    #: File as the operator named it.
+    file: str
+    #: Line of the value, from 1.
+    line: int
+    #: Where in the document, such as ``services.inkmodel.kind``.
+    path: str
+    #: What was expected, and what stood there.
+    expected: str
+
+    def __str__(self) -> str:
+        where = f"{self.file}:{self.line}"
+        return (
+            f"{where}: {self.path}: {self.expected}" if self.path else f"{where}: {self.expected}"
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Document:
+    """The values of one file and where they stand."""
+
+    file: str
+    value: Any
+    lines: dict[Path, int]
+
+    def fault(self, path: Path, expected: str) -> Fault:
+        """Return a fault at ``path``, with the line of the nearest value that exists."""
+        near = path
+        while near and near not in self.lines:
+            near = near[:-1]
+        return Fault(self.file, self.lines.get(near, 1), format_path(path), expected)
+
+
+def format_path(path: Path) -> str:
+    """Return ``path`` as people write it: ``engines.ink-1.slots`` or ``routes[0]``."""
+    text = ""
+    for part in path:
+        text += f"[{part}]" if isinstance(part, int) else f".{part}" if text else part
+    return text
+
+
+def parse_document(text: str, file: str) -> Document | list[Fault]:
+    """Return the document in ``text``, or every fault that keeps it from being one."""
+    try:
+        node = yaml.compose(text, Loader=yaml.SafeLoader)
+    except yaml.MarkedYAMLError as exc:
+        line = exc.problem_mark.line + 1 if exc.problem_mark else 1
+        return [Fault(file, line, "", f"not YAML: {exc.problem}")]
+    except yaml.YAMLError as exc:
+        return [Fault(file, 1, "", f"not YAML: {exc}")]
+    builder = _Builder(file)
+    value = {} if node is None else builder.build(node, ())
+    return builder.faults or Document(file, value, builder.lines)
+
+
+class _Builder:
+    """Turns nodes into values, noting lines and keys that stand twice."""
+
+    def __init__(self, file: str) -> None:
+        self.lines: dict[Path, int] = {}
+        self.faults: list[Fault] = []
+        self._file = file
+        self._scalars = yaml.SafeLoader("")
+
+    def build(self, node: yaml.Node, path: Path) -> Any:
+        """Return the value of ``node``."""
+        self.lines.setdefault(path, node.start_mark.line + 1)
+        if isinstance(node, yaml.MappingNode):
+            return self._build_mapping(node, path)
+        if isinstance(node, yaml.SequenceNode):
+            return [self.build(item, (*path, index)) for index, item in enumerate(node.value)]
+        return self._scalars.construct_object(node)
+
+    def _build_mapping(self, node: yaml.MappingNode, path: Path) -> dict[str, Any]:
+        values: dict[str, Any] = {}
+        for key_node, value_node in node.value:
+            line = key_node.start_mark.line + 1
+            key = str(key_node.value)
+            if key in values:
+                self.faults.append(
+                    Fault(self._file, line, format_path((*path, key)), "stands twice")
+                )
+                continue
+            self.lines[(*path, key)] = line
+            values[key] = self.build(value_node, (*path, key))
+        return values
--- /dev/null
+++ b/src/canvasyoke/state/_models.py
@@ -0,0 +1,154 @@
+"""Models of a configuration file; the reference page is generated from them.
+
+Each field's type carries its bounds and its description, so that the check, the
+page and the program cannot disagree.
+"""
+
+from __future__ import annotations
+
+import re
+from typing import Annotated, Final, Literal, TypeAlias
+
+import msgspec
+from msgspec import Meta
+
+NAME_PATTERN: Final = r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$"
+_NAME = re.compile(NAME_PATTERN)
+
+Milliseconds: TypeAlias = Annotated[int, Meta(ge=1, le=3_600_000)]
+Urgency: TypeAlias = Annotated[int, Meta(ge=0, le=7)]
+Sha256: TypeAlias = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
+
+
+class _Model(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """What all models of a file share."""
+
+
+class RouteModel(_Model, frozen=True, kw_only=True):
+    """How requests under one path of a service are treated."""
+
+    path: Annotated[str, Meta(pattern=r"^/", description="Prefix of the path below the service.")]
+    methods: Annotated[
+        list[Literal["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]],
+        Meta(description="Methods this entry is for; empty for all."),
+    ] = []
+    repeatable: Annotated[
+        bool,
+        Meta(description="Whether a request may run twice without harm."),
+    ]
+    deadline_ms: Annotated[
+        Milliseconds | None, Meta(description="Overrides the service's deadline.")
+    ] = None
+
+
+class ServiceModel(_Model, frozen=True, kw_only=True):
+    """A pool of engines that callers reach under ``/NAME/``."""
+
+    kind: Annotated[
+        Literal["model", "plain"],
+        Meta(description="`model` for engines that generate, `plain` for other services."),
+    ]
+    deadline_ms: Annotated[
+        Milliseconds, Meta(description="Time a caller waits when it does not say.")
+    ] = 10_000
+    priority: Annotated[Urgency, Meta(description="Urgency when the caller does not say.")] = 3
+    max_body_bytes: Annotated[
+        int, Meta(ge=0, le=8 << 20, description="Largest request body taken.")
+    ] = 1 << 20
+    routes: Annotated[
+        list[RouteModel],
+        Meta(
+            description="First match counts; without one, GET, HEAD and OPTIONS are "
+            "repeatable and all else is not."
+        ),
+    ] = []
+    key_slots: Annotated[
+        int,
+        Meta(ge=1, le=1_024, description="Slots over which non-repeatable keys are spread."),
+    ] = 16
+    answer_keep_ms: Annotated[
+        Milliseconds,
+        Meta(description="How long the answer to a non-repeatable request is remembered."),
+    ] = 600_000
+
+
+class EngineModel(_Model, frozen=True, kw_only=True):
+    """A target instance: a model engine or one instance of a plain service."""
+
+    service: Annotated[str, Meta(description="Service it belongs to.")]
+    slots: Annotated[
+        int, Meta(ge=1, le=4_096, description="Requests that may run at the same time.")
+    ] = 8
+    queue: Annotated[
+        int, Meta(ge=0, le=65_536, description="Requests that may wait at the target.")
+    ] = 64
+    group: Annotated[str, Meta(description="Rank group it is part of; empty for none.")] = ""
+    rank: Annotated[int, Meta(ge=0, le=1_023, description="Its rank in the group.")] = 0
+    checks_fences: Annotated[
+        bool, Meta(description="Whether it checks by itself who gives it an order.")
+    ] = True
+
+
+class OrganisationModel(_Model, frozen=True, kw_only=True):
+    """A customer's organisation and what it may use."""
+
+    token_sha256: Annotated[
+        Sha256, Meta(description="SHA-256 of its bearer token, in lower-case hex.")
+    ]
+    services: Annotated[list[str], Meta(description="Services it may call; empty for all.")] = []
+    share: Annotated[
+        int, Meta(ge=1, le=1_000, description="Weight of its share when a target is contended.")
+    ] = 1
+    ceiling: Annotated[
+        int,
+        Meta(ge=0, le=1_000_000, description="Most requests at a target at once; 0 for no limit."),
+    ] = 0
+    priority: Annotated[Urgency, Meta(description="Most urgent priority it may ask for.")] = 0
+
+
+class PlacementModel(_Model, frozen=True, kw_only=True):
+    """A rank group and how its experts are placed."""
+
+    service: Annotated[str, Meta(description="Service whose engines form the group.")]
+    ranks: Annotated[int, Meta(ge=1, le=1_024, description="Ranks in the group.")]
+    experts: Annotated[int, Meta(ge=1, le=4_096, description="Experts in a layer.")]
+    layers: Annotated[int, Meta(ge=1, le=256, description="Layers with experts.")] = 1
+    capacity: Annotated[
+        int, Meta(ge=1, le=4_096, description="Expert copies a rank can hold in a layer.")
+    ]
+    expert_bytes: Annotated[
+        int, Meta(ge=1, description="Weights of one expert in one layer, in bytes.")
+    ] = 1 << 20
+    policy: Annotated[
+        Literal["skew-first", "cost-first"],
+        Meta(
+            description="What weighs more: short steps (`skew-first`) or few moves (`cost-first`)."
+        ),
+    ] = "skew-first"
+    replan_ms: Annotated[
+        Milliseconds, Meta(description="Time between two looks at the experts' load.")
+    ] = 2_000
+
+
+class FileModel(_Model, frozen=True, kw_only=True):
+    """One configuration file; all parts are optional."""
+
+    services: Annotated[dict[str, ServiceModel], Meta(description="Services by name.")] = (
+        msgspec.field(default_factory=dict)
+    )
+    engines: Annotated[
+        dict[str, EngineModel], Meta(description="Target instances by instance name.")
+    ] = msgspec.field(default_factory=dict)
+    organisations: Annotated[
+        dict[str, OrganisationModel], Meta(description="Organisations by name.")
+    ] = msgspec.field(default_factory=dict)
+    placement: Annotated[dict[str, PlacementModel], Meta(description="Rank groups by name.")] = (
+        msgspec.field(default_factory=dict)
+    )
+
+    def __post_init__(self) -> None:
+        """Refuse names that could not stand in a path or a metric label."""
+        for part in (self.services, self.engines, self.organisations, self.placement):
+            for name in part:
+                if _NAME.fullmatch(name) is None:
+                    raise ValueError(f"{name!r} is not a name: use a-z, 0-9 and -")
--- /dev/null
+++ b/src/canvasyoke/state/_platform_http.py
@@ -0,0 +1,156 @@
+"""The platform met over HTTP with JSON, by urllib3."""
+
+from __future__ import annotations
+
+from typing import Final, TypeVar
+from urllib.parse import quote
+
+import msgspec
+import urllib3
+
+from canvasyoke._clock import SECOND
+from canvasyoke.state._platform import (
+    PLATFORMS,
+    Absent,
+    Conflict,
+    Found,
+    Instance,
+    InstanceState,
+    Platform,
+    ReadResult,
+    Unavailable,
+    Unchanged,
+    WatchResult,
+    WriteResult,
+    Written,
+)
+
+_TIMEOUT: Final = 2 * SECOND
+_VERSION_HEADER: Final = "X-Object-Version"
+_OK: Final = 200
+_NO_CONTENT: Final = 204
+_NOT_FOUND: Final = 404
+_CONFLICT: Final = 409
+
+
+class _InstanceBody(msgspec.Struct, frozen=True):
+    name: str
+    role: str
+    domain: str
+    address: str
+    state: InstanceState
+
+
+BodyT = TypeVar("BodyT")
+
+
+@PLATFORMS.register("http-json")
+class HttpPlatform(Platform):
+    """``/objects/KEY`` with versions in ``X-Object-Version``, and ``/instances``."""
+
+    def __init__(self, address: str) -> None:
+        host, port = address.rsplit(":", 1)
+        self._pool = urllib3.HTTPConnectionPool(host, int(port), maxsize=4, retries=False)
+
+    def read(self, key: str) -> ReadResult:
+        """Return the object under ``key``."""
+        response = self._call("GET", _object_path(key))
+        if isinstance(response, Unavailable):
+            return response
+        if response.status == _NOT_FOUND:
+            return Absent(key)
+        return _found(key, response)
+
+    def write(self, key: str, value: bytes, expected: int) -> WriteResult:
+        """Write if the version is ``expected``."""
+        headers = {_VERSION_HEADER: str(expected)}
+        response = self._call("PUT", _object_path(key), body=value, headers=headers)
+        if isinstance(response, Unavailable):
+            return response
+        version = _version(response)
+        if response.status == _CONFLICT:
+            return Conflict(version)
+        if response.status == _OK:
+            return Written(version)
+        return Unavailable(f"status {response.status}", ambiguous=True)
+
+    def delete(self, key: str) -> WriteResult:
+        """Remove the object under ``key``."""
+        response = self._call("DELETE", _object_path(key))
+        if isinstance(response, Unavailable):
+            return response
+        return Written(0)
+
+    def list_keys(self, prefix: str) -> list[str] | Unavailable:
+        """Return the keys that begin with ``prefix``."""
+        return self._get_json(f"/keys?prefix={quote(prefix, safe='')}", list[str])
+
+    def watch(self, key: str, after: int, timeout: int) -> WatchResult:
+        """Wait for a version above ``after``."""
+        path = f"{_object_path(key)}?after={after}&timeout={timeout}"
+        response = self._call("GET", path, timeout=timeout + _TIMEOUT)
+        if isinstance(response, Unavailable):
+            return response
+        if response.status in (_NO_CONTENT, _NOT_FOUND):
+            return Unchanged()
+        return _found(key, response)
+
+    def instances(self) -> list[Instance] | Unavailable:
+        """Return the instance list."""
+        bodies = self._get_json("/instances", list[_InstanceBody])
+        if isinstance(bodies, Unavailable):
+            return bodies
+        return [Instance(b.name, b.role, b.domain, b.address, b.state) for b in bodies]
+
+    def _get_json(self, path: str, kind: type[BodyT]) -> BodyT | Unavailable:
+        response = self._call("GET", path)
+        if isinstance(response, Unavailable):
+            return response
+        if response.status != _OK:
+            return Unavailable(f"status {response.status}")
+        try:
+            return msgspec.json.decode(response.data, type=kind)
+        except msgspec.DecodeError as exc:
+            return Unavailable(f"answer cannot be read: {exc}")
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        *,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+        timeout: int = _TIMEOUT,
+    ) -> urllib3.BaseHTTPResponse | Unavailable:
+        limits = urllib3.Timeout(connect=1.0, read=timeout / SECOND)
+        try:
+            response = self._pool.request(
+                method, path, body=body, headers=headers or {}, timeout=limits, retries=False
+            )
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as exc:
+            return Unavailable(str(exc))
+        except (urllib3.exceptions.HTTPError, OSError) as exc:
+            return Unavailable(str(exc), ambiguous=True)
+        if response.status >= 500:
+            return Unavailable(f"status {response.status}", ambiguous=True)
+        return response
+
+
+def _object_path(key: str) -> str:
+    return f"/objects/{quote(key)}"
+
+
+def _version(response: urllib3.BaseHTTPResponse) -> int:
+    try:
+        return int(response.headers.get(_VERSION_HEADER, ""))
+    except ValueError:
+        return 0
+
+
+def _found(key: str, response: urllib3.BaseHTTPResponse) -> Found | Unavailable:
+    if response.status != _OK:
+        return Unavailable(f"status {response.status}")
+    return Found(key, _version(response), response.data)
--- /dev/null
+++ b/src/canvasyoke/state/_settings.py
@@ -0,0 +1,98 @@
+"""Settings of one process: where it is, whom it talks to, how it logs."""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal, TypeAlias, TypeVar
+
+import msgspec
+from msgspec import Meta
+
+from canvasyoke.state._document import Fault, parse_document
+from canvasyoke.state._validate import validate
+
+Address: TypeAlias = Annotated[
+    str, Meta(pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$", description="IP:PORT")
+]
+Name: TypeAlias = Annotated[str, Meta(pattern=r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$")]
+LinkKey: TypeAlias = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
+
+
+class _Model(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """What all models of settings share."""
+
+
+class LogSettings(_Model, frozen=True, kw_only=True):
+    """How a process logs."""
+
+    level: Annotated[
+        Literal["debug", "info", "warning", "error"], Meta(description="Lowest level written.")
+    ] = "info"
+    format: Annotated[
+        Literal["text", "json"], Meta(description="Lines for people or for programs.")
+    ] = "text"
+
+
+class PlatformSettings(_Model, frozen=True, kw_only=True):
+    """Where the platform's object API and instance list are."""
+
+    address: Annotated[Address, Meta(description="Address of the platform.")]
+    adapter: Annotated[str, Meta(description="Name of a registered adapter.")] = "http-json"
+
+
+class BackendSettings(_Model, frozen=True, kw_only=True):
+    """The engine or plain service beside a target process."""
+
+    address: Annotated[Address, Meta(description="Address of the engine or plain service.")]
+    adapter: Annotated[str, Meta(description="Name of a registered adapter.")]
+
+
+class EntrySettings(_Model, frozen=True, kw_only=True):
+    """Settings of an entry process."""
+
+    instance: Annotated[Name, Meta(description="Name of the instance, as in the list.")]
+    domain: Annotated[Name, Meta(description="Failure domain it stands in.")]
+    http: Annotated[Address, Meta(description="Where callers are served.")]
+    admin: Annotated[
+        Address, Meta(description="Where status and metrics are served, for operators only.")
+    ]
+    link_key: Annotated[LinkKey, Meta(description="The fleet's link key: 32 bytes in hex.")]
+    platform: PlatformSettings
+    log: LogSettings = LogSettings()
+    streams: Annotated[int, Meta(ge=1, le=2_000, description="Requests held at the same time.")] = (
+        320
+    )
+    seed: Annotated[
+        int, Meta(ge=0, description="Seed of random choices; 0 for one from the system.")
+    ] = 0
+
+
+class TargetSettings(_Model, frozen=True, kw_only=True):
+    """Settings of a target process."""
+
+    instance: Annotated[Name, Meta(description="Name of the instance, as in the list.")]
+    domain: Annotated[Name, Meta(description="Failure domain it stands in.")]
+    service: Annotated[Name, Meta(description="Service that the backend belongs to.")]
+    listen: Annotated[Address, Meta(description="Where entries and other targets connect.")]
+    backend: BackendSettings
+    link_key: Annotated[LinkKey, Meta(description="The fleet's link key: 32 bytes in hex.")]
+    platform: PlatformSettings
+    log: LogSettings = LogSettings()
+    seed: Annotated[
+        int, Meta(ge=0, description="Seed of random choices; 0 for one from the system.")
+    ] = 0
+
+
+SettingsT = TypeVar("SettingsT", EntrySettings, TargetSettings)
+
+
+def load_settings(path: str, model: type[SettingsT]) -> SettingsT | list[Fault]:
+    """Return the settings in the file at ``path``, or all its faults."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            text = file.read()
+    except (OSError, UnicodeDecodeError) as exc:
+        return [Fault(path, 1, "", f"cannot be read: {exc}")]
+    document = parse_document(text, path)
+    if isinstance(document, list):
+        return document
+    return validate(document, model)
--- /dev/null
+++ b/src/canvasyoke/state/tests/test_document.py
@@ -0,0 +1,67 @@
+import pytest
+
+from canvasyoke.state import FileModel, check_file
+
+GOOD = """
+services:
+  ink:
+    kind: model
+engines:
+  ink-1: {service: ink, slots: 4}
+"""
+
+
+def faults(text: str) -> list[str]:
+    result = check_file(text, "f.yaml")
+    assert isinstance(result, list)
+    return [str(fault) for fault in result]
+
+
+def test_good_file() -> None:
+    model = check_file(GOOD, "f.yaml")
+    assert isinstance(model, FileModel)
+    assert model.engines["ink-1"].slots == 4
+
+
+def test_empty_file_is_in_order() -> None:
+    assert check_file("", "f.yaml") == FileModel()
+
+
+def test_every_fault_is_reported_in_one_go() -> None:
+    text = """
+services:
+  ink:
+    kind: modle
+    deadline_ms: 0
+    colour: blue
+engines:
+  ink-1: {slots: many, service: ink}
+  ink-2: 7
+organisations:
+  kibanda: {}
+"""
+    found = faults(text)
+    assert [f.split(": ")[0] for f in found] == [
+        "f.yaml:6",
+        "f.yaml:4",
+        "f.yaml:5",
+        "f.yaml:8",
+        "f.yaml:9",
+        "f.yaml:11",
+    ]
+    assert "services.ink.colour: unknown field" in found[0]
+    assert "organisations.kibanda.token_sha256: is required" in found[5]
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        ("a: [", "not YAML"),
+        ("services: {ink: {kind: model}, ink: {kind: plain}}", "stands twice"),
+        ("services: 3", "expected a mapping"),
+        ("- 1", "expected a mapping"),
+        ("services: {Ink Model: {kind: model}}", "is not a name"),
+    ],
+)
+def test_broken_files(text: str, expected: str) -> None:
+    assert any(expected in fault for fault in faults(text))
--- /dev/null
+++ b/src/canvasyoke/transport/_http_server.py
@@ -0,0 +1,60 @@
+"""HTTP towards callers by waitress: one thread for each request being answered."""
+
+from __future__ import annotations
+
+import logging
+import threading
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from waitress.server import create_server
+
+#: A WSGI application.
+Application = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
+
+# Waitress logs through the standard library; its warnings of a full task queue
+# and of callers that went away are counted elsewhere.
+logging.getLogger("waitress").setLevel(logging.CRITICAL)
+
+
+class HttpServer:
+    """Serves one application on one or more addresses.
+
+    Waitress reads a request whole before it calls the application, within
+    ``max_body``, and writes an answer as it is produced.
+    """
+
+    def __init__(
+        self, application: Application, addresses: list[str], threads: int, max_body: int
+    ) -> None:
+        self._server = create_server(
+            application,
+            listen=" ".join(addresses),
+            threads=threads,
+            max_request_body_size=max_body,
+            inbuf_overflow=max_body + 1,
+            outbuf_overflow=1 << 30,
+            outbuf_high_watermark=1 << 20,
+            send_bytes=1,
+            channel_request_lookahead=1,
+            channel_timeout=120,
+            connection_limit=4_000,
+            asyncore_use_poll=True,
+            ident="canvasyoke",
+            clear_untrusted_proxy_headers=True,
+        )
+        self._task = threading.Thread(target=self._run, name="http-server", daemon=True)
+
+    def start(self) -> None:
+        """Start serving."""
+        self._task.start()
+
+    def stop(self) -> None:
+        """Stop accepting and close."""
+        self._server.close()
+
+    def _run(self) -> None:
+        try:
+            self._server.run()
+        except OSError:
+            return
--- /dev/null
+++ b/src/canvasyoke/transport/_link_client.py
@@ -0,0 +1,150 @@
+"""The dialling end of a link: one task for each peer, written straight down."""
+
+from __future__ import annotations
+
+import random
+import threading
+from collections.abc import Callable
+from typing import Any, Final
+
+import pynng
+
+from canvasyoke._clock import SECOND, Clock
+from canvasyoke.protocol import (
+    MAX_FRAME_BYTES,
+    CodecError,
+    HandshakeError,
+    Message,
+    SealError,
+    accept_welcome,
+    make_hello,
+)
+from canvasyoke.transport._session import WINDOW, Session
+
+_CONNECT_TIMEOUT: Final = 2 * SECOND
+_RECEIVE_TIMEOUT: Final = 1 * SECOND
+_BACKOFF_START: Final = 50
+_BACKOFF_LIMIT: Final = 2 * SECOND
+
+
+class LinkClient:
+    """Keeps one sealed session with one address for as long as it is wanted.
+
+    ``on_open`` runs when a session begins, ``on_close`` when it ends, and
+    ``on_message`` for each message between; all on the peer's own task.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        link_key: bytes,
+        role: str,
+        instance: str,
+        incarnation: str,
+        clock: Clock,
+        rng: random.Random,
+        on_message: Callable[[Session, Message], None],
+        on_open: Callable[[Session], None],
+        on_close: Callable[[Session], None],
+    ) -> None:
+        #: Address of the other end.
+        self.address = address
+        self._link_key = link_key
+        self._role = role
+        self._instance = instance
+        self._incarnation = incarnation
+        self._clock = clock
+        self._rng = rng
+        self._on_message = on_message
+        self._on_open = on_open
+        self._on_close = on_close
+        self._stop = threading.Event()
+        #: Why the last session ended or could not begin.
+        self.last_fault = ""
+        self._task = threading.Thread(target=self._run, name=f"peer-{address}", daemon=True)
+
+    def start(self) -> None:
+        """Start the peer's task."""
+        self._task.start()
+
+    def stop(self) -> None:
+        """End the session and the task."""
+        self._stop.set()
+
+    def _run(self) -> None:
+        backoff = _BACKOFF_START
+        while not self._stop.is_set():
+            if self._serve_once():
+                backoff = _BACKOFF_START
+            jitter = self._rng.uniform(0.5, 1.5)
+            self._stop.wait(backoff * jitter / SECOND)
+            backoff = min(backoff * 2, _BACKOFF_LIMIT)
+
+    def _serve_once(self) -> bool:
+        """Connect and serve one session to its end; true when it had begun."""
+        with pynng.Pair1(polyamorous=True, recv_max_size=MAX_FRAME_BYTES) as socket:
+            socket.send_buffer_size = WINDOW * 2
+            socket.recv_buffer_size = WINDOW * 2
+            try:
+                session = self._connect(socket)
+            except (pynng.NNGException, HandshakeError) as exc:
+                self.last_fault = f"{type(exc).__name__}: {exc}"
+                return False
+            session.start()
+            self._on_open(session)
+            try:
+                self._receive_all(socket, session)
+            finally:
+                session.close()
+                self._on_close(session)
+        return True
+
+    def _connect(self, socket: Any) -> Session:
+        socket.recv_timeout = _CONNECT_TIMEOUT
+        socket.send_timeout = _CONNECT_TIMEOUT
+        socket.dial(f"tcp://{self.address}", block=True)
+        hello, data = make_hello(self._link_key, self._role, self._instance, self._incarnation)
+        socket.send(data)
+        welcome, sealer, opener = accept_welcome(self._link_key, hello, socket.recv())
+
+        def put(frame: bytes) -> None:
+            try:
+                socket.send(frame)
+            except pynng.NNGException as exc:
+                raise OSError(str(exc)) from exc
+
+        session = Session(
+            welcome.instance,
+            welcome.incarnation,
+            sealer,
+            opener,
+            put,
+            self._clock,
+            role="target",
+            on_end=socket.close,
+        )
+        # A socket must not be closed in a callback of its own: nng would wait for
+        # itself. The session's sending task closes it, which wakes the receiving one.
+        socket.add_post_pipe_remove_cb(lambda _pipe: session.close())
+        return session
+
+    def _receive_all(self, socket: Any, session: Session) -> None:
+        socket.recv_timeout = _RECEIVE_TIMEOUT
+        while not self._stop.is_set() and not session.closed:
+            try:
+                data = socket.recv()
+            except pynng.Timeout:
+                if session.silent:
+                    self.last_fault = "the link fell silent"
+                    return
+                continue
+            except pynng.NNGException as exc:
+                self.last_fault = f"{type(exc).__name__}: {exc}"
+                return
+            try:
+                messages = session.receive(data)
+            except (SealError, CodecError) as exc:
+                self.last_fault = f"{type(exc).__name__}: {exc}"
+                return
+            for message in messages:
+                self._on_message(session, message)
--- /dev/null
+++ b/src/canvasyoke/transport/_link_server.py
@@ -0,0 +1,150 @@
+"""The listening end of links: one pynng socket, one session for each peer."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from typing import Any, Final
+
+import pynng
+
+from canvasyoke._clock import SECOND, Clock
+from canvasyoke.protocol import (
+    MAX_FRAME_BYTES,
+    CodecError,
+    HandshakeError,
+    Message,
+    SealError,
+    accept_hello,
+)
+from canvasyoke.transport._session import WINDOW, Session
+
+_RECEIVE_TIMEOUT: Final = 1 * SECOND
+
+#: Called with each message that arrives.
+OnMessage = Callable[[Session, Message], None]
+#: Called when a session begins or ends.
+OnSession = Callable[[Session], None]
+
+
+class LinkServer:
+    """Listens on one address and serves sealed sessions.
+
+    The three callbacks run on the one receiving task and must not block.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        link_key: bytes,
+        instance: str,
+        incarnation: str,
+        clock: Clock,
+        on_message: OnMessage,
+        on_open: OnSession,
+        on_close: OnSession,
+    ) -> None:
+        self._link_key = link_key
+        self._instance = instance
+        self._incarnation = incarnation
+        self._clock = clock
+        self._on_message = on_message
+        self._on_open = on_open
+        self._on_close = on_close
+        self._sessions: dict[int, Session] = {}
+        self._removed: set[int] = set()
+        self._removed_lock = threading.Lock()
+        self._stopping = False
+        #: Handshakes refused since the start.
+        self.strangers = 0
+        self._socket = pynng.Pair1(polyamorous=True, recv_max_size=MAX_FRAME_BYTES)
+        self._socket.send_buffer_size = WINDOW * 2
+        self._socket.recv_buffer_size = WINDOW * 2
+        self._socket.recv_timeout = _RECEIVE_TIMEOUT
+        self._socket.add_post_pipe_remove_cb(self._pipe_removed)
+        self._socket.listen(f"tcp://{address}")
+        self._task = threading.Thread(target=self._run, name="link-server", daemon=True)
+
+    def start(self) -> None:
+        """Start the receiving task."""
+        self._task.start()
+
+    def stop(self) -> None:
+        """Close the socket and end all sessions."""
+        self._stopping = True
+        self._socket.close()
+
+    def _pipe_removed(self, pipe: Any) -> None:
+        with self._removed_lock:
+            self._removed.add(pipe.id)
+
+    def _run(self) -> None:
+        while not self._stopping:
+            try:
+                message = self._socket.recv_msg()
+            except pynng.Timeout:
+                self._reap()
+                continue
+            except pynng.NNGException:
+                break
+            self._reap()
+            self._receive(message.pipe, message.bytes)
+        for key in list(self._sessions):
+            self._end(key)
+
+    def _reap(self) -> None:
+        """End the sessions whose pipe is gone or silent."""
+        with self._removed_lock:
+            removed, self._removed = self._removed, set()
+        silent = [key for key, session in self._sessions.items() if session.silent]
+        for key in [*removed, *silent]:
+            self._end(key)
+
+    def _end(self, key: int) -> None:
+        session = self._sessions.pop(key, None)
+        if session is not None:
+            session.close()
+            self._on_close(session)
+
+    def _receive(self, pipe: Any, data: bytes) -> None:
+        if pipe is None:
+            return
+        session = self._sessions.get(pipe.id)
+        if session is None:
+            self._shake_hands(pipe, data)
+            return
+        try:
+            messages = session.receive(data)
+        except (SealError, CodecError):
+            self._end(pipe.id)
+            pipe.close()
+            return
+        for message in messages:
+            self._on_message(session, message)
+
+    def _shake_hands(self, pipe: Any, data: bytes) -> None:
+        try:
+            hello, welcome, sealer, opener = accept_hello(
+                self._link_key, data, self._instance, self._incarnation
+            )
+        except HandshakeError:
+            self.strangers += 1
+            pipe.close()
+            return
+
+        def put(frame: bytes) -> None:
+            try:
+                self._socket.send_msg(pynng.Message(frame, pipe))
+            except pynng.NNGException as exc:
+                raise OSError(str(exc)) from exc
+
+        session = Session(
+            hello.instance, hello.incarnation, sealer, opener, put, self._clock, role=hello.role
+        )
+        try:
+            put(welcome)
+        except OSError:
+            return
+        self._sessions[pipe.id] = session
+        session.start()
+        self._on_open(session)
