Key slots change hands with what was run in them

Change: who gives a slot back first stops using it, then writes down the keys it ran, then frees the slot; the next holder remembers them before it writes itself in. An entry that made the key itself makes a new one when the old one never ran. Redirects cost time, not attempts.

--- a/src/canvasyoke/coordination/__init__.py
+++ b/src/canvasyoke/coordination/__init__.py
@@ -8,10 +8,12 @@
 from canvasyoke.coordination._fair_queue import FairQueue, Offer, Waiting
 from canvasyoke.coordination._homes import (
     CLOCK_MARGIN,
+    Handover,
     HomeVerdict,
     HomeView,
     KeyedRequest,
     KeyMemory,
+    KeyNote,
     KeyState,
     Slot,
     SlotTable,
@@ -27,7 +29,7 @@
     map_skew,
     plan_map,
 )
-from canvasyoke.coordination._retry import Attempted, RetryBudget, Step, next_step
+from canvasyoke.coordination._retry import REDIRECTS, Attempted, RetryBudget, Step, next_step
 from canvasyoke.coordination._routing import (
     RANKERS,
     Candidate,
@@ -42,6 +44,7 @@
     "LEASE",
     "POLICIES",
     "RANKERS",
+    "REDIRECTS",
     "RENEW_EVERY",
     "Attempted",
     "Candidate",
@@ -49,9 +52,11 @@
     "ExpertMap",
     "FairQueue",
     "Filtered",
+    "Handover",
     "HomeVerdict",
     "HomeView",
     "KeyMemory",
+    "KeyNote",
     "KeyState",
     "KeyedRequest",
     "Lease",
--- a/src/canvasyoke/coordination/_homes.py
+++ b/src/canvasyoke/coordination/_homes.py
@@ -14,6 +14,7 @@
 import enum
 import hashlib
 from collections import OrderedDict
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Final
 
@@ -41,6 +42,23 @@
     incarnation: str = ""
     #: Wall time in milliseconds; keys made before it are not run.
     since: int = 0
+    #: For a slot that was given back: object with the keys its last holder ran.
+    handover: str = ""
+
+
+class KeyNote(msgspec.Struct, frozen=True):
+    """A key that ran or runs, as one holder tells it to the next."""
+
+    name: str
+    #: Wall time in the key, in milliseconds.
+    made: int
+    digest: bytes
+
+
+class Handover(msgspec.Struct, frozen=True):
+    """All keys of one slot that its last holder remembered."""
+
+    keys: list[KeyNote]
 
 
 class SlotTable(msgspec.Struct, frozen=True):
@@ -112,6 +130,21 @@
         """Drop ``key``: it did not run and never will on this account."""
         self._records.pop(key, None)
 
+    def inherit(self, notes: Iterable[KeyNote]) -> None:
+        """Remember keys that a former holder ran; it has their answers, not we."""
+        for note in notes:
+            if note.name not in self._records:
+                record = KeyRecord(note.digest, note.made, KeyState.DONE, None)
+                self._records[note.name] = record
+
+    def notes(self, slot: int, slots: int) -> list[KeyNote]:
+        """Return the keys of one slot, to be handed over."""
+        return [
+            KeyNote(name, record.made, record.digest)
+            for name, record in self._records.items()
+            if slot_of(name.split("/", 1)[1], slots) == slot
+        ]
+
     def finish(self, key: str, size: int) -> None:
         """Remember that ``key`` ran and that its answer has ``size`` bytes."""
         record = self._records.get(key)
@@ -215,7 +248,8 @@
         return _refuse(Outcome.NOT_RUN, Reason.KEY_IN_FUTURE, detail, 0)
     if req.made < slot.since:
         detail = "the key was made before this holder took over; another may have run it"
-        return _refuse(Outcome.UNKNOWN, Reason.KEY_BEFORE_HOME, detail, 0)
+        wait = slot.since - view.wall + 1
+        return _refuse(Outcome.UNKNOWN, Reason.KEY_BEFORE_HOME, detail, max(0, wait))
     if req.made < max(view.wall - view.keep, memory.dropped_before):
         detail = "the key is older than what is remembered"
         return _refuse(Outcome.UNKNOWN, Reason.KEY_EXPIRED, detail, 0)
--- a/src/canvasyoke/coordination/_retry.py
+++ b/src/canvasyoke/coordination/_retry.py
@@ -20,7 +20,7 @@
 _BUDGET_LIMIT: Final = 50.0
 _BUDGET_START: Final = 10.0
 #: Refusals that say nothing against trying another target at no cost to it.
-_REDIRECTS: Final = frozenset({Reason.NOT_HOME, Reason.LEAVING})
+REDIRECTS: Final = frozenset({Reason.NOT_HOME, Reason.LEAVING})
 #: Refusals after which another attempt would only meet the same.
 _FINAL: Final = frozenset(
     {
@@ -72,7 +72,7 @@
 
     refusal: Refusal
     repeatable: bool
-    #: Number of attempts made.
+    #: Number of attempts made, redirects not counted.
     attempts: int
     #: Milliseconds the caller will still wait.
     remaining: int
@@ -88,6 +88,6 @@
         return Step.GIVE_UP
     if refusal.reason in _FINAL:
         return Step.GIVE_UP
-    if refusal.reason in _REDIRECTS or budget.spend():
+    if refusal.reason in REDIRECTS or budget.spend():
         return Step.RETRY
     return Step.GIVE_UP
--- a/src/canvasyoke/entry/_callers.py
+++ b/src/canvasyoke/entry/_callers.py
@@ -199,6 +199,7 @@
             key_slots=service.model.key_slots,
             resumable=service.model.kind == "model",
             gone=gone,
+            renew_key=None if options.key or route.repeatable else self._mint_key,
         )
 
     def _mint_key(self) -> str:
--- a/src/canvasyoke/entry/_dispatch.py
+++ b/src/canvasyoke/entry/_dispatch.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from canvasyoke._clock import SECOND, Clock
-from canvasyoke.coordination import Attempted, RetryBudget, RouteRequest, Step, next_step
+from canvasyoke.coordination import REDIRECTS, Attempted, RetryBudget, RouteRequest, Step, next_step
 from canvasyoke.entry._peer import Attempt, Lost, Peer
 from canvasyoke.entry._peers import Peers
 from canvasyoke.protocol import Chunk, End, Head, Outcome, Reason, Refusal, Refused, Run
@@ -28,7 +28,7 @@
 #: Milliseconds between looks for a target when none can be had at once.
 _PAUSE: Final = 50
 #: Milliseconds a request waits for a target to appear.
-_WAIT_FOR_TARGET: Final = 1 * SECOND
+_WAIT_FOR_TARGET: Final = 3 * SECOND
 _RETRY_AFTER: Final = 1 * SECOND
 #: Refusals for which the target is to blame.
 _BLAMED: Final = frozenset({Reason.LINK_LOST, Reason.BACKEND_FAILED, Reason.BACKEND_UNREACHABLE})
@@ -57,9 +57,16 @@
     resumable: bool
     #: Tells whether the caller has gone.
     gone: Callable[[], bool]
+    #: Makes a new key when the entry made the one in use, and no attempt with it
+    #: may have run; ``None`` when the caller knows the key.
+    renew_key: Callable[[], str] | None
     #: Targets that refused or failed.
     tried: set[str] = field(default_factory=set)
     attempts: int = 0
+    #: Attempts sent, redirects included; numbers each attempt.
+    sent: int = 0
+    #: Time on the clock of the first redirect.
+    redirected: int = 0
     #: Whether the head went to the caller, and the chunks that did.
     head_sent: bool = False
     delivered: int = 0
@@ -99,6 +106,13 @@
                 return
 
     def _try_again(self, call: Call, refusal: Refusal) -> bool:
+        """Tell whether another attempt follows, after whatever pause it needs."""
+        if refusal.reason is Reason.KEY_BEFORE_HOME and call.renew_key is not None:
+            return self._renew_key(call, refusal)
+        if refusal.outcome is not Outcome.NOT_RUN:
+            call.renew_key = None
+        if refusal.reason in REDIRECTS and not call.head_sent:
+            return self._follow_redirect(call)
         attempted = Attempted(
             refusal, call.run.repeatable, call.attempts, call.deadline - self._clock.now()
         )
@@ -106,6 +120,28 @@
             return False
         return next_step(attempted, self._budget) is Step.RETRY
 
+    def _renew_key(self, call: Call, refusal: Refusal) -> bool:
+        """Make a new key once one may run; the old one never ran, nor did a caller know it."""
+        assert call.renew_key is not None
+        if self._clock.now() + refusal.retry_after >= call.deadline:
+            return False
+        time.sleep(refusal.retry_after / SECOND)
+        call.run = msgspec.structs.replace(call.run, key=call.renew_key())
+        call.tried.clear()
+        return True
+
+    def _follow_redirect(self, call: Call) -> bool:
+        """Look again for where a key runs or who is not leaving; costs time, not attempts."""
+        now = self._clock.now()
+        call.redirected = call.redirected or now
+        call.attempts -= 1
+        if now >= min(call.deadline, call.redirected + _WAIT_FOR_TARGET):
+            return False
+        if not call.run.repeatable:
+            call.tried.clear()
+            time.sleep(_PAUSE / SECOND)
+        return True
+
     def _find_peer(self, call: Call) -> Peer | Refusal | CallerGone:
         """Return a target, waiting a little for one to appear."""
         patience = min(call.deadline, self._clock.now() + _WAIT_FOR_TARGET)
@@ -132,12 +168,13 @@
     def _attempt(self, call: Call, peer: Peer, number: int) -> Iterator[Piece]:
         """Make one attempt; a refusal that ends it is the last piece."""
         call.attempts += 1
+        call.sent += 1
         call.tried.add(peer.instance)
         remaining = max(0, call.deadline - self._clock.now())
         run = msgspec.structs.replace(
             call.run,
             request=number,
-            attempt=call.attempts,
+            attempt=call.sent,
             remaining=remaining,
             offset=call.delivered,
         )
--- a/src/canvasyoke/state/__init__.py
+++ b/src/canvasyoke/state/__init__.py
@@ -15,6 +15,7 @@
 from canvasyoke.state._keeper import ConfigKeeper, ConfigView, Snapshot
 from canvasyoke.state._models import FileModel
 from canvasyoke.state._platform import (
+    CREATE,
     PLATFORMS,
     Absent,
     Conflict,
@@ -50,6 +51,7 @@
 from canvasyoke.state._validate import check_file, validate
 
 __all__ = [
+    "CREATE",
     "PLATFORMS",
     "ROOT_KEY",
     "Absent",
--- a/src/canvasyoke/target/_desk.py
+++ b/src/canvasyoke/target/_desk.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from typing import Final
@@ -17,6 +17,8 @@
     HomeView,
     KeyedRequest,
     KeyMemory,
+    KeyNote,
+    Lease,
     Offer,
     Waiting,
     check_key,
@@ -24,7 +26,7 @@
 from canvasyoke.observe import part_logger
 from canvasyoke.protocol import Outcome, Reason, Refusal, Run, key_time
 from canvasyoke.state import ConfigView, Engine, FleetConfig, Service
-from canvasyoke.target._homes import NOTHING, Holding, HomeKeeper
+from canvasyoke.target._homes import NOTHING, Holding, SlotUser, Surrendered
 from canvasyoke.target._ids import AttemptId, SeenIds
 from canvasyoke.target._work import Reader, Work, WorkState
 from canvasyoke.transport import Session
@@ -65,7 +67,7 @@
         clock: Clock,
         view: ConfigView,
         backend: Backend,
-        homes: HomeKeeper | None,
+        lease: Lease,
         on_load: Callable[[], None],
     ) -> None:
         super().__init__()
@@ -74,7 +76,7 @@
         self._clock = clock
         self._view = view
         self._backend = backend
-        self._homes = homes
+        self._lease = lease
         self._on_load = on_load
         self._holding = NOTHING
         self._queue: FairQueue[Work] = FairQueue(clock, slots=1, limit=0)
@@ -93,11 +95,19 @@
         if engine is not None:
             self._settle(self._queue.resize(engine.model.slots, engine.model.queue))
 
-    def hold(self, holding: Holding) -> None:
-        """Take over the slots now held."""
+    def hold(self, holding: Holding, inherited: Sequence[KeyNote]) -> None:
+        """Take over the slots now held, and what a former holder ran."""
+        self._memory.inherit(inherited)
         self._holding = holding
         self._on_load()
 
+    def surrender(self, holding: Holding, slots: Sequence[int]) -> Surrendered:
+        """Keep to ``holding``; return what is known of ``slots``."""
+        keys = {slot: self._memory.notes(slot, self._holding.count) for slot in slots}
+        self._holding = holding
+        self._on_load()
+        return Surrendered(keys, self._memory.dropped_before)
+
     def leave(self) -> None:
         """Refuse new work from now on; what has been taken is finished."""
         self._leaving = True
@@ -220,12 +230,12 @@
         digest: bytes,
     ) -> Refusal | None:
         """Admit a request that must not run twice."""
-        if self._homes is None or not run.key:
-            return Refusal(Outcome.NOT_RUN, Reason.NOT_HOME, "no slots are kept here", 1 * SECOND)
+        if not run.key:
+            return Refusal(Outcome.NOT_RUN, Reason.NOT_HOME, "the request has no key", 1 * SECOND)
         view = HomeView(
             held=self._holding.slots,
             slots=self._holding.count,
-            lease_valid=self._homes.lease.valid,
+            lease_valid=self._lease.valid,
             wall=self._clock.wall(),
             keep=service.model.answer_keep_ms,
         )
@@ -332,6 +342,25 @@
             entry.work.cancel()
 
 
+class DeskSlots(SlotUser):
+    """The desk as the task that keeps its slots sees it."""
+
+    def __init__(self, desk: pykka.ActorRef[Desk], on_change: Callable[[Holding], None]) -> None:
+        self._desk = desk.proxy()
+        self._on_change = on_change
+
+    def hold(self, holding: Holding, inherited: Sequence[KeyNote]) -> None:
+        """Use these slots from now on."""
+        self._desk.hold(holding, inherited).get()
+        self._on_change(holding)
+
+    def surrender(self, holding: Holding, slots: Iterable[int]) -> Surrendered:
+        """Use no more than ``holding``."""
+        surrendered: Surrendered = self._desk.surrender(holding, list(slots)).get()
+        self._on_change(holding)
+        return surrendered
+
+
 def _leaving() -> Refusal:
     return Refusal(Outcome.NOT_RUN, Reason.LEAVING, "the target is leaving", 100)
 
--- a/src/canvasyoke/target/_homes.py
+++ b/src/canvasyoke/target/_homes.py
@@ -3,13 +3,18 @@
 Only targets of services with non-repeatable requests run it. All it knows comes
 from the platform; with the platform out, the lease runs down and the slots stand
 still, since nobody else can take them either.
+
+A slot changes hands in one of two ways. Its holder gives it back, with a list of
+the keys it ran, and the next holder goes on as if it had run them itself. Or its
+holder's lease lapses, and the next holder refuses every key made before it came.
 """
 
 from __future__ import annotations
 
 import math
 import threading
-from collections.abc import Callable
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -19,18 +24,27 @@
 from canvasyoke.coordination import (
     CLOCK_MARGIN,
     RENEW_EVERY,
+    Handover,
+    KeyNote,
     Lease,
     LeaseWatch,
     Slot,
     SlotTable,
 )
 from canvasyoke.observe import part_logger
-from canvasyoke.state import Absent, Conflict, Found, Platform, Unavailable, Written
+from canvasyoke.state import CREATE, Absent, Conflict, Found, Platform, Unavailable, Written
 
 _log = part_logger("homes")
 _LEASE_PREFIX: Final = "leases/"
 _TABLE_PREFIX: Final = "homes/"
-_LOOK_EVERY: Final = 1 * SECOND
+_HANDOVER_PREFIX: Final = "handover/"
+#: Milliseconds between readings of the slot table.
+LOOK_EVERY: Final = 1 * SECOND
+#: Milliseconds between readings of all leases while no slot is free.
+_LEASES_EVERY: Final = 3 * SECOND
+#: Keys in one handover at the most; with more, the slot is given back without.
+_HANDOVER_KEYS: Final = 4_000
+_RELEASE_TRIES: Final = 5
 
 
 class LeaseRecord(msgspec.Struct, frozen=True):
@@ -57,6 +71,32 @@
 NOTHING: Final = Holding(0, {}, 0)
 
 
+@dataclass(frozen=True, slots=True)
+class Surrendered:
+    """What the desk knew of the slots it let go."""
+
+    #: Keys that ran or run, by slot.
+    keys: dict[int, list[KeyNote]]
+    #: Wall time before which keys may have been forgotten.
+    forgotten_before: int
+
+
+class SlotUser(ABC):
+    """Runs requests with keys of the slots held: the desk.
+
+    Both methods return only when their effect is complete, since the platform is
+    told of it next.
+    """
+
+    @abstractmethod
+    def hold(self, holding: Holding, inherited: Sequence[KeyNote]) -> None:
+        """Use these slots from now on; the inherited keys have run."""
+
+    @abstractmethod
+    def surrender(self, holding: Holding, slots: Iterable[int]) -> Surrendered:
+        """Use no more than ``holding``; return what is known of ``slots``."""
+
+
 class HomeKeeper:
     """Renews the lease, takes free slots and gives back what is too many."""
 
@@ -69,10 +109,10 @@
         incarnation: str,
         address: str,
         slots: Callable[[], int],
-        on_change: Callable[[Holding], None],
+        user: SlotUser,
+        lease: Lease,
     ) -> None:
-        #: Whether the lease stands; asked before each request with a key.
-        self.lease = Lease(clock)
+        self._lease = lease
         self._platform = platform
         self._clock = clock
         self._service = service
@@ -80,10 +120,12 @@
         self._incarnation = incarnation
         self._address = address
         self._slots = slots
-        self._on_change = on_change
+        self._user = user
         self._watch = LeaseWatch(clock)
         self._version = -1
         self._renewed = -RENEW_EVERY
+        self._live: dict[str, str] = {}
+        self._live_read = -_LEASES_EVERY
         self._holding = NOTHING
         self._stop = threading.Event()
         self._task = threading.Thread(target=self._run, name="homes", daemon=True)
@@ -92,14 +134,32 @@
         """Start the task."""
         self._task.start()
 
+    @property
+    def holding(self) -> Holding:
+        """Return what is held now."""
+        return self._holding
+
     def release(self) -> None:
-        """End the task and give the lease back, so that others take over at once."""
+        """End the task, hand all slots over and give the lease back."""
         self._stop.set()
-        self.lease.lost()
-        self._task.join()
+        if self._task.is_alive():
+            self._task.join()
+        for _ in range(_RELEASE_TRIES):
+            if not self._holding.slots or self._give_all_back():
+                break
+        self._lease.lost()
         if self._version >= 0:
             self._platform.write(self._lease_key, self._record(ended=True), self._version)
 
+    def _give_all_back(self) -> bool:
+        table, version = self._read_table(self._holding.count)
+        if table is None:
+            return False
+        wanted = list(table.slots)
+        for index in table.held_by(self._instance, self._incarnation):
+            wanted[index] = Slot()
+        return self._change_table(table, wanted, version)
+
     def _record(self, ended: bool) -> bytes:
         return msgspec.json.encode(LeaseRecord(self._incarnation, self._address, ended))
 
@@ -116,15 +176,17 @@
             count = self._slots()
             if count:
                 self.step(count)
-            self._stop.wait(_LOOK_EVERY / SECOND)
+            self._stop.wait(LOOK_EVERY / SECOND)
 
     def step(self, count: int) -> None:
         """Renew the lease if it is time, then look at the slots once."""
         if self._clock.now() - self._renewed >= RENEW_EVERY:
             self._renew()
-        if self.lease.valid:
+        if self._lease.valid:
             self._look(count)
 
+    # The lease.
+
     def _renew(self) -> None:
         began = self._clock.now()
         if self._version < 0 and not self._join():
@@ -133,7 +195,7 @@
         if isinstance(result, Written):
             self._version = result.version
             self._renewed = began
-            self.lease.renewed(began)
+            self._lease.renewed(began)
         elif isinstance(result, Conflict) or result.ambiguous:
             self._check_lost()
 
@@ -148,7 +210,7 @@
         if isinstance(found, Unavailable):
             return False
         if isinstance(found, Absent):
-            self._version = 0
+            self._version = CREATE
             return True
         record = msgspec.json.decode(found.value, type=LeaseRecord)
         over = record.ended or record.address == self._address
@@ -163,59 +225,16 @@
         if isinstance(found, Unavailable):
             return
         if isinstance(found, Absent):
-            self._version = 0
+            self._version = CREATE
             return
         record = msgspec.json.decode(found.value, type=LeaseRecord)
         self._version = found.version
         if record.incarnation == self._incarnation and not record.ended:
             return
         _log.warning("lease was taken by another", service=self._service)
-        self.lease.lost()
+        self._lease.lost()
         self._publish(NOTHING)
 
-    def _look(self, count: int) -> None:
-        """Read who is there, free what lapsed, take or give back slots."""
-        live = self._live_holders()
-        if live is None:
-            return
-        found = self._platform.read(self._table_key)
-        if isinstance(found, Unavailable):
-            return
-        version = found.version if isinstance(found, Found) else 0
-        table = (
-            msgspec.json.decode(found.value, type=SlotTable)
-            if isinstance(found, Found)
-            else SlotTable(0, [Slot()] * count)
-        )
-        wanted = self._arrange(table, live)
-        if wanted == table.slots and version:
-            self._publish_table(table)
-            return
-        self._write_table(SlotTable(table.epoch + 1, wanted), version)
-
-    def _write_table(self, table: SlotTable, version: int) -> None:
-        # Slots given back must not be used from before the write on, whatever
-        # comes of it; slots taken may be used only after it took effect.
-        mine = table.held_by(self._instance, self._incarnation)
-        kept = {i: s for i, s in self._holding.slots.items() if mine.get(i) == s}
-        if kept != self._holding.slots:
-            self._publish(Holding(self._holding.epoch, kept, len(table.slots)))
-        result = self._platform.write(self._table_key, msgspec.json.encode(table), version)
-        if isinstance(result, Written):
-            self._publish_table(table)
-
-    def _publish_table(self, table: SlotTable) -> None:
-        mine = table.held_by(self._instance, self._incarnation)
-        self._publish(Holding(table.epoch, mine, len(table.slots)))
-
-    def _publish(self, holding: Holding) -> None:
-        if holding == self._holding:
-            return
-        if set(holding.slots) != set(self._holding.slots):
-            _log.info("slots changed", service=self._service, held=len(holding.slots))
-        self._holding = holding
-        self._on_change(holding)
-
     def _live_holders(self) -> dict[str, str] | None:
         """Return the incarnation of each instance whose lease stands.
 
@@ -250,16 +269,126 @@
             return False
         return True
 
-    def _arrange(self, table: SlotTable, live: dict[str, str]) -> list[Slot]:
+    # The slots.
+
+    def _look(self, count: int) -> None:
+        """Read the table; free what lapsed, take or give back slots."""
+        table, version = self._read_table(count)
+        if table is None:
+            return
+        if self._clock.now() - self._live_read >= _LEASES_EVERY and not self._read_live():
+            return
+        if self._arrange(table) == table.slots and version:
+            self._publish_table(table)
+            return
+        # Something is to change. The leases must have been read after the table: by
+        # older ones, a slot just taken by a new run would look lapsed.
+        if self._read_live():
+            self._change_table(table, self._arrange(table), version)
+
+    def _read_live(self) -> bool:
+        live = self._live_holders()
+        if live is None:
+            return False
+        self._live, self._live_read = live, self._clock.now()
+        return True
+
+    def _read_table(self, count: int) -> tuple[SlotTable | None, int]:
+        found = self._platform.read(self._table_key)
+        if isinstance(found, Unavailable):
+            return None, 0
+        if isinstance(found, Absent):
+            return SlotTable(0, [Slot()] * count), CREATE
+        return msgspec.json.decode(found.value, type=SlotTable), found.version
+
+    def _arrange(self, table: SlotTable) -> list[Slot]:
         """Return the slots as they should be: lapsed ones freed, this target's fair part."""
-        slots = [s if live.get(s.holder) == s.incarnation else Slot() for s in table.slots]
+        live = self._live
+        slots = [
+            s if not s.holder or live.get(s.holder) == s.incarnation else Slot()
+            for s in table.slots
+        ]
         fair = math.ceil(len(slots) / len(live))
         mine = [i for i, s in enumerate(slots) if s.holder == self._instance]
         for index in mine[fair:]:
             slots[index] = Slot()
-        since = self._clock.wall() + CLOCK_MARGIN if table.epoch else 0
-        free = [i for i, s in enumerate(slots) if not s.holder]
-        for index in free[: max(0, fair - len(mine))] if len(mine) < fair else []:
-            if index not in mine:
-                slots[index] = Slot(self._instance, self._incarnation, since)
+        free = [i for i, s in enumerate(slots) if not s.holder and i not in mine]
+        fresh = self._clock.wall() + CLOCK_MARGIN if table.epoch else 0
+        for index in free[: max(0, fair - len(mine))]:
+            old = slots[index]
+            since = old.since if old.handover else fresh
+            slots[index] = Slot(self._instance, self._incarnation, since, old.handover)
         return slots
+
+    def _change_table(self, table: SlotTable, wanted: list[Slot], version: int) -> bool:
+        """Write the table; false when another change came first.
+
+        Slots given back are not used from before the write on, whatever comes of
+        it. Keys of slots taken are remembered before the write, in case it takes
+        effect and its answer is lost; the slots are used only once it is known.
+        """
+        mine = table.held_by(self._instance, self._incarnation)
+        lost = {i: s for i, s in mine.items() if wanted[i].holder != self._instance}
+        if lost:
+            wanted = self._hand_over(wanted, lost, table.epoch + 1)
+        wanted, used = self._take_over(wanted)
+        changed = SlotTable(table.epoch + 1, wanted)
+        result = self._platform.write(self._table_key, msgspec.json.encode(changed), version)
+        if not isinstance(result, Written):
+            return False
+        for name in used:
+            self._platform.delete(name)
+        self._publish_table(changed)
+        return True
+
+    def _hand_over(self, wanted: list[Slot], lost: dict[int, Slot], epoch: int) -> list[Slot]:
+        """Stop using the slots in ``lost``; write down what ran, for the next holder."""
+        held = self._holding
+        kept = {i: s for i, s in held.slots.items() if i not in lost}
+        self._holding = Holding(held.epoch, kept, held.count)
+        surrendered = self._user.surrender(self._holding, lost)
+        result = list(wanted)
+        for index, slot in sorted(lost.items()):
+            keys = surrendered.keys.get(index, [])
+            if wanted[index].holder or len(keys) > _HANDOVER_KEYS:
+                continue
+            name = f"{_HANDOVER_PREFIX}{self._service}/{index}-{epoch}-{self._incarnation}"
+            written = self._platform.write(name, msgspec.json.encode(Handover(keys)), CREATE)
+            if isinstance(written, Written):
+                since = max(slot.since, surrendered.forgotten_before)
+                result[index] = Slot("", "", since, name)
+        return result
+
+    def _take_over(self, wanted: list[Slot]) -> tuple[list[Slot], list[str]]:
+        """Remember the keys of slots being taken; without them, a slot starts afresh.
+
+        Returns the slots as they are to be written and the handovers used.
+        """
+        notes: list[KeyNote] = []
+        used: list[str] = []
+        result = list(wanted)
+        for index, slot in enumerate(wanted):
+            if not slot.handover or slot.holder != self._instance:
+                continue
+            since = self._clock.wall() + CLOCK_MARGIN
+            found = self._platform.read(slot.handover)
+            if isinstance(found, Found):
+                notes += msgspec.json.decode(found.value, type=Handover).keys
+                used.append(slot.handover)
+                since = slot.since
+            result[index] = Slot(slot.holder, slot.incarnation, since)
+        if notes:
+            self._user.hold(self._holding, notes)
+        return result, used
+
+    def _publish_table(self, table: SlotTable) -> None:
+        mine = table.held_by(self._instance, self._incarnation)
+        self._publish(Holding(table.epoch, mine, len(table.slots)))
+
+    def _publish(self, holding: Holding) -> None:
+        if holding == self._holding:
+            return
+        if set(holding.slots) != set(self._holding.slots):
+            _log.info("slots changed", service=self._service, held=len(holding.slots))
+        self._holding = holding
+        self._user.hold(holding, ())
--- a/src/canvasyoke/target/_process.py
+++ b/src/canvasyoke/target/_process.py
@@ -11,6 +11,7 @@
 
 from canvasyoke._clock import SECOND, Clock, SystemClock
 from canvasyoke.backend import BACKENDS, Health
+from canvasyoke.coordination import Lease
 from canvasyoke.observe import part_logger
 from canvasyoke.protocol import (
     Cancel,
@@ -34,7 +35,7 @@
     Snapshot,
     TargetSettings,
 )
-from canvasyoke.target._desk import Desk
+from canvasyoke.target._desk import Desk, DeskSlots
 from canvasyoke.target._homes import NOTHING, Holding, HomeKeeper
 from canvasyoke.target._owner import MapOwner
 from canvasyoke.target._rank import RankGuard
@@ -74,7 +75,6 @@
         self._started = False
         self._orders = ThreadPoolExecutor(max_workers=4, thread_name_prefix="order")
         self._guard: RankGuard | None = None
-        self._homes: HomeKeeper | None = None
         self._owner: MapOwner | None = None
         self._keeper = ConfigKeeper.start(self._view, self._configured)
         self._adopt = self._keeper.proxy().adopt
@@ -90,32 +90,33 @@
             self._opened,
             self._closed,
         )
-        self._homes = HomeKeeper(
-            self._platform,
-            self._clock,
-            settings.service,
-            settings.instance,
-            self._incarnation,
-            settings.listen,
-            self._key_slots,
-            self._hold,
-        )
+        self._lease = Lease(self._clock)
         self._desk = Desk.start(
             settings.service,
             settings.instance,
             self._clock,
             self._view,
             self._backend,
-            self._homes,
+            self._lease,
             self._load_changed.set,
         )
         self._asks = self._desk.proxy()
+        self._homes = HomeKeeper(
+            self._platform,
+            self._clock,
+            settings.service,
+            settings.instance,
+            self._incarnation,
+            settings.listen,
+            self._key_slots,
+            DeskSlots(self._desk, self._hold),
+            self._lease,
+        )
 
     def run(self) -> int:
         """Serve until told to stop, then drain; return the exit code."""
         signal.signal(signal.SIGTERM, lambda *_: self._leaving.set())
         signal.signal(signal.SIGINT, lambda *_: self._leaving.set())
-        assert self._homes is not None
         self._server.start()
         self._homes.start()
         probes = threading.Thread(target=self._probe_loop, name="probe", daemon=True)
@@ -142,13 +143,13 @@
         _log.info("leaving", instance=self._settings.instance)
         self._asks.leave().get()
         self._report()
+        self._homes.release()
+        self._report()
         if self._owner is not None:
             self._owner.release()
         while not self._asks.idle().get():
             self._asks.tick.defer()
             threading.Event().wait(_TICK / SECOND)
-        if self._homes is not None:
-            self._homes.release()
         for session in list(self._sessions.values()):
             session.send(Drained(self._settings.instance))
         threading.Event().wait(_GRACE / SECOND)
@@ -243,7 +244,7 @@
 
     def _hold(self, holding: Holding) -> None:
         self._holding = holding
-        self._asks.hold.defer(holding)
+        self._load_changed.set()
 
     # Reports.
 
@@ -269,8 +270,7 @@
         engine = self._view.current.engines.get(self._settings.instance)
         guard, owner = self._guard, self._owner
         holding = self._holding
-        assert self._homes is not None
-        held = holding.slots if self._homes.lease.valid else {}
+        held = holding.slots if self._lease.valid else {}
         return LoadReport(
             instance=self._settings.instance,
             domain=self._settings.domain,
