System tests with real processes behind a fault-injecting proxy

Cause: the promises were checked by the demo alone, on one path of events.

The engine port gains load, cache events and cancel by a run's own id.

Found by the tests: percent-encoded paths reached the backend decoded (now as the caller wrote them; routes match the decoded form, so that an encoded path cannot dodge a non-repeatable route); an audit line whose answer was lost was reported as not written (now settled by its own key).

--- a/fakes/engine.py
+++ b/fakes/engine.py
@@ -3,8 +3,9 @@
     python -m fakes.engine '{"address": "127.0.0.1:9201", "slots": 8, ...}'
 
 ``POST /generate`` streams seeded tokens as JSON lines, ``X-Offset`` resumes,
-``GET /load`` reports with a lag, ``GET /cache-events`` has gaps, ``POST /group``
-takes fenced orders, ``GET /ledger`` tells the steps and the generations run.
+``GET /load`` reports with a lag (``GET /running`` without), ``GET /cache-events``
+has gaps, ``POST /group`` takes fenced orders, ``GET /ledger`` tells the steps and
+the generations run.
 """
 
 from __future__ import annotations
@@ -130,6 +131,8 @@
         elif path == "/slowness" and engine.rank is not None:
             engine.rank.slowness = float(body)
             self.reply(200)
+        elif path == "/running":
+            self.reply_json({"running": engine.running})
         elif path == "/ledger":
             steps = engine.rank.ledger if engine.rank else []
             self.reply_json({"steps": steps, "generations": engine.generations})
@@ -152,14 +155,14 @@
                 engine.queued -= 1
                 engine.running += 1
                 engine.note_load()
-            self._stream(order, request_id, offset)
+            self._stream(order, self.headers.get("X-Run-Id", ""), offset)
         finally:
             with engine.lock:
                 engine.running -= 1
                 engine.note_load()
             engine.slots.release()
 
-    def _stream(self, order: dict[str, Any], request_id: str, offset: int) -> None:
+    def _stream(self, order: dict[str, Any], run_id: str, offset: int) -> None:
         engine = self.engine
         prompt, count = str(order.get("prompt", "")), int(order.get("max_tokens", 16))
         tokens = make_tokens(prompt, int(order.get("seed", 0)), count)
@@ -169,7 +172,7 @@
         for index in range(offset, count):
             due += engine.step_seconds
             time.sleep(max(0.0, due - time.monotonic()))
-            if request_id in engine.cancelled:
+            if run_id in engine.cancelled:
                 self.break_off()
                 return
             line = json.dumps({"offset": index, "token": tokens[index]})
--- a/fakes/launcher.py
+++ b/fakes/launcher.py
@@ -58,6 +58,9 @@
     plain_ms: int = 5
     streams: int = 320
     log_level: str = "info"
+    #: Whether links lead through a fault-injecting proxy, one route for each
+    #: target and each domain it is reached from.
+    proxied: bool = False
 
 
 @dataclass
@@ -65,6 +68,9 @@
     """Addresses of everything in one fleet."""
 
     platform: str = ""
+    #: The platform as each domain sees it.
+    views: dict[str, str] = field(default_factory=dict)
+    proxy: str = ""
     entries: dict[str, str] = field(default_factory=dict)
     admin: dict[str, str] = field(default_factory=dict)
     links: dict[str, str] = field(default_factory=dict)
@@ -114,7 +120,9 @@
     def _assign_ports(self) -> None:
         ports = self.ports
         ports.platform = free_address()
+        ports.proxy = free_address()
         for domain in self.spec.domains:
+            ports.views[domain] = free_address()
             for number in range(1, self.spec.entries_per_domain + 1):
                 name = f"{domain}-entry-{number}"
                 ports.entries[name] = free_address()
@@ -138,18 +146,64 @@
 
     def start_platform(self) -> None:
         """Start the platform stand-in and fill its instance list."""
-        self._start("platform", ["-m", "fakes.platform", self.ports.platform])
+        views = [f"{domain}={address}" for domain, address in self.ports.views.items()]
+        self._start("platform", ["-m", "fakes.platform", self.ports.platform, *views])
         wait_until(lambda: answers(self.ports.platform), "platform answers")
+        if self.spec.proxied:
+            self._start("proxy", ["-m", "fakes.proxy", self.ports.proxy])
+            wait_until(lambda: answers(self.ports.proxy), "proxy answers")
         for target in self.spec.targets:
-            self.list_instance(target.name, "target", target.domain, self.ports.links[target.name])
+            self.list_target(target.name)
         for name, address in self.ports.admin.items():
             self.list_instance(name, "entry", name.rsplit("-entry-", 1)[0], address)
 
+    def list_target(self, name: str) -> None:
+        """Put a target into the instance list, through proxies where there are some."""
+        target, address = self._targets[name], self.ports.links[name]
+        views = {}
+        for domain in self.spec.domains if self.spec.proxied else ():
+            views[domain] = free_address()
+            route = {"listen": views[domain], "to": address}
+            self._call(self.ports.proxy, "PUT", f"/routes/{self.route(domain, name)}", route)
+        self.list_instance(name, "target", target.domain, address, views=views)
+
+    def route(self, domain: str, target: str) -> str:
+        """Return the name of the proxy's route from ``domain`` to ``target``."""
+        return f"{domain}>{self._targets[target].domain}>{target}"
+
+    def set_link_faults(self, routes: str, **faults: object) -> None:
+        """Set faults on all routes whose name begins with ``routes``."""
+        self._call(self.ports.proxy, "PUT", "/faults", {"routes": routes, **faults})
+
+    def replay(self, route: str) -> int:
+        """Send what went through a route once more; return the bytes that came back."""
+        return int(self._call(self.ports.proxy, "POST", f"/replay/{route}")["received"])
+
+    def cut_domain(self, domain: str, cut: bool = True) -> None:
+        """Cut a domain off from the platform and from the other domains, or heal it."""
+        self.set_faults(domain, down=cut)
+        for other in self.spec.domains:
+            if other != domain:
+                self.set_link_faults(f"{domain}>{other}>", cut=cut)
+                self.set_link_faults(f"{other}>{domain}>", cut=cut)
+
     def list_instance(
-        self, name: str, role: str, domain: str, address: str, state: str = "live"
+        self,
+        name: str,
+        role: str,
+        domain: str,
+        address: str,
+        state: str = "live",
+        views: Mapping[str, str] | None = None,
     ) -> None:
         """Put a line into the instance list."""
-        line = {"role": role, "domain": domain, "address": address, "state": state}
+        line = {
+            "role": role,
+            "domain": domain,
+            "address": address,
+            "state": state,
+            "views": dict(views or {}),
+        }
         self.platform_call("PUT", f"/instances/{name}", line)
 
     def start_backend(self, name: str) -> None:
@@ -187,26 +241,27 @@
             "service": target.service,
             "listen": self.ports.links[name],
             "backend": {"address": self.ports.backends[name], "adapter": adapter},
-            **self._common_settings(),
+            **self._common_settings(target.domain),
         }
         self._start_role("target", name, settings)
 
     def start_entry(self, name: str) -> None:
         """Start one entry process."""
+        domain = name.rsplit("-entry-", 1)[0]
         settings = {
             "instance": name,
-            "domain": name.rsplit("-entry-", 1)[0],
+            "domain": domain,
             "http": self.ports.entries[name],
             "admin": self.ports.admin[name],
             "streams": self.spec.streams,
-            **self._common_settings(),
+            **self._common_settings(domain),
         }
         self._start_role("entry", name, settings)
 
-    def _common_settings(self) -> dict[str, Any]:
+    def _common_settings(self, domain: str) -> dict[str, Any]:
         return {
             "link_key": LINK_KEY,
-            "platform": {"address": self.ports.platform},
+            "platform": {"address": self.ports.views[domain]},
             "log": {"level": self.spec.log_level},
         }
 
@@ -272,14 +327,17 @@
 
     def platform_call(self, method: str, path: str, value: Any = None) -> Any:
         """Call the platform stand-in directly."""
+        return self._call(self.ports.platform, method, path, value)
+
+    def _call(self, address: str, method: str, path: str, value: Any = None) -> Any:
         body = json.dumps(value).encode() if value is not None else b""
-        url = f"http://{self.ports.platform}{path}"
+        url = f"http://{address}{path}"
         response = self._http.request(method, url, body=body, timeout=5.0, retries=False)
         return json.loads(response.data) if response.data else None
 
-    def set_faults(self, **faults: object) -> None:
-        """Set faults of the platform stand-in."""
-        self.platform_call("PUT", "/faults", faults)
+    def set_faults(self, domain: str, **faults: object) -> None:
+        """Set faults of the platform as one domain sees it."""
+        self._call(self.ports.views[domain], "PUT", "/faults", faults)
 
     def status(self, entry: str) -> dict[str, Any]:
         """Return one entry's status; empty when it does not answer."""
--- a/fakes/plain.py
+++ b/fakes/plain.py
@@ -35,7 +35,7 @@
         time.sleep(self.work_ms / 1_000)
         answer = {
             "method": method,
-            "path": path,
+            "target": self.path,
             "key": key,
             "organisation": self.headers.get("X-Organisation", ""),
             "request_id": self.headers.get("X-Request-Id", ""),
--- a/fakes/platform.py
+++ b/fakes/platform.py
@@ -6,7 +6,12 @@
 ``PUT /instances/NAME`` and ``DELETE /instances/NAME`` change the list.
 ``GET /calls`` tells the calls counted by kind.
 
-    python -m fakes.platform 127.0.0.1:9000
+    python -m fakes.platform 127.0.0.1:9000 nbo-a=127.0.0.1:9001 ...
+
+Each further address serves the same store as one failure domain sees it: it has
+faults of its own (``PUT /faults`` there), and an instance line whose ``views`` name
+the domain is shown with the address given there, so that links can be led through
+a proxy of their own for each domain.
 """
 
 from __future__ import annotations
@@ -52,9 +57,8 @@
     changed: threading.Condition = field(default_factory=threading.Condition)
     objects: dict[str, Stored] = field(default_factory=dict)
     versions: int = 0
-    instances: dict[str, dict[str, str]] = field(default_factory=dict)
-    list_history: list[tuple[float, list[dict[str, str]]]] = field(default_factory=list)
-    faults: Faults = field(default_factory=Faults)
+    instances: dict[str, dict[str, Any]] = field(default_factory=dict)
+    list_history: list[tuple[float, list[dict[str, Any]]]] = field(default_factory=list)
     calls: Counter[str] = field(default_factory=Counter)
 
     def write(self, key: str, value: bytes, expected: int) -> tuple[bool, int]:
@@ -70,22 +74,24 @@
             self.changed.notify_all()
             return True, self.versions
 
-    def read(self, key: str) -> tuple[int, bytes] | None:
+    def read(self, key: str, faults: Faults) -> tuple[int, bytes] | None:
         """Return version and value, or an older version while reads are stale."""
         with self.changed:
             stored = self.objects.get(key)
             if stored is None:
                 return None
             age = (time.monotonic() - stored.written) * 1_000
-            if age < self.faults.stale_ms:
+            if age < faults.stale_ms:
                 return stored.before
             return stored.version, stored.value
 
-    def watch(self, key: str, after: int, timeout: float) -> tuple[int, bytes] | None:
+    def watch(
+        self, key: str, after: int, timeout: float, faults: Faults
+    ) -> tuple[int, bytes] | None:
         """Wait for a version above ``after``."""
         end = time.monotonic() + timeout
         with self.changed:
-            while not self.faults.down:
+            while not faults.down:
                 stored = self.objects.get(key)
                 if stored is not None and stored.version > after:
                     return stored.version, stored.value
@@ -95,7 +101,7 @@
                 self.changed.wait(remaining)
         return None
 
-    def change_instance(self, name: str, value: dict[str, str] | None) -> None:
+    def change_instance(self, name: str, value: dict[str, Any] | None) -> None:
         """Add, change or remove a line of the instance list."""
         with self.changed:
             if value is None:
@@ -105,18 +111,24 @@
             listed = [dict(v) for _, v in sorted(self.instances.items())]
             self.list_history.append((time.monotonic(), listed))
 
-    def listed(self) -> list[dict[str, str]]:
-        """Return the list as it was ``list_lag_ms`` ago."""
+    def listed(self, view: str, faults: Faults) -> list[dict[str, Any]]:
+        """Return the list as it was ``list_lag_ms`` ago, as ``view`` sees it."""
         with self.changed:
-            limit = time.monotonic() - self.faults.list_lag_ms / 1_000
+            limit = time.monotonic() - faults.list_lag_ms / 1_000
             past = [listed for at, listed in self.list_history if at <= limit]
-            return past[-1] if past else []
+        shown = []
+        for line in past[-1] if past else []:
+            address = line.get("views", {}).get(view, line["address"])
+            shown.append({**line, "address": address})
+        return shown
 
 
 class PlatformHandler(Handler):
-    """Serves one store."""
+    """Serves one store, as one view of it."""
 
     store: Store
+    view: str
+    faults: Faults
 
     def handle_request(self, method: str, path: str, query: dict[str, str], body: bytes) -> None:
         """Answer one request."""
@@ -134,12 +146,12 @@
     def _set_faults(self, body: bytes) -> None:
         with self.store.changed:
             for name, value in json.loads(body or b"{}").items():
-                setattr(self.store.faults, name, value)
+                setattr(self.faults, name, value)
             self.store.changed.notify_all()
         self.reply(200)
 
     def _serve(self, method: str, path: str, query: dict[str, str], body: bytes) -> None:
-        faults = self.store.faults
+        faults = self.faults
         if faults.slow_ms:
             time.sleep(faults.slow_ms / 1_000)
         if faults.down:
@@ -147,7 +159,7 @@
             return
         if path == "/instances":
             self.store.calls["list"] += 1
-            self.reply_json(self.store.listed())
+            self.reply_json(self.store.listed(self.view, faults))
         elif path == "/keys":
             self.store.calls["keys"] += 1
             prefix = query.get("prefix", "")
@@ -170,14 +182,14 @@
         elif "after" in query:
             self.store.calls["watch"] += 1
             timeout = int(query.get("timeout", "0")) / 1_000
-            found = self.store.watch(key, int(query["after"]), timeout)
-            if self.store.faults.down:
+            found = self.store.watch(key, int(query["after"]), timeout, self.faults)
+            if self.faults.down:
                 self.reply(503)
             else:
                 self._reply_object(found, 204)
         else:
             self.store.calls["read"] += 1
-            self._reply_object(self.store.read(key), 404)
+            self._reply_object(self.store.read(key, self.faults), 404)
 
     def _put(self, key: str, body: bytes) -> None:
         self.store.calls["write"] += 1
@@ -187,9 +199,9 @@
         expected = int(self.headers.get("X-Object-Version") or 0)
         done, version = self.store.write(key, body, expected)
         with self.store.changed:
-            lose = done and self.store.faults.lose_answers > 0
+            lose = done and self.faults.lose_answers > 0
             if lose:
-                self.store.faults.lose_answers -= 1
+                self.faults.lose_answers -= 1
         if lose:
             self.break_off()
             return
@@ -202,12 +214,23 @@
             self.reply(200, found[1], {"X-Object-Version": str(found[0])})
 
 
-def serve(address: str) -> Server:
-    """Return a server on ``address`` with an empty store, not yet started."""
-    handler: Any = type("BoundHandler", (PlatformHandler,), {"store": Store()})
+def serve(address: str, store: Store, view: str = "") -> Server:
+    """Return a server on ``address`` for one view of ``store``, not yet started."""
+    members = {"store": store, "view": view, "faults": Faults()}
+    handler: Any = type("BoundHandler", (PlatformHandler,), members)
     host, port = address.rsplit(":", 1)
     return Server((host, int(port)), handler)
 
 
+def main(address: str, views: list[str]) -> None:
+    """Serve one store at ``address`` and at the address of each view."""
+    store = Store()
+    for each in views:
+        view, _, view_address = each.partition("=")
+        server = serve(view_address, store, view)
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+    serve(address, store).serve_forever()
+
+
 if __name__ == "__main__":
-    serve(sys.argv[1]).serve_forever()
+    main(sys.argv[1], sys.argv[2:])
--- a/src/canvasyoke/backend/_plain.py
+++ b/src/canvasyoke/backend/_plain.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import uuid
 from typing import Final
 
 from canvasyoke._clock import SECOND
@@ -56,10 +57,11 @@
 
     def call(self, run: Run, sink: AnswerSink) -> CallEnd:
         """Run one request."""
+        run_id = uuid.uuid4().hex
         reply = self._pool.call(
             run.method,
             run.path,
-            headers=self._request_headers(run),
+            headers=self._request_headers(run, run_id),
             body=run.body,
             read_timeout=max(1, run.remaining),
         )
@@ -67,7 +69,7 @@
             return _failed_call(reply)
         try:
             sink.head(reply.status, pass_headers(reply.headers))
-            return self._pass_body(reply, sink, run.offset)
+            return self._pass_body(reply, sink, run, run_id)
         except OSError as exc:
             refusal = Refusal(Outcome.UNKNOWN, Reason.BACKEND_FAILED, str(exc))
             return Failed(refusal)
@@ -80,7 +82,7 @@
         reply.close()
         return Health(reply.status < _SERVER_ERROR, f"status {reply.status}")
 
-    def _request_headers(self, run: Run) -> dict[str, str]:
+    def _request_headers(self, run: Run, run_id: str) -> dict[str, str]:
         headers = dict(pass_headers(run.headers))
         headers[REQUEST_ID_HEADER] = run.request_id
         headers["X-Organisation"] = run.organisation
@@ -88,7 +90,7 @@
             headers[KEY_HEADER] = run.key
         return headers
 
-    def _pass_body(self, reply: HttpReply, sink: AnswerSink, run_offset: int) -> CallEnd:
+    def _pass_body(self, reply: HttpReply, sink: AnswerSink, run: Run, run_id: str) -> CallEnd:
         for chunk in reply.chunks():
             if sink.cancelled:
                 reply.close()
--- a/src/canvasyoke/backend/_port.py
+++ b/src/canvasyoke/backend/_port.py
@@ -95,6 +95,42 @@
         """Carry out ``order``; an unreachable rank answers ``ok=False``."""
 
 
+@dataclass(frozen=True, slots=True)
+class EngineLoad:
+    """Load as an engine reports it, some time after the fact."""
+
+    running: int
+    queued: int
+    slots: int
+    #: Milliseconds since the load was so; -1 when the engine does not say.
+    age: int
+
+
+class CacheEvent(msgspec.Struct, frozen=True):
+    """An engine has cached a prompt prefix."""
+
+    #: Number of the event; a number left out is an event that was lost.
+    sequence: int
+    #: Hash of the prefix.
+    prefix: str
+
+
+class EnginePort(ABC):
+    """The part of a backend that is a model engine."""
+
+    @abstractmethod
+    def load(self) -> EngineLoad | None:
+        """Return the load reported; ``None`` when the engine does not answer."""
+
+    @abstractmethod
+    def cache_events(self, after: int) -> list[CacheEvent] | None:
+        """Return the events after number ``after``; ``None`` without an answer."""
+
+    @abstractmethod
+    def cancel(self, run_id: str) -> bool:
+        """Stop a generation; true when the engine took the order."""
+
+
 class Backend(ABC):
     """An engine or plain service."""
 
@@ -111,6 +147,11 @@
         """Return the rank, where the backend is one."""
         return None
 
+    @property
+    def engine_port(self) -> EnginePort | None:
+        """Return the engine, where the backend is one."""
+        return None
+
 
 #: Adapters by name; each is called with the backend's address.
 BACKENDS: Registry[Callable[[str], Backend]] = Registry("backend adapter")
--- /dev/null
+++ b/src/canvasyoke/backend/tests/test_engine.py
@@ -0,0 +1,113 @@
+"""The engine adapter against the stand-in, over real HTTP."""
+
+import threading
+from collections.abc import Iterator
+
+import pytest
+
+from canvasyoke.backend import AnswerSink, Done, EngineBackend, Failed, PlainBackend, RankOrder
+from canvasyoke.protocol import ExpertReplica, Outcome, Reason, Run
+from fakes.engine import EngineSettings, make_tokens, serve
+from fakes.http_base import Server
+from fakes.launcher import free_address
+
+
+class Sink(AnswerSink):
+    """Keeps what it gets; cancels itself after so many chunks."""
+
+    def __init__(self, cancel_after: int = 1 << 30) -> None:
+        self.status = 0
+        self.chunks: list[bytes] = []
+        self._cancel_after = cancel_after
+
+    def head(self, status: int, headers: list[tuple[str, str]]) -> None:
+        self.status = status
+
+    def chunk(self, data: bytes) -> None:
+        self.chunks.append(data)
+
+    @property
+    def cancelled(self) -> bool:
+        return len(self.chunks) >= self._cancel_after
+
+
+def run(body: bytes = b'{"prompt": "p", "max_tokens": 6}', offset: int = 0) -> Run:
+    return Run(
+        request=1,
+        attempt=1,
+        request_id="r-1",
+        organisation="kibanda",
+        service="ink",
+        method="POST",
+        path="/generate",
+        headers=[],
+        body=body,
+        remaining=5_000,
+        priority=3,
+        repeatable=True,
+        offset=offset,
+    )
+
+
+@pytest.fixture
+def engine() -> Iterator[tuple[Server, EngineBackend]]:
+    udp = [free_address() for _ in range(1)]
+    settings = EngineSettings(free_address(), token_ms=2, rank=0, ranks=udp, checks_fences=False)
+    server = serve(settings)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    yield server, EngineBackend(settings.address)
+    server.shutdown()
+    server.server_close()
+
+
+def test_stream_is_whole_and_resumes(engine: tuple[Server, EngineBackend]) -> None:
+    _, backend = engine
+    whole, rest = Sink(), Sink()
+    assert isinstance(backend.call(run(), whole), Done)
+    assert isinstance(backend.call(run(offset=4), rest), Done)
+    assert len(whole.chunks) == 7
+    assert rest.chunks == whole.chunks[4:]
+    assert make_tokens("p", 0, 6)[0].encode() in whole.chunks[0]
+
+
+def test_cancel_reaches_the_engine(engine: tuple[Server, EngineBackend]) -> None:
+    server, backend = engine
+    sink = Sink(cancel_after=3)
+    end = backend.call(run(b'{"prompt": "p", "max_tokens": 5000}'), sink)
+    assert isinstance(end, Failed)
+    assert end.refusal.reason is Reason.CANCELLED
+    handler = server.RequestHandlerClass
+    assert len(handler.engine.cancelled) == 1  # type: ignore[attr-defined]
+
+
+def test_load_and_cache_events(engine: tuple[Server, EngineBackend]) -> None:
+    _, backend = engine
+    for _ in range(6):
+        backend.call(run(), Sink())
+    events = backend.engine_port.cache_events(0)
+    assert events is not None
+    assert [e.sequence for e in events] == [1, 2, 3, 4, 6], "every fifth is lost"
+    assert [e.sequence for e in backend.engine_port.cache_events(4) or []] == [6]
+    load = backend.engine_port.load()
+    assert load is not None
+    assert load.slots == 8
+
+
+def test_orders_reach_the_rank(engine: tuple[Server, EngineBackend]) -> None:
+    _, backend = engine
+    replicas = [ExpertReplica(0, expert, 0) for expert in range(16)]
+    prepared = backend.rank_port.order(RankOrder("prepare", 3, 1, ranks=[0], replicas=replicas))
+    assert prepared.ok
+    assert not backend.rank_port.order(RankOrder("activate", 3, 9)).ok
+    assert backend.rank_port.order(RankOrder("activate", 3, 1, step=0)).ok
+
+
+@pytest.mark.parametrize("kind", [PlainBackend, EngineBackend])
+def test_backend_that_is_gone_did_not_run_anything(kind: type[PlainBackend]) -> None:
+    end = kind(free_address()).call(run(), Sink())
+    assert isinstance(end, Failed)
+    assert (end.refusal.outcome, end.refusal.reason) == (
+        Outcome.NOT_RUN,
+        Reason.BACKEND_UNREACHABLE,
+    )
+    assert not kind(free_address()).probe().ok
--- a/src/canvasyoke/entry/_callers.py
+++ b/src/canvasyoke/entry/_callers.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from http import HTTPStatus
 from typing import Any, Final
+from urllib.parse import unquote
 
 from canvasyoke._clock import SECOND, Clock
 from canvasyoke.entry._dispatch import Call, CallerGone, Dispatcher, Piece
@@ -173,8 +174,8 @@
             limit = service.model.max_body_bytes
             return _not_run(Reason.BODY_TOO_LARGE, f"at most {limit} bytes"), request_id
         method = environ["REQUEST_METHOD"]
-        below = _below(environ, path)
-        route = service.route(method, below)
+        below = _below(environ)
+        route = service.route(method, unquote(below.partition("?")[0]))
         wait = options.wait or route.deadline
         asked = options.priority if options.priority >= 0 else service.model.priority
         run = Run(
@@ -306,8 +307,10 @@
     return body if len(body) <= limit else None
 
 
-def _below(environ: dict[str, Any], path: str) -> str:
-    """Return the path below the service, with the query string."""
-    _, _, rest = path.lstrip("/").partition("/")
-    query = environ.get("QUERY_STRING")
-    return f"/{rest}?{query}" if query else f"/{rest}"
+def _below(environ: dict[str, Any]) -> str:
+    """Return the path below the service as the caller wrote it, with the query string."""
+    target = str(environ["REQUEST_URI"])
+    if not target.startswith("/"):  # the absolute form that proxies are sent
+        target = "/" + target.split("://", 1)[-1].partition("/")[2]
+    _, slash, rest = target[1:].partition("/")
+    return f"/{rest}" if slash else "/"
--- a/src/canvasyoke/state/_audit.py
+++ b/src/canvasyoke/state/_audit.py
@@ -18,6 +18,7 @@
 AUDIT_LIMIT: Final = 2_000
 #: Entries over the limit before the oldest are removed, so that not every append lists.
 _SLACK: Final = 100
+_TRIES: Final = 4
 
 
 class AuditEntry(msgspec.Struct, frozen=True, kw_only=True):
@@ -53,13 +54,21 @@
         self._appended = 0
 
     def append(self, entry: AuditEntry) -> bool:
-        """Add ``entry``; false when the platform gave no answer."""
+        """Add ``entry``; false when the platform gave no answer.
+
+        The key is the entry's own, so a conflict means that an earlier write took
+        effect though its answer was lost.
+        """
         key = f"{_PREFIX}{entry.wall:015d}-{entry.id}"
-        result = self._platform.write(key, msgspec.json.encode(entry), CREATE)
+        data = msgspec.json.encode(entry)
+        written = any(
+            not isinstance(self._platform.write(key, data, CREATE), Unavailable)
+            for _ in range(_TRIES)
+        )
         self._appended += 1
         if self._appended % _SLACK == 1:
             self._trim()
-        return not isinstance(result, Unavailable)
+        return written
 
     def read(self, since: int = 0, subject: str = "") -> list[AuditEntry] | Unavailable:
         """Return entries from ``since`` on, oldest first."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the whole system: real processes, real sockets, injected faults."""
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,77 @@
+"""Planned stops cut nothing off; new work stops coming at once."""
+
+import json
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+from functools import partial
+
+from fakes.engine import make_tokens
+from fakes.launcher import Fleet, wait_until
+from tests.caller import Caller
+
+
+def test_rolling_restart_of_all_targets_cuts_no_request(fleet: Fleet) -> None:
+    """The instance list says nothing of it; the targets do."""
+    caller = Caller(fleet)
+    stop = threading.Event()
+    outcomes: list[str] = []
+
+    def save() -> None:
+        while not stop.is_set():
+            outcomes.append(caller.save(caller.new_key()).outcome)
+
+    def generate() -> None:
+        while not stop.is_set():
+            lines = caller.generate("roll", 30).body.splitlines()
+            tokens = [json.loads(line).get("token") for line in lines[:-1]]
+            outcomes.append("answered" if tokens == make_tokens("roll", 0, 30) else "cut")
+
+    with ThreadPoolExecutor(6) as pool:
+        for work in (save, save, save, generate, generate, generate):
+            pool.submit(work)
+        for target in fleet.spec.targets:
+            fleet.terminate(target.name)
+            assert fleet.wait(target.name) == 0
+            fleet.start_target(target.name)
+            wait_until(partial(up, fleet, target.name), f"{target.name} is back")
+        stop.set()
+    assert set(outcomes) == {"answered"}
+    assert len(outcomes) > 50
+
+
+def up(fleet: Fleet, target: str) -> bool:
+    """Tell whether every entry is linked to a target that does not leave."""
+    for entry in fleet.ports.entries:
+        found = [t for t in fleet.status(entry)["targets"] if t["instance"] == target]
+        if not found or not found[0]["connected"] or found[0]["leaving"]:
+            return False
+    return True
+
+
+def test_leaving_target_finishes_and_gets_nothing_new(fleet: Fleet) -> None:
+    caller = Caller(fleet)
+    with ThreadPoolExecutor(4) as pool:
+        running = [pool.submit(caller.generate, f"long {i}", 200) for i in range(4)]
+        time.sleep(0.3)  # the generations are under way, on both engines
+        fleet.terminate("inkmodel-1")
+        wait_until(lambda: not up(fleet, "inkmodel-1"), "the entries know", 1.0)
+        assert caller.generate("new", 4).status == 200
+        assert [len(f.result().body.splitlines()) for f in running] == [201] * 4
+    assert fleet.wait("inkmodel-1") == 0
+    fleet.start_target("inkmodel-1")
+    wait_until(lambda: up(fleet, "inkmodel-1"), "it is back")
+
+
+def test_leaving_entry_answers_what_it_holds(fleet: Fleet) -> None:
+    caller = Caller(fleet)
+    entry = next(iter(fleet.ports.entries))
+    with ThreadPoolExecutor(1) as pool:
+        held = pool.submit(caller.generate, "held", 300, entry)
+        wait_until(lambda: fleet.status(entry)["entry"]["in_flight"] == 1, "it holds it")
+        fleet.terminate(entry)
+        wait_until(lambda: caller.call("GET", "/readyz", entry=entry).status == 503, "not ready")
+        assert len(held.result().body.splitlines()) == 301
+    assert fleet.wait(entry) == 0
+    fleet.start_entry(entry)
+    wait_until(lambda: bool(fleet.status(entry)), "it is back")
