One frame on its way at a time, and a server that survives noise

Cause: nng's polyamorous pair keeps two messages for each pipe and drops a third; the window of 32 frames overran it, the gap reset the session, and under load no stream got through.

Second cause, found by the proxy's resets: closing a pipe that was closed already raises, which ended the link server's task and left a target that listens and never answers. A task that dies now ends its process with code 70; the close is guarded.

Third: a slot that nobody had held yet was treated like one whose holder is gone, so the first saves after a start were refused as key_before_home for two seconds.

--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,54 @@
+"""Runs experiments: ``python -m bench [NAME...]``; ``python -m bench page`` writes the page."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import Final
+
+import msgspec
+
+import bench.overhead  # noqa: F401  (fills the registry)
+from bench._registry import EXPERIMENTS, SEED, Result, render
+
+_ROOT: Final = Path(__file__).resolve().parent.parent
+_RESULTS: Final = _ROOT / "bench" / "results"
+_PAGE: Final = _ROOT / "docs" / "BENCHMARKS.md"
+_HEAD: Final = """# Benchmarks
+
+Written by `python -m bench page` from the files that `make bench` left in
+bench/results; nothing here is typed by hand. `make bench ONLY=NAME` repeats one
+experiment. All figures are from one 8-core machine that also ran the load, the
+stand-ins and everything else; compare them with each other, not with other machines.
+"""
+
+
+def main(names: list[str]) -> int:
+    """Run the experiments named, or all of them; 2 for a name that is not known."""
+    if names == ["page"]:
+        write_page()
+        return 0
+    unknown = [name for name in names if name not in EXPERIMENTS.names()]
+    if unknown:
+        print(f"no experiment {unknown[0]!r}; there are: {', '.join(EXPERIMENTS.names())}")
+        return 2
+    _RESULTS.mkdir(exist_ok=True)
+    for name in names or EXPERIMENTS.names():
+        print(f"running {name} ...", flush=True)
+        result = EXPERIMENTS.get(name)(SEED)
+        data = msgspec.json.format(msgspec.json.encode(result), indent=1)
+        (_RESULTS / f"{name}.json").write_bytes(data + b"\n")
+        print(render(result), flush=True)
+    return 0
+
+
+def write_page() -> None:
+    """Write docs/BENCHMARKS.md from the results there are."""
+    parts = [_HEAD]
+    for path in sorted(_RESULTS.glob("*.json")):
+        parts.append(render(msgspec.json.decode(path.read_bytes(), type=Result)))
+    _PAGE.write_text("\n".join(parts))
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/src/canvasyoke/cli/_registry.py
+++ b/src/canvasyoke/cli/_registry.py
@@ -13,6 +13,8 @@
 REFUSED: Final = 1
 #: The command line was not understood.
 USAGE: Final = 2
+#: A role ended because one of its tasks died; as in sysexits, EX_SOFTWARE.
+FAULT: Final = 70
 
 #: A command: files as positional arguments, options by keyword, an exit code back.
 Command: TypeAlias = Callable[..., int]
--- a/src/canvasyoke/cli/_roles.py
+++ b/src/canvasyoke/cli/_roles.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
+import os
 import sys
+import threading
+import traceback
 from collections.abc import Callable, Sequence
 
 import pynng
 
-from canvasyoke.cli._registry import COMMANDS, REFUSED
-from canvasyoke.observe import set_up_logs
+from canvasyoke.cli._registry import COMMANDS, FAULT, REFUSED
+from canvasyoke.observe import part_logger, set_up_logs
 from canvasyoke.state import EntrySettings, Fault, TargetSettings, load_settings
 
+_log = part_logger("role")
+
 
 @COMMANDS.register("entry")
 def entry(*, settings: str) -> int:
@@ -48,7 +53,22 @@
     return _run(lambda: TargetProcess(loaded).run())
 
 
+def _stop_on_fault(fault: threading.ExceptHookArgs) -> None:
+    """End the process when one of its tasks dies: half a process helps nobody.
+
+    Outcomes are values here, so an exception that reaches a task's end is a broken
+    invariant. The platform starts the process again, and its peers know what to do.
+    """
+    name = fault.thread.name if fault.thread else "?"
+    trace = "".join(
+        traceback.format_exception(fault.exc_type, fault.exc_value, fault.exc_traceback)
+    )
+    _log.error("a task died, so the process ends", task=name, trace=trace)
+    os._exit(FAULT)
+
+
 def _run(role: Callable[[], int]) -> int:
+    threading.excepthook = _stop_on_fault
     try:
         return role()
     except (OSError, LookupError, pynng.NNGException) as exc:
--- a/src/canvasyoke/coordination/_homes.py
+++ b/src/canvasyoke/coordination/_homes.py
@@ -42,6 +42,8 @@
     incarnation: str = ""
     #: Wall time in milliseconds; keys made before it are not run.
     since: int = 0
+    #: Whether anybody has ever held it; if not, there is nobody's past to fear.
+    used: bool = False
     #: For a slot that was given back: object with the keys its last holder ran.
     handover: str = ""
 
--- a/src/canvasyoke/protocol/_seal.py
+++ b/src/canvasyoke/protocol/_seal.py
@@ -68,7 +68,7 @@
 
     #: Number of the frame, from 1 without gaps.
     sequence: int
-    #: Highest frame the sender has received from us.
+    #: Newest frame with content that the sender has received from us.
     acknowledged: int
     #: The content.
     payload: bytes
--- a/src/canvasyoke/target/_homes.py
+++ b/src/canvasyoke/target/_homes.py
@@ -67,6 +67,9 @@
     count: int
 
 
+#: A slot whose holder is gone without a word.
+_LAPSED: Final = Slot(used=True)
+
 #: Nothing is held.
 NOTHING: Final = Holding(0, {}, 0)
 
@@ -157,7 +160,7 @@
             return False
         wanted = list(table.slots)
         for index in table.held_by(self._instance, self._incarnation):
-            wanted[index] = Slot()
+            wanted[index] = _LAPSED
         return self._change_table(table, wanted, version)
 
     def _record(self, ended: bool) -> bytes:
@@ -305,19 +308,19 @@
         """Return the slots as they should be: lapsed ones freed, this target's fair part."""
         live = self._live
         slots = [
-            s if not s.holder or live.get(s.holder) == s.incarnation else Slot()
+            s if not s.holder or live.get(s.holder) == s.incarnation else _LAPSED
             for s in table.slots
         ]
         fair = math.ceil(len(slots) / len(live))
         mine = [i for i, s in enumerate(slots) if s.holder == self._instance]
         for index in mine[fair:]:
-            slots[index] = Slot()
+            slots[index] = _LAPSED
         free = [i for i, s in enumerate(slots) if not s.holder and i not in mine]
-        fresh = self._clock.wall() + CLOCK_MARGIN if table.epoch else 0
+        fresh = self._clock.wall() + CLOCK_MARGIN
         for index in free[: max(0, fair - len(mine))]:
             old = slots[index]
-            since = old.since if old.handover else fresh
-            slots[index] = Slot(self._instance, self._incarnation, since, old.handover)
+            since = old.since if old.handover or not old.used else fresh
+            slots[index] = Slot(self._instance, self._incarnation, since, True, old.handover)
         return slots
 
     def _change_table(self, table: SlotTable, wanted: list[Slot], version: int) -> bool:
@@ -356,7 +359,7 @@
             written = self._platform.write(name, msgspec.json.encode(Handover(keys)), CREATE)
             if isinstance(written, Written):
                 since = max(slot.since, surrendered.forgotten_before)
-                result[index] = Slot("", "", since, name)
+                result[index] = Slot("", "", since, True, name)
         return result
 
     def _take_over(self, wanted: list[Slot]) -> tuple[list[Slot], list[str]]:
@@ -376,7 +379,7 @@
                 notes += msgspec.json.decode(found.value, type=Handover).keys
                 used.append(slot.handover)
                 since = slot.since
-            result[index] = Slot(slot.holder, slot.incarnation, since)
+            result[index] = Slot(slot.holder, slot.incarnation, since, True)
         if notes:
             self._user.hold(self._holding, notes)
         return result, used
--- a/src/canvasyoke/transport/_link_client.py
+++ b/src/canvasyoke/transport/_link_client.py
@@ -19,7 +19,7 @@
     accept_welcome,
     make_hello,
 )
-from canvasyoke.transport._session import WINDOW, Session
+from canvasyoke.transport._session import Session
 
 _CONNECT_TIMEOUT: Final = 2 * SECOND
 _RECEIVE_TIMEOUT: Final = 1 * SECOND
@@ -83,8 +83,6 @@
     def _serve_once(self) -> bool:
         """Connect and serve one session to its end; true when it had begun."""
         with pynng.Pair1(polyamorous=True, recv_max_size=MAX_FRAME_BYTES) as socket:
-            socket.send_buffer_size = WINDOW * 2
-            socket.recv_buffer_size = WINDOW * 2
             try:
                 session = self._connect(socket)
             except (pynng.NNGException, HandshakeError) as exc:
--- a/src/canvasyoke/transport/_link_server.py
+++ b/src/canvasyoke/transport/_link_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import threading
 from collections.abc import Callable
 from typing import Any, Final
@@ -17,9 +18,11 @@
     SealError,
     accept_hello,
 )
-from canvasyoke.transport._session import WINDOW, Session
+from canvasyoke.transport._session import Session
 
 _RECEIVE_TIMEOUT: Final = 1 * SECOND
+#: Frames of all peers together that wait to be received.
+_RECEIVE_BUFFER: Final = 256
 
 #: Called with each message that arrives.
 OnMessage = Callable[[Session, Message], None]
@@ -58,8 +61,7 @@
         #: Handshakes refused since the start.
         self.strangers = 0
         self._socket = pynng.Pair1(polyamorous=True, recv_max_size=MAX_FRAME_BYTES)
-        self._socket.send_buffer_size = WINDOW * 2
-        self._socket.recv_buffer_size = WINDOW * 2
+        self._socket.recv_buffer_size = _RECEIVE_BUFFER
         self._socket.recv_timeout = _RECEIVE_TIMEOUT
         self._socket.add_post_pipe_remove_cb(self._pipe_removed)
         self._socket.listen(f"tcp://{address}")
@@ -117,7 +119,7 @@
             messages = session.receive(data)
         except (SealError, CodecError):
             self._end(pipe.id)
-            pipe.close()
+            _close(pipe)
             return
         for message in messages:
             self._on_message(session, message)
@@ -129,7 +131,7 @@
             )
         except HandshakeError:
             self.strangers += 1
-            pipe.close()
+            _close(pipe)
             return
 
         def put(frame: bytes) -> None:
@@ -148,3 +150,9 @@
         self._sessions[pipe.id] = session
         session.start()
         self._on_open(session)
+
+
+def _close(pipe: Any) -> None:
+    """Close a pipe that may be closed already."""
+    with contextlib.suppress(pynng.NNGException):
+        pipe.close()
--- a/src/canvasyoke/transport/_session.py
+++ b/src/canvasyoke/transport/_session.py
@@ -1,45 +1,34 @@
 """One sealed session over a pynng pipe, and the task that sends on it.
 
-nng's polyamorous pair drops a message when a pipe's queue is full, so a session
-never has more than a window of frames that the other side has not acknowledged.
-Messages that wait are joined into one frame: the busier a link, the fewer frames
-each message costs.
+nng's polyamorous pair keeps two messages for each pipe and drops a third without a
+word. So a session has one frame with content on its way at a time, and one bare
+acknowledgement; whatever is queued meanwhile goes into the next frame together. The
+busier a link, the fewer frames each message costs, and a frame is never dropped.
+docs/design/links.md has the ways weighed and the figures.
 """
 
 from __future__ import annotations
 
-import enum
-import queue
 import threading
+from collections import deque
 from collections.abc import Callable, Sequence
 from typing import Final
 
 from canvasyoke._clock import SECOND, Clock
 from canvasyoke.protocol import Message, Opener, Sealer, SealError, decode_batch, encode_batch
 
-#: Frames that may be on the way without an acknowledgement.
-WINDOW: Final = 32
-#: Frames received before an acknowledgement is sent on its own.
-_ACKNOWLEDGE_EVERY: Final = 8
 #: Messages joined into one frame at the most.
-_BATCH: Final = 64
+_BATCH: Final = 1_024
 #: Bytes of payload after which a frame takes no further message.
-_BATCH_BYTES: Final = 256 << 10
+_BATCH_BYTES: Final = 512 << 10
+#: Milliseconds an acknowledgement waits for content to travel with.
+_ACKNOWLEDGE_DELAY: Final = 1
 #: Milliseconds between heartbeats on an idle link.
 HEARTBEAT: Final = 1 * SECOND
 #: Milliseconds of silence after which a link is taken as broken.
 SILENCE: Final = 4 * SECOND
 
 
-class _Mark(enum.Enum):
-    """What may stand in the queue beside messages."""
-
-    #: An acknowledgement is due, if only by an empty frame.
-    ACKNOWLEDGE = enum.auto()
-    #: The session has ended.
-    STOP = enum.auto()
-
-
 class Session:
     """The sending half of a link; thread-safe.
 
@@ -69,10 +58,16 @@
         self._put = put
         self._clock = clock
         self._on_end = on_end
-        self._queue: queue.SimpleQueue[Message | _Mark] = queue.SimpleQueue()
-        self._window = threading.Condition()
+        self._changed = threading.Condition()
+        self._queue: deque[Message] = deque()
+        #: Newest frame with content that was sent, and that the other side has.
+        self._sent = 0
         self._acknowledged = 0
-        self._announced = 0
+        #: Newest frame with content received, the last one told of, and since when
+        #: the other side waits to hear of it.
+        self._received = 0
+        self._told = 0
+        self._owed_since = 0
         self._heard = clock.now()
         self._closed = False
         self._task = threading.Thread(target=self._run, name=f"send-{peer}", daemon=True)
@@ -93,72 +88,75 @@
 
     def send(self, message: Message) -> None:
         """Queue ``message``; lost without notice when the session has ended."""
-        self._queue.put(message)
+        with self._changed:
+            self._queue.append(message)
+            if self._sent == self._acknowledged and len(self._queue) == 1:
+                self._changed.notify()
 
     def close(self) -> None:
         """End the session; what is still queued is dropped."""
-        with self._window:
+        with self._changed:
             self._closed = True
-            self._window.notify_all()
-        self._queue.put(_Mark.STOP)
+            self._changed.notify()
 
     def receive(self, data: bytes) -> list[Message]:
         """Return the messages in a frame; raises ``SealError`` or ``CodecError``."""
         frame = self._opener.open(data)
-        self._heard = self._clock.now()
-        with self._window:
-            self._acknowledged = max(self._acknowledged, frame.acknowledged)
-            self._window.notify_all()
-        if not frame.payload:
-            return []
-        if frame.sequence - self._announced >= _ACKNOWLEDGE_EVERY:
-            self._announced = frame.sequence
-            self._queue.put(_Mark.ACKNOWLEDGE)
+        with self._changed:
+            self._heard = self._clock.now()
+            if frame.acknowledged > self._acknowledged:
+                self._acknowledged = frame.acknowledged
+                self._changed.notify()
+            if not frame.payload:
+                return []
+            self._received = frame.sequence
+            self._owed_since = self._heard
+            self._changed.notify()
         return decode_batch(frame.payload)
 
     def _run(self) -> None:
+        last = self._clock.now()
         while not self._closed:
-            batch = self._next_batch()
+            batch = self._next_batch(last)
             if self._closed or not self._send_frame(batch):
                 break
+            last = self._clock.now()
+        self.close()
         self._on_end()
 
-    def _next_batch(self) -> list[Message]:
-        try:
-            first = self._queue.get(timeout=HEARTBEAT / SECOND)
-        except queue.Empty:
-            return []
+    def _next_batch(self, last: int) -> list[Message]:
+        """Wait for something to send; an empty batch is an acknowledgement or heartbeat."""
+        with self._changed:
+            while not self._closed:
+                if self._queue and self._sent == self._acknowledged:
+                    return self._take_batch()
+                now = self._clock.now()
+                due = last + HEARTBEAT
+                if self._told != self._received:
+                    due = min(due, self._owed_since + _ACKNOWLEDGE_DELAY)
+                if now >= due:
+                    return []
+                self._changed.wait((due - now) / SECOND)
+        return []
+
+    def _take_batch(self) -> list[Message]:
         batch: list[Message] = []
-        size = self._add(batch, first)
-        while len(batch) < _BATCH and size < _BATCH_BYTES:
-            try:
-                size += self._add(batch, self._queue.get_nowait())
-            except queue.Empty:
-                break
+        size = 0
+        while self._queue and len(batch) < _BATCH and size < _BATCH_BYTES:
+            message = self._queue.popleft()
+            batch.append(message)
+            size += len(getattr(message, "data", b"")) + len(getattr(message, "body", b""))
         return batch
 
-    @staticmethod
-    def _add(batch: list[Message], message: Message | _Mark) -> int:
-        if isinstance(message, _Mark):
-            return 0
-        batch.append(message)
-        return len(getattr(message, "data", b"")) + len(getattr(message, "body", b""))
-
     def _send_frame(self, batch: Sequence[Message]) -> bool:
         payload = encode_batch(batch) if batch else b""
-        if payload and not self._wait_for_window():
-            return False
+        with self._changed:
+            self._told = self._received
         try:
-            self._put(self._sealer.seal(payload, self._opener.sequence))
+            frame = self._sealer.seal(payload, self._told)
+            if payload:
+                self._sent = self._sealer.sequence
+            self._put(frame)
         except (SealError, OSError):
-            self._closed = True
             return False
         return True
-
-    def _wait_for_window(self) -> bool:
-        """Wait until a frame may be sent; false when the session ended meanwhile."""
-        with self._window:
-            self._window.wait_for(
-                lambda: self._closed or self._sealer.sequence - self._acknowledged < WINDOW
-            )
-        return not self._closed
