A request that has to wait stands in four lines and runs where its turn comes first

Cause: an entry chooses by what it last heard, and a request stayed where it was sent.

Change: a target tells that a request is queued; the entry then stands in three more lines. A target there holds the free slot and asks; the first to ask gets the request, the others are told. Only requests that may repeat do this. Free slots count before backlogs in the choice. One slot in four goes only to organisations that are not well over their share, allowing for chance.

--- a/src/canvasyoke/coordination/_fair_queue.py
+++ b/src/canvasyoke/coordination/_fair_queue.py
@@ -4,12 +4,14 @@
 true one, whichever entries they came through. A request waits by urgency, which
 grows with its age so that nothing starves; between organisations of the same
 urgency, start-time fair queueing gives each its share and lends what is unused.
-When the queue is full, the organisation furthest above its share loses its least
-urgent, newest request.
+An organisation that runs well over its share leaves the last slots to the others, so
+that a flood of one is not what the others wait for. When the queue is full, the
+organisation furthest above its share loses its least urgent, newest request.
 """
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from typing import Final, Generic, TypeVar
 
@@ -19,6 +21,13 @@
 #: Milliseconds of waiting that raise a request by one step of urgency.
 AGEING: Final = 500
 _MIN_RETRY_AFTER: Final = 100
+#: One slot in so many is kept for organisations that are not over their share.
+_KEPT_PART: Final = 4
+#: Standard deviations over its share (were its requests to come at random) that an
+#: organisation must run to be kept out of those.
+_OVER: Final = 1.0
+#: Milliseconds for which an organisation that sends nothing counts as there.
+_REMEMBERED: Final = 10_000
 _SMOOTHING: Final = 0.2
 
 T = TypeVar("T")
@@ -59,6 +68,8 @@
     running: int = 0
     #: Start-time fair queueing: service received, divided by share.
     virtual: float = 0.0
+    #: Time on the clock of its last request.
+    seen: int = 0
 
 
 class FairQueue(Generic[T]):
@@ -127,6 +138,14 @@
         self._forget_idle()
         return offer
 
+    def decline(self, waiting: Waiting[T]) -> Offer[T]:
+        """Give back a slot that was granted and not used; it counts for nothing."""
+        lane = self._lanes[waiting.organisation]
+        lane.running -= 1
+        lane.virtual -= 1.0 / lane.share
+        self._running -= 1
+        return self._start_ready()
+
     def withdraw(self, waiting: Waiting[T]) -> bool:
         """Take a waiting request out; false when it is not waiting."""
         lane = self._lanes.get(waiting.organisation)
@@ -148,6 +167,7 @@
     def _lane(self, waiting: Waiting[T]) -> _Lane[T]:
         lane = self._lanes.setdefault(waiting.organisation, _Lane(waiting.share))
         lane.share = waiting.share
+        lane.seen = self._clock.now()
         return lane
 
     def _expected_end(self, waiting: Waiting[T], lane: _Lane[T]) -> float:
@@ -164,7 +184,10 @@
         offer: Offer[T] = Offer()
         now = self._clock.now()
         while self._running < self._slots and self._waiting:
-            lane, waiting = self._next(now)
+            found = self._next(now)
+            if found is None:
+                break
+            lane, waiting = found
             lane.waiting.remove(waiting)
             self._waiting -= 1
             if waiting.deadline <= now:
@@ -179,13 +202,15 @@
             offer.started.append(waiting)
         return offer
 
-    def _next(self, now: int) -> tuple[_Lane[T], Waiting[T]]:
+    def _next(self, now: int) -> tuple[_Lane[T], Waiting[T]] | None:
         """Return the request to start: most urgent first, then by the lanes' service."""
         heads = [
             (lane, name, min(lane.waiting, key=lambda w: (_urgency(w, now), w.arrived)))
             for name, lane in self._lanes.items()
-            if lane.waiting
+            if lane.waiting and self._may_start(lane)
         ]
+        if not heads:
+            return None
         # Age lifts a request to the most urgent class that waits, never above it:
         # otherwise the backlog of one organisation would overtake all others.
         floor = min(head.priority for _, _, head in heads)
@@ -194,6 +219,13 @@
         )
         return lane, head
 
+    def _may_start(self, lane: _Lane[T]) -> bool:
+        """Tell whether a free slot is one that this organisation may take."""
+        if self._slots - self._running > self._slots // _KEPT_PART or len(self._lanes) == 1:
+            return True
+        fair = self._slots * lane.share / sum(other.share for other in self._lanes.values())
+        return lane.running < fair + _OVER * math.sqrt(fair) + 1
+
     def _shed(self) -> Waiting[T]:
         """Take out the request that is worth the least, and return it."""
         lanes = [lane for lane in self._lanes.values() if lane.waiting]
@@ -208,11 +240,12 @@
         return Refusal(Outcome.NOT_RUN, reason, detail, max(_MIN_RETRY_AFTER, round(backlog)))
 
     def _forget_idle(self) -> None:
-        """Drop lanes with nothing to remember, so that the table stays bounded."""
+        """Drop lanes that have sent nothing for a while, so that the table stays bounded."""
+        limit = self._clock.now() - _REMEMBERED
         idle = [
             name
             for name, lane in self._lanes.items()
-            if not lane.waiting and not lane.running and lane.virtual <= self._virtual
+            if not lane.waiting and not lane.running and lane.seen < limit
         ]
         for name in idle:
             del self._lanes[name]
--- a/src/canvasyoke/coordination/_routing.py
+++ b/src/canvasyoke/coordination/_routing.py
@@ -42,8 +42,9 @@
     ejected: bool
     slots: int
     queue: int
-    #: Requests it reported running and waiting.
+    #: Requests it reported running and waiting, and those of them that waited.
     reported: int
+    waiting: int
     #: Milliseconds since the report arrived.
     report_age: int
     #: Requests of this entry under way there at the time of the report, and now.
@@ -57,6 +58,15 @@
         """Return the requests it is estimated to have."""
         return max(self.own, self.reported - self.own_reported + self.own)
 
+    @property
+    def busy(self) -> float:
+        """Return the part of its slots estimated to be taken; 1 when it has none free.
+
+        What waits there is left out: it may be the backlog of one organisation that
+        nobody else will wait for.
+        """
+        return min(1.0, max(0, self.load - self.waiting) / max(1, self.slots))
+
     @property
     def wait(self) -> float:
         """Return the milliseconds until a new request there would have ended."""
@@ -94,10 +104,7 @@
         leaving = any(c.leaving for c in candidates if c.service == req.service)
         return Filtered((), Reason.LEAVING if leaving else Reason.NO_TARGET)
     sound = [c for c in able if not c.ejected] or able
-    roomy = [c for c in sound if c.load < c.slots + c.queue]
-    if not roomy:
-        return Filtered((), Reason.OVERLOADED)
-    return Filtered(tuple(roomy))
+    return Filtered(tuple(sound))
 
 
 def _is_able(candidate: Candidate, req: RouteRequest) -> bool:
@@ -126,8 +133,11 @@
 RANKERS: Registry[type[Ranker]] = Registry("ranker")
 
 
-def _cost(candidate: Candidate, req: RouteRequest) -> float:
-    return candidate.wait + (OTHER_DOMAIN_COST if candidate.domain != req.domain else 0)
+def _cost(candidate: Candidate, req: RouteRequest) -> tuple[float, float]:
+    """Return what to compare targets by: free slots first, then the wait."""
+    away = OTHER_DOMAIN_COST if candidate.domain != req.domain else 0
+    duration = candidate.duration or DEFAULT_DURATION
+    return candidate.busy * duration + away, candidate.wait + away
 
 
 @RANKERS.register("random")
--- a/src/canvasyoke/entry/_dispatch.py
+++ b/src/canvasyoke/entry/_dispatch.py
@@ -13,9 +13,21 @@
 
 from canvasyoke._clock import SECOND, Clock
 from canvasyoke.coordination import REDIRECTS, Attempted, RetryBudget, RouteRequest, Step, next_step
-from canvasyoke.entry._peer import Attempt, Lost, Peer
+from canvasyoke.entry._peer import Attempt, Event, Events, Lost, Peer
 from canvasyoke.entry._peers import Peers
-from canvasyoke.protocol import Chunk, End, Head, Outcome, Reason, Refusal, Refused, Run
+from canvasyoke.protocol import (
+    Chunk,
+    End,
+    Head,
+    Outcome,
+    Queued,
+    Ready,
+    Reason,
+    Refusal,
+    Refused,
+    Run,
+    Started,
+)
 
 #: Milliseconds a target gets past the deadline to say what became of a request.
 _CONFIRM: Final = 300
@@ -23,6 +35,8 @@
 #: short when another target can take over, longer when nothing else may.
 _RESUME_REPEATABLE: Final = 300
 _RESUME_ONCE: Final = 3 * SECOND
+#: Lines in which a request that has to wait stands at once.
+_LINES: Final = 4
 #: Milliseconds between looks at whether the caller and the link are still there.
 _LOOK: Final = 200
 #: Milliseconds between looks for a target when none can be had at once.
@@ -60,6 +74,8 @@
     #: Makes a new key when the entry made the one in use, and no attempt with it
     #: may have run; ``None`` when the caller knows the key.
     renew_key: Callable[[], str] | None
+    #: What the attempts get from their targets.
+    events: Events = field(default_factory=queue.SimpleQueue)
     #: Targets that refused or failed.
     tried: set[str] = field(default_factory=set)
     attempts: int = 0
@@ -168,6 +184,20 @@
     def _attempt(self, call: Call, peer: Peer, number: int) -> Iterator[Piece]:
         """Make one attempt; a refusal that ends it is the last piece."""
         call.attempts += 1
+        attempt = self._begin(call, peer, number, standby=False)
+        if attempt is None:
+            yield Refusal(Outcome.NOT_RUN, Reason.LINK_LOST, "the link does not stand", 100)
+            return
+        lines = _Lines(attempt, number)
+        whole = False
+        try:
+            for piece in self._receive(call, lines):
+                whole = isinstance(piece, End)
+                yield piece
+        finally:
+            lines.finish(whole=whole)
+
+    def _begin(self, call: Call, peer: Peer, number: int, standby: bool) -> Attempt | None:
         call.sent += 1
         call.tried.add(peer.instance)
         remaining = max(0, call.deadline - self._clock.now())
@@ -177,24 +207,28 @@
             attempt=call.sent,
             remaining=remaining,
             offset=call.delivered,
+            standby=standby,
         )
-        attempt = peer.begin(run)
-        if attempt is None:
-            yield Refusal(Outcome.NOT_RUN, Reason.LINK_LOST, "the link does not stand", 100)
-            return
-        whole = False
-        try:
-            for piece in self._receive(call, peer, attempt):
-                whole = isinstance(piece, End)
-                yield piece
-        finally:
-            peer.finish(attempt, whole=whole)
+        return peer.begin(run, call.events)
 
-    def _receive(self, call: Call, peer: Peer, attempt: Attempt) -> Iterator[Piece]:
+    def _receive(self, call: Call, lines: _Lines) -> Iterator[Piece]:
         while True:
-            event = self._next_event(call, peer, attempt)
+            heard = self._next_event(call, lines)
+            if isinstance(heard, Refusal | CallerGone):
+                yield heard
+                return
+            source, event = heard
+            if source is not lines.current:
+                self._stand_by(lines, source, event)
+                continue
+            peer = source.peer
             match event:
+                case Queued():
+                    self._stand_elsewhere(call, lines)
+                case Started():
+                    lines.drop_others()
                 case Head():
+                    lines.drop_others()
                     if call.head_sent and event.status != call.status:
                         yield _lost("another target answered otherwise")
                         return
@@ -209,15 +243,45 @@
                     yield event
                     return
                 case Refused():
-                    yield self._judge(peer, event)
-                    return
+                    refusal = self._judge(peer, event)
+                    if not lines.go_on_without(source, refusal):
+                        yield refusal
+                        return
                 case Lost():
                     peer.ejection.failed()
-                    yield _lost("the target's process ended")
-                    return
-                case _:
-                    yield event
-                    return
+                    refusal = _lost("the target's process ended")
+                    if not lines.go_on_without(source, refusal):
+                        yield refusal
+                        return
+
+    def _stand_elsewhere(self, call: Call, lines: _Lines) -> None:
+        """The request has to wait, so it stands in line at further targets too.
+
+        Only what may run twice without harm does: should two targets start it at
+        the same moment, one of them has worked for nothing.
+        """
+        if not call.run.repeatable or call.head_sent:
+            return
+        for _ in range(_LINES - 1):
+            peer = self._choose(call)
+            if not isinstance(peer, Peer):
+                return
+            attempt = self._begin(call, peer, lines.number, standby=True)
+            if attempt is not None:
+                lines.others.append(attempt)
+
+    def _stand_by(self, lines: _Lines, source: Attempt, event: Event) -> None:
+        """Take note of what a target says at which the request stands by."""
+        if source not in lines.others:
+            return
+        match event:
+            case Ready():
+                lines.move_to(source)
+            case Refused() | Lost():
+                lines.others.remove(source)
+                source.peer.finish(source, whole=False)
+            case _:
+                pass
 
     def _judge(self, peer: Peer, refused: Refused) -> Refusal:
         refusal = Refusal(
@@ -228,36 +292,87 @@
         return refusal
 
     def _next_event(
-        self, call: Call, peer: Peer, attempt: Attempt
-    ) -> Head | Chunk | End | Refused | Lost | Refusal | CallerGone:
-        """Return what comes next, or why nothing more will."""
+        self, call: Call, lines: _Lines
+    ) -> tuple[Attempt, Event] | Refusal | CallerGone:
+        """Return what comes next and from which attempt, or why nothing more will."""
         down_since = 0
         cancelled = False
         patience = _RESUME_REPEATABLE if call.run.repeatable else _RESUME_ONCE
         while True:
             now = self._clock.now()
-            until_deadline = call.deadline - now
-            timeout = max(1, min(_LOOK, until_deadline if not cancelled else _LOOK))
+            timeout = max(1, min(_LOOK, _LOOK if cancelled else call.deadline - now))
             try:
-                return attempt.get(timeout / SECOND)
+                return call.events.get(timeout=timeout / SECOND)
             except queue.Empty:
                 pass
+            current = lines.current
             if call.gone():
                 return CallerGone()
             now = self._clock.now()
             if now >= call.deadline and not cancelled:
-                peer.cancel(attempt)
+                lines.cancel()
                 cancelled = True
             if now >= call.deadline + _CONFIRM:
                 detail = "the deadline passed and the target did not say whether it ran"
                 return Refusal(Outcome.UNKNOWN, Reason.DEADLINE, detail)
-            if peer.connected:
+            if current is None or current.peer.connected:
                 down_since = 0
             elif not down_since:
                 down_since = now
             elif now - down_since > patience:
-                peer.ejection.failed()
-                return _lost("the link to the target broke")
+                current.peer.ejection.failed()
+                return current, Lost()
+
+
+class _Lines:
+    """The lines in which one request stands: the one it counts on, and others."""
+
+    def __init__(self, current: Attempt, number: int) -> None:
+        #: Attempt whose answer is passed on; ``None`` while only others are left.
+        self.current: Attempt | None = current
+        #: Attempts that stand by.
+        self.others: list[Attempt] = []
+        #: Number of the request.
+        self.number = number
+
+    def move_to(self, ready: Attempt) -> None:
+        """Take the slot that is free; leave all other lines."""
+        self.others.remove(ready)
+        if self.current is not None:
+            self.others.append(self.current)
+        self.current = ready
+        ready.peer.go(ready)
+        self.drop_others()
+
+    def drop_others(self) -> None:
+        """Leave all lines but the current one."""
+        for other in self.others:
+            other.peer.finish(other, whole=False)
+        self.others.clear()
+
+    def go_on_without(self, refused: Attempt, refusal: Refusal) -> bool:
+        """Tell whether the request still stands in another line that may come good.
+
+        Only a certain refusal lets it: a request that may have run is not left to
+        run again without its retry being counted.
+        """
+        if not self.others or refusal.outcome is not Outcome.NOT_RUN:
+            return False
+        refused.peer.finish(refused, whole=False)
+        self.current = None
+        return True
+
+    def cancel(self) -> None:
+        """Ask every target to stop, and keep listening."""
+        for attempt in (self.current, *self.others):
+            if attempt is not None:
+                attempt.peer.cancel(attempt)
+
+    def finish(self, *, whole: bool) -> None:
+        """Stop listening to all of them."""
+        self.drop_others()
+        if self.current is not None:
+            self.current.peer.finish(self.current, whole=whole)
 
 
 def _lost(detail: str) -> Refusal:
--- a/src/canvasyoke/entry/_peer.py
+++ b/src/canvasyoke/entry/_peer.py
@@ -20,12 +20,16 @@
     Drained,
     End,
     Forget,
+    Go,
     Head,
     LoadReport,
     Message,
+    Queued,
+    Ready,
     Refused,
     Resume,
     Run,
+    Started,
 )
 from canvasyoke.transport import LinkClient, Session
 
@@ -38,29 +42,30 @@
 
 
 #: What an attempt may get from its target.
-Event: TypeAlias = Head | Chunk | End | Refused | Lost
+Event: TypeAlias = Head | Chunk | End | Refused | Queued | Started | Ready | Lost
+
+#: Where the attempts at one request put what they get.
+Events: TypeAlias = "queue.SimpleQueue[tuple[Attempt, Event]]"
 
 
 class Attempt:
     """One try at a request, waiting for what its target sends."""
 
-    def __init__(self, run: Run, incarnation: str) -> None:
+    def __init__(self, run: Run, peer: Peer, incarnation: str, events: Events) -> None:
         self.run = run
+        #: The target it was sent to.
+        self.peer = peer
         #: Run of the target's process that the attempt was sent to.
         self.incarnation = incarnation
         #: Index of the next chunk wanted.
         self.next_offset = run.offset
         #: Whether the head has come.
         self.has_head = False
-        self._events: queue.SimpleQueue[Event] = queue.SimpleQueue()
+        self._events = events
 
     def put(self, event: Event) -> None:
         """Add an event, on the peer's task."""
-        self._events.put(event)
-
-    def get(self, timeout: float) -> Event:
-        """Return the next event; raises ``queue.Empty`` after ``timeout`` seconds."""
-        return self._events.get(timeout=timeout)
+        self._events.put((self, event))
 
 
 class Peer:
@@ -148,19 +153,20 @@
             slots=report.slots,
             queue=queue_limit,
             reported=report.running + report.queued,
+            waiting=report.queued,
             report_age=self._clock.now() - self._reported_at,
             own_reported=self._own_reported,
             own=self.in_flight,
             duration=report.duration,
         )
 
-    def begin(self, run: Run) -> Attempt | None:
+    def begin(self, run: Run, events: Events) -> Attempt | None:
         """Send ``run``; ``None`` when the link does not stand, so it was not sent."""
         with self._lock:
             session = self._session
             if session is None:
                 return None
-            attempt = Attempt(run, session.incarnation)
+            attempt = Attempt(run, self, session.incarnation, events)
             self._attempts[run.request, run.attempt] = attempt
         self.ejection.sent()
         session.send(run)
@@ -176,11 +182,13 @@
             kind = Forget if whole else Cancel
             session.send(kind(run.request, run.attempt))
 
+    def go(self, attempt: Attempt) -> None:
+        """Take the slot that the target holds for a request that stood by."""
+        self.send(Go(attempt.run.request, attempt.run.attempt))
+
     def cancel(self, attempt: Attempt) -> None:
         """Ask the target to stop, and keep listening for what it says to that."""
-        session = self._session
-        if session is not None:
-            session.send(Cancel(attempt.run.request, attempt.run.attempt))
+        self.send(Cancel(attempt.run.request, attempt.run.attempt))
 
     def send(self, message: Message) -> None:
         """Send ``message`` if the link stands."""
@@ -211,7 +219,7 @@
 
     def _received(self, session: Session, message: Message) -> None:
         match message:
-            case Head() | Chunk() | End() | Refused():
+            case Head() | Chunk() | End() | Refused() | Queued() | Started() | Ready():
                 self._pass_on(message)
             case LoadReport():
                 self._take_report(message)
@@ -229,7 +237,7 @@
         self._reported_at = self._clock.now()
         self._own_reported = self.in_flight
 
-    def _pass_on(self, message: Head | Chunk | End | Refused) -> None:
+    def _pass_on(self, message: Head | Chunk | End | Refused | Queued | Started | Ready) -> None:
         """Give a piece of an answer to its attempt, once and in order."""
         attempt = self._attempts.get((message.request, message.attempt))
         if attempt is None:
--- a/src/canvasyoke/protocol/_messages.py
+++ b/src/canvasyoke/protocol/_messages.py
@@ -43,6 +43,37 @@
     key: Name = ""
     #: Index of the first chunk wanted; larger than 0 when a stream is resumed.
     offset: Count = 0
+    #: Whether the request stands in line elsewhere too: when its turn comes, the
+    #: target says ``Ready`` and waits for ``Go`` before it runs.
+    standby: bool = False
+
+
+class Go(msgspec.Struct, frozen=True, tag="go"):
+    """Entry to target: run the request that is ready."""
+
+    request: Count
+    attempt: Count
+
+
+class Queued(msgspec.Struct, frozen=True, tag="queued"):
+    """Target to entry: the request has to wait here."""
+
+    request: Count
+    attempt: Count
+
+
+class Started(msgspec.Struct, frozen=True, tag="started"):
+    """Target to entry: the request that had to wait runs now."""
+
+    request: Count
+    attempt: Count
+
+
+class Ready(msgspec.Struct, frozen=True, tag="ready"):
+    """Target to entry: a slot is free for a request that stands by; ``Go`` takes it."""
+
+    request: Count
+    attempt: Count
 
 
 class Resume(msgspec.Struct, frozen=True, tag="resume"):
@@ -221,6 +252,10 @@
     Run
     | Resume
     | Cancel
+    | Go
+    | Queued
+    | Started
+    | Ready
     | Forget
     | Head
     | Chunk
--- a/src/canvasyoke/target/_desk.py
+++ b/src/canvasyoke/target/_desk.py
@@ -36,6 +36,8 @@
 _KEEP_ENDED: Final = 30 * SECOND
 #: Milliseconds after which work that nobody waits for is cancelled.
 _ORPHANED: Final = 5 * SECOND
+#: Milliseconds a slot is held for an entry that has been told it is ready.
+_READY_LIMIT: Final = 300
 
 
 @dataclass(frozen=True, slots=True)
@@ -159,16 +161,21 @@
         entry.work.detach(request, attempt)
         if entry.work.has_readers:
             return
+        refusal = Refusal(Outcome.NOT_RUN, Reason.CANCELLED, "cancelled before it ran")
         if self._queue.withdraw(entry.waiting):
-            self._end_unrun(
-                entry.work, Refusal(Outcome.NOT_RUN, Reason.CANCELLED, "cancelled before it ran")
-            )
-            Reader(session, request, attempt).refuse(
-                Refusal(Outcome.NOT_RUN, Reason.CANCELLED, "cancelled before it ran")
-            )
+            self._end_unrun(entry.work, refusal)
+            Reader(session, request, attempt).refuse(refusal)
+        elif entry.work.state is WorkState.READY:
+            self._decline(entry, refusal)
         elif entry.work.run.repeatable:
             entry.work.cancel()
 
+    def go(self, session: Session, request: int, attempt: int) -> None:
+        """Run a request whose slot was held for it."""
+        entry = self._known.get(AttemptId(session.incarnation, request, attempt))
+        if entry is not None and entry.work.state is WorkState.READY:
+            self._run(entry.waiting)
+
     def forget(self, session: Session, request: int, attempt: int) -> None:
         """Let go of an answer that arrived whole."""
         self._known.pop(AttemptId(session.incarnation, request, attempt), None)
@@ -276,6 +283,8 @@
         self._known[attempt] = _Entry(work, waiting)
         work.attach(reader, work.run.offset)
         self._settle(self._queue.offer(waiting))
+        if work.state is WorkState.WAITING and not work.run.standby:
+            work.tell_queued()
         self._on_load()
 
     def _join(self, work: Work, attempt: AttemptId, reader: Reader, run: Run) -> None:
@@ -291,8 +300,23 @@
         for waiting, refusal in offer.refused:
             self._end_unrun(waiting.item, refusal)
         for waiting in offer.started:
-            waiting.item.state = WorkState.RUNNING
-            self._pool.submit(self._call, waiting)
+            work = waiting.item
+            if work.run.standby:
+                work.state = WorkState.READY
+                work.ready_at = self._clock.now()
+                work.tell_ready()
+                continue
+            work.tell_started()
+            self._run(waiting)
+
+    def _run(self, waiting: Waiting[Work]) -> None:
+        waiting.item.state = WorkState.RUNNING
+        self._pool.submit(self._call, waiting)
+
+    def _decline(self, entry: _Entry, refusal: Refusal) -> None:
+        """Give back a slot that was held for an entry that does not want it."""
+        self._end_unrun(entry.work, refusal)
+        self._settle(self._queue.decline(entry.waiting))
 
     def _end_unrun(self, work: Work, refusal: Refusal) -> None:
         work.refuse(refusal, self._clock.now())
@@ -327,6 +351,9 @@
         if work.state is WorkState.ENDED:
             if now - work.ended_at > _KEEP_ENDED:
                 del self._known[key]
+        elif work.state is WorkState.READY and now - work.ready_at > _READY_LIMIT:
+            detail = "the entry did not take the slot held for it"
+            self._decline(entry, Refusal(Outcome.NOT_RUN, Reason.CANCELLED, detail))
         elif work.has_readers:
             entry.orphaned = 0
         elif not entry.orphaned:
--- a/src/canvasyoke/target/_process.py
+++ b/src/canvasyoke/target/_process.py
@@ -19,6 +19,7 @@
     ConfigWanted,
     Drained,
     Forget,
+    Go,
     GroupOrder,
     LoadReport,
     Message,
@@ -178,6 +179,8 @@
                 self._asks.resume.defer(session, message.request, message.attempt, message.offset)
             case Cancel():
                 self._asks.cancel.defer(session, message.request, message.attempt)
+            case Go():
+                self._asks.go.defer(session, message.request, message.attempt)
             case Forget():
                 self._asks.forget.defer(session, message.request, message.attempt)
             case ConfigOffer():
--- a/src/canvasyoke/target/_work.py
+++ b/src/canvasyoke/target/_work.py
@@ -7,7 +7,17 @@
 from dataclasses import dataclass
 
 from canvasyoke.backend import AnswerSink
-from canvasyoke.protocol import Chunk, End, Head, Refusal, Refused, Run
+from canvasyoke.protocol import (
+    Chunk,
+    End,
+    Head,
+    Queued,
+    Ready,
+    Refusal,
+    Refused,
+    Run,
+    Started,
+)
 from canvasyoke.transport import Session
 
 
@@ -15,6 +25,8 @@
     """How far the work has come."""
 
     WAITING = enum.auto()
+    #: A slot is held for it while its entry makes up its mind.
+    READY = enum.auto()
     RUNNING = enum.auto()
     ENDED = enum.auto()
 
@@ -53,6 +65,8 @@
         #: Time on the clock at which the caller gives up.
         self.deadline = deadline
         self.state = WorkState.WAITING
+        #: Time on the clock at which a slot was offered to its entry; 0 before.
+        self.ready_at = 0
         #: Time on the clock at which it ended; 0 before.
         self.ended_at = 0
         #: How it failed, once it has.
@@ -63,6 +77,7 @@
         self._whole = False
         self._readers: list[Reader] = []
         self._cancelled = False
+        self._told_queued = False
 
     @property
     def cancelled(self) -> bool:
@@ -112,6 +127,27 @@
         elif self.refusal is not None:
             reader.refuse(self.refusal)
 
+    def tell_queued(self) -> None:
+        """Tell the readers that the request has to wait."""
+        with self._lock:
+            self._told_queued = True
+            for reader in self._readers:
+                reader.session.send(Queued(reader.request, reader.attempt))
+
+    def tell_started(self) -> None:
+        """Tell the readers that the request no longer waits, if they were told it does."""
+        with self._lock:
+            if not self._told_queued:
+                return
+            for reader in self._readers:
+                reader.session.send(Started(reader.request, reader.attempt))
+
+    def tell_ready(self) -> None:
+        """Offer the slot that has come free to the one entry that stands by for it."""
+        with self._lock:
+            for reader in self._readers:
+                reader.session.send(Ready(reader.request, reader.attempt))
+
     def head(self, status: int, headers: list[tuple[str, str]]) -> None:
         """Take the status and headers of the answer."""
         with self._lock:
