A backlog far away no longer counts for less than two milliseconds

Both engines were busy, and all eight short requests went to the near one: distance was compared before the wait, so two milliseconds outweighed any backlog.

Change: a free slot first, then the wait with the distance added.

--- a/src/canvasyoke/coordination/_routing.py
+++ b/src/canvasyoke/coordination/_routing.py
@@ -59,19 +59,25 @@
         return max(self.own, self.reported - self.own_reported + self.own)
 
     @property
-    def busy(self) -> float:
-        """Return the part of its slots estimated to be taken; 1 when it has none free.
+    def taken(self) -> int:
+        """Return the slots estimated to be taken.
 
         What waits there is left out: it may be the backlog of one organisation that
         nobody else will wait for.
         """
-        return min(1.0, max(0, self.load - self.waiting) / max(1, self.slots))
+        return max(0, self.load - self.waiting)
+
+    @property
+    def has_room(self) -> bool:
+        """Tell whether a slot is estimated to be free."""
+        return self.taken < self.slots
 
     @property
     def wait(self) -> float:
         """Return the milliseconds until a new request there would have ended."""
         duration = self.duration or DEFAULT_DURATION
-        return duration * (1 + self.load / max(1, self.slots))
+        ahead = self.taken if self.has_room else self.load
+        return duration * (1 + ahead / max(1, self.slots))
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,11 +139,10 @@
 RANKERS: Registry[type[Ranker]] = Registry("ranker")
 
 
-def _cost(candidate: Candidate, req: RouteRequest) -> tuple[float, float]:
-    """Return what to compare targets by: free slots first, then the wait."""
+def _cost(candidate: Candidate, req: RouteRequest) -> tuple[bool, float]:
+    """Return what to compare targets by: a free slot first, then the wait."""
     away = OTHER_DOMAIN_COST if candidate.domain != req.domain else 0
-    duration = candidate.duration or DEFAULT_DURATION
-    return candidate.busy * duration + away, candidate.wait + away
+    return not candidate.has_room, candidate.wait + away
 
 
 @RANKERS.register("random")
--- a/src/canvasyoke/coordination/tests/test_routing.py
+++ b/src/canvasyoke/coordination/tests/test_routing.py
@@ -61,9 +61,18 @@
 
 def test_backlog_of_one_organisation_does_not_count_as_busy() -> None:
     ranker = RANKERS.get("two_choices")(random.Random(1))
-    flooded = dataclasses.replace(GOOD, instance="flooded", reported=52, waiting=50)
+    flooded = dataclasses.replace(GOOD, instance="flooded", reported=54, waiting=50)
     full = dataclasses.replace(GOOD, instance="full", reported=4)
-    assert all(ranker.choose([flooded, full], REQUEST) is flooded for _ in range(20))
+    free = dataclasses.replace(GOOD, instance="free", reported=53, waiting=50)
+    assert all(ranker.choose([free, full], REQUEST) is free for _ in range(20))
+    assert all(ranker.choose([flooded, full], REQUEST) is full for _ in range(20))
+
+
+def test_distance_does_not_outweigh_a_backlog() -> None:
+    ranker = RANKERS.get("two_choices")(random.Random(1))
+    near = dataclasses.replace(GOOD, instance="near", reported=9, waiting=5)
+    far = dataclasses.replace(GOOD, instance="far", domain="nbo-b", reported=5, waiting=1)
+    assert all(ranker.choose([near, far], REQUEST) is far for _ in range(20))
 
 
 def test_load_corrects_a_report_by_own_requests() -> None:
