The planner tells chance from drift, and rebuilds a layer when steps get stuck

Cause: on noise alone the skew-first policy moved two copies at every look, since a skew of 1.05 is less than counts of 160 tokens a rank show by chance. After a sudden change the search of single steps got stuck: all ranks were full, and room was only looked for on the least loaded.

Change: a layer's skew is left alone up to a part of what chance explains (the size of the counts tells); room is made where a second copy is worth least; a layer packed anew, keeping copies where it can, is taken when it pays for its further copies.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -8,8 +8,9 @@
 
 import msgspec
 
+import bench.expert_maps
 import bench.overhead
-import bench.routing  # noqa: F401  (both fill the registry)
+import bench.routing  # noqa: F401  (they fill the registry)
 from bench._registry import EXPERIMENTS, SEED, Result, render
 
 _ROOT: Final = Path(__file__).resolve().parent.parent
--- a/src/canvasyoke/coordination/_planner.py
+++ b/src/canvasyoke/coordination/_planner.py
@@ -8,14 +8,21 @@
 
 from __future__ import annotations
 
+import heapq
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass
-from typing import Final
+from typing import Final, TypeAlias
 
+#: Ranks that hold each expert of one layer.
+Layer: TypeAlias = tuple[tuple[int, ...], ...]
+#: Part of the skew doubted that a rebuilt layer must gain: more than fitting the
+#: noise of one look would.
+_REAL: Final = 0.75
 #: Least loaded ranks looked at as places for a copy.
 _PLACES: Final = 4
 #: Most loaded experts of a rank looked at for a change.
-_EXPERTS: Final = 6
+_EXPERTS: Final = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,12 +35,14 @@
     price: float
     #: Copies moved in one plan at the most.
     budget: int
+    #: Part of the skew expected by chance that is not acted on.
+    doubt: float
 
 
 #: Policies by the name that placement files use.
 POLICIES: Final = {
-    "skew-first": PlanPolicy(enough=1.05, price=0.004, budget=64),
-    "cost-first": PlanPolicy(enough=1.20, price=0.03, budget=16),
+    "skew-first": PlanPolicy(enough=1.03, price=0.001, budget=512, doubt=0.6),
+    "cost-first": PlanPolicy(enough=1.15, price=0.03, budget=16, doubt=1.0),
 }
 
 
@@ -41,7 +50,7 @@
 class ExpertMap:
     """Which ranks hold each expert; ``layers[layer][expert]`` is a tuple of ranks."""
 
-    layers: tuple[tuple[tuple[int, ...], ...], ...]
+    layers: tuple[Layer, ...]
 
     def copies_added(self, before: ExpertMap) -> int:
         """Return the copies that must be loaded to come from ``before`` to this map."""
@@ -88,7 +97,9 @@
 ) -> ExpertMap:
     """Return the next map; the same one when no change repays its price.
 
-    Ranks outside ``ranks`` are emptied first, whatever that costs: they are gone.
+    ``loads`` are counts, smoothed or not: their size tells how much of a rank's
+    surplus is chance, and what chance explains is left alone. Ranks outside
+    ``ranks`` are emptied first, whatever that costs: they are gone.
     """
     budget = policy.budget
     layers = []
@@ -99,8 +110,15 @@
     for index in order:
         layer = _LayerPlan(current.layers[index], loads[index], ranks, capacity)
         layer.rescue()
-        budget -= layer.improve(policy, budget)
+        before = layer.result()
+        moved = layer.improve(policy, budget)
         planned[index] = layer.result()
+        rebuilt = _worthwhile_rebuild(
+            before, planned[index], moved, loads[index], ranks, capacity, policy
+        )
+        if rebuilt is not None and _copies(before, rebuilt) <= budget:
+            planned[index], moved = rebuilt, _copies(before, rebuilt)
+        budget -= moved
     layers = [planned[index] for index in range(len(loads))]
     return ExpertMap(tuple(layers))
 
@@ -127,6 +145,85 @@
     holders: tuple[tuple[int, frozenset[int]], ...]
 
 
+def _chance(mean: float, ranks: int) -> float:
+    """Return the skew above 1 that counts of ``mean`` a rank have by chance alone.
+
+    The highest of so many ranks lies about sqrt(2 ln n) deviations above the mean.
+    """
+    return math.sqrt(2 * math.log(max(2, ranks)) / max(1.0, mean))
+
+
+def _worthwhile_rebuild(
+    before: Layer,
+    improved: Layer,
+    moved: int,
+    weights: Sequence[float],
+    ranks: Sequence[int],
+    capacity: int,
+    policy: PlanPolicy,
+) -> Layer | None:
+    """Return a layer packed anew if it pays for the copies it takes beyond ``moved``.
+
+    Step by step the search can get stuck, most of all right after a sudden change.
+    """
+    skew = _layer_skew(improved, weights, ranks)
+    real = _REAL * policy.doubt * _chance(sum(weights) / len(ranks), len(ranks))
+    if skew - 1 <= real:
+        return None
+    rebuilt = _rebuild(before, weights, ranks, capacity)
+    extra = _copies(before, rebuilt) - moved
+    gain = skew - _layer_skew(rebuilt, weights, ranks)
+    pays = extra > 0 and gain > max(real, policy.price * extra)
+    return rebuilt if pays else None
+
+
+def _copies(before: Layer, after: Layer) -> int:
+    return sum(len(set(a) - set(b)) for a, b in zip(after, before, strict=True))
+
+
+def _rebuild(layer: Layer, weights: Sequence[float], ranks: Sequence[int], capacity: int) -> Layer:
+    """Return a layer packed anew, heaviest first, that keeps copies where it can.
+
+    The hottest experts get the spare room; a copy stays on a rank that has it while
+    that rank is not filled beyond the mean.
+    """
+    counts = _replica_counts(weights, len(ranks), len(ranks) * capacity)
+    target = sum(weights) / len(ranks)
+    loads = dict.fromkeys(ranks, 0.0)
+    held = dict.fromkeys(ranks, 0)
+    result: list[tuple[int, ...]] = [()] * len(layer)
+    for expert in sorted(range(len(layer)), key=lambda e: -weights[e] / counts[e]):
+        share = weights[expert] / counts[expert]
+        old = sorted(layer[expert], key=lambda rank: loads[rank])
+        chosen = [rank for rank in old if held[rank] < capacity and loads[rank] + share <= target][
+            : counts[expert]
+        ]
+        missing = counts[expert] - len(chosen)
+        if missing:
+            able = (rank for rank in ranks if held[rank] < capacity and rank not in chosen)
+            chosen += heapq.nsmallest(missing, able, key=lambda rank: loads[rank])
+        for rank in chosen:
+            loads[rank] += weights[expert] / len(chosen)
+            held[rank] += 1
+        result[expert] = tuple(sorted(chosen))
+    return tuple(result)
+
+
+def _replica_counts(weights: Sequence[float], ranks: int, room: int) -> list[int]:
+    """Return how many copies each expert gets when the hottest get the spare room."""
+    counts = [1] * len(weights)
+    heap = [(-weight, expert) for expert, weight in enumerate(weights)]
+    heapq.heapify(heap)
+    # A little room is left free, so that packing heaviest first can end well.
+    for _ in range(max(0, room - len(weights) - ranks // 4)):
+        _, expert = heap[0]
+        if counts[expert] >= ranks:
+            break
+        counts[expert] += 1
+        heapq.heapreplace(heap, (-weights[expert] / counts[expert], expert))
+    return counts
+
+
 class _LayerPlan:
     """One layer of a map while it is being changed."""
 
@@ -150,7 +247,7 @@
                 self._experts[rank].add(expert)
                 self._loads[rank] += weights[expert] / len(holders)
 
-    def result(self) -> tuple[tuple[int, ...], ...]:
+    def result(self) -> Layer:
         """Return the layer as it stands."""
         return tuple(tuple(sorted(holders)) for holders in self._holders)
 
@@ -178,10 +275,11 @@
         if not self._total:
             return moved
         mean = self._total / len(self._ranks)
+        enough = max(policy.enough, 1 + policy.doubt * _chance(mean, len(self._ranks)))
         while moved < budget:
             slowest = max(self._ranks, key=lambda r: self._loads[r])
             peak = self._loads[slowest]
-            if peak / mean <= policy.enough:
+            if peak / mean <= enough:
                 break
             change = self._best_change(slowest, peak)
             if change is None or (peak - change.peak) / mean < policy.price * change.copies:
@@ -204,14 +302,27 @@
         by_load = sorted(self._ranks, key=lambda r: self._loads[r])
         heavy = sorted(self._experts[slowest], key=lambda e: -self._share(e))[:_EXPERTS]
         best: _Change | None = None
+        spare = self._spare_places()
         for expert in heavy:
-            for place in by_load[:_PLACES]:
+            for place in dict.fromkeys([*by_load[:_PLACES], *spare]):
                 for change in self._changes(expert, slowest, place):
                     gain = (peak - change.peak) / change.copies
                     if gain > 0 and (best is None or gain > (peak - best.peak) / best.copies):
                         best = change
         return best
 
+    def _spare_places(self) -> list[int]:
+        """Return ranks that hold a second copy which is worth little.
+
+        When all ranks are full, room for a hot expert is made where the load that
+        falls back on other copies is least, not where the load is least now.
+        """
+        doubled = [e for e, holders in enumerate(self._holders) if len(holders) > 1]
+        doubled.sort(key=lambda e: self._share(e) / (len(self._holders[e]) - 1))
+        return [
+            min(self._holders[e], key=lambda rank: self._loads[rank]) for e in doubled[:_PLACES]
+        ]
+
     def _share(self, expert: int) -> float:
         return self._weights[expert] / len(self._holders[expert])
 
@@ -230,23 +341,24 @@
         return changes
 
     def _evictions(self, expert: int, slowest: int, place: int) -> list[_Change]:
-        """Replace a second copy at a full ``place`` by a copy of ``expert``."""
+        """Replace a second copy at a full ``place`` by a copy of ``expert``, or move it there."""
         doubled = [e for e in self._experts[place] if len(self._holders[e]) > 1]
         if not doubled:
             return []
-        least = min(doubled, key=self._share)
-        wanted = (
-            (least, self._holders[least] - {place}),
-            (expert, self._holders[expert] | {place}),
-        )
-        return [self._evaluate(wanted, slowest, place)]
+        least = min(doubled, key=lambda e: self._share(e) / (len(self._holders[e]) - 1))
+        freed = (least, self._holders[least] - {place})
+        added = (expert, self._holders[expert] | {place})
+        moved = (expert, (self._holders[expert] - {slowest}) | {place})
+        return [self._evaluate((freed, new), slowest, place) for new in (added, moved)]
 
     def _swaps(self, expert: int, slowest: int, place: int) -> list[_Change]:
-        """Exchange ``expert`` for the lightest expert of ``place``."""
+        """Exchange ``expert`` for that expert of ``place`` which evens the two best."""
+        surplus = (self._loads[slowest] - self._loads[place]) / 2
+        wanted_share = self._share(expert) - surplus
         candidates = [e for e in self._experts[place] if e not in self._experts[slowest]]
         if not candidates:
             return []
-        light = min(candidates, key=self._share)
+        light = min(candidates, key=lambda e: abs(self._share(e) - wanted_share))
         wanted = (
             (expert, (self._holders[expert] - {slowest}) | {place}),
             (light, (self._holders[light] - {place}) | {slowest}),
