--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -9,6 +9,7 @@
 import msgspec
 
 import bench.expert_maps
+import bench.faults
 import bench.overhead
 import bench.routing  # noqa: F401  (they fill the registry)
 from bench._registry import EXPERIMENTS, SEED, Result, render
--- a/src/canvasyoke/entry/_peer.py
+++ b/src/canvasyoke/entry/_peer.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass
 from typing import TypeAlias
 
+import msgspec
+
 from canvasyoke._clock import Clock
 from canvasyoke.coordination import Candidate, Ejection
 from canvasyoke.observe import part_logger
@@ -22,6 +24,7 @@
     Forget,
     Go,
     Head,
+    Load,
     LoadReport,
     Message,
     Queued,
@@ -223,6 +226,8 @@
                 self._pass_on(message)
             case LoadReport():
                 self._take_report(message)
+            case Load():
+                self._take_load(message)
             case Drained():
                 self.drained = True
             case ConfigOffer():
@@ -237,6 +242,17 @@
         self._reported_at = self._clock.now()
         self._own_reported = self.in_flight
 
+    def _take_load(self, load: Load) -> None:
+        if self.report is not None:
+            self._take_report(
+                msgspec.structs.replace(
+                    self.report,
+                    running=load.running,
+                    queued=load.queued,
+                    duration=load.duration,
+                )
+            )
+
     def _pass_on(self, message: Head | Chunk | End | Refused | Queued | Started | Ready) -> None:
         """Give a piece of an answer to its attempt, once and in order."""
         attempt = self._attempts.get((message.request, message.attempt))
--- a/src/canvasyoke/protocol/_messages.py
+++ b/src/canvasyoke/protocol/_messages.py
@@ -177,6 +177,15 @@
     owner: bool = False
 
 
+class Load(msgspec.Struct, frozen=True, tag="load_now"):
+    """Target to entry, along with answers: the part of the report that changes fast."""
+
+    running: Count
+    queued: Count
+    #: Milliseconds a request takes at present, smoothed; 0 when none has ended.
+    duration: Count
+
+
 class ConfigOffer(msgspec.Struct, frozen=True, tag="config"):
     """Entry to target: a generation of the configuration, whole."""
 
@@ -261,6 +270,7 @@
     | Chunk
     | End
     | Refused
+    | Load
     | LoadReport
     | ConfigOffer
     | ConfigWanted
--- a/src/canvasyoke/target/_desk.py
+++ b/src/canvasyoke/target/_desk.py
@@ -70,7 +70,7 @@
         view: ConfigView,
         backend: Backend,
         lease: Lease,
-        on_load: Callable[[], None],
+        on_load: Callable[[DeskLoad], None],
     ) -> None:
         super().__init__()
         self._service = service
@@ -101,19 +101,19 @@
         """Take over the slots now held, and what a former holder ran."""
         self._memory.inherit(inherited)
         self._holding = holding
-        self._on_load()
+        self._tell_load()
 
     def surrender(self, holding: Holding, slots: Sequence[int]) -> Surrendered:
         """Keep to ``holding``; return what is known of ``slots``."""
         keys = {slot: self._memory.notes(slot, self._holding.count) for slot in slots}
         self._holding = holding
-        self._on_load()
+        self._tell_load()
         return Surrendered(keys, self._memory.dropped_before)
 
     def leave(self) -> None:
         """Refuse new work from now on; what has been taken is finished."""
         self._leaving = True
-        self._on_load()
+        self._tell_load()
 
     def idle(self) -> bool:
         """Tell whether nothing runs or waits."""
@@ -190,7 +190,7 @@
             work.refuse(refusal, now)
         self._remember(work, refusal)
         self._settle(self._queue.finish(waiting))
-        self._on_load()
+        self._tell_load()
 
     def tick(self) -> None:
         """Refuse what is late, cancel what nobody wants, forget what is old."""
@@ -285,7 +285,7 @@
         self._settle(self._queue.offer(waiting))
         if work.state is WorkState.WAITING and not work.run.standby:
             work.tell_queued()
-        self._on_load()
+        self._tell_load()
 
     def _join(self, work: Work, attempt: AttemptId, reader: Reader, run: Run) -> None:
         """Let another attempt read the answer of work that is under way or done."""
@@ -318,6 +318,9 @@
         self._end_unrun(entry.work, refusal)
         self._settle(self._queue.decline(entry.waiting))
 
+    def _tell_load(self) -> None:
+        self._on_load(self.load())
+
     def _end_unrun(self, work: Work, refusal: Refusal) -> None:
         work.refuse(refusal, self._clock.now())
         self._remember(work, refusal)
--- a/src/canvasyoke/target/_process.py
+++ b/src/canvasyoke/target/_process.py
@@ -21,6 +21,7 @@
     Forget,
     Go,
     GroupOrder,
+    Load,
     LoadReport,
     Message,
     Resume,
@@ -36,7 +37,7 @@
     Snapshot,
     TargetSettings,
 )
-from canvasyoke.target._desk import Desk, DeskSlots
+from canvasyoke.target._desk import Desk, DeskLoad, DeskSlots
 from canvasyoke.target._homes import NOTHING, Holding, HomeKeeper
 from canvasyoke.target._owner import MapOwner
 from canvasyoke.target._rank import RankGuard
@@ -71,6 +72,7 @@
         self._view = ConfigView()
         self._sessions: dict[int, Session] = {}
         self._holding = NOTHING
+        self._load = DeskLoad(0, 0, 0)
         self._leaving = threading.Event()
         self._load_changed = threading.Event()
         self._started = False
@@ -90,6 +92,7 @@
             self._received,
             self._opened,
             self._closed,
+            self._load_along,
         )
         self._lease = Lease(self._clock)
         self._desk = Desk.start(
@@ -99,7 +102,7 @@
             self._view,
             self._backend,
             self._lease,
-            self._load_changed.set,
+            self._load_is,
         )
         self._asks = self._desk.proxy()
         self._homes = HomeKeeper(
@@ -262,6 +265,13 @@
             self._health = Health(ok, health.detail)
             self._leaving.wait(_PROBE_EVERY / SECOND)
 
+    def _load_is(self, load: DeskLoad) -> None:
+        self._load = load
+        self._load_changed.set()
+
+    def _load_along(self) -> Load:
+        return Load(self._load.running, self._load.queued, self._load.duration)
+
     def _report(self) -> None:
         report = self._make_report()
         for session in list(self._sessions.values()):
@@ -269,7 +279,7 @@
                 session.send(report)
 
     def _make_report(self) -> LoadReport:
-        load = self._asks.load().get()
+        load = self._load
         engine = self._view.current.engines.get(self._settings.instance)
         guard, owner = self._guard, self._owner
         holding = self._holding
--- a/src/canvasyoke/transport/_link_server.py
+++ b/src/canvasyoke/transport/_link_server.py
@@ -46,6 +46,7 @@
         on_message: OnMessage,
         on_open: OnSession,
         on_close: OnSession,
+        along: Callable[[], Message | None] = lambda: None,
     ) -> None:
         self._link_key = link_key
         self._instance = instance
@@ -54,6 +55,7 @@
         self._on_message = on_message
         self._on_open = on_open
         self._on_close = on_close
+        self._along = along
         self._sessions: dict[int, Session] = {}
         self._removed: set[int] = set()
         self._removed_lock = threading.Lock()
@@ -141,7 +143,14 @@
                 raise OSError(str(exc)) from exc
 
         session = Session(
-            hello.instance, hello.incarnation, sealer, opener, put, self._clock, role=hello.role
+            hello.instance,
+            hello.incarnation,
+            sealer,
+            opener,
+            put,
+            self._clock,
+            role=hello.role,
+            along=self._along if hello.role == "entry" else lambda: None,
         )
         try:
             put(welcome)
--- a/src/canvasyoke/transport/_session.py
+++ b/src/canvasyoke/transport/_session.py
@@ -23,6 +23,8 @@
 _BATCH_BYTES: Final = 512 << 10
 #: Milliseconds an acknowledgement waits for content to travel with.
 _ACKNOWLEDGE_DELAY: Final = 1
+#: Milliseconds between two messages that travel along with others.
+ALONG_EVERY: Final = 40
 #: Milliseconds between heartbeats on an idle link.
 HEARTBEAT: Final = 1 * SECOND
 #: Milliseconds of silence after which a link is taken as broken.
@@ -46,6 +48,7 @@
         clock: Clock,
         role: str,
         on_end: Callable[[], None] = lambda: None,
+        along: Callable[[], Message | None] = lambda: None,
     ) -> None:
         #: Role of the process at the other end.
         self.role = role
@@ -58,6 +61,8 @@
         self._put = put
         self._clock = clock
         self._on_end = on_end
+        self._along = along
+        self._along_sent = -ALONG_EVERY
         self._changed = threading.Condition()
         self._queue: deque[Message] = deque()
         #: Newest frame with content that was sent, and that the other side has.
@@ -148,7 +153,20 @@
             size += len(getattr(message, "data", b"")) + len(getattr(message, "body", b""))
         return batch
 
+    def _take_along(self) -> list[Message]:
+        """Return what may travel with a frame that is sent anyway."""
+        now = self._clock.now()
+        if now - self._along_sent < ALONG_EVERY:
+            return []
+        message = self._along()
+        if message is None:
+            return []
+        self._along_sent = now
+        return [message]
+
     def _send_frame(self, batch: Sequence[Message]) -> bool:
+        if batch:
+            batch = [*batch, *self._take_along()]
         payload = encode_batch(batch) if batch else b""
         with self._changed:
             self._told = self._received
