Docs from tutorial to reference; a target is not chosen before it is configured

Cause: the tutorial, run by a test as written, was refused its first request: the entry was ready a second before the target had its configuration. Targets without one are no candidates now, and a target that is behind is offered the configuration with its first report, not with the next look at the list.

--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,9 @@
 	$(PY) -m bench $(ONLY)
 
 docs: $(VENV)/.ready
-	$(PY) -m canvasyoke.state.reference > docs/CONFIGURATION.md
+	$(PY) -m canvasyoke.state.reference configuration > docs/CONFIGURATION.md
+	$(PY) -m canvasyoke.state.reference settings > docs/SETTINGS.md
+	$(PY) -m bench page
 
 clean:
 	rm -rf $(VENV) .mypy_cache .ruff_cache
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -11,7 +11,8 @@
 import bench.expert_maps
 import bench.faults
 import bench.overhead
-import bench.routing  # noqa: F401  (they fill the registry)
+import bench.routing
+import bench.slopes  # noqa: F401  (they fill the registry)
 from bench._registry import EXPERIMENTS, SEED, Result, render
 
 _ROOT: Final = Path(__file__).resolve().parent.parent
--- a/src/canvasyoke/coordination/_retry.py
+++ b/src/canvasyoke/coordination/_retry.py
@@ -20,7 +20,7 @@
 _BUDGET_LIMIT: Final = 50.0
 _BUDGET_START: Final = 10.0
 #: Refusals that say nothing against trying another target at no cost to it.
-REDIRECTS: Final = frozenset({Reason.NOT_HOME, Reason.LEAVING})
+REDIRECTS: Final = frozenset({Reason.NOT_HOME, Reason.LEAVING, Reason.NO_CONFIGURATION})
 #: Refusals after which another attempt would only meet the same.
 _FINAL: Final = frozenset(
     {
--- a/src/canvasyoke/entry/_peer.py
+++ b/src/canvasyoke/entry/_peer.py
@@ -83,6 +83,7 @@
         incarnation: str,
         clock: Clock,
         rng: random.Random,
+        on_report: Callable[[Peer], None],
         on_offer: Callable[[ConfigOffer], None],
         on_wanted: Callable[[Session, int], None],
     ) -> None:
@@ -97,7 +98,10 @@
         self._reported_at = 0
         self._own_reported = 0
         self._clock = clock
+        self._on_report = on_report
         self._on_offer = on_offer
+        #: Generation offered to the target in this session.
+        self.offered = 0
         self._on_wanted = on_wanted
         self._lock = threading.Lock()
         self._attempts: dict[tuple[int, int], Attempt] = {}
@@ -141,9 +145,9 @@
         return len(self._attempts)
 
     def candidate(self, queue_limit: int) -> Candidate | None:
-        """Return the target as a choice; ``None`` before its first report."""
+        """Return the target as a choice; ``None`` while it has no configuration."""
         report = self.report
-        if report is None:
+        if report is None or not report.generation:
             return None
         return Candidate(
             instance=self.instance,
@@ -204,6 +208,7 @@
     def _opened(self, session: Session) -> None:
         _log.info("target is up", target=session.peer, address=self.address)
         self.drained = False
+        self.offered = 0
         with self._lock:
             self._session = session
             attempts = list(self._attempts.values())
@@ -226,6 +231,7 @@
                 self._pass_on(message)
             case LoadReport():
                 self._take_report(message)
+                self._on_report(self)
             case Load():
                 self._take_load(message)
             case Drained():
--- a/src/canvasyoke/entry/_peers.py
+++ b/src/canvasyoke/entry/_peers.py
@@ -134,7 +134,6 @@
     def _run(self) -> None:
         while not self._stop.is_set():
             self._look()
-            self._exchange_config()
             self._stop.wait(_LOOK_EVERY * self._rng.uniform(0.8, 1.2) / SECOND)
 
     def _look(self) -> None:
@@ -168,6 +167,7 @@
             self._incarnation,
             self._clock,
             self._rng,
+            self._exchange_config,
             self._offered,
             self._wanted,
         )
@@ -176,21 +176,21 @@
 
     # Passing the configuration on.
 
-    def _exchange_config(self) -> None:
-        generation = self._view.current.generation
-        for peer in list(self._peers.values()):
-            report = peer.report
-            if report is None or not peer.connected:
-                continue
-            if report.generation < generation:
-                self.offer_config(peer)
-            elif report.generation > generation:
-                peer.send(ConfigWanted(generation))
+    def _exchange_config(self, peer: Peer) -> None:
+        """Offer a peer that is behind what is in force here, or ask one that is ahead."""
+        report, generation = peer.report, self._view.current.generation
+        if report is None:
+            return
+        if report.generation < generation and peer.offered < generation:
+            self.offer_config(peer)
+        elif report.generation > generation:
+            peer.send(ConfigWanted(generation))
 
     def offer_config(self, peer: Peer) -> None:
         """Send the configuration in force to ``peer``."""
         offer = self._make_offer()
         if offer is not None:
+            peer.offered = offer.generation
             peer.send(offer)
 
     def offer_all(self) -> None:
