A holder that lost its lease never takes the table's old word for its slots

Cause, found by reading for a split of the file: a holder that woke from a pause won its lease back while its slots were being taken; the table still named it under the same name, so it went on with slots that another held a moment later, for as long as it heard nothing more. Ruled out as harmless: the next look corrects it within a second only if the platform answers.

Change: a lost lease costs the name under which slots are held; the holder comes back as a new one. A test wakes the holder just before the taker's write: the key ran twice before, once after; with the new name taken out it turns red.

Also: the lease apart from the slots, one layer's plan apart from the planner, the lines apart from the dispatcher, and one set of status models where entry and command line each had their own.

--- a/fakes/memory_platform.py
+++ b/fakes/memory_platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from canvasyoke.state import (
@@ -30,6 +31,8 @@
     #: Writes whose answers get lost after they took effect.
     lose_answers: int = 0
     writes: int = 0
+    #: Called once, just before the next write of a key.
+    before_write: dict[str, Callable[[], None]] = field(default_factory=dict)
     _versions: int = 0
     _changed: threading.Condition = field(default_factory=threading.Condition)
 
@@ -43,6 +46,9 @@
         """Write if the version is ``expected``."""
         if self.down:
             return _DOWN
+        hook = self.before_write.pop(key, None)
+        if hook is not None:
+            hook()
         with self._changed:
             self.writes += 1
             old = self.objects.get(key)
--- a/src/canvasyoke/cli/_render.py
+++ b/src/canvasyoke/cli/_render.py
@@ -7,54 +7,13 @@
 
 import msgspec
 
+from canvasyoke.protocol import Status, TargetStatus
 from canvasyoke.state import AuditEntry
 
 
-class _Entry(msgspec.Struct):
-    instance: str
-    domain: str
-    generation: int
-    leaving: bool
-    in_flight: int
-    platform: bool
-
-
-class _Target(msgspec.Struct):
-    instance: str
-    domain: str
-    service: str
-    connected: bool
-    leaving: bool
-    healthy: bool
-    ejected: bool
-    generation: int
-    running: int
-    queued: int
-    slots: int
-    key_slots: int
-
-
-class _Group(msgspec.Struct):
-    group: str
-    owner: str
-    epoch: int
-    number: int
-    ranks_on_map: int
-    ranks: int
-    skew: float
-    moves: int
-
-
-class _Status(msgspec.Struct):
-    entry: _Entry
-    targets: list[_Target]
-    groups: list[_Group]
-    findings: list[str]
-
-
 def render_status(data: bytes) -> str:
     """Return the JSON of an entry's status as text."""
-    status = msgspec.json.decode(data, type=_Status)
+    status = msgspec.json.decode(data, type=Status)
     entry = status.entry
     lines = [
         f"entry {entry.instance} in {entry.domain}: generation {entry.generation}, "
@@ -82,7 +41,7 @@
     return "\n".join(lines)
 
 
-def _state(target: _Target) -> str:
+def _state(target: TargetStatus) -> str:
     if not target.connected:
         return "no link"
     if target.leaving:
--- a/src/canvasyoke/coordination/__init__.py
+++ b/src/canvasyoke/coordination/__init__.py
@@ -20,11 +20,11 @@
     check_key,
     slot_of,
 )
+from canvasyoke.coordination._layer_plan import PlanPolicy
 from canvasyoke.coordination._lease import LEASE, RENEW_EVERY, Lease, LeaseWatch
 from canvasyoke.coordination._planner import (
     POLICIES,
     ExpertMap,
-    PlanPolicy,
     initial_map,
     map_skew,
     plan_map,
--- a/src/canvasyoke/entry/_dispatch.py
+++ b/src/canvasyoke/entry/_dispatch.py
@@ -13,6 +13,7 @@
 
 from canvasyoke._clock import SECOND, Clock
 from canvasyoke.coordination import REDIRECTS, Attempted, RetryBudget, RouteRequest, Step, next_step
+from canvasyoke.entry._lines import Lines
 from canvasyoke.entry._peer import Attempt, Event, Events, Lost, Peer
 from canvasyoke.entry._peers import Peers
 from canvasyoke.protocol import (
@@ -188,7 +189,7 @@
         if attempt is None:
             yield Refusal(Outcome.NOT_RUN, Reason.LINK_LOST, "the link does not stand", 100)
             return
-        lines = _Lines(attempt, number)
+        lines = Lines(attempt, number)
         whole = False
         try:
             for piece in self._receive(call, lines):
@@ -211,7 +212,7 @@
         )
         return peer.begin(run, call.events)
 
-    def _receive(self, call: Call, lines: _Lines) -> Iterator[Piece]:
+    def _receive(self, call: Call, lines: Lines) -> Iterator[Piece]:
         while True:
             heard = self._next_event(call, lines)
             if isinstance(heard, Refusal | CallerGone):
@@ -254,7 +255,7 @@
                         yield refusal
                         return
 
-    def _stand_elsewhere(self, call: Call, lines: _Lines) -> None:
+    def _stand_elsewhere(self, call: Call, lines: Lines) -> None:
         """The request has to wait, so it stands in line at further targets too.
 
         Only what may run twice without harm does: should two targets start it at
@@ -270,7 +271,7 @@
             if attempt is not None:
                 lines.others.append(attempt)
 
-    def _stand_by(self, lines: _Lines, source: Attempt, event: Event) -> None:
+    def _stand_by(self, lines: Lines, source: Attempt, event: Event) -> None:
         """Take note of what a target says at which the request stands by."""
         if source not in lines.others:
             return
@@ -291,9 +292,7 @@
             peer.ejection.failed()
         return refusal
 
-    def _next_event(
-        self, call: Call, lines: _Lines
-    ) -> tuple[Attempt, Event] | Refusal | CallerGone:
+    def _next_event(self, call: Call, lines: Lines) -> tuple[Attempt, Event] | Refusal | CallerGone:
         """Return what comes next and from which attempt, or why nothing more will."""
         down_since = 0
         cancelled = False
@@ -324,56 +323,5 @@
                 return current, Lost()
 
 
-class _Lines:
-    """The lines in which one request stands: the one it counts on, and others."""
-
-    def __init__(self, current: Attempt, number: int) -> None:
-        #: Attempt whose answer is passed on; ``None`` while only others are left.
-        self.current: Attempt | None = current
-        #: Attempts that stand by.
-        self.others: list[Attempt] = []
-        #: Number of the request.
-        self.number = number
-
-    def move_to(self, ready: Attempt) -> None:
-        """Take the slot that is free; leave all other lines."""
-        self.others.remove(ready)
-        if self.current is not None:
-            self.others.append(self.current)
-        self.current = ready
-        ready.peer.go(ready)
-        self.drop_others()
-
-    def drop_others(self) -> None:
-        """Leave all lines but the current one."""
-        for other in self.others:
-            other.peer.finish(other, whole=False)
-        self.others.clear()
-
-    def go_on_without(self, refused: Attempt, refusal: Refusal) -> bool:
-        """Tell whether the request still stands in another line that may come good.
-
-        Only a certain refusal lets it: a request that may have run is not left to
-        run again without its retry being counted.
-        """
-        if not self.others or refusal.outcome is not Outcome.NOT_RUN:
-            return False
-        refused.peer.finish(refused, whole=False)
-        self.current = None
-        return True
-
-    def cancel(self) -> None:
-        """Ask every target to stop, and keep listening."""
-        for attempt in (self.current, *self.others):
-            if attempt is not None:
-                attempt.peer.cancel(attempt)
-
-    def finish(self, *, whole: bool) -> None:
-        """Stop listening to all of them."""
-        self.drop_others()
-        if self.current is not None:
-            self.current.peer.finish(self.current, whole=whole)
-
-
 def _lost(detail: str) -> Refusal:
     return Refusal(Outcome.UNKNOWN, Reason.LINK_LOST, detail)
--- a/src/canvasyoke/entry/_process.py
+++ b/src/canvasyoke/entry/_process.py
@@ -16,9 +16,10 @@
 from canvasyoke.entry._dispatch import Dispatcher
 from canvasyoke.entry._metrics import EntryMetrics
 from canvasyoke.entry._peers import Peers
-from canvasyoke.entry._status import EntryStatus, Status, collect_status
+from canvasyoke.entry._status import collect_status
 from canvasyoke.entry._watcher import ConfigWatcher
 from canvasyoke.observe import part_logger
+from canvasyoke.protocol import EntryStatus, Status
 from canvasyoke.state import PLATFORMS, ConfigKeeper, ConfigView, EntrySettings, FleetConfig
 from canvasyoke.transport import HttpServer
 
--- a/src/canvasyoke/entry/_status.py
+++ b/src/canvasyoke/entry/_status.py
@@ -1,68 +1,13 @@
-"""What an entry tells operators: what is in force and what is wrong, as data."""
+"""Collects what an entry tells operators: what is in force and what is wrong."""
 
 from __future__ import annotations
 
-import msgspec
-
 from canvasyoke.entry._peer import Peer
 from canvasyoke.entry._peers import Peers
+from canvasyoke.protocol import EntryStatus, GroupStatus, Status, TargetStatus
 from canvasyoke.state import ConfigView
 
 
-class EntryStatus(msgspec.Struct, frozen=True):
-    """The entry itself."""
-
-    instance: str
-    domain: str
-    generation: int
-    leaving: bool
-    in_flight: int
-    #: Whether the platform answered last time.
-    platform: bool
-
-
-class TargetStatus(msgspec.Struct, frozen=True):
-    """One target as the entry sees it."""
-
-    instance: str
-    domain: str
-    service: str
-    connected: bool
-    fault: str
-    leaving: bool
-    healthy: bool
-    ejected: bool
-    generation: int
-    running: int
-    queued: int
-    slots: int
-    key_slots: int
-
-
-class GroupStatus(msgspec.Struct, frozen=True):
-    """One rank group."""
-
-    group: str
-    owner: str
-    epoch: int
-    number: int
-    #: Ranks that have this map in force, and all ranks.
-    ranks_on_map: int
-    ranks: int
-    skew: float
-    moves: int
-
-
-class Status(msgspec.Struct, frozen=True):
-    """All of it."""
-
-    entry: EntryStatus
-    targets: list[TargetStatus]
-    groups: list[GroupStatus]
-    #: What is wrong and what to do, most urgent first.
-    findings: list[str]
-
-
 def collect_status(entry: EntryStatus, peers: Peers, view: ConfigView) -> Status:
     """Return the status that one entry can see."""
     targets = [_target_status(peer) for peer in peers.all()]
--- a/src/canvasyoke/protocol/__init__.py
+++ b/src/canvasyoke/protocol/__init__.py
@@ -50,6 +50,7 @@
     accept_welcome,
     make_hello,
 )
+from canvasyoke.protocol._status import EntryStatus, GroupStatus, Status, TargetStatus
 
 __all__ = [
     "DEADLINE_HEADER",
@@ -66,12 +67,14 @@
     "ConfigWanted",
     "Drained",
     "End",
+    "EntryStatus",
     "ExpertReplica",
     "Forget",
     "Frame",
     "Go",
     "GroupOrder",
     "GroupReply",
+    "GroupStatus",
     "HandshakeError",
     "Head",
     "HeaderError",
@@ -93,6 +96,8 @@
     "Sealer",
     "SlotClaim",
     "Started",
+    "Status",
+    "TargetStatus",
     "Welcome",
     "accept_hello",
     "accept_welcome",
--- a/src/canvasyoke/target/_desk.py
+++ b/src/canvasyoke/target/_desk.py
@@ -18,7 +18,6 @@
     KeyedRequest,
     KeyMemory,
     KeyNote,
-    Lease,
     Offer,
     Waiting,
     check_key,
@@ -28,6 +27,7 @@
 from canvasyoke.state import ConfigView, Engine, FleetConfig, Service
 from canvasyoke.target._homes import NOTHING, Holding, SlotUser, Surrendered
 from canvasyoke.target._ids import AttemptId, SeenIds
+from canvasyoke.target._lease_keeper import LeaseKeeper
 from canvasyoke.target._work import Reader, Work, WorkState
 from canvasyoke.transport import Session
 
@@ -69,7 +69,7 @@
         clock: Clock,
         view: ConfigView,
         backend: Backend,
-        lease: Lease,
+        lease: LeaseKeeper,
         on_load: Callable[[DeskLoad], None],
     ) -> None:
         super().__init__()
--- a/src/canvasyoke/target/_homes.py
+++ b/src/canvasyoke/target/_homes.py
@@ -23,19 +23,16 @@
 from canvasyoke._clock import SECOND, Clock
 from canvasyoke.coordination import (
     CLOCK_MARGIN,
-    RENEW_EVERY,
     Handover,
     KeyNote,
-    Lease,
-    LeaseWatch,
     Slot,
     SlotTable,
 )
 from canvasyoke.observe import part_logger
-from canvasyoke.state import CREATE, Absent, Conflict, Found, Platform, Unavailable, Written
+from canvasyoke.state import CREATE, Absent, Found, Platform, Unavailable, Written
+from canvasyoke.target._lease_keeper import LeaseKeeper
 
 _log = part_logger("homes")
-_LEASE_PREFIX: Final = "leases/"
 _TABLE_PREFIX: Final = "homes/"
 _HANDOVER_PREFIX: Final = "handover/"
 #: Milliseconds between readings of the slot table.
@@ -47,16 +44,6 @@
 _RELEASE_TRIES: Final = 5
 
 
-class LeaseRecord(msgspec.Struct, frozen=True):
-    """A lease as kept in the platform."""
-
-    incarnation: str
-    #: Address that the holder's process listens on.
-    address: str
-    #: Whether its holder let go of it, or another broke it.
-    ended: bool = False
-
-
 @dataclass(frozen=True, slots=True)
 class Holding:
     """What one target holds; replaced as a whole when it changes."""
@@ -109,24 +96,17 @@
         clock: Clock,
         service: str,
         instance: str,
-        incarnation: str,
-        address: str,
         slots: Callable[[], int],
         user: SlotUser,
-        lease: Lease,
+        lease: LeaseKeeper,
     ) -> None:
         self._lease = lease
         self._platform = platform
         self._clock = clock
         self._service = service
         self._instance = instance
-        self._incarnation = incarnation
-        self._address = address
         self._slots = slots
         self._user = user
-        self._watch = LeaseWatch(clock)
-        self._version = -1
-        self._renewed = -RENEW_EVERY
         self._live: dict[str, str] = {}
         self._live_read = -_LEASES_EVERY
         self._holding = NOTHING
@@ -150,26 +130,17 @@
         for _ in range(_RELEASE_TRIES):
             if not self._holding.slots or self._give_all_back():
                 break
-        self._lease.lost()
-        if self._version >= 0:
-            self._platform.write(self._lease_key, self._record(ended=True), self._version)
+        self._lease.end()
 
     def _give_all_back(self) -> bool:
         table, version = self._read_table(self._holding.count)
         if table is None:
             return False
         wanted = list(table.slots)
-        for index in table.held_by(self._instance, self._incarnation):
+        for index in table.held_by(self._instance, self._lease.incarnation):
             wanted[index] = _LAPSED
         return self._change_table(table, wanted, version)
 
-    def _record(self, ended: bool) -> bytes:
-        return msgspec.json.encode(LeaseRecord(self._incarnation, self._address, ended))
-
-    @property
-    def _lease_key(self) -> str:
-        return f"{_LEASE_PREFIX}{self._service}/{self._instance}"
-
     @property
     def _table_key(self) -> str:
         return f"{_TABLE_PREFIX}{self._service}"
@@ -183,97 +154,11 @@
 
     def step(self, count: int) -> None:
         """Renew the lease if it is time, then look at the slots once."""
-        if self._clock.now() - self._renewed >= RENEW_EVERY:
-            self._renew()
+        if not self._lease.keep():
+            self._publish(NOTHING)
         if self._lease.valid:
             self._look(count)
 
-    # The lease.
-
-    def _renew(self) -> None:
-        began = self._clock.now()
-        if self._version < 0 and not self._join():
-            return
-        result = self._platform.write(self._lease_key, self._record(False), self._version)
-        if isinstance(result, Written):
-            self._version = result.version
-            self._renewed = began
-            self._lease.renewed(began)
-        elif isinstance(result, Conflict) or result.ambiguous:
-            self._check_lost()
-
-    def _join(self) -> bool:
-        """Find the version to write against; false while a former run may hold on.
-
-        A former run with the same address is over, since this process listens
-        there now. One with another address may be paused or cut off, so its lease
-        has to lapse like anybody's.
-        """
-        found = self._platform.read(self._lease_key)
-        if isinstance(found, Unavailable):
-            return False
-        if isinstance(found, Absent):
-            self._version = CREATE
-            return True
-        record = msgspec.json.decode(found.value, type=LeaseRecord)
-        over = record.ended or record.address == self._address
-        if not over and not self._watch.lapsed(self._lease_key, found.version):
-            return False
-        self._version = found.version
-        return True
-
-    def _check_lost(self) -> None:
-        """Find out what became of a renewal that was refused or not answered."""
-        found = self._platform.read(self._lease_key)
-        if isinstance(found, Unavailable):
-            return
-        if isinstance(found, Absent):
-            self._version = CREATE
-            return
-        record = msgspec.json.decode(found.value, type=LeaseRecord)
-        self._version = found.version
-        if record.incarnation == self._incarnation and not record.ended:
-            return
-        _log.warning("lease was taken by another", service=self._service)
-        self._lease.lost()
-        self._publish(NOTHING)
-
-    def _live_holders(self) -> dict[str, str] | None:
-        """Return the incarnation of each instance whose lease stands.
-
-        A lease that has stood still for too long is broken first, by a write on
-        it: its holder, should it wake, will find its next renewal refused.
-        """
-        keys = self._platform.list_keys(f"{_LEASE_PREFIX}{self._service}/")
-        if isinstance(keys, Unavailable):
-            return None
-        live = {self._instance: self._incarnation}
-        for key in keys:
-            name = key.rsplit("/", 1)[1]
-            if name == self._instance:
-                continue
-            found = self._platform.read(key)
-            if isinstance(found, Unavailable):
-                return None
-            if isinstance(found, Found) and self._stands(key, found):
-                live[name] = msgspec.json.decode(found.value, type=LeaseRecord).incarnation
-        return live
-
-    def _stands(self, key: str, found: Found) -> bool:
-        record = msgspec.json.decode(found.value, type=LeaseRecord)
-        if record.ended:
-            return False
-        if not self._watch.lapsed(key, found.version):
-            return True
-        broken = msgspec.json.encode(LeaseRecord(record.incarnation, record.address, True))
-        result = self._platform.write(key, broken, found.version)
-        if isinstance(result, Written):
-            _log.warning("broke a lapsed lease", holder=key.rsplit("/", 1)[1])
-            return False
-        return True
-
-    # The slots.
-
     def _look(self, count: int) -> None:
         """Read the table; free what lapsed, take or give back slots."""
         table, version = self._read_table(count)
@@ -290,7 +175,7 @@
             self._change_table(table, self._arrange(table), version)
 
     def _read_live(self) -> bool:
-        live = self._live_holders()
+        live = self._lease.live_holders()
         if live is None:
             return False
         self._live, self._live_read = live, self._clock.now()
@@ -320,7 +205,7 @@
         for index in free[: max(0, fair - len(mine))]:
             old = slots[index]
             since = old.since if old.handover or not old.used else fresh
-            slots[index] = Slot(self._instance, self._incarnation, since, True, old.handover)
+            slots[index] = Slot(self._instance, self._lease.incarnation, since, True, old.handover)
         return slots
 
     def _change_table(self, table: SlotTable, wanted: list[Slot], version: int) -> bool:
@@ -330,7 +215,7 @@
         it. Keys of slots taken are remembered before the write, in case it takes
         effect and its answer is lost; the slots are used only once it is known.
         """
-        mine = table.held_by(self._instance, self._incarnation)
+        mine = table.held_by(self._instance, self._lease.incarnation)
         lost = {i: s for i, s in mine.items() if wanted[i].holder != self._instance}
         if lost:
             wanted = self._hand_over(wanted, lost, table.epoch + 1)
@@ -355,7 +240,7 @@
             keys = surrendered.keys.get(index, [])
             if wanted[index].holder or len(keys) > _HANDOVER_KEYS:
                 continue
-            name = f"{_HANDOVER_PREFIX}{self._service}/{index}-{epoch}-{self._incarnation}"
+            name = f"{_HANDOVER_PREFIX}{self._service}/{index}-{epoch}-{self._lease.incarnation}"
             written = self._platform.write(name, msgspec.json.encode(Handover(keys)), CREATE)
             if isinstance(written, Written):
                 since = max(slot.since, surrendered.forgotten_before)
@@ -385,7 +270,7 @@
         return result, used
 
     def _publish_table(self, table: SlotTable) -> None:
-        mine = table.held_by(self._instance, self._incarnation)
+        mine = table.held_by(self._instance, self._lease.incarnation)
         self._publish(Holding(table.epoch, mine, len(table.slots)))
 
     def _publish(self, holding: Holding) -> None:
--- a/src/canvasyoke/target/_process.py
+++ b/src/canvasyoke/target/_process.py
@@ -11,7 +11,6 @@
 
 from canvasyoke._clock import SECOND, Clock, SystemClock
 from canvasyoke.backend import BACKENDS, Health
-from canvasyoke.coordination import Lease
 from canvasyoke.observe import part_logger
 from canvasyoke.protocol import (
     Cancel,
@@ -39,6 +38,7 @@
 )
 from canvasyoke.target._desk import Desk, DeskLoad, DeskSlots
 from canvasyoke.target._homes import NOTHING, Holding, HomeKeeper
+from canvasyoke.target._lease_keeper import LeaseKeeper
 from canvasyoke.target._owner import MapOwner
 from canvasyoke.target._rank import RankGuard
 from canvasyoke.target._ranks import RankLinks
@@ -94,7 +94,14 @@
             self._closed,
             self._load_along,
         )
-        self._lease = Lease(self._clock)
+        self._lease = LeaseKeeper(
+            self._platform,
+            self._clock,
+            settings.service,
+            settings.instance,
+            self._incarnation,
+            settings.listen,
+        )
         self._desk = Desk.start(
             settings.service,
             settings.instance,
@@ -110,8 +117,6 @@
             self._clock,
             settings.service,
             settings.instance,
-            self._incarnation,
-            settings.listen,
             self._key_slots,
             DeskSlots(self._desk, self._hold),
             self._lease,
--- a/src/canvasyoke/target/tests/test_homes.py
+++ b/src/canvasyoke/target/tests/test_homes.py
@@ -11,12 +11,12 @@
     KeyedRequest,
     KeyMemory,
     KeyNote,
-    Lease,
     check_key,
     slot_of,
 )
 from canvasyoke.protocol import Reason, new_key
 from canvasyoke.target._homes import NOTHING, Holding, HomeKeeper, SlotUser, Surrendered
+from canvasyoke.target._lease_keeper import LeaseKeeper
 from fakes.memory_platform import MemoryPlatform
 
 SLOTS = 8
@@ -48,15 +48,13 @@
     ) -> None:
         self.desk = Desk()
         self.address = address or name
-        self.lease = Lease(clock)
+        self.lease = LeaseKeeper(platform, clock, "shelf", name, run, self.address)
         self._clock = clock
         self.keeper = HomeKeeper(
             platform,
             clock,
             "shelf",
             name,
-            run,
-            self.address,
             lambda: SLOTS,
             self.desk,
             self.lease,
@@ -167,6 +165,29 @@
     assert not set(paused.desk.holding.slots) & set(new.desk.holding.slots)
 
 
+def test_holder_that_wakes_while_its_slots_are_being_taken(
+    clock: ManualClock, platform: MemoryPlatform
+) -> None:
+    """It wins its lease back before the table is written, then hears nothing more."""
+    paused, new = Target(platform, clock, "t-1", "run"), Target(platform, clock, "t-2", "run")
+    settle(clock, [paused, new], 12)
+    assert held(paused) == held(new) == SLOTS // 2
+    settle(clock, [new], 15)
+
+    def wake() -> None:
+        paused.step()  # finds its lease broken
+        clock.advance(3_000)
+        paused.step()  # has one again, and reads a table that still names it
+
+    platform.before_write["homes/shelf"] = wake
+    settle(clock, [new], 4)
+    clock.advance(3_000)
+    made = clock.wall()
+    for slot in range(SLOTS):
+        key = key_in([slot], made)
+        assert [new.run(key, made), paused.run(key, made)].count("ran") == 1
+
+
 def test_restart_at_the_same_address_takes_over_at_once(
     clock: ManualClock, platform: MemoryPlatform
 ) -> None:
