--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -11,6 +11,7 @@
 import bench.expert_maps
 import bench.faults
 import bench.overhead
+import bench.recovery
 import bench.routing
 import bench.slopes  # noqa: F401  (they fill the registry)
 from bench._registry import EXPERIMENTS, SEED, Result, render
