Read an engine's stream to its very end before its connection is used again

Ruled out: the stand-in (the bytes were right) and idle connections closed by it.

A test whose engine ends its stream 50 ms after the last line is red with the old code every time, green with the new.

--- a/src/canvasyoke/backend/_engine.py
+++ b/src/canvasyoke/backend/_engine.py
@@ -78,15 +78,19 @@
                 detail = "the engine did not go on with the stream"
                 return Failed(Refusal(Outcome.UNKNOWN, Reason.BACKEND_FAILED, detail))
             return super()._pass_body(reply, sink, run, run_id)
+        whole = False
+        # The stream is read to its very end even after the last line: a connection
+        # given back with the end unread would spoil the next request's answer.
         for line in reply.lines():
-            if sink.cancelled:
+            if sink.cancelled and not whole:
                 self._engine.cancel(run_id)
                 reply.close()
                 return cancelled()
             sink.chunk(line + b"\n")
-            if line.startswith(b'{"done"') and msgspec.json.decode(line, type=_LastLine).done:
-                reply.release()
-                return Done()
+            whole = line.startswith(b'{"done"') and msgspec.json.decode(line, type=_LastLine).done
+        reply.release()
+        if whole:
+            return Done()
         detail = "the engine's stream ended early"
         return Failed(Refusal(Outcome.UNKNOWN, Reason.BACKEND_FAILED, detail))
 
--- a/src/canvasyoke/backend/tests/test_engine.py
+++ b/src/canvasyoke/backend/tests/test_engine.py
@@ -1,6 +1,7 @@
 """The engine adapter against the stand-in, over real HTTP."""
 
 import threading
+import time
 from collections.abc import Iterator
 
 import pytest
@@ -8,7 +9,7 @@
 from canvasyoke.backend import AnswerSink, Done, EngineBackend, Failed, PlainBackend, RankOrder
 from canvasyoke.protocol import ExpertReplica, Outcome, Reason, Run
 from fakes.engine import EngineSettings, make_tokens, serve
-from fakes.http_base import Server
+from fakes.http_base import Handler, Server
 from fakes.launcher import free_address
 
 
@@ -70,6 +71,27 @@
     assert make_tokens("p", 0, 6)[0].encode() in whole.chunks[0]
 
 
+class LateEnd(Handler):
+    """An engine that ends its stream a while after the last line."""
+
+    def handle_request(self, method: str, path: str, query: dict[str, str], body: bytes) -> None:
+        self.begin_chunked("application/x-ndjson")
+        self.write_chunk(b'{"done": true, "tokens": 0}\n')
+        time.sleep(0.05)  # the next request is sent meanwhile, if it is not held back
+        self.write_chunk(b"")
+
+
+def test_end_that_comes_late_does_not_spoil_the_next_request() -> None:
+    address = free_address()
+    host, port = address.rsplit(":", 1)
+    server = Server((host, int(port)), LateEnd)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    backend = EngineBackend(address)
+    assert [type(backend.call(run(), Sink())) for _ in range(3)] == [Done] * 3
+    server.shutdown()
+    server.server_close()
+
+
 def test_cancel_reaches_the_engine(engine: tuple[Server, EngineBackend]) -> None:
     server, backend = engine
     sink = Sink(cancel_after=3)
