--- a/fakes/platform.py
+++ b/fakes/platform.py
@@ -23,6 +23,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 from typing import Any
+from urllib.parse import unquote
 
 from fakes.http_base import Handler, Server
 
@@ -167,7 +168,7 @@
                 keys = sorted(k for k in self.store.objects if k.startswith(prefix))
             self.reply_json(keys)
         elif path.startswith("/objects/"):
-            self._serve_object(method, path.removeprefix("/objects/"), query, body)
+            self._serve_object(method, unquote(path.removeprefix("/objects/")), query, body)
         else:
             self.reply(404)
 
--- /dev/null
+++ b/src/canvasyoke/cli/tests/test_main.py
@@ -0,0 +1,49 @@
+from pathlib import Path
+
+import pytest
+
+from canvasyoke.cli import main
+
+DEMO = Path(__file__).resolve().parents[4] / "demo"
+
+
+@pytest.mark.parametrize(
+    ("words", "code", "said"),
+    [
+        ([], 2, "Commands:"),
+        (["--help"], 0, "Exit codes"),
+        (["apply", "--help"], 0, "--generation N"),
+        (["version"], 0, "canvasyoke"),
+        (["version", "1"], 2, "unexpected argument"),
+        (["version", "--long"], 2, "unknown option"),
+        (["check"], 2, "at least one FILE"),
+        (["check", "x", "-v"], 2, "unknown option"),
+        (["status", "--entry"], 2, "needs a value"),
+        (["status", "--entry", "a", "--entry", "b"], 2, "stands twice"),
+        (["apply", "f", "--platform", "p"], 2, "--generation is required"),
+        (["apply", "f", "--platform", "p", "--generation", "x"], 2, "takes a number"),
+        (["nonsense"], 2, "no command"),
+        (["entry", "--settings", "/nonexistent"], 1, "cannot be read"),
+    ],
+)
+def test_what_is_said_and_returned(
+    capsys: pytest.CaptureFixture[str], words: list[str], code: int, said: str
+) -> None:
+    assert main(words) == code
+    output = capsys.readouterr()
+    assert said in output.out + output.err
+
+
+@pytest.mark.parametrize("fleet", ["panelmtaa", "volta"])
+def test_examples_are_in_order(capsys: pytest.CaptureFixture[str], fleet: str) -> None:
+    files = [str(DEMO / f"{fleet}.yaml"), str(DEMO / f"{fleet}-organisations.yaml")]
+    assert main(["check", *files]) == 0
+    assert main(["check", files[0], files[0]]) == 1
+    assert "given twice" in capsys.readouterr().err
+
+
+def test_numbers_stay_text(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    """Fire would turn a file named 1 into a number."""
+    path = tmp_path / "1"
+    path.write_text("services: {}")
+    assert main(["check", str(path)]) == 0
--- a/src/canvasyoke/state/_keeper.py
+++ b/src/canvasyoke/state/_keeper.py
@@ -11,8 +11,8 @@
 from dataclasses import dataclass, field
 
 import msgspec
-import pykka
 
+from canvasyoke._actor import CriticalActor
 from canvasyoke.state._config import FleetConfig, build_config
 from canvasyoke.state._models import FileModel
 from canvasyoke.state._root import Root
@@ -50,7 +50,7 @@
         self.snapshot: Snapshot | None = None
 
 
-class ConfigKeeper(pykka.ThreadingActor):
+class ConfigKeeper(CriticalActor):
     """The one task that changes a process's :class:`ConfigView`."""
 
     def __init__(self, view: ConfigView, on_change: Callable[[FleetConfig], None]) -> None:
--- /dev/null
+++ b/src/canvasyoke/state/tests/test_settings.py
@@ -0,0 +1,49 @@
+from pathlib import Path
+
+import pytest
+
+from canvasyoke.state import EntrySettings, Fault, TargetSettings, load_settings
+
+GOOD = """
+instance: e-1
+domain: nbo-a
+http: 127.0.0.1:8080
+admin: 127.0.0.1:8081
+link_key: "{key}"
+platform: {{address: 127.0.0.1:9000}}
+""".format(key="0f" * 32)
+
+
+def load(tmp_path: Path, text: str) -> EntrySettings | list[Fault]:
+    path = tmp_path / "e.yaml"
+    path.write_text(text)
+    return load_settings(str(path), EntrySettings)
+
+
+def test_good_settings_have_defaults(tmp_path: Path) -> None:
+    settings = load(tmp_path, GOOD)
+    assert isinstance(settings, EntrySettings)
+    assert (settings.log.level, settings.platform.adapter) == ("info", "http-json")
+
+
+def test_every_fault_is_reported(tmp_path: Path) -> None:
+    text = GOOD.replace("127.0.0.1:8080", "localhost:80").replace("0f" * 32, "short")
+    faults = load(tmp_path, text + "log: {level: loud}\ncolour: blue\n")
+    assert isinstance(faults, list)
+    assert [(f.line, f.path) for f in faults] == [
+        (9, "colour"),
+        (4, "http"),
+        (6, "link_key"),
+        (8, "log.level"),
+    ]
+
+
+@pytest.mark.parametrize("text", ["", "a: [", "- 1"])
+def test_broken_files_are_faults_not_exceptions(tmp_path: Path, text: str) -> None:
+    assert isinstance(load(tmp_path, text), list)
+
+
+def test_missing_file_is_a_fault() -> None:
+    faults = load_settings("/nonexistent/t.yaml", TargetSettings)
+    assert isinstance(faults, list)
+    assert "cannot be read" in str(faults[0])
--- a/src/canvasyoke/target/_desk.py
+++ b/src/canvasyoke/target/_desk.py
@@ -10,6 +10,7 @@
 
 import pykka
 
+from canvasyoke._actor import CriticalActor
 from canvasyoke._clock import SECOND, Clock
 from canvasyoke.backend import Backend, Done
 from canvasyoke.coordination import (
@@ -59,7 +60,7 @@
     orphaned: int = 0
 
 
-class Desk(pykka.ThreadingActor):
+class Desk(CriticalActor):
     """Owns the queue, the key memory and the attempts seen; has no locks."""
 
     def __init__(
