Tests that turn red without the mechanism they are for

Cause: taking mechanisms out one by one, three stayed green: refusing keyed work while leaving, telling entries of it, and waiting for what runs. Streams moved on to other engines and hid it; a link that went down looked like a target that leaves.

A key that is none is refused by the target too, not only by the entry: it would have ended the desk.

--- a/src/canvasyoke/target/_desk.py
+++ b/src/canvasyoke/target/_desk.py
@@ -24,7 +24,7 @@
     check_key,
 )
 from canvasyoke.observe import part_logger
-from canvasyoke.protocol import Outcome, Reason, Refusal, Run, key_time
+from canvasyoke.protocol import MalformedKeyError, Outcome, Reason, Refusal, Run, key_time
 from canvasyoke.state import ConfigView, Engine, FleetConfig, Service
 from canvasyoke.target._homes import NOTHING, Holding, SlotUser, Surrendered
 from canvasyoke.target._ids import AttemptId, SeenIds
@@ -238,8 +238,10 @@
         digest: bytes,
     ) -> Refusal | None:
         """Admit a request that must not run twice."""
-        if not run.key:
-            return Refusal(Outcome.NOT_RUN, Reason.NOT_HOME, "the request has no key", 1 * SECOND)
+        try:
+            made = key_time(run.key)
+        except MalformedKeyError as exc:
+            return Refusal(Outcome.NOT_RUN, Reason.MALFORMED, str(exc))
         view = HomeView(
             held=self._holding.slots,
             slots=self._holding.count,
@@ -247,7 +249,7 @@
             wall=self._clock.wall(),
             keep=service.model.answer_keep_ms,
         )
-        req = KeyedRequest(run.key, run.organisation, key_time(run.key), digest)
+        req = KeyedRequest(run.key, run.organisation, made, digest)
         verdict = check_key(req, view, self._memory)
         if verdict.refusal is not None:
             return verdict.refusal
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -8,7 +8,8 @@
 
 from fakes.engine import make_tokens
 from fakes.launcher import Fleet, wait_until
-from tests.caller import Caller
+from tests.caller import Caller, all_runs
+from tests.conftest import make_spec, start
 
 
 def test_rolling_restart_of_all_targets_cuts_no_request(fleet: Fleet) -> None:
@@ -52,17 +53,42 @@
 def test_leaving_target_finishes_and_gets_nothing_new(fleet: Fleet) -> None:
     caller = Caller(fleet)
     with ThreadPoolExecutor(4) as pool:
-        running = [pool.submit(caller.generate, f"long {i}", 200) for i in range(4)]
+        running = [pool.submit(caller.generate, f"long {i}", 500) for i in range(4)]
         time.sleep(0.3)  # the generations are under way, on both engines
         fleet.terminate("inkmodel-1")
-        wait_until(lambda: not up(fleet, "inkmodel-1"), "the entries know", 1.0)
+        wait_until(lambda: is_leaving(fleet, "inkmodel-1"), "the entries know", 1.0)
         assert caller.generate("new", 4).status == 200
-        assert [len(f.result().body.splitlines()) for f in running] == [201] * 4
+        assert [len(f.result().body.splitlines()) for f in running] == [501] * 4
     assert fleet.wait("inkmodel-1") == 0
     fleet.start_target("inkmodel-1")
     wait_until(lambda: up(fleet, "inkmodel-1"), "it is back")
 
 
+def is_leaving(fleet: Fleet, target: str) -> bool:
+    """Tell whether every entry is linked to a target and knows that it leaves."""
+    found = [
+        each
+        for entry in fleet.ports.entries
+        for each in fleet.status(entry)["targets"]
+        if each["instance"] == target
+    ]
+    return all(each["connected"] and each["leaving"] for each in found)
+
+
+def test_leaving_target_finishes_saves_that_only_it_may_run() -> None:
+    """Nobody else can go on with a save, so waiting for it is all that helps."""
+    with start(make_spec(plain_ms=1_500)) as fleet, ThreadPoolExecutor(8) as pool:
+        caller = Caller(fleet)
+        keys = [caller.new_key() for _ in range(8)]
+        saves = [pool.submit(caller.save, key) for key in keys]
+        wait_until(lambda: len(all_runs(fleet)) == 8, "all of them run", 3)
+        for target in ("shelf-api-1", "shelf-api-2"):
+            fleet.terminate(target)
+        assert [f.result().outcome for f in saves] == ["answered"] * 8
+        assert [fleet.wait(t) for t in ("shelf-api-1", "shelf-api-2")] == [0, 0]
+        assert all_runs(fleet) == dict.fromkeys(keys, 1)
+
+
 def test_leaving_entry_answers_what_it_holds(fleet: Fleet) -> None:
     caller = Caller(fleet)
     entry = next(iter(fleet.ports.entries))
