The proxy's cut between domains cuts: its routes had been filed under another name

Cause: route names have a > in them, which the HTTP client escapes in a path; the routes were filed under the escaped name, and a cut by prefix met none of them. So 'a domain cut off' had only cut it from the platform.

Change: the proxy unescapes the name; a system test asserts that the links between the domains are down before it looks at anything else, that each side answers what it can, that no key runs twice, and that all links come back.

--- a/fakes/proxy.py
+++ b/fakes/proxy.py
@@ -22,6 +22,7 @@
 import time
 from dataclasses import dataclass, field
 from typing import Any
+from urllib.parse import unquote
 
 from fakes.http_base import Handler, Server
 
@@ -162,6 +163,7 @@
 
     def handle_request(self, method: str, path: str, query: dict[str, str], body: bytes) -> None:
         """Change routes."""
+        path = unquote(path)
         if path.startswith("/routes/"):
             route = Route(**json.loads(body))
             route.start()
--- /dev/null
+++ b/tests/test_domains.py
@@ -0,0 +1,41 @@
+"""A domain cut off from the other and from the platform serves what it can."""
+
+from functools import partial
+
+from fakes.launcher import Fleet, wait_until
+from tests.caller import Caller, all_runs
+
+
+def links(fleet: Fleet, entry: str) -> dict[str, bool]:
+    """Return which targets an entry is linked to."""
+    return {t["instance"]: t["connected"] for t in fleet.status(entry)["targets"]}
+
+
+def all_linked(fleet: Fleet, entry: str) -> bool:
+    """Tell whether an entry is linked to every target."""
+    return all(links(fleet, entry).values())
+
+
+def test_cut_domain_serves_itself_and_heals(slow_fleet: Fleet) -> None:
+    fleet, caller = slow_fleet, Caller(slow_fleet)
+    fleet.cut_domain("nbo-b")
+    own = {"inkmodel-2": True, "shelf-api-2": True, "inkmodel-1": False, "shelf-api-1": False}
+    wait_until(lambda: links(fleet, "nbo-b-entry-1") == own, "only its own targets", 10)
+    other = {name: not linked for name, linked in own.items()}
+    wait_until(lambda: links(fleet, "nbo-a-entry-1") == other, "the same on the other side", 10)
+    for entry in fleet.ports.entries:
+        assert caller.generate("cut", 4, entry).status == 200
+    keys = [caller.new_key() for _ in range(6)]
+    outcomes = {}
+    for key in keys:
+        told = [caller.save(key, entry=entry, wait=2).outcome for entry in fleet.ports.entries]
+        outcomes[key] = told
+    runs = all_runs(fleet)
+    for key, told in outcomes.items():
+        assert runs.get(key, 0) == told.count("answered") <= 1
+        assert set(told) <= {"answered", "not_run"}
+    fleet.cut_domain("nbo-b", cut=False)
+    for entry in fleet.ports.entries:
+        wait_until(partial(all_linked, fleet, entry), "all links are back", 15)
+    assert caller.generate("healed", 4).status == 200
+    assert fleet.in_force_everywhere(1)
