Status says when keyed requests are being refused, and what to look at

Cause: read as on-call, a cut domain or a lost target showed as links that are down; that saves were refused as not_home had to be known. Now a service whose key slots are not all held by linked targets is named, with how many are.

--- a/src/canvasyoke/entry/_status.py
+++ b/src/canvasyoke/entry/_status.py
@@ -71,6 +71,7 @@
         findings.append(f"engine {name} is configured but not in the instance list: start it")
     for target in targets:
         findings.extend(_target_findings(target, entry.generation))
+    findings.extend(_key_findings(targets, view))
     for group in groups:
         if not group.owner:
             findings.append(f"group {group.group} has no owner: its experts stay where they are")
@@ -80,6 +81,20 @@
     return findings
 
 
+def _key_findings(targets: list[TargetStatus], view: ConfigView) -> list[str]:
+    """Return the services whose requests with keys are refused, in part or all."""
+    findings = []
+    for name, service in sorted(view.current.services.items()):
+        held = sum(t.key_slots for t in targets if t.service == name and t.connected)
+        if service.holds_keys and held < service.model.key_slots:
+            findings.append(
+                f"service {name}: {held} of {service.model.key_slots} key slots are held by "
+                "targets linked here; other keyed requests get not_home; check the platform "
+                "and the service's targets"
+            )
+    return findings
+
+
 def _target_findings(target: TargetStatus, generation: int) -> list[str]:
     name = target.instance
     if not target.connected:
--- a/tests/test_domains.py
+++ b/tests/test_domains.py
@@ -30,6 +30,9 @@
     for key in keys:
         told = [caller.save(key, entry=entry, wait=2).outcome for entry in fleet.ports.entries]
         outcomes[key] = told
+    if any("not_run" in told for told in outcomes.values()):
+        findings = [f for e in fleet.ports.entries for f in fleet.status(e)["findings"]]
+        assert any("key slots are held" in finding for finding in findings)
     runs = all_runs(fleet)
     for key, told in outcomes.items():
         assert runs.get(key, 0) == told.count("answered") <= 1
