--- a/src/canvasyoke/backend/__init__.py
+++ b/src/canvasyoke/backend/__init__.py
@@ -1,5 +1,16 @@
-"""Adapters to what stands beside a target process: engines and plain services."""
+"""Adapters to engines and plain services."""
 
+from canvasyoke.backend._direct import (
+    DIRECT_BACKENDS,
+    BackendAnswer,
+    DirectBackendPort,
+    MayHaveRun,
+    NotRun,
+    NotRunCause,
+    OutboundRequest,
+    ReportedLoad,
+    Sending,
+)
 from canvasyoke.backend._engine import EngineBackend
 from canvasyoke.backend._plain import PlainBackend
 from canvasyoke.backend._port import (
@@ -19,17 +30,26 @@
 
 __all__ = [
     "BACKENDS",
+    "DIRECT_BACKENDS",
     "AnswerSink",
     "Backend",
+    "BackendAnswer",
     "CacheEvent",
+    "DirectBackendPort",
     "Done",
     "EngineBackend",
     "EngineLoad",
     "EnginePort",
     "Failed",
     "Health",
+    "MayHaveRun",
+    "NotRun",
+    "NotRunCause",
+    "OutboundRequest",
     "PlainBackend",
     "RankAnswer",
     "RankOrder",
     "RankPort",
+    "ReportedLoad",
+    "Sending",
 ]
--- a/src/canvasyoke/cli/_registry.py
+++ b/src/canvasyoke/cli/_registry.py
@@ -22,4 +22,4 @@
 #: All commands by name.
 COMMANDS: Registry[Command] = Registry("command")
 #: Commands that run until they are told to stop.
-DAEMONS: Final = frozenset({"entry", "target"})
+DAEMONS: Final = frozenset({"entry", "target", "direct", "ranks"})
--- a/src/canvasyoke/cli/_roles.py
+++ b/src/canvasyoke/cli/_roles.py
@@ -1,4 +1,4 @@
-"""The commands that run a role: ``entry`` and ``target``."""
+"""The commands that run a role: ``entry``, ``target``, ``direct`` and ``ranks``."""
 
 from __future__ import annotations
 
@@ -12,7 +12,14 @@
 
 from canvasyoke.cli._registry import COMMANDS, FAULT, REFUSED
 from canvasyoke.observe import part_logger, set_up_logs
-from canvasyoke.state import EntrySettings, Fault, TargetSettings, load_settings
+from canvasyoke.state import (
+    DirectSettings,
+    EntrySettings,
+    Fault,
+    RanksSettings,
+    TargetSettings,
+    load_settings,
+)
 
 _log = part_logger("role")
 
@@ -53,6 +60,39 @@
     return _run(lambda: TargetProcess(loaded).run())
 
 
+@COMMANDS.register("direct")
+def direct(*, settings: str) -> int:
+    """Run an entry that calls backends itself, without target processes.
+
+    --settings FILE   settings of this instance; see docs/SETTINGS.md
+
+    It drains and exits on SIGTERM as an entry does, and reads its settings again on
+    SIGHUP.
+    """
+    loaded = load_settings(settings, DirectSettings)
+    if isinstance(loaded, list):
+        return _refuse(loaded)
+    set_up_logs(loaded.log, loaded.instance, sys.stdout)
+    from canvasyoke.direct._process import DirectEntryProcess
+
+    return _run(lambda: DirectEntryProcess(loaded, settings).run())
+
+
+@COMMANDS.register("ranks")
+def ranks(*, settings: str) -> int:
+    """Run the process beside an engine that moves the experts of its rank group.
+
+    --settings FILE   settings of this instance; see docs/SETTINGS.md
+    """
+    loaded = load_settings(settings, RanksSettings)
+    if isinstance(loaded, list):
+        return _refuse(loaded)
+    set_up_logs(loaded.log, loaded.instance, sys.stdout)
+    from canvasyoke.experts._process import RanksProcess
+
+    return _run(lambda: RanksProcess(loaded).run())
+
+
 def _stop_on_fault(fault: threading.ExceptHookArgs) -> None:
     """End the process when one of its tasks dies: half a process helps nobody.
 
--- a/src/canvasyoke/coordination/_routing.py
+++ b/src/canvasyoke/coordination/_routing.py
@@ -195,3 +195,19 @@
         """Return the one of two drawn at random where the wait is shorter."""
         drawn = self._rng.sample(candidates, min(2, len(candidates)))
         return min(drawn, key=lambda c: _cost(c, req))
+
+
+@RANKERS.register("least_loaded")
+class LeastLoadedRanker(Ranker):
+    """The lowest corrected load; ties go to the own domain, then to chance.
+
+    It does not herd where each choice shows in the next one's load: an entry's own
+    requests count at once, and other entries' are told several times a second.
+    """
+
+    def choose(self, candidates: Sequence[Candidate], req: RouteRequest) -> Candidate:
+        """Return the candidate with the smallest part of its slots in use."""
+        return min(
+            candidates,
+            key=lambda c: (c.load / max(1, c.slots), c.domain != req.domain, self._rng.random()),
+        )
--- /dev/null
+++ b/src/canvasyoke/direct/_call.py
@@ -0,0 +1,103 @@
+"""One admitted request while it is being answered, and the pieces of its answer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import TypeAlias
+
+from canvasyoke.state import TableRoute
+from canvasyoke.transport import ExchangeSlot
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """Status and headers of a backend's answer."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    #: Bytes of the body where they are known from the start.
+    length: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerEnd:
+    """The answer is whole."""
+
+
+@dataclass(frozen=True, slots=True)
+class GaveUp:
+    """The request gets an answer of the entry's own."""
+
+    status: int
+    detail: str
+    #: Milliseconds after which the caller may come back; only where nothing has run.
+    retry_after: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class BrokeOff:
+    """An answer of which a part was delivered cannot be completed."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLeft:
+    """The caller closed its connection; there is nobody to tell."""
+
+
+Piece: TypeAlias = AnswerHead | bytes | AnswerEnd | GaveUp | BrokeOff | CallerLeft
+
+
+@dataclass(frozen=True, slots=True)
+class Tried:
+    """One attempt, for the log."""
+
+    #: Id of the backend.
+    backend: str
+    #: What became of it.
+    outcome: str
+    #: Milliseconds that it took.
+    took: int
+    #: Requests that the backend was thought to have.
+    load: int
+
+
+@dataclass(slots=True)
+class DirectCall:
+    """A request that was admitted."""
+
+    request_id: str
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    route: TableRoute
+    service: str
+    organisation: str
+    priority: int
+    #: Version of the configuration that admitted it.
+    table_version: int
+    #: Time on the clock at which it came, and at which no answer is wanted any more.
+    began: int
+    deadline: int
+    #: Whether the deadline is the route's and not the caller's.
+    held_to_route: bool
+    #: Tells whether the caller has gone.
+    gone: Callable[[], bool]
+    #: Id of the last event that the caller has.
+    last_event: str = ""
+    #: Whether any of the answer's body has been delivered, and with which status.
+    delivered: bool = False
+    #: Whether an attempt may have run.
+    may_have_run: bool = False
+    #: Whether the retry that follows has been taken from the budget already.
+    retry_paid: bool = False
+    tried: list[Tried] = field(default_factory=list)
+    #: Ids of the backends that the request was sent to.
+    sent_to: set[str] = field(default_factory=set)
+    #: Time on the clock of the first piece of the answer; 0 before it.
+    first_piece_at: int = 0
+    #: The exchange under way; lets the watch over callers end it.
+    slot: ExchangeSlot | None = None
--- /dev/null
+++ b/src/canvasyoke/direct/_follower.py
@@ -0,0 +1,259 @@
+"""Keeps an entry's configuration and list of backends up to date from the store.
+
+Two tasks, one for each kind of object: list once, then watch from the revision of the
+list. A watch that was cut goes on from the same revision; one whose history the store
+has forgotten begins with a new list, which is compared and not taken for a loss.
+"""
+
+from __future__ import annotations
+
+import random
+import threading
+from collections.abc import Callable
+from typing import Final
+
+from canvasyoke._clock import SECOND, Clock
+from canvasyoke.direct._roster import Roster
+from canvasyoke.observe import part_logger
+from canvasyoke.state import (
+    EndpointChanges,
+    EndpointList,
+    FleetStore,
+    HistoryGone,
+    NothingNew,
+    RoutingTable,
+    TableRead,
+    Unavailable,
+    Unusable,
+)
+
+_log = part_logger("store")
+#: Milliseconds that a watch waits. Each watch is a call that the store counts; a longer
+#: one would be noticed later when the store has gone silent.
+_WATCH: Final = 5 * SECOND
+#: Milliseconds between calls that fail, doubled from the first to the second.
+_BACKOFF_START: Final = 50
+_BACKOFF_LIMIT: Final = 500
+#: Milliseconds after the store is back within which backends whose entries lapsed while
+#: it was away have written them again (the users' letter says about two seconds).
+_RETURN_TIME: Final = 2_300
+
+
+class TableView:
+    """The configuration in force; versions only go up, whoever brings them."""
+
+    def __init__(self, on_change: Callable[[RoutingTable], None]) -> None:
+        self._lock = threading.Lock()
+        self._on_change = on_change
+        #: What is in force now; version 0 before any is known.
+        self.current = RoutingTable()
+        #: The document it was built from, to pass on.
+        self.document = b""
+
+    def adopt(self, table: RoutingTable, document: bytes, source: str) -> bool:
+        """Put ``table`` in force if it is newer."""
+        with self._lock:
+            if table.version <= self.current.version:
+                return False
+            before = self.current.version
+            self.current, self.document = table, document
+        _log.info("configuration in force", version=table.version, before=before, source=source)
+        self._on_change(table)
+        return True
+
+
+class _Contact:
+    """Whether the store answers one task, and how long that task backs off."""
+
+    def __init__(self, what: str, clock: Clock, rng: random.Random, stop: threading.Event) -> None:
+        self._what = what
+        self._clock = clock
+        self._rng = rng
+        self._stop = stop
+        self._backoff = _BACKOFF_START
+        self._lost_at = 0
+        #: Time on the clock at which the store answered again after it had not; 0 if never.
+        self.regained_at = 0
+
+    @property
+    def is_lost(self) -> bool:
+        """Tell whether the last call failed."""
+        return self._lost_at > 0
+
+    def failed(self, cause: Unavailable | Unusable) -> None:
+        """Note a call without a usable answer, and wait a little."""
+        if not self._lost_at:
+            self._lost_at = self._clock.now()
+            _log.warning("lost the store", what=self._what, cause=cause.detail)
+        elif isinstance(cause, Unusable):
+            _log.warning("cannot use the store's answer", what=self._what, cause=cause.detail)
+        self._stop.wait(self._backoff * self._rng.uniform(0.5, 1.5) / SECOND)
+        self._backoff = min(_BACKOFF_LIMIT, self._backoff * 2)
+
+    def answered(self) -> None:
+        """Note a usable answer."""
+        self._backoff = _BACKOFF_START
+        if self._lost_at:
+            self.regained_at = self._clock.now()
+            _log.info("regained the store", what=self._what, away=self.regained_at - self._lost_at)
+            self._lost_at = 0
+
+
+class TableFollower:
+    """Follows the configuration."""
+
+    def __init__(
+        self, store: FleetStore, view: TableView, clock: Clock, rng: random.Random
+    ) -> None:
+        self._store = store
+        self._view = view
+        self._stop = threading.Event()
+        self._contact = _Contact("configuration", clock, rng, self._stop)
+        self._task = threading.Thread(target=self._run, name="follow-config", daemon=True)
+
+    def start(self) -> None:
+        """Start following."""
+        self._task.start()
+
+    @property
+    def is_lost(self) -> bool:
+        """Tell whether the store does not answer."""
+        return self._contact.is_lost
+
+    def _run(self) -> None:
+        revision = 0
+        while not self._stop.is_set():
+            if revision:
+                seen = self._store.watch_table(revision, _WATCH)
+            else:
+                seen = self._store.table()
+            match seen:
+                case TableRead():
+                    self._contact.answered()
+                    revision = seen.revision
+                    self._view.adopt(seen.table, seen.document, "store")
+                case NothingNew():
+                    self._contact.answered()
+                    revision = seen.revision
+                    if not self._view.current.version:
+                        self._stop.wait(_BACKOFF_START / SECOND)
+                case HistoryGone():
+                    _log.info("the store forgot its history", what="configuration", at=revision)
+                    revision = 0
+                case _:
+                    # What cannot be read is read anew, in full.
+                    revision = 0 if isinstance(seen, Unusable) else revision
+                    self._contact.failed(seen)
+
+
+class EndpointFollower:
+    """Follows the list of backends.
+
+    While the store is away the entries of living backends lapse. A removal seen within
+    the time that they have to come back is held, and carried out if they have not.
+    """
+
+    def __init__(self, store: FleetStore, roster: Roster, clock: Clock, rng: random.Random) -> None:
+        self._store = store
+        self._roster = roster
+        self._clock = clock
+        self._stop = threading.Event()
+        self._contact = _Contact("backends", clock, rng, self._stop)
+        #: Backends whose removal is held, with the time at which it is carried out.
+        self._held: dict[str, int] = {}
+        self._task = threading.Thread(target=self._run, name="follow-backends", daemon=True)
+
+    def start(self) -> None:
+        """Start following."""
+        self._task.start()
+
+    @property
+    def is_lost(self) -> bool:
+        """Tell whether the store does not answer."""
+        return self._contact.is_lost
+
+    def _run(self) -> None:
+        revision = 0
+        while not self._stop.is_set():
+            if revision:
+                seen = self._store.watch_endpoints(revision, self._wait_time())
+            else:
+                seen = self._store.endpoints()
+            match seen:
+                case EndpointList():
+                    self._contact.answered()
+                    revision = seen.revision
+                    self._take_list(seen)
+                case EndpointChanges():
+                    self._contact.answered()
+                    revision = seen.revision
+                    self._take_changes(seen)
+                case NothingNew():
+                    self._contact.answered()
+                    revision = seen.revision
+                case HistoryGone():
+                    _log.info("the store forgot its history", what="backends", at=revision)
+                    revision = 0
+                case _:
+                    revision = 0 if isinstance(seen, Unusable) else revision
+                    self._contact.failed(seen)
+            self._carry_out_held()
+
+    def _wait_time(self) -> int:
+        """Return how long the next watch may wait: no longer than the next held removal."""
+        if not self._held:
+            return _WATCH
+        return max(1, min(_WATCH, min(self._held.values()) - self._clock.now()))
+
+    def _settling_until(self) -> int:
+        """Return the time on the clock until which a missing entry may come back."""
+        regained = self._contact.regained_at
+        return regained + _RETURN_TIME if regained else 0
+
+    def _take_list(self, seen: EndpointList) -> None:
+        listed = frozenset(endpoint.id for endpoint in seen.endpoints)
+        missing = self._roster.ids() - listed
+        until = self._settling_until()
+        keep = missing if self._clock.now() < until else frozenset()
+        for endpoint_id in keep:
+            self._hold(endpoint_id, until)
+        for endpoint_id in listed & self._held.keys():
+            del self._held[endpoint_id]
+        for endpoint_id in missing - keep:
+            _log.info("backend gone", backend=endpoint_id, source="list")
+        self._roster.replace(seen.endpoints, keep)
+        _log.info("backends listed", count=len(listed), held=len(keep), revision=seen.revision)
+
+    def _take_changes(self, seen: EndpointChanges) -> None:
+        until = self._settling_until()
+        for endpoint, gone in seen.changes:
+            if not gone:
+                self._held.pop(endpoint.id, None)
+                self._roster.put(endpoint)
+                _log.info(
+                    "backend changed",
+                    backend=endpoint.id,
+                    state=endpoint.state.name,
+                    service=endpoint.service,
+                    revision=seen.revision,
+                )
+            elif self._clock.now() < until:
+                self._hold(endpoint.id, until)
+            else:
+                self._roster.remove(endpoint.id)
+                _log.info("backend gone", backend=endpoint.id, revision=seen.revision)
+
+    def _hold(self, endpoint_id: str, until: int) -> None:
+        if endpoint_id not in self._held:
+            self._held[endpoint_id] = until
+            _log.info("removal held while entries come back", backend=endpoint_id)
+
+    def _carry_out_held(self) -> None:
+        now = self._clock.now()
+        if self._contact.is_lost:
+            return
+        for endpoint_id, until in list(self._held.items()):
+            if now >= until:
+                del self._held[endpoint_id]
+                self._roster.remove(endpoint_id)
+                _log.info("backend gone", backend=endpoint_id, source="did not come back")
--- /dev/null
+++ b/src/canvasyoke/direct/_forwarder.py
@@ -0,0 +1,266 @@
+"""Takes one admitted request to a whole answer or to one final refusal.
+
+What may happen next depends on what is certain. A request that certainly did not run
+may go to another backend. One that may have run goes on only if it is repeatable. Both
+only within the route's attempts, the fleet's retry budget and the time left.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from typing import Final
+
+from canvasyoke._clock import Clock
+from canvasyoke.backend import (
+    BackendAnswer,
+    DirectBackendPort,
+    MayHaveRun,
+    NotRun,
+    NotRunCause,
+    OutboundRequest,
+)
+from canvasyoke.direct._budget import FleetRetryBudget
+from canvasyoke.direct._call import (
+    AnswerEnd,
+    AnswerHead,
+    BrokeOff,
+    CallerLeft,
+    DirectCall,
+    GaveUp,
+    Piece,
+    Tried,
+)
+from canvasyoke.direct._events import EventCutter, event_id, is_after
+from canvasyoke.direct._roster import Chosen, NoneAble, Roster
+from canvasyoke.protocol import Reason
+from canvasyoke.transport import ExchangeError, ExchangeSlot
+
+#: Milliseconds for a connection to a backend. A round trip takes 3 ms and a backend up
+#: to 1 ms; a full queue of new connections drops the first packet for a second.
+_CONNECT_TIMEOUT: Final = 250
+#: Milliseconds past the deadline for the backend's own word that time ran out.
+_BACKEND_GRACE: Final = 40
+#: Least time left, in milliseconds, with which an attempt is still begun.
+_LEAST_TIME: Final = 20
+#: Milliseconds for which a full backend is passed over: about two of its passes.
+_FULL_PAUSE: Final = 150
+#: Milliseconds that a caller is asked to wait, drawn between the two so that callers
+#: who were refused together do not come back together.
+_RETRY_SOONEST: Final = 150
+_RETRY_LATEST: Final = 400
+#: Largest answer, other than a stream, that is collected before it is passed on.
+_WHOLE_LIMIT: Final = 8 << 20
+_SERVER_ERROR: Final = 500
+_BAD_GATEWAY: Final = 502
+_UNAVAILABLE: Final = 503
+_GATEWAY_TIMEOUT: Final = 504
+_BAD_REQUEST: Final = 400
+_STREAM_TYPE: Final = "text/event-stream"
+
+
+class Forwarder:
+    """Chooses backends, sends attempts and joins their pieces to one answer."""
+
+    def __init__(
+        self,
+        port: DirectBackendPort,
+        roster: Roster,
+        budget: FleetRetryBudget,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._port = port
+        self._roster = roster
+        self._budget = budget
+        self._clock = clock
+        self._rng = rng
+
+    def run(self, call: DirectCall) -> Iterator[Piece]:
+        """Yield the pieces of the answer; the last one tells how it ended."""
+        self._budget.saw_request(call.service)
+        while True:
+            chosen = self._choose(call)
+            if isinstance(chosen, NoneAble):
+                yield self._give_up(call, f"no backend can take it: {chosen.reason}")
+                return
+            failure = yield from self._attempt(call, chosen)
+            if failure is None:
+                return
+            if call.gone():
+                yield CallerLeft()
+                return
+            if not self._may_go_on(call, failure):
+                yield self._give_up(call, failure.detail, failure)
+                return
+
+    def _choose(self, call: DirectCall) -> Chosen | NoneAble:
+        if call.deadline - self._clock.now() < _LEAST_TIME:
+            return NoneAble(Reason.DEADLINE)
+        tried = frozenset(tried.backend for tried in call.tried)
+        return self._roster.choose(call.service, tried)
+
+    def _attempt(
+        self, call: DirectCall, chosen: Chosen
+    ) -> Iterator[Piece] | NotRun | MayHaveRun | None:
+        """Make one attempt; return why it came to nothing, or ``None`` when all is said."""
+        began = self._clock.now()
+        endpoint = chosen.endpoint
+        call.slot = ExchangeSlot()
+        call.retry_paid = False
+        if call.gone():
+            call.slot.shut()
+        sent = self._port.send(endpoint, self._outbound(call), _CONNECT_TIMEOUT, call.slot)
+        if not isinstance(sent, NotRun) or sent.cause is not NotRunCause.UNREACHABLE:
+            call.sent_to.add(endpoint.id)
+        failure: NotRun | MayHaveRun | None
+        if isinstance(sent, NotRun | MayHaveRun):
+            failure = sent
+        else:
+            if sent.load is not None:
+                self._roster.load_seen(endpoint.id, sent.load)
+            call.may_have_run = True
+            try:
+                failure = yield from self._relay(call, sent)
+            finally:
+                sent.close()
+        self._note(call, chosen, failure, self._clock.now() - began)
+        return failure
+
+    def _outbound(self, call: DirectCall) -> OutboundRequest:
+        return OutboundRequest(
+            method=call.method,
+            target=call.target,
+            headers=call.headers,
+            body=call.body,
+            request_id=call.request_id,
+            time_left=max(1, call.deadline - self._clock.now()),
+            organisation=call.organisation,
+            priority=call.priority,
+            resume_after=call.last_event,
+        )
+
+    def _note(
+        self, call: DirectCall, chosen: Chosen, failure: NotRun | MayHaveRun | None, took: int
+    ) -> None:
+        """Tell the roster and the log what became of an attempt."""
+        backend = chosen.endpoint.id
+        if isinstance(failure, NotRun) and failure.cause is not NotRunCause.UNREACHABLE:
+            if failure.cause is NotRunCause.MOVED:
+                self._roster.moved(backend)
+            else:
+                self._roster.refused(backend, _FULL_PAUSE)
+        else:
+            failed = failure is not None and not call.gone()
+            self._roster.finished(backend, took, failed=failed)
+        if isinstance(failure, MayHaveRun):
+            call.may_have_run = True
+        outcome = "answered" if failure is None else failure.detail
+        call.tried.append(Tried(backend, outcome, took, chosen.load))
+
+    def _may_go_on(self, call: DirectCall, failure: NotRun | MayHaveRun) -> bool:
+        if isinstance(failure, MayHaveRun) and not call.route.repeatable:
+            return False
+        if isinstance(failure, NotRun) and failure.cause is NotRunCause.REJECTED:
+            return False
+        if len(call.sent_to) >= call.route.max_attempts:
+            return False
+        if call.deadline - self._clock.now() < _LEAST_TIME:
+            return False
+        if isinstance(failure, NotRun) and failure.cause is NotRunCause.UNREACHABLE:
+            return True  # nothing arrived anywhere, so nothing is spent
+        return self._pay(call)
+
+    def _give_up(
+        self, call: DirectCall, detail: str, failure: NotRun | MayHaveRun | None = None
+    ) -> GaveUp | BrokeOff:
+        if call.delivered:
+            return BrokeOff(detail)
+        out_of_time = call.deadline - self._clock.now() < _LEAST_TIME
+        if call.may_have_run:
+            return GaveUp(_GATEWAY_TIMEOUT if out_of_time else _BAD_GATEWAY, detail)
+        if isinstance(failure, NotRun) and failure.cause is NotRunCause.REJECTED:
+            return GaveUp(_BAD_REQUEST, detail)
+        pause = self._rng.randint(_RETRY_SOONEST, _RETRY_LATEST)
+        return GaveUp(_UNAVAILABLE, detail, retry_after=pause)
+
+    def _relay(
+        self, call: DirectCall, answer: BackendAnswer
+    ) -> Iterator[Piece] | MayHaveRun | None:
+        """Pass an answer on; return why it is not whole, or ``None`` when it is."""
+        is_stream = call.route.is_stream and any(
+            name.lower() == "content-type" and _STREAM_TYPE in value
+            for name, value in answer.headers
+        )
+        if is_stream:
+            return (yield from self._relay_stream(call, answer))
+        if call.delivered:
+            return MayHaveRun("the backend did not go on with the stream")
+        return (yield from self._relay_whole(call, answer))
+
+    def _relay_whole(
+        self, call: DirectCall, answer: BackendAnswer
+    ) -> Iterator[Piece] | MayHaveRun | None:
+        """Collect a short answer, so that one that breaks off can be tried again."""
+        body = bytearray()
+        try:
+            for piece in answer.pieces():
+                body += piece
+                if len(body) > _WHOLE_LIMIT:
+                    return MayHaveRun("the answer is too long to collect")
+                answer.wait_at_most(self._time_left(call))
+        except ExchangeError as exc:
+            return MayHaveRun(f"the answer broke off: {exc}")
+        if answer.status >= _SERVER_ERROR and self._worth_repeating(call):
+            return MayHaveRun(f"the backend failed with status {answer.status}")
+        yield AnswerHead(answer.status, answer.headers, len(body))
+        yield bytes(body)
+        yield AnswerEnd()
+        return None
+
+    def _worth_repeating(self, call: DirectCall) -> bool:
+        """Tell whether a backend's own failure should rather be tried elsewhere.
+
+        The failure is the backend's answer and is passed on when nothing else may be done.
+        """
+        return (
+            call.route.repeatable
+            and len(call.sent_to) < call.route.max_attempts
+            and call.deadline - self._clock.now() > call.route.objective // 2
+            and self._pay(call)
+        )
+
+    def _pay(self, call: DirectCall) -> bool:
+        """Take one retry from the budget, once for each retry."""
+        if not call.retry_paid:
+            call.retry_paid = self._budget.spend(call.service)
+        return call.retry_paid
+
+    def _relay_stream(
+        self, call: DirectCall, answer: BackendAnswer
+    ) -> Iterator[Piece] | MayHaveRun | None:
+        """Pass on whole events as they come."""
+        cutter = EventCutter()
+        try:
+            for piece in answer.pieces():
+                for event in cutter.feed(piece):
+                    number = event_id(event)
+                    if not is_after(number, call.last_event):
+                        continue
+                    if not call.delivered:
+                        call.delivered = True
+                        yield AnswerHead(answer.status, answer.headers, None)
+                    call.last_event = number or call.last_event
+                    yield event
+                answer.wait_at_most(self._time_left(call))
+        except ExchangeError as exc:
+            return MayHaveRun(f"the stream broke off: {exc}")
+        if cutter.has_rest:
+            return MayHaveRun("the stream ended within an event")
+        if not call.delivered:
+            yield AnswerHead(answer.status, answer.headers, None)
+        yield AnswerEnd()
+        return None
+
+    def _time_left(self, call: DirectCall) -> int:
+        return call.deadline - self._clock.now() + _BACKEND_GRACE
--- /dev/null
+++ b/src/canvasyoke/direct/_metrics.py
@@ -0,0 +1,32 @@
+"""What a direct entry counts and times."""
+
+from __future__ import annotations
+
+from canvasyoke.direct._call import DirectCall
+from canvasyoke.observe import Metrics
+
+
+class DirectMetrics:
+    """The metrics of one direct entry."""
+
+    def __init__(self) -> None:
+        self.all = Metrics()
+        self._outcomes = self.all.counter(
+            "canvasyoke_requests_total", "Requests by outcome.", "outcome"
+        )
+        self._whole = self.all.timer("canvasyoke_request_seconds", "Time to a whole answer.")
+        self._first = self.all.timer("canvasyoke_first_piece_seconds", "Time to the first piece.")
+        self.attempts = self.all.counter(
+            "canvasyoke_attempts_total", "Attempts by what became of them.", "outcome"
+        )
+
+    def piece(self, call: DirectCall, now: int) -> None:
+        """Time the first piece of an answer."""
+        if not call.first_piece_at:
+            call.first_piece_at = now
+            self._first.record(now - call.began)
+
+    def ended(self, outcome: str, took: int) -> None:
+        """Count a request that has ended after ``took`` milliseconds."""
+        self._outcomes.add(outcome)
+        self._whole.record(took)
--- /dev/null
+++ b/src/canvasyoke/direct/_process.py
@@ -0,0 +1,194 @@
+"""Assembles a direct entry and runs it until it has drained."""
+
+from __future__ import annotations
+
+import random
+import secrets
+import signal
+import threading
+from collections.abc import Callable, Iterable
+from typing import Any, Final
+
+from canvasyoke._clock import SECOND, Clock, SystemClock
+from canvasyoke.backend import DIRECT_BACKENDS
+from canvasyoke.direct._budget import FleetRetryBudget, RetryAllowance
+from canvasyoke.direct._caller_port import CALLER_PORTS
+from canvasyoke.direct._callers import MAX_HELD, DirectCallers
+from canvasyoke.direct._follower import EndpointFollower, TableFollower, TableView
+from canvasyoke.direct._forwarder import Forwarder
+from canvasyoke.direct._metrics import DirectMetrics
+from canvasyoke.direct._roster import Roster
+from canvasyoke.observe import part_logger
+from canvasyoke.state import (
+    FLEET_STORES,
+    CallerLimits,
+    DirectSettings,
+    RoutingTable,
+    load_settings,
+)
+from canvasyoke.transport import CallerServer, ServerLimits
+
+_log = part_logger("entry")
+#: Threads beyond those that hold requests, for refusals.
+_SPARE_THREADS: Final = 8
+_ADMIN_THREADS: Final = 2
+#: Milliseconds for which the balancer may still send new connections after the entry
+#: has stopped being ready: it asks once a second and needs two refusals.
+_BALANCER_TIME: Final = 2_300
+#: Milliseconds between looks at whether all requests have ended.
+_POLL: Final = 50
+#: Milliseconds for the last bytes to leave before the process ends.
+_FLUSH: Final = 100
+#: Entries that share the retry slack until their number is known.
+_ASSUMED_ENTRIES: Final = 8
+#: What the admin address takes; only the balancer and operators call it.
+_ADMIN_LIMITS: Final = ServerLimits(16 << 10, 16 << 10, 5 * SECOND, 60 * SECOND)
+
+
+class DirectEntryProcess:
+    """One direct entry."""
+
+    def __init__(
+        self, settings: DirectSettings, settings_path: str, clock: Clock | None = None
+    ) -> None:
+        self._settings = settings
+        self._settings_path = settings_path
+        self._clock = clock or SystemClock()
+        rng = random.Random(secrets.randbits(64))
+        self._leaving = threading.Event()
+        self._reload = threading.Event()
+        self._wake = threading.Event()
+        self._view = TableView(self._configured)
+        self._roster = Roster(settings.domain, self._clock, rng)
+        self._budget = FleetRetryBudget(_allowance(settings), self._clock)
+        self._budget.entries = _ASSUMED_ENTRIES
+        self._metrics = DirectMetrics()
+        make_store = FLEET_STORES.get(settings.adapter)
+        self._table_follower = TableFollower(
+            make_store(settings.store), self._view, self._clock, rng
+        )
+        self._endpoint_follower = EndpointFollower(
+            make_store(settings.store), self._roster, self._clock, rng
+        )
+        forwarder = Forwarder(
+            DIRECT_BACKENDS.get(settings.adapter)(), self._roster, self._budget, self._clock, rng
+        )
+        self._callers = DirectCallers(
+            CALLER_PORTS.get(settings.adapter)(),
+            lambda: self._view.current,
+            forwarder,
+            self._clock,
+            rng,
+            self._metrics,
+        )
+        self._add_gauges()
+        self._http = CallerServer(
+            self._callers,
+            settings.http,
+            MAX_HELD + _SPARE_THREADS,
+            self._clock,
+            _server_limits(self._view.current.limits),
+        )
+        self._ready = CallerServer(
+            self._answer_admin, settings.ready, _ADMIN_THREADS, self._clock, _ADMIN_LIMITS
+        )
+        self._admin = CallerServer(
+            self._answer_admin, settings.metrics, _ADMIN_THREADS, self._clock, _ADMIN_LIMITS
+        )
+
+    def run(self) -> int:
+        """Serve until told to stop, then drain; return the exit code."""
+        signal.signal(signal.SIGTERM, lambda *_: self._signalled(self._leaving))
+        signal.signal(signal.SIGINT, lambda *_: self._signalled(self._leaving))
+        signal.signal(signal.SIGHUP, lambda *_: self._signalled(self._reload))
+        self._table_follower.start()
+        self._endpoint_follower.start()
+        self._callers.start()
+        for server in (self._ready, self._admin, self._http):
+            server.start()
+        _log.info("started", instance=self._settings.instance, http=self._settings.http)
+        while not self._leaving.is_set():
+            self._wake.wait()
+            self._wake.clear()
+            if self._reload.is_set():
+                self._reload.clear()
+                self._load_settings()
+        self._drain()
+        return 0
+
+    def _signalled(self, event: threading.Event) -> None:
+        event.set()
+        self._wake.set()
+
+    def _load_settings(self) -> None:
+        loaded = load_settings(self._settings_path, DirectSettings)
+        if isinstance(loaded, list):
+            _log.error("settings not taken", faults=[str(fault) for fault in loaded])
+            return
+        self._settings = loaded
+        self._budget.set_allowance(_allowance(loaded))
+        _log.info("settings reloaded", instance=loaded.instance)
+
+    def _drain(self) -> None:
+        """Leave the balancer, answer what is held, exit."""
+        _log.info("stopping", in_flight=self._callers.in_flight)
+        self._http.drain()
+        pause = threading.Event()
+        pause.wait(_BALANCER_TIME / SECOND)
+        self._http.close_idle()
+        while self._callers.in_flight:
+            pause.wait(_POLL / SECOND)
+            self._http.close_idle()
+        pause.wait(_FLUSH / SECOND)
+        _log.info("stopped", instance=self._settings.instance)
+
+    def _configured(self, table: RoutingTable) -> None:
+        self._http.set_limits(_server_limits(table.limits))
+
+    def _not_ready(self) -> str:
+        if self._leaving.is_set():
+            return "stopping"
+        if not self._view.current.version:
+            return "no configuration yet"
+        if not self._roster.is_known:
+            return "no list of backends yet"
+        return ""
+
+    def _add_gauges(self) -> None:
+        gauge = self._metrics.all.gauge
+        gauge(
+            "canvasyoke_requests_in_flight", "Requests held now.", lambda: self._callers.in_flight
+        )
+        gauge(
+            "canvasyoke_config_version",
+            "Version of the configuration in force.",
+            lambda: self._view.current.version,
+        )
+        gauge("canvasyoke_backends", "Backends known.", lambda: len(self._roster.ids()))
+        gauge(
+            "canvasyoke_store_lost",
+            "1 while the store does not answer.",
+            lambda: int(self._table_follower.is_lost or self._endpoint_follower.is_lost),
+        )
+
+    def _answer_admin(self, environ: dict[str, Any], start: Callable[..., Any]) -> Iterable[bytes]:
+        if environ["PATH_INFO"] == "/metrics":
+            body = self._metrics.all.render().encode()
+            status = "200 OK"
+        else:
+            fault = self._not_ready()
+            body = f"{fault or 'ready'}\n".encode()
+            status = "503 Service Unavailable" if fault else "200 OK"
+        start(status, [("Content-Type", "text/plain"), ("Content-Length", str(len(body)))])
+        return [body]
+
+
+def _allowance(settings: DirectSettings) -> RetryAllowance:
+    window = round(settings.retry_window_s * SECOND)
+    return RetryAllowance(settings.retry_ratio, settings.retry_slack, window)
+
+
+def _server_limits(limits: CallerLimits) -> ServerLimits:
+    return ServerLimits(
+        limits.header_bytes, limits.body_bytes, limits.header_time, limits.idle_time
+    )
--- /dev/null
+++ b/src/canvasyoke/direct/_roster.py
@@ -0,0 +1,201 @@
+"""The backends that an entry knows, and what it has seen of each.
+
+The list comes from the store; load and failures come from this entry's own traffic.
+"""
+
+from __future__ import annotations
+
+import random
+import threading
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Final
+
+from canvasyoke._clock import SECOND, Clock
+from canvasyoke.backend import ReportedLoad
+from canvasyoke.coordination import (
+    RANKERS,
+    Candidate,
+    Ejection,
+    RouteRequest,
+    filter_candidates,
+)
+from canvasyoke.protocol import Reason
+from canvasyoke.state import Endpoint, EndpointState
+
+#: Milliseconds over which a report of load fades to nothing: requests of others that it
+#: counted have ended by then, and new ones have come that it does not know.
+_REPORT_FADES: Final = 2 * SECOND
+#: Part of a new duration in the running mean.
+_DURATION_WEIGHT: Final = 0.2
+_RANKER: Final = "least_loaded"
+
+
+@dataclass(slots=True)
+class _Member:
+    endpoint: Endpoint
+    ejection: Ejection
+    #: Requests of this entry under way there.
+    own: int = 0
+    #: Requests of other entries, by the last report, and when that came.
+    others: int = 0
+    reported_at: int = 0
+    duration: float = 0.0
+    #: Whether the address was found to belong to another run.
+    moved: bool = False
+    #: Time on the clock until which it is passed over.
+    paused_until: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Chosen:
+    """A backend to send a request to."""
+
+    endpoint: Endpoint
+    #: Requests it was thought to have, for the log.
+    load: int
+
+
+@dataclass(frozen=True, slots=True)
+class NoneAble:
+    """No backend may take a request."""
+
+    reason: Reason
+
+
+@dataclass(slots=True)
+class Roster:
+    """All backends known; thread-safe."""
+
+    domain: str
+    clock: Clock
+    rng: random.Random
+    #: Whether a list has been read.
+    is_known: bool = False
+    #: Time on the clock of the last word from the store, for the log.
+    heard_at: int = 0
+    _lock: threading.Lock = field(default_factory=threading.Lock)
+    _members: dict[str, _Member] = field(default_factory=dict)
+
+    def replace(self, endpoints: Iterable[Endpoint], keep: frozenset[str] = frozenset()) -> None:
+        """Take a whole list; those in ``keep`` stay although it lacks them."""
+        with self._lock:
+            listed = {endpoint.id: endpoint for endpoint in endpoints}
+            for lost in self._members.keys() - listed.keys() - keep:
+                del self._members[lost]
+            for endpoint in listed.values():
+                self._put(endpoint)
+            self.is_known = True
+            self.heard_at = self.clock.now()
+
+    def put(self, endpoint: Endpoint) -> None:
+        """Add or change one backend."""
+        with self._lock:
+            self._put(endpoint)
+            self.heard_at = self.clock.now()
+
+    def remove(self, endpoint_id: str) -> None:
+        """Forget one backend; requests under way there go on."""
+        with self._lock:
+            self._members.pop(endpoint_id, None)
+            self.heard_at = self.clock.now()
+
+    def _put(self, endpoint: Endpoint) -> None:
+        member = self._members.get(endpoint.id)
+        if member is None:
+            self._members[endpoint.id] = _Member(endpoint, Ejection(self.clock))
+        else:
+            member.endpoint = endpoint
+
+    def ids(self) -> frozenset[str]:
+        """Return the ids of all backends known."""
+        with self._lock:
+            return frozenset(self._members)
+
+    def endpoints(self) -> list[Endpoint]:
+        """Return all backends known."""
+        with self._lock:
+            return [member.endpoint for member in self._members.values()]
+
+    def own_load(self) -> dict[str, int]:
+        """Return this entry's requests under way by backend."""
+        with self._lock:
+            return {i: m.own for i, m in self._members.items() if m.own}
+
+    def choose(self, service: str, tried: frozenset[str]) -> Chosen | NoneAble:
+        """Return the backend for a request and count the request there."""
+        with self._lock:
+            found = filter_candidates(
+                [self._candidate(m) for m in self._members.values()],
+                RouteRequest(service, self.domain, tried),
+            )
+            if not found.candidates:
+                return NoneAble(found.reason)
+            ranker = RANKERS.get(_RANKER)(self.rng)
+            best = ranker.choose(found.candidates, RouteRequest(service, self.domain, tried))
+            member = self._members[best.instance]
+            member.own += 1
+            member.ejection.sent()
+            return Chosen(member.endpoint, best.load)
+
+    def _candidate(self, member: _Member) -> Candidate:
+        now = self.clock.now()
+        endpoint = member.endpoint
+        fade = max(0.0, 1 - (now - member.reported_at) / _REPORT_FADES)
+        others = round(member.others * fade)
+        return Candidate(
+            instance=endpoint.id,
+            domain=endpoint.domain,
+            service=endpoint.service,
+            connected=not member.moved,
+            leaving=endpoint.state is EndpointState.LEAVING,
+            healthy=True,
+            ejected=member.ejection.ejected or now < member.paused_until,
+            slots=endpoint.slots,
+            queue=0,
+            reported=others + member.own,
+            waiting=0,
+            report_age=0,
+            own_reported=member.own,
+            own=member.own,
+            duration=round(member.duration),
+        )
+
+    def load_seen(self, endpoint_id: str, load: ReportedLoad) -> None:
+        """Take note of the load that a backend told on an answer."""
+        with self._lock:
+            member = self._members.get(endpoint_id)
+            if member is None:
+                return
+            # The request that the answer belongs to may or may not be counted in it.
+            member.others = max(0, load.running + load.waiting - member.own)
+            member.reported_at = self.clock.now()
+
+    def finished(self, endpoint_id: str, duration: int, failed: bool) -> None:
+        """Take note that a request is no longer under way there."""
+        with self._lock:
+            member = self._members.get(endpoint_id)
+            if member is None:
+                return
+            member.own = max(0, member.own - 1)
+            if failed:
+                member.ejection.failed()
+                return
+            member.ejection.succeeded()
+            member.duration += _DURATION_WEIGHT * (duration - member.duration)
+
+    def moved(self, endpoint_id: str) -> None:
+        """Take note that another run has the address of this one."""
+        with self._lock:
+            member = self._members.get(endpoint_id)
+            if member is not None:
+                member.own = max(0, member.own - 1)
+                member.moved = True
+
+    def refused(self, endpoint_id: str, pause: int) -> None:
+        """Take note that a backend turned a request away unrun; pass it over for a while."""
+        with self._lock:
+            member = self._members.get(endpoint_id)
+            if member is not None:
+                member.own = max(0, member.own - 1)
+                member.paused_until = self.clock.now() + pause
--- /dev/null
+++ b/src/canvasyoke/platform/__init__.py
@@ -0,0 +1,10 @@
+"""Adapters to the users' platform: names, formats and calls; nothing here decides.
+
+Importing the package registers its adapters under the name ``objects``.
+"""
+
+from canvasyoke.platform._callers import ObjectsCallerPort
+from canvasyoke.platform._engine import ObjectsBackendPort
+from canvasyoke.platform._store import ObjectsFleetStore
+
+__all__ = ["ObjectsBackendPort", "ObjectsCallerPort", "ObjectsFleetStore"]
--- /dev/null
+++ b/src/canvasyoke/platform/_config.py
@@ -0,0 +1,152 @@
+"""The operator's configuration object, decoded into a routing table."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import msgspec
+
+from canvasyoke.state import (
+    CallerLimits,
+    RankGeometry,
+    Repeatability,
+    RoutingTable,
+    ServiceShare,
+    TableOrganisation,
+    TableRoute,
+    TableService,
+    Unusable,
+    index_routes,
+)
+
+_STREAM: Final = "streaming"
+_SAFE: Final = "safe"
+_BITS_PER_MEGABYTE: Final = 8.0
+_SECOND: Final = 1_000.0
+
+
+class _Share(msgspec.Struct, frozen=True):
+    service: str = msgspec.field(name="Service")
+    weight: int = msgspec.field(name="Weight")
+
+
+class _Route(msgspec.Struct, frozen=True):
+    name: str = msgspec.field(name="Name")
+    host: str = msgspec.field(name="Host")
+    path_prefix: str = msgspec.field(name="PathPrefix")
+    kind: str = msgspec.field(name="Kind")
+    timeout: int = msgspec.field(name="TimeoutMs")
+    # Counted up to the first event of a stream, to the whole answer otherwise.
+    objective: int = msgspec.field(name="TargetLatencyMs", default=0)
+    priority: int = msgspec.field(name="Priority", default=5)
+    service: str = msgspec.field(name="Service", default="")
+    shares: list[_Share] = msgspec.field(name="TrafficSplit", default=[])
+    # The backends that one request may be sent to, not the sends.
+    max_attempts: int = msgspec.field(name="MaxAttempts", default=1)
+    is_anonymous: bool = msgspec.field(name="AllowAnonymous", default=False)
+    resumable: bool = msgspec.field(name="StreamResume", default=False)
+
+
+class _Engine(msgspec.Struct, frozen=True):
+    link_mbps: float = msgspec.field(name="LinkMbps", default=0.0)
+    # A set here is a layer whose experts are placed on their own.
+    sets: int = 0
+    experts: int = 0
+    places: int = 0
+    spare: int = 0
+    expert_mb: float = 0.0
+
+
+class _Service(msgspec.Struct, frozen=True):
+    name: str = msgspec.field(name="Name")
+    max_connections: int = msgspec.field(name="MaxConnections", default=0)
+    engine: _Engine | None = msgspec.field(name="Engine", default=None)
+
+
+class _Limits(msgspec.Struct, frozen=True):
+    header_bytes: int = msgspec.field(name="MaxHeaderBytes")
+    body_bytes: int = msgspec.field(name="MaxBodyBytes")
+    header_time: int = msgspec.field(name="HeaderTimeoutMs")
+    idle_time: int = msgspec.field(name="IdleTimeoutMs")
+
+
+class _Organisation(msgspec.Struct, frozen=True):
+    name: str = msgspec.field(name="Name")
+    keys: list[str] = msgspec.field(name="ApiKeys", default=[])
+    priority: int | None = msgspec.field(name="Priority", default=None)
+
+
+class _Config(msgspec.Struct, frozen=True):
+    version: int = msgspec.field(name="Version")
+    routes: list[_Route] = msgspec.field(name="Routes")
+    services: list[_Service] = msgspec.field(name="Services", default=[])
+    limits: _Limits | None = msgspec.field(name="Limits", default=None)
+    organisations: list[_Organisation] | None = msgspec.field(name="Tenants", default=None)
+
+
+_DECODER: Final = msgspec.json.Decoder(_Config)
+
+
+def decode_table(document: bytes) -> RoutingTable | Unusable:
+    """Return the table that a configuration document holds."""
+    try:
+        config = _DECODER.decode(document)
+    except msgspec.MsgspecError as exc:
+        return Unusable(f"the configuration cannot be read: {exc}")
+    routes = tuple(_route(route) for route in config.routes)
+    extra = {} if config.limits is None else {"limits": _limits(config.limits)}
+    return RoutingTable(
+        version=config.version,
+        routes=routes,
+        services={s.name: _service(s) for s in config.services},
+        organisations={
+            key: TableOrganisation(o.name, o.priority)
+            for o in config.organisations or ()
+            for key in o.keys
+        },
+        has_organisations=config.organisations is not None,
+        _by_host=index_routes(routes),
+        **extra,
+    )
+
+
+def _route(route: _Route) -> TableRoute:
+    shares = tuple(ServiceShare(s.service, s.weight) for s in route.shares)
+    safe = route.kind == _SAFE
+    return TableRoute(
+        name=route.name,
+        host=route.host,
+        path_prefix=route.path_prefix,
+        shares=shares or (ServiceShare(route.service, 1),),
+        repeatability=Repeatability.SAFE if safe else Repeatability.ONCE,
+        is_stream=route.kind == _STREAM,
+        resumable=route.resumable,
+        timeout=route.timeout,
+        objective=route.objective,
+        priority=route.priority,
+        max_attempts=max(1, route.max_attempts),
+        is_anonymous=route.is_anonymous,
+    )
+
+
+def _service(service: _Service) -> TableService:
+    return TableService(service.name, service.max_connections, _geometry(service.engine))
+
+
+def _geometry(engine: _Engine | None) -> RankGeometry | None:
+    if engine is None or not engine.sets:
+        return None
+    megabits = engine.expert_mb * _BITS_PER_MEGABYTE
+    return RankGeometry(
+        layers=engine.sets,
+        experts=engine.experts,
+        capacity=engine.places,
+        new_limit=engine.spare,
+        copy_time=megabits / engine.link_mbps * _SECOND if engine.link_mbps else 0.0,
+    )
+
+
+def _limits(limits: _Limits) -> CallerLimits:
+    return CallerLimits(
+        limits.header_bytes, limits.body_bytes, limits.header_time, limits.idle_time
+    )
--- /dev/null
+++ b/src/canvasyoke/platform/_engine.py
@@ -0,0 +1,167 @@
+"""Requests to engines and plain services as the platform's pages describe them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Final
+
+from canvasyoke.backend import (
+    DIRECT_BACKENDS,
+    BackendAnswer,
+    DirectBackendPort,
+    MayHaveRun,
+    NotRun,
+    NotRunCause,
+    OutboundRequest,
+    ReportedLoad,
+    Sending,
+)
+from canvasyoke.state import Endpoint
+from canvasyoke.transport import Exchange, ExchangeSlot, NotConnected, Sent, exchange
+
+_REQUEST_ID: Final = "Attempt-Id"
+_TIME_LEFT: Final = "Request-Deadline"
+_EXPECTED_BACKEND: Final = "Expect-Instance"
+_ORGANISATION: Final = "Tenant"
+_PRIORITY: Final = "Priority"
+_RESUME_AFTER: Final = "Last-Event-Id"
+#: Proves that an answer is the backend's own.
+_SEAL: Final = "Response-Seal"
+#: Present only when the request was not run.
+_NOT_RUN: Final = "Not-Executed"
+_LOAD: Final = "Server-Load"
+_AT_FAULT: Final = "At-Server"
+_MISDIRECTED: Final = 421
+_TOO_MANY: Final = 429
+_UNAVAILABLE: Final = 503
+_SUCCESS: Final = range(200, 300)
+#: The engine's scale of priorities.
+_LEAST_URGENT: Final = 9
+#: Headers of an answer that concern the one connection it came on, and those that are
+#: for the load balancer.
+_NOT_PASSED_BACK: Final = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "transfer-encoding",
+        "te",
+        "trailer",
+        "upgrade",
+        "proxy-authenticate",
+        "proxy-connection",
+        "server-load",
+        "instance-id",
+        "at-server",
+        "date",
+        "server",
+    }
+)
+
+
+class _EngineAnswer(BackendAnswer):
+    """An answer that bears the backend's seal or is a failure of its own."""
+
+    def __init__(self, exchange_: Exchange, load: ReportedLoad | None) -> None:
+        self.status = exchange_.status
+        self.headers = [h for h in exchange_.headers if h[0].lower() not in _NOT_PASSED_BACK]
+        self.load = load
+        self._exchange = exchange_
+
+    def pieces(self) -> Iterator[bytes]:
+        """Yield the body."""
+        return self._exchange.pieces()
+
+    def wait_at_most(self, duration: int) -> None:
+        """Bound each further read."""
+        self._exchange.wait_at_most(duration)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._exchange.close()
+
+
+@DIRECT_BACKENDS.register("objects")
+class ObjectsBackendPort(DirectBackendPort):
+    """HTTP with the platform's headers."""
+
+    def send(
+        self, endpoint: Endpoint, request: OutboundRequest, connect_timeout: int, slot: ExchangeSlot
+    ) -> Sending:
+        """Send ``request`` to ``endpoint``."""
+        sent = exchange(
+            endpoint.address,
+            request.method,
+            request.target,
+            _headers(endpoint, request),
+            request.body,
+            connect_timeout=connect_timeout,
+            read_timeout=request.time_left,
+            slot=slot,
+        )
+        if isinstance(sent, NotConnected):
+            return NotRun(NotRunCause.UNREACHABLE, sent.detail)
+        if isinstance(sent, Sent):
+            return MayHaveRun(sent.detail)
+        return _classify(sent, request.request_id)
+
+
+def _headers(endpoint: Endpoint, request: OutboundRequest) -> list[tuple[str, str]]:
+    headers = [
+        *request.headers,
+        (_REQUEST_ID, request.request_id),
+        (_TIME_LEFT, str(request.time_left)),
+        (_EXPECTED_BACKEND, endpoint.id),
+        (_PRIORITY, str(min(_LEAST_URGENT, max(0, request.priority)))),
+    ]
+    if request.organisation:
+        headers.append((_ORGANISATION, request.organisation))
+    if request.resume_after:
+        headers.append((_RESUME_AFTER, request.resume_after))
+    return headers
+
+
+def _classify(answer: Exchange, request_id: str) -> Sending:
+    """Tell an answer from a refusal and from bytes that belong to something else."""
+    refused = _refusal(answer)
+    if refused is not None:
+        answer.close()
+        return refused
+    fault = _fault(answer, request_id)
+    if fault:
+        answer.close()
+        return MayHaveRun(fault)
+    return _EngineAnswer(answer, _load(answer.header(_LOAD)))
+
+
+def _refusal(answer: Exchange) -> NotRun | None:
+    status = answer.status
+    at_fault = answer.header(_AT_FAULT) or ""
+    if status == _MISDIRECTED:
+        return NotRun(NotRunCause.MOVED, "another run has the address", at_fault)
+    if answer.header(_NOT_RUN) is None or status in _SUCCESS:
+        return None
+    full = status in (_TOO_MANY, _UNAVAILABLE)
+    cause = NotRunCause.FULL if full else NotRunCause.REJECTED
+    return NotRun(cause, f"refused with status {status}", at_fault)
+
+
+def _fault(answer: Exchange, request_id: str) -> str:
+    """Return why an answer cannot be the one to this request; empty if it can."""
+    echoed = answer.header(_REQUEST_ID)
+    if echoed is not None and echoed != request_id:
+        return "the answer is to another request"
+    if answer.status not in _SUCCESS:
+        return ""
+    if answer.header(_SEAL) is None:
+        return "a success without the backend's seal"
+    if answer.header("Content-Encoding") is not None:
+        return "the body is encoded, so it is not the backend's"
+    return ""
+
+
+def _load(text: str | None) -> ReportedLoad | None:
+    try:
+        running, waiting, slots = (int(part) for part in (text or "").split(","))
+    except ValueError:
+        return None
+    return ReportedLoad(running, waiting, slots)
--- /dev/null
+++ b/src/canvasyoke/platform/_ranks.py
@@ -0,0 +1,1 @@
+"""stub to be replaced"""
--- /dev/null
+++ b/src/canvasyoke/state/_fleet_store.py
@@ -0,0 +1,142 @@
+"""The store of a platform that lists backends and configuration as objects.
+
+Adapters register under a name. All calls return values; an adapter raises nothing.
+Revisions are those of the store as a whole, so a watch of one kind can be continued
+from the revision at which a list of that kind was taken.
+"""
+
+from __future__ import annotations
+
+import enum
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TypeAlias
+
+from canvasyoke._registry import Registry
+from canvasyoke.state._platform import Unavailable
+from canvasyoke.state._routing_table import RoutingTable
+
+
+class EndpointState(enum.Enum):
+    """What a backend says of itself in the store."""
+
+    READY = enum.auto()
+    LEAVING = enum.auto()
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """One run of an engine or of a plain service's server."""
+
+    #: Name of this run; a restart has another.
+    id: str
+    service: str
+    #: ``IP:PORT``; after the end of this run another service's server may get it.
+    address: str
+    domain: str
+    #: Requests that it works on at once.
+    slots: int
+    state: EndpointState
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointList:
+    """All backends in the store at one revision."""
+
+    endpoints: tuple[Endpoint, ...]
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointChanges:
+    """What happened to backends between two revisions, in order."""
+
+    #: Pairs of a backend and whether its entry was removed.
+    changes: tuple[tuple[Endpoint, bool], ...]
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class TableRead:
+    """The configuration at one revision of the store."""
+
+    table: RoutingTable
+    revision: int
+    #: The document that the table was built from, to pass on to other processes.
+    document: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class NothingNew:
+    """A watch ended without a change."""
+
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryGone:
+    """The store has forgotten what came after the revision asked for: list again."""
+
+
+@dataclass(frozen=True, slots=True)
+class Unusable:
+    """The store answered with something that cannot be read."""
+
+    detail: str
+
+
+EndpointsSeen: TypeAlias = EndpointChanges | NothingNew | HistoryGone | Unavailable | Unusable
+TableSeen: TypeAlias = TableRead | NothingNew | HistoryGone | Unavailable | Unusable
+
+
+@dataclass(frozen=True, slots=True)
+class Note:
+    """An object of the system's own in the store."""
+
+    name: str
+    revision: int
+    body: bytes
+
+
+class FleetStore(ABC):
+    """What entries and rank processes ask of the platform's store."""
+
+    @abstractmethod
+    def endpoints(self) -> EndpointList | Unavailable | Unusable:
+        """Return every backend."""
+
+    @abstractmethod
+    def watch_endpoints(self, after: int, wait: int) -> EndpointsSeen:
+        """Wait up to ``wait`` milliseconds for changes after revision ``after``."""
+
+    @abstractmethod
+    def table(self) -> TableSeen:
+        """Return the configuration; ``NothingNew`` when the store holds none yet."""
+
+    @abstractmethod
+    def watch_table(self, after: int, wait: int) -> TableSeen:
+        """Wait up to ``wait`` milliseconds for a configuration after revision ``after``."""
+
+    @abstractmethod
+    def parse_table(self, document: bytes) -> RoutingTable | Unusable:
+        """Return the table that a document passed on by another process holds."""
+
+    @abstractmethod
+    def notes(self, kind: str) -> list[Note] | Unavailable | Unusable:
+        """Return the system's own objects of ``kind``."""
+
+    @abstractmethod
+    def put_note(self, kind: str, name: str, body: bytes) -> Note | Unavailable | Unusable:
+        """Create or replace an object; the answer's revision is above all earlier ones."""
+
+    @abstractmethod
+    def create_note(self, kind: str, name: str, body: bytes) -> Note | Unavailable | Unusable:
+        """Create an object, or return the one that is there already."""
+
+
+#: Makes a store client for ``IP:PORT``.
+MakeFleetStore: TypeAlias = Callable[[str], FleetStore]
+
+#: Store adapters by name.
+FLEET_STORES: Registry[MakeFleetStore] = Registry("fleet store")
--- a/src/canvasyoke/state/_settings.py
+++ b/src/canvasyoke/state/_settings.py
@@ -82,7 +82,42 @@
     ] = 0
 
 
-SettingsT = TypeVar("SettingsT", EntrySettings, TargetSettings)
+class DirectSettings(_Model, frozen=True, kw_only=True):
+    """Settings of an entry that calls backends itself."""
+
+    instance: Annotated[Name, Meta(description="Name of the instance.")]
+    domain: Annotated[Name, Meta(description="Failure domain it stands in.")]
+    http: Annotated[Address, Meta(description="Where callers are served.")]
+    ready: Annotated[Address, Meta(description="Where the balancer asks for readiness.")]
+    peer: Annotated[Address, Meta(description="Where other entries connect.")]
+    metrics: Annotated[Address, Meta(description="Where status and metrics are served.")]
+    store: Annotated[Address, Meta(description="Address of the platform's store.")]
+    adapter: Annotated[str, Meta(description="Name of the registered adapters to use.")]
+    retry_ratio: Annotated[
+        float, Meta(ge=0, description="Retries allowed for each request to a service.")
+    ] = 0.1
+    retry_window_s: Annotated[
+        float, Meta(gt=0, description="Seconds over which retries are counted.")
+    ] = 10.0
+    retry_slack: Annotated[
+        int, Meta(ge=0, description="Retries allowed in a window beyond the ratio, fleet-wide.")
+    ] = 20
+    log: LogSettings = LogSettings(format="json")
+
+
+class RanksSettings(_Model, frozen=True, kw_only=True):
+    """Settings of the process beside an engine that moves its group's experts."""
+
+    instance: Annotated[Name, Meta(description="Name of the instance.")]
+    engine: Annotated[Address, Meta(description="Address of the engine beside it.")]
+    peer: Annotated[Address, Meta(description="Where its group's other processes connect.")]
+    metrics: Annotated[Address, Meta(description="Where metrics are served.")]
+    store: Annotated[Address, Meta(description="Address of the platform's store.")]
+    adapter: Annotated[str, Meta(description="Name of the registered adapters to use.")]
+    log: LogSettings = LogSettings(format="json")
+
+
+SettingsT = TypeVar("SettingsT", EntrySettings, TargetSettings, DirectSettings, RanksSettings)
 
 
 def load_settings(path: str, model: type[SettingsT]) -> SettingsT | list[Fault]:
--- /dev/null
+++ b/src/canvasyoke/transport/_exchange.py
@@ -0,0 +1,187 @@
+"""One request on a connection of its own, with urllib3; the answer is read as it comes.
+
+A fresh connection for each request costs a round trip inside the data centre. In return
+no answer can be taken for another's, a connection that went stale cannot swallow a
+request that must not repeat, and bytes left over from an answer die with their socket.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import http.client
+import socket
+import threading
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+from typing import Final
+
+import urllib3
+from urllib3.connection import HTTPConnection
+
+from canvasyoke._clock import SECOND
+
+#: Keep-alive probes tell a peer without power from one that is busy: one second idle,
+#: then two probes a second apart. Shorter would add wake-ups, longer lets a stream that
+#: could go on elsewhere wait past the two seconds after which callers give up.
+_PROBE_AFTER_S: Final = 1
+_PROBE_EVERY_S: Final = 1
+_PROBES: Final = 2
+#: Milliseconds that sent bytes may stay without acknowledgement.
+_UNACKNOWLEDGED: Final = 2 * SECOND
+_SOCKET_OPTIONS: Final = [
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _PROBE_AFTER_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_EVERY_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _PROBES),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED),
+]
+_READ_BYTES: Final = 64 << 10
+#: Least time given to a socket operation, in milliseconds; zero would mean not to block.
+_LEAST_TIMEOUT: Final = 1
+
+
+class ExchangeError(OSError):
+    """An answer broke off, is malformed or did not come in time."""
+
+
+@dataclass(frozen=True, slots=True)
+class NotConnected:
+    """No connection was made, so the peer has not seen the request."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """The request may have been read by the peer, and there is no answer."""
+
+    detail: str
+
+
+class Exchange:
+    """A request that was sent, and its answer."""
+
+    def __init__(self, connection: HTTPConnection, response: urllib3.HTTPResponse) -> None:
+        self._connection = connection
+        self._response = response
+        #: HTTP status.
+        self.status = response.status
+        #: Header names and values in the order they came.
+        self.headers: list[tuple[str, str]] = list(response.headers.items())
+
+    def header(self, name: str) -> str | None:
+        """Return the value of a header, or ``None``."""
+        return self._response.headers.get(name)
+
+    def pieces(self) -> Iterator[bytes]:
+        """Yield the body as it comes; raises :class:`ExchangeError` if it is not whole."""
+        try:
+            if self._response.chunked:
+                yield from self._response.read_chunked(decode_content=False)
+                return
+            while piece := self._response.read1(_READ_BYTES, decode_content=False):
+                yield piece
+            if self._response.length_remaining:
+                raise ExchangeError(f"{self._response.length_remaining} bytes are missing")
+        except ExchangeError:
+            raise
+        except (urllib3.exceptions.HTTPError, http.client.HTTPException, OSError) as exc:
+            raise ExchangeError(f"{type(exc).__name__}: {exc}") from exc
+        except (AttributeError, ValueError) as exc:
+            # A socket that another task shut down while it was being read.
+            raise ExchangeError(f"the connection was closed: {exc}") from exc
+
+    def wait_at_most(self, duration: int) -> None:
+        """Let each further read take up to ``duration`` milliseconds."""
+        sock = self._connection.sock
+        if sock is not None:
+            sock.settimeout(max(_LEAST_TIMEOUT, duration) / SECOND)
+
+    def close(self) -> None:
+        """Give the connection up; the peer sees it closed."""
+        with contextlib.suppress(OSError):
+            self._response.close()
+        self._connection.close()
+
+
+class ExchangeSlot:
+    """Lets another task shut down an exchange at any moment of its life."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._connection: HTTPConnection | None = None
+        self._sock: socket.socket | None = None
+        #: Whether it was shut down.
+        self.is_shut = False
+
+    def hold(self, sock: socket.socket | None) -> bool:
+        """Take the socket in use now; false when it is to be given up at once."""
+        with self._lock:
+            self._sock = sock
+            return not self.is_shut
+
+    def shut(self) -> None:
+        """Shut the socket down, now or as soon as there is one."""
+        with self._lock:
+            self.is_shut = True
+            if self._sock is None:
+                return
+            with contextlib.suppress(OSError):
+                self._sock.shutdown(socket.SHUT_RDWR)
+
+
+def exchange(
+    address: str,
+    method: str,
+    target: str,
+    headers: Sequence[tuple[str, str]],
+    body: bytes,
+    *,
+    connect_timeout: int,
+    read_timeout: int,
+    slot: ExchangeSlot | None = None,
+) -> Exchange | NotConnected | Sent:
+    """Send one request and wait for the head of its answer; times in milliseconds."""
+    slot = slot or ExchangeSlot()
+    host, port = address.rsplit(":", 1)
+    connection = HTTPConnection(
+        host, int(port), timeout=connect_timeout / SECOND, socket_options=_SOCKET_OPTIONS
+    )
+    try:
+        connection.connect()
+    except (urllib3.exceptions.HTTPError, OSError) as exc:
+        connection.close()
+        return NotConnected(f"{type(exc).__name__}: {exc}")
+    if not slot.hold(connection.sock):
+        connection.close()
+        return NotConnected("given up before anything was sent")
+    connection.timeout = max(_LEAST_TIMEOUT, read_timeout) / SECOND
+    connection.sock.settimeout(connection.timeout)
+    try:
+        # A backend may refuse a long body before it has read it: the answer is there
+        # although the rest of the body could not be sent.
+        with contextlib.suppress(BrokenPipeError, ConnectionResetError):
+            connection.request(
+                method,
+                target,
+                body=body or None,
+                headers=_with_defaults(headers),
+                preload_content=False,
+                decode_content=False,
+            )
+        return Exchange(connection, connection.getresponse())
+    except (urllib3.exceptions.HTTPError, http.client.HTTPException, OSError, ValueError) as exc:
+        connection.close()
+        return Sent(f"{type(exc).__name__}: {exc}")
+
+
+def _with_defaults(headers: Sequence[tuple[str, str]]) -> dict[str, str]:
+    """Return the headers, with those that the library would add switched off."""
+    sent: dict[str, str] = {
+        "User-Agent": urllib3.util.SKIP_HEADER,
+        "Accept-Encoding": urllib3.util.SKIP_HEADER,
+        "Connection": "close",
+    }
+    sent.update(headers)
+    return sent
