Processes beside ranks move the experts of their groups

The process beside rank 0 owns its group's map, gathers counts over sealed links and puts small changes in force: prepare, hold one step, arm all, release.

--- a/src/canvasyoke/cli/_roles.py
+++ b/src/canvasyoke/cli/_roles.py
@@ -73,6 +73,7 @@
     if isinstance(loaded, list):
         return _refuse(loaded)
     set_up_logs(loaded.log, loaded.instance, sys.stdout)
+    from canvasyoke import platform  # noqa: F401  (it fills the registries)
     from canvasyoke.direct._process import DirectEntryProcess
 
     return _run(lambda: DirectEntryProcess(loaded, settings).run())
@@ -88,6 +89,7 @@
     if isinstance(loaded, list):
         return _refuse(loaded)
     set_up_logs(loaded.log, loaded.instance, sys.stdout)
+    from canvasyoke import platform  # noqa: F401  (it fills the registries)
     from canvasyoke.experts._process import RanksProcess
 
     return _run(lambda: RanksProcess(loaded).run())
--- a/src/canvasyoke/coordination/__init__.py
+++ b/src/canvasyoke/coordination/__init__.py
@@ -20,8 +20,9 @@
     check_key,
     slot_of,
 )
-from canvasyoke.coordination._layer_plan import PlanPolicy
+from canvasyoke.coordination._layer_plan import Layer, PlanPolicy
 from canvasyoke.coordination._lease import LEASE, RENEW_EVERY, Lease, LeaseWatch
+from canvasyoke.coordination._map_step import MapStep, MapStepLimits, plan_map_step
 from canvasyoke.coordination._planner import (
     POLICIES,
     ExpertMap,
@@ -59,8 +60,11 @@
     "KeyNote",
     "KeyState",
     "KeyedRequest",
+    "Layer",
     "Lease",
     "LeaseWatch",
+    "MapStep",
+    "MapStepLimits",
     "Offer",
     "PlanPolicy",
     "Ranker",
@@ -76,5 +80,6 @@
     "map_skew",
     "next_step",
     "plan_map",
+    "plan_map_step",
     "slot_of",
 ]
--- a/src/canvasyoke/coordination/_layer_plan.py
+++ b/src/canvasyoke/coordination/_layer_plan.py
@@ -59,7 +59,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Change:
+class LayerChange:
     """One copy added to ``rank``, perhaps in place of copies elsewhere."""
 
     #: Highest load of the ranks concerned after the change.
@@ -129,11 +129,34 @@
             change = self._best_change(slowest, peak)
             if change is None or (peak - change.peak) / mean < policy.price * change.copies:
                 break
-            for expert, holders in change.holders:
-                self._set_holders(expert, holders)
+            self.apply(change)
             moved += change.copies
         return moved
 
+    @property
+    def peak(self) -> float:
+        """Return the load of the most loaded rank."""
+        return max(self._loads.values())
+
+    def new_copies(self, change: LayerChange) -> list[int]:
+        """Return the ranks that have to copy an expert for ``change``, once for each."""
+        return [
+            rank
+            for expert, holders in change.holders
+            for rank in holders - self._holders[expert]
+        ]
+
+    def next_change(self, closed: frozenset[int]) -> LayerChange | None:
+        """Return the change that relieves the slowest rank most, without new copies on
+        the ranks in ``closed``."""
+        slowest = max(self._ranks, key=lambda r: self._loads[r])
+        return self._best_change(slowest, self._loads[slowest], closed)
+
+    def apply(self, change: LayerChange) -> None:
+        """Carry out a change."""
+        for expert, holders in change.holders:
+            self._set_holders(expert, holders)
+
     def _set_holders(self, expert: int, holders: frozenset[int]) -> None:
         for rank in self._holders[expert]:
             self._loads[rank] -= self._weights[expert] / len(self._holders[expert])
@@ -143,16 +166,20 @@
             self._experts[rank].add(expert)
         self._holders[expert] = holders
 
-    def _best_change(self, slowest: int, peak: float) -> _Change | None:
+    def _best_change(
+        self, slowest: int, peak: float, closed: frozenset[int] = frozenset()
+    ) -> LayerChange | None:
         by_load = sorted(self._ranks, key=lambda r: self._loads[r])
         heavy = sorted(self._experts[slowest], key=lambda e: -self._share(e))[:_EXPERTS]
-        best: _Change | None = None
+        best: LayerChange | None = None
         spare = self._spare_places()
         for expert in heavy:
             for place in dict.fromkeys([*by_load[:_PLACES], *spare]):
                 for change in self._changes(expert, slowest, place):
                     gain = (peak - change.peak) / change.copies
-                    if gain > 0 and (best is None or gain > (peak - best.peak) / best.copies):
+                    if gain <= 0 or (closed and closed.intersection(self.new_copies(change))):
+                        continue
+                    if best is None or gain > (peak - best.peak) / best.copies:
                         best = change
         return best
 
@@ -171,7 +198,7 @@
     def _share(self, expert: int) -> float:
         return self._weights[expert] / len(self._holders[expert])
 
-    def _changes(self, expert: int, slowest: int, place: int) -> list[_Change]:
+    def _changes(self, expert: int, slowest: int, place: int) -> list[LayerChange]:
         if place == slowest or expert in self._experts[place]:
             return []
         holders = self._holders[expert]
@@ -185,7 +212,7 @@
         changes.extend(self._swaps(expert, slowest, place))
         return changes
 
-    def _evictions(self, expert: int, slowest: int, place: int) -> list[_Change]:
+    def _evictions(self, expert: int, slowest: int, place: int) -> list[LayerChange]:
         """Replace a second copy at a full ``place`` by a copy of ``expert``, or move it there."""
         doubled = [e for e in self._experts[place] if len(self._holders[e]) > 1]
         if not doubled:
@@ -196,7 +223,7 @@
         moved = (expert, (self._holders[expert] - {slowest}) | {place})
         return [self._evaluate((freed, new), slowest, place) for new in (added, moved)]
 
-    def _swaps(self, expert: int, slowest: int, place: int) -> list[_Change]:
+    def _swaps(self, expert: int, slowest: int, place: int) -> list[LayerChange]:
         """Exchange ``expert`` for that expert of ``place`` which evens the two best."""
         surplus = (self._loads[slowest] - self._loads[place]) / 2
         wanted_share = self._share(expert) - surplus
@@ -212,7 +239,7 @@
 
     def _evaluate(
         self, wanted: tuple[tuple[int, frozenset[int]], ...], slowest: int, place: int
-    ) -> _Change:
+    ) -> LayerChange:
         delta: dict[int, float] = {slowest: 0.0, place: 0.0}
         copies = 0
         for expert, holders in wanted:
@@ -223,4 +250,4 @@
             for rank in holders:
                 delta[rank] = delta.get(rank, 0.0) + self._weights[expert] / len(holders)
         peak = max(self._loads[rank] + change for rank, change in delta.items())
-        return _Change(peak, max(1, copies), wanted)
+        return LayerChange(peak, max(1, copies), wanted)
--- /dev/null
+++ b/src/canvasyoke/experts/__init__.py
@@ -0,0 +1,25 @@
+"""Processes beside engines that move the experts of their rank groups."""
+
+from canvasyoke.experts._rank_port import (
+    RANK_PORTS,
+    Armed,
+    MapOrder,
+    MapOrderKind,
+    OrderOutcome,
+    RankMap,
+    RankPort,
+    RankReport,
+    RankUnreachable,
+)
+
+__all__ = [
+    "RANK_PORTS",
+    "Armed",
+    "MapOrder",
+    "MapOrderKind",
+    "OrderOutcome",
+    "RankMap",
+    "RankPort",
+    "RankReport",
+    "RankUnreachable",
+]
--- /dev/null
+++ b/src/canvasyoke/experts/_change.py
@@ -0,0 +1,304 @@
+"""Putting a map in force on all ranks of a group at one step, or on none.
+
+No step may begin while two ranks have different maps. Orders may be lost, or be carried
+out seconds after they were given up, and the owner itself may die between any two.
+
+The change is safe because ranks are armed only while the group is held before the step
+that they are armed for. The step cannot begin until the hold is released, and it is
+released only when every rank has said that it is armed for that step, or every rank
+has said that it is not armed at all. Orders that come late meet a higher fence, which
+every rank has seen before the release.
+
+A hold does not lapse, so whoever owns the map next looks for one before it does
+anything else, and ends it the same way (``recover``).
+"""
+
+from __future__ import annotations
+
+import enum
+import threading
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Final
+
+from canvasyoke._clock import SECOND, Clock
+from canvasyoke.experts._group import NewMap, Ordered, RankGroup
+from canvasyoke.experts._rank_port import (
+    Armed,
+    MapOrder,
+    MapOrderKind,
+    OrderOutcome,
+    RankReport,
+)
+from canvasyoke.observe import part_logger
+
+_log = part_logger("map")
+#: Milliseconds for an order and its answer: the farthest rank answers within ten.
+_ORDER_TIMEOUT: Final = 250
+#: Milliseconds beyond the time computed for copies after which a change is dropped.
+_COPY_SLACK: Final = 1_500
+#: Milliseconds between questions whether all ranks have copied.
+_ASK_EVERY: Final = 25
+#: Steps ahead of the last one begun that are tried, nearest first. A step takes 50 ms
+#: or more, and arming takes a round trip: the nearest step mostly begins on time.
+_STEPS_AHEAD: Final = (1, 1, 2, 3, 5)
+#: Times that arming is tried while the group is held.
+_ARM_TRIES: Final = 2
+#: Milliseconds between tries of what must succeed before the group may go on.
+_INSIST_EVERY: Final = 50
+#: Orders that have been carried out, or that a rank in another epoch has no need of.
+_SETTLED: Final = frozenset({OrderOutcome.DONE, OrderOutcome.CONFLICT})
+
+
+class ChangeResult(enum.StrEnum):
+    """How a change of the map ended."""
+
+    IN_FORCE = "in force"
+    #: A rank did not copy its experts; nothing else was done.
+    NOT_PREPARED = "not prepared"
+    #: No step could be held; nothing else was done.
+    NOT_HELD = "not held"
+    #: Not every rank could be armed; all were disarmed.
+    ABANDONED = "abandoned"
+    #: The group was formed anew, with nothing prepared, armed or held.
+    REFORMED = "reformed"
+    #: Another owner has given orders.
+    REPLACED = "replaced"
+
+
+@dataclass(slots=True)
+class Fences:
+    """Numbers that only rise, also from one owner to the next."""
+
+    #: Above every number of earlier owners.
+    base: int
+    _used: int = 0
+
+    def next(self) -> int:
+        """Return a number above all before it."""
+        self._used += 1
+        return self.base + self._used
+
+
+class _Replaced(Exception):
+    """A rank has seen the fence of another owner."""
+
+
+class _Reformed(Exception):
+    """The group is in another epoch."""
+
+
+class MapChanger:
+    """Changes one group's map, one change after the other."""
+
+    def __init__(
+        self,
+        group: RankGroup,
+        own_rank: int,
+        epoch: int,
+        fences: Fences,
+        clock: Clock,
+        pause: Callable[[float], object] | None = None,
+    ) -> None:
+        self._group = group
+        self._own_rank = own_rank
+        self._epoch = epoch
+        self._fences = fences
+        self._clock = clock
+        self._pause = pause or threading.Event().wait
+
+    def change(self, new: NewMap) -> ChangeResult:
+        """Put ``new`` in force; returns when all is settled either way."""
+        try:
+            return self._change(new)
+        except _Replaced:
+            return ChangeResult.REPLACED
+        except _Reformed:
+            return ChangeResult.REFORMED
+
+    def recover(self) -> ChangeResult:
+        """End what an earlier owner has left behind: holds and armed ranks."""
+        try:
+            return self._recover()
+        except _Replaced:
+            return ChangeResult.REPLACED
+        except _Reformed:
+            return ChangeResult.REFORMED
+
+    def _change(self, new: NewMap) -> ChangeResult:
+        if not self._prepare(new):
+            return ChangeResult.NOT_PREPARED
+        step = self._hold()
+        if not step:
+            return ChangeResult.NOT_HELD
+        armed = self._arm(new.version, step)
+        if not armed:
+            self._disarm_all(new.version)
+        self._release({self._own_rank: step})
+        return ChangeResult.IN_FORCE if armed else ChangeResult.ABANDONED
+
+    def _recover(self) -> ChangeResult:
+        """Hold the group first, so that no rank's step begins between two disarmings."""
+        reports = self._all_reports()
+        armed = {r: report.armed for r, report in reports.items() if report.armed is not None}
+        held = {r: report.held_step for r, report in reports.items() if report.held_step}
+        if armed and not held:
+            step = self._hold()
+            if not step:
+                return ChangeResult.NOT_HELD
+            held = {self._own_rank: step}
+        if armed or held:
+            versions = {a.version for a in armed.values()}
+            _log.info("ending a change left behind", armed=sorted(armed), held=held)
+            self._disarm_all(max(versions, default=1))
+            self._release(held)
+        return ChangeResult.ABANDONED if armed else ChangeResult.IN_FORCE
+
+    def _all_reports(self) -> Mapping[int, RankReport]:
+        while True:
+            reports = self._group.ask(_ORDER_TIMEOUT)
+            self._check_epoch(reports.values())
+            if len(reports) == self._group.size:
+                return reports
+            self._check_own()
+            self._pause(_INSIST_EVERY / SECOND)
+
+    def _prepare(self, new: NewMap) -> bool:
+        """Have all ranks copy their experts; true once all have."""
+        fence = self._fences.next()
+        order = MapOrder(
+            MapOrderKind.PREPARE,
+            fence,
+            self._epoch,
+            version=new.version,
+            layers_by_rank=new.layers_by_rank,
+        )
+        limit = self._clock.now() + new.copy_time + _COPY_SLACK
+        missing = set(range(self._group.size))
+        while missing:
+            given = self._group.give(dict.fromkeys(missing, order), _ORDER_TIMEOUT)
+            self._check(given)
+            refused = [r for r, o in given.items() if o.outcome is OrderOutcome.REJECTED]
+            if refused or self._clock.now() > limit:
+                return False
+            missing = {r for r, o in given.items() if not _has_taken(o, new.version)}
+            if any(given[r].outcome is OrderOutcome.CONFLICT for r in missing):
+                return False
+        return self._await_copies(new, limit)
+
+    def _await_copies(self, new: NewMap, limit: int) -> bool:
+        self._pause(new.copy_time / SECOND)
+        while self._clock.now() < limit:
+            reports = self._group.ask(_ORDER_TIMEOUT)
+            self._check_epoch(reports.values())
+            done = [r for r, report in reports.items() if report.prepared == new.version]
+            if len(done) == self._group.size:
+                return True
+            self._pause(_ASK_EVERY / SECOND)
+        return False
+
+    def _hold(self) -> int:
+        """Keep the group from beginning a step soon to come; return it, or 0."""
+        fence = self._fences.next()
+        for ahead in _STEPS_AHEAD:
+            report = self._own()
+            if report.held_step:
+                return report.held_step
+            step = report.step + ahead
+            order = MapOrder(MapOrderKind.HOLD, fence, self._epoch, step=step)
+            given = self._group.give({self._own_rank: order}, _ORDER_TIMEOUT)
+            self._check(given)
+            held = self._own().held_step
+            if held:
+                return held
+        return 0
+
+    def _arm(self, version: int, step: int) -> bool:
+        """Arm all ranks for ``step``; true only if every one says that it is."""
+        fence = self._fences.next()
+        order = MapOrder(MapOrderKind.ARM, fence, self._epoch, version=version, step=step)
+        missing = set(range(self._group.size))
+        for _ in range(_ARM_TRIES):
+            given = self._group.give(dict.fromkeys(missing, order), _ORDER_TIMEOUT)
+            self._check(given)
+            missing = {r for r, o in given.items() if not _is_armed(o, Armed(version, step))}
+            if not missing:
+                return True
+            if any(given[r].outcome is OrderOutcome.CONFLICT for r in missing):
+                return False
+        return False
+
+    def _disarm_all(self, version: int) -> None:
+        """Have every rank say that it is not armed, under a fence above all orders before."""
+        missing = set(range(self._group.size))
+        while missing:
+            order = MapOrder(
+                MapOrderKind.DISARM, self._fences.next(), self._epoch, version=version
+            )
+            given = self._group.give(dict.fromkeys(missing, order), _ORDER_TIMEOUT)
+            self._check(given)
+            missing = {r for r, o in given.items() if not _is_disarmed(o)}
+            if missing:
+                self._check_own()
+                self._pause(_INSIST_EVERY / SECOND)
+
+    def _release(self, held: Mapping[int, int]) -> None:
+        """Let the group go on; insists until every holder says that it holds nothing."""
+        missing = dict(held)
+        while missing:
+            fence = self._fences.next()
+            orders = {
+                r: MapOrder(MapOrderKind.RELEASE, fence, self._epoch, step=step)
+                for r, step in missing.items()
+            }
+            given = self._group.give(orders, _ORDER_TIMEOUT)
+            self._check(given)
+            for rank, ordered in given.items():
+                if ordered.report is not None and not ordered.report.held_step:
+                    del missing[rank]
+            if missing:
+                self._check_own()
+                self._pause(_INSIST_EVERY / SECOND)
+
+    def _own(self) -> RankReport:
+        """Return the own rank's report, insisting until there is one."""
+        while True:
+            report = self._group.own_report()
+            if report is not None:
+                self._check_epoch([report])
+                return report
+            self._pause(_INSIST_EVERY / SECOND)
+
+    def _check_own(self) -> None:
+        report = self._group.own_report()
+        if report is not None:
+            self._check_epoch([report])
+
+    def _check(self, given: Mapping[int, Ordered]) -> None:
+        """Stop when the group or its owner is another than this change began with."""
+        if any(ordered.outcome is OrderOutcome.FENCED for ordered in given.values()):
+            raise _Replaced
+        self._check_epoch([o.report for o in given.values() if o.report is not None])
+
+    def _check_epoch(self, reports: object) -> None:
+        for report in reports:  # type: ignore[attr-defined]
+            if report.epoch != self._epoch:
+                raise _Reformed
+
+
+def _has_taken(ordered: Ordered, version: int) -> bool:
+    if ordered.outcome is OrderOutcome.DONE:
+        return True
+    return ordered.report is not None and ordered.report.prepared == version
+
+
+def _is_armed(ordered: Ordered, armed: Armed) -> bool:
+    """Tell whether a rank that answered the order also says that it is armed."""
+    return ordered.report is not None and ordered.report.armed == armed
+
+
+def _is_disarmed(ordered: Ordered) -> bool:
+    """Tell whether a rank has seen the fence and says that it is not armed."""
+    if ordered.outcome not in _SETTLED or ordered.report is None:
+        return False
+    return ordered.report.armed is None
--- /dev/null
+++ b/src/canvasyoke/experts/_owner.py
@@ -0,0 +1,225 @@
+"""The owner of a group's expert map: follows what is in demand, a small change at a time.
+
+The process beside rank 0 owns the map of its group. There is one such process, so no
+election is needed, and when its rank is lost the group is lost with it. Its fences
+begin at the revision of an object that it writes in the store when it takes the
+group on; they are above those of every owner before it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Final
+
+import msgspec
+
+from canvasyoke._clock import Clock
+from canvasyoke.coordination import Layer, MapStep, MapStepLimits, plan_map_step
+from canvasyoke.experts._change import ChangeResult, Fences, MapChanger
+from canvasyoke.experts._group import NewMap
+from canvasyoke.experts._linked_group import LinkedGroup
+from canvasyoke.experts._rank_port import RankLayers
+from canvasyoke.observe import part_logger
+from canvasyoke.state import FleetStore, Note, RankGeometry
+
+_log = part_logger("owner")
+#: Kind of the objects that number the owners of a group.
+_OWNERS: Final = "map-owners"
+#: Orders and maps that one owner can number before it would reach the next one's.
+_FENCES_PER_OWNER: Final = 100_000
+#: Milliseconds for the ranks to say what they hold.
+_LAYERS_TIMEOUT: Final = 500
+#: Part of the weight of older counts that is left when new ones come in. Popularity
+#: changes about every four seconds, and a reading comes four times a second.
+_OLD_WEIGHT: Final = 0.45
+#: Choices, over all layers and experts, under which the counts say too little.
+_ENOUGH_COUNTS: Final = 20_000
+#: Experts that a rank copies for one change: 0.15 s each, and a change in force soon is
+#: worth more than a better one later.
+_COPIES: Final = 2
+_COPIES_PER_LAYER: Final = 1
+#: Part of a rank's mean load that one copy must take off a step to repay its cost.
+_LEAST_GAIN: Final = 0.03
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerPolicy:
+    """How an owner weighs a shorter step against the copies it costs."""
+
+    copies: int = _COPIES
+    copies_per_layer: int = _COPIES_PER_LAYER
+    least_gain: float = _LEAST_GAIN
+
+
+class MapOwner:
+    """Owns one group's map for one epoch of the group."""
+
+    def __init__(
+        self,
+        group: LinkedGroup,
+        store: FleetStore,
+        incarnation: str,
+        geometry: RankGeometry,
+        policy: OwnerPolicy,
+        clock: Clock,
+    ) -> None:
+        self._group = group
+        self._store = store
+        self._incarnation = incarnation
+        self._geometry = geometry
+        self._policy = policy
+        self._clock = clock
+        self._changer: MapChanger | None = None
+        self._fences: Fences | None = None
+        self._layers: tuple[Layer, ...] = ()
+        #: Version that the layers belong to.
+        self._version = 0
+        self._weights: list[float] = []
+        #: Changes by how they ended.
+        self.results: dict[str, int] = {}
+
+    @property
+    def epoch(self) -> int:
+        """Return the epoch of the group."""
+        return self._group.epoch
+
+    def turn(self) -> bool:
+        """Do what is due; false when the group is no longer this owner's."""
+        if self._changer is None:
+            return self._take_on()
+        report = self._group.own_report()
+        if report is None:
+            return True
+        if report.epoch != self._group.epoch:
+            return False
+        if report.held_step and not self._settle(self._changer.recover()):
+            return False
+        self._weigh(self._group.take_counts())
+        if not report.is_open or report.armed is not None:
+            return True
+        if report.map_version != self._version and not self._read_layers():
+            return True
+        return self._improve(self._changer)
+
+    def _take_on(self) -> bool:
+        """Number this owner, and end what the one before left behind."""
+        if not self._group.is_linked:
+            return True
+        body = msgspec.json.encode({"incarnation": self._incarnation, "epoch": self._group.epoch})
+        note = self._store.put_note(_OWNERS, self._group.name, body)
+        if not isinstance(note, Note):
+            _log.warning("cannot take the group on", group=self._group.name, cause=note.detail)
+            return True
+        fences = Fences(note.revision * _FENCES_PER_OWNER)
+        changer = MapChanger(
+            self._group, self._group.own_rank, self._group.epoch, fences, self._clock
+        )
+        if not self._settle(changer.recover()) or not self._read_layers():
+            return self._group.epoch == self._epoch_now()
+        self._changer, self._fences = changer, fences
+        _log.info(
+            "owns the map", group=self._group.name, epoch=self._group.epoch, fence=fences.base
+        )
+        return True
+
+    def _epoch_now(self) -> int:
+        report = self._group.own_report()
+        return report.epoch if report is not None else self._group.epoch
+
+    def _settle(self, result: ChangeResult) -> bool:
+        """Count how a change ended; false when the group is no longer this owner's."""
+        self.results[result.value] = self.results.get(result.value, 0) + 1
+        return result not in (ChangeResult.REFORMED, ChangeResult.REPLACED)
+
+    def _read_layers(self) -> bool:
+        """Learn the map in force from the ranks themselves."""
+        held = dict(self._group.ask_layers(_LAYERS_TIMEOUT))
+        own = self._group.own_layers()
+        if own is not None:
+            held[self._group.own_rank] = own.layers
+            self._version = own.version
+        if len(held) != self._group.size:
+            return False
+        self._layers = _holders(held, self._geometry.experts)
+        return True
+
+    def _weigh(self, counts: Sequence[int]) -> None:
+        """Add new counts to the fading sum of older ones."""
+        if not counts:
+            return
+        if len(counts) != len(self._weights):
+            self._weights = [float(count) for count in counts]
+            return
+        self._weights = [
+            old * _OLD_WEIGHT + new for old, new in zip(self._weights, counts, strict=True)
+        ]
+
+    def _improve(self, changer: MapChanger) -> bool:
+        if sum(self._weights) < _ENOUGH_COUNTS:
+            return True
+        step = self._plan()
+        if not step.copies:
+            return True
+        return self._put_in_force(changer, step)
+
+    def _plan(self) -> MapStep:
+        experts = self._geometry.experts
+        weights = [
+            self._weights[start : start + experts]
+            for start in range(0, len(self._weights), experts)
+        ]
+        limits = MapStepLimits(
+            capacity=self._geometry.capacity,
+            copies=self._policy.copies,
+            copies_per_layer=min(self._policy.copies_per_layer, self._geometry.new_limit),
+            least_gain=self._policy.least_gain,
+        )
+        return plan_map_step(self._layers, weights, range(self._group.size), limits)
+
+    def _put_in_force(self, changer: MapChanger, step: MapStep) -> bool:
+        assert self._fences is not None
+        new = NewMap(
+            version=self._fences.next(),
+            layers_by_rank=_by_rank(step.layers, self._group.size),
+            copy_time=round(step.most_copies * self._geometry.copy_time),
+        )
+        began = self._clock.now()
+        result = changer.change(new)
+        _log.info(
+            "map change",
+            group=self._group.name,
+            epoch=self._group.epoch,
+            version=new.version,
+            result=result.value,
+            copies=step.copies,
+            most_copies=step.most_copies,
+            skew_before=round(step.skew_before, 3),
+            skew_planned=round(step.skew_after, 3),
+            took=self._clock.now() - began,
+        )
+        if result is ChangeResult.IN_FORCE:
+            self._layers, self._version = step.layers, new.version
+        return self._settle(result)
+
+
+def _holders(held: dict[int, RankLayers], experts: int) -> tuple[Layer, ...]:
+    """Return the ranks that hold each expert, layer by layer."""
+    layers = len(next(iter(held.values())))
+    holders: list[list[list[int]]] = [[[] for _ in range(experts)] for _ in range(layers)]
+    for rank in sorted(held):
+        for layer, of_rank in enumerate(held[rank]):
+            for expert in of_rank:
+                holders[layer][expert].append(rank)
+    return tuple(tuple(tuple(ranks) for ranks in layer) for layer in holders)
+
+
+def _by_rank(layers: Sequence[Layer], ranks: int) -> tuple[RankLayers, ...]:
+    """Return the experts of each rank, layer by layer."""
+    return tuple(
+        tuple(
+            tuple(expert for expert, holders in enumerate(layer) if rank in holders)
+            for layer in layers
+        )
+        for rank in range(ranks)
+    )
--- /dev/null
+++ b/src/canvasyoke/experts/_process.py
@@ -0,0 +1,244 @@
+"""Assembles the process beside an engine and runs it until it is told to stop."""
+
+from __future__ import annotations
+
+import random
+import secrets
+import signal
+import threading
+from typing import Final
+
+import msgspec
+
+from canvasyoke._clock import SECOND, Clock, SystemClock
+from canvasyoke.experts._linked_group import LinkedGroup
+from canvasyoke.experts._member import RankMember, to_reading
+from canvasyoke.experts._owner import MapOwner, OwnerPolicy
+from canvasyoke.experts._rank_port import RANK_PORTS, RankReport
+from canvasyoke.observe import part_logger
+from canvasyoke.protocol import Message, RankOrder
+from canvasyoke.state import FLEET_STORES, Note, RankGeometry, RanksSettings, TableRead
+from canvasyoke.transport import LinkClient, LinkServer, Session
+
+_log = part_logger("ranks")
+#: Milliseconds between readings of the own rank. Demand drifts within seconds, and a
+#: reading from the engine beside costs nothing but the processor's time.
+_READ_EVERY: Final = 200
+#: Milliseconds between looks of the owner whether a change is due.
+_TURN_EVERY: Final = 100
+#: Milliseconds between looks into the store for what is missing.
+_LOOK_EVERY: Final = 1 * SECOND
+#: Milliseconds without a link to the owner after which its address is looked up again.
+_LINK_PATIENCE: Final = 3 * SECOND
+#: Kinds of the system's own objects in the store.
+_RANKS: Final = "map-ranks"
+_KEYS: Final = "link-keys"
+_KEY_NAME: Final = "ranks"
+_KEY_BYTES: Final = 32
+_ROLE: Final = "rank"
+
+
+class _RankNote(msgspec.Struct, frozen=True):
+    """Where the process beside a rank listens, and where its engine does."""
+
+    peer: str
+    engine: str
+
+
+class RanksProcess:
+    """The process beside one engine."""
+
+    def __init__(self, settings: RanksSettings, clock: Clock | None = None) -> None:
+        self._settings = settings
+        self._clock = clock or SystemClock()
+        self._rng = random.Random(secrets.randbits(64))
+        self._incarnation = secrets.token_hex(8)
+        self._store = FLEET_STORES.get(settings.adapter)(settings.store)
+        self._make_port = RANK_PORTS.get(settings.adapter)
+        self._member = RankMember(self._make_port(settings.engine))
+        self._stop = threading.Event()
+        self._link_key = b""
+        self._notes: dict[int, _RankNote] = {}
+        #: The place in a group that the store's note was written for.
+        self._noted: tuple[str, int] | None = None
+        self._looked_at = -_LOOK_EVERY
+        self._session: Session | None = None
+        self._client: LinkClient | None = None
+        self._linked_at = -_LINK_PATIENCE
+        self._server: LinkServer | None = None
+        self._group: LinkedGroup | None = None
+        self._owner: MapOwner | None = None
+
+    def run(self) -> int:
+        """Serve until told to stop; return the exit code."""
+        signal.signal(signal.SIGTERM, lambda *_: self._stop.set())
+        signal.signal(signal.SIGINT, lambda *_: self._stop.set())
+        _log.info("started", instance=self._settings.instance, engine=self._settings.engine)
+        while not self._stop.is_set():
+            report = self._member.report()
+            if report is not None:
+                self._serve(report)
+            pause = _TURN_EVERY if self._owner is not None else _READ_EVERY
+            self._stop.wait(pause / SECOND)
+        _log.info("stopped", instance=self._settings.instance)
+        return 0
+
+    def _serve(self, report: RankReport) -> None:
+        """Do what the rank's place in its group asks for."""
+        if not self._is_introduced(report):
+            return
+        if report.rank == 0:
+            self._own_map(report)
+        else:
+            self._follow_owner(report)
+
+    def _is_introduced(self, report: RankReport) -> bool:
+        """See that the others can find this process, and that it has the link key."""
+        place = (report.group, report.rank)
+        if self._noted == place and self._link_key:
+            return True
+        if not self._may_look():
+            return False
+        if not self._link_key:
+            self._link_key = self._read_key()
+        if self._link_key and self._noted != place:
+            body = msgspec.json.encode(_RankNote(self._settings.peer, self._settings.engine))
+            name = f"{report.group}.{report.rank}"
+            if isinstance(self._store.put_note(_RANKS, name, body), Note):
+                self._noted = place
+                _log.info("introduced", group=report.group, rank=report.rank)
+        return self._noted == place and bool(self._link_key)
+
+    def _may_look(self) -> bool:
+        """Tell whether the store may be asked again, and note that it is."""
+        now = self._clock.now()
+        if now - self._looked_at < _LOOK_EVERY:
+            return False
+        self._looked_at = now
+        return True
+
+    def _read_key(self) -> bytes:
+        """Return the key that all processes beside ranks share; the first one makes it."""
+        body = msgspec.json.encode(secrets.token_hex(_KEY_BYTES))
+        note = self._store.create_note(_KEYS, _KEY_NAME, body)
+        if not isinstance(note, Note):
+            _log.warning("no link key yet", cause=note.detail)
+            return b""
+        return bytes.fromhex(msgspec.json.decode(note.body, type=str))
+
+    def _read_notes(self, group: str) -> None:
+        """Learn where the processes beside the group's ranks are."""
+        notes = self._store.notes(_RANKS)
+        if not isinstance(notes, list):
+            _log.warning("ranks not listed", cause=notes.detail)
+            return
+        for note in notes:
+            name, _, rank = note.name.rpartition(".")
+            if name == group and rank.isdigit():
+                self._notes[int(rank)] = msgspec.json.decode(note.body, type=_RankNote)
+
+    # The owner's side.
+
+    def _own_map(self, report: RankReport) -> None:
+        if self._client is not None:
+            self._client.stop()
+            self._client = None
+        if self._server is None:
+            self._server = LinkServer(
+                self._settings.peer,
+                self._link_key,
+                self._settings.instance,
+                self._incarnation,
+                self._clock,
+                self._took,
+                lambda _session: None,
+                lambda _session: None,
+            )
+            self._server.start()
+        if self._group is None or self._group.epoch != report.epoch:
+            self._group = LinkedGroup(self._member, report, self._clock, self._far_member)
+            self._owner = None
+            _log.info("group seen", group=report.group, epoch=report.epoch, size=report.size)
+        self._group.took_own_counts(self._member.read_counts())
+        if self._owner is None:
+            self._owner = self._make_owner(self._group)
+        if self._owner is not None and not self._owner.turn():
+            self._owner = None
+            self._group = None
+
+    def _make_owner(self, group: LinkedGroup) -> MapOwner | None:
+        if not self._may_look():
+            return None
+        self._read_notes(group.name)
+        geometry = self._geometry()
+        if geometry is None:
+            return None
+        return MapOwner(
+            group, self._store, self._incarnation, geometry, OwnerPolicy(), self._clock
+        )
+
+    def _geometry(self) -> RankGeometry | None:
+        """Return the shape of the service's groups, from the configuration."""
+        seen = self._store.table()
+        if not isinstance(seen, TableRead):
+            return None
+        shapes = [s.geometry for s in seen.table.services.values() if s.geometry is not None]
+        return shapes[0] if shapes else None
+
+    def _took(self, session: Session, message: Message) -> None:
+        if self._group is not None:
+            self._group.took(session, message)
+
+    def _far_member(self, rank: int) -> RankMember | None:
+        note = self._notes.get(rank)
+        return RankMember(self._make_port(note.engine)) if note is not None else None
+
+    # The other ranks' side.
+
+    def _follow_owner(self, report: RankReport) -> None:
+        self._owner = None
+        self._group = None
+        session = self._session
+        if session is not None and not session.closed:
+            self._linked_at = self._clock.now()
+            session.send(to_reading(report, self._member.read_counts()))
+            return
+        if self._clock.now() - self._linked_at > _LINK_PATIENCE and self._may_look():
+            self._dial(report.group)
+
+    def _dial(self, group: str) -> None:
+        """Link with the process beside rank 0, wherever it is now."""
+        self._read_notes(group)
+        owner = self._notes.get(0)
+        if owner is None:
+            return
+        if self._client is not None:
+            if self._client.address == owner.peer:
+                return
+            self._client.stop()
+        self._client = LinkClient(
+            owner.peer,
+            self._link_key,
+            _ROLE,
+            self._settings.instance,
+            self._incarnation,
+            self._clock,
+            self._rng,
+            self._ordered,
+            self._opened,
+            self._closed,
+        )
+        self._client.start()
+
+    def _ordered(self, session: Session, message: Message) -> None:
+        if isinstance(message, RankOrder):
+            session.send(self._member.answer(message))
+
+    def _opened(self, session: Session) -> None:
+        self._session = session
+        _log.info("linked with the owner", owner=session.peer)
+
+    def _closed(self, session: Session) -> None:
+        if self._session is session:
+            self._session = None
+            _log.info("lost the owner", owner=session.peer)
--- a/src/canvasyoke/protocol/_messages.py
+++ b/src/canvasyoke/protocol/_messages.py
@@ -256,6 +256,50 @@
     replicas: Annotated[list[ExpertReplica], msgspec.Meta(max_length=200_000)] = []
 
 
+class RankReading(msgspec.Struct, frozen=True, tag="rank_reading"):
+    """Process beside a rank to the owner of its group's map: what the rank says."""
+
+    rank: Count
+    epoch: Count
+    is_open: bool
+    step: Count
+    map_version: Count
+    prepared: Count
+    #: Version and step of an armed map; 0 for none.
+    armed_version: Count
+    armed_step: Count
+    held_step: Count
+    #: How often each expert was chosen since the last reading, layer by layer; empty
+    #: when they were not read.
+    counts: Annotated[list[int], msgspec.Meta(max_length=200_000)] = []
+    #: Experts by layer that the rank holds; only when asked for.
+    layers: Annotated[list[list[int]], msgspec.Meta(max_length=1_000)] = []
+
+
+class RankOrder(msgspec.Struct, frozen=True, tag="rank_order"):
+    """Owner of a group's map to the process beside a rank: give your rank an order."""
+
+    #: Numbers the order within one run of the owner.
+    order: Count
+    #: Kind of the order; empty to ask for a reading with the layers in it.
+    kind: Name
+    fence: Count
+    epoch: Count
+    version: Count = 0
+    step: Count = 0
+    #: For ``prepare``: experts by rank and layer.
+    layers_by_rank: Annotated[list[list[list[int]]], msgspec.Meta(max_length=1_024)] = []
+
+
+class RankOrdered(msgspec.Struct, frozen=True, tag="rank_ordered"):
+    """What became of a :class:`RankOrder`, and what the rank says after it."""
+
+    order: Count
+    #: One of the outcomes of an order.
+    outcome: Name
+    reading: RankReading | None = None
+
+
 #: Whatever may stand in a frame.
 Message: TypeAlias = (
     Run
@@ -277,4 +321,7 @@
     | Drained
     | GroupOrder
     | GroupReply
+    | RankReading
+    | RankOrder
+    | RankOrdered
 )
