A rank group that stands still is passed over as a whole

Cause: when a group loses a rank, its engines look idle and refuse at once, so the least loaded backend is always one that cannot serve, and so is the second. Entries now ask each engine once for its group; a refusal that blames another rank, a stream that breaks, or 400 ms without an event on any of a group's streams is held against all of it. Ruled out: a longer pause for the one engine that refused (its seven siblings refuse too).

Also: a backend's own failure goes back unchanged where the service has no other backend (it was replaced by 502). Both have tests.

--- a/Makefile
+++ b/Makefile
@@ -7,9 +7,10 @@
 
 .PHONY: demo test lint types unit bench docs clean
 
-$(VENV)/.ready: requirements.lock
+$(VENV)/.ready: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(PY) -m pip install --quiet --disable-pip-version-check --require-hashes -r requirements.lock
+	$(PY) -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation --editable .
 	touch $@
 
 demo: $(VENV)/.ready
--- a/fakes/platform_engine.py
+++ b/fakes/platform_engine.py
@@ -35,6 +35,8 @@
 
     id: str
     events: int = 5
+    #: Rank group; empty for none.
+    group: str = ""
     #: Seconds between two events of a stream.
     event_pause: float = 0.0
     behaviours: deque[Callable[[Handler, PlatformEngine], None]] = field(default_factory=deque)
@@ -51,6 +53,9 @@
             def handle_request(
                 self, method: str, path: str, query: dict[str, str], body: bytes
             ) -> None:
+                if path == "/report":
+                    engine.report(self)
+                    return
                 engine.arrivals.append(Arrival(method, self.path, dict(self.headers), body))
                 engine.arrived.set()
                 behave = engine.behaviours.popleft() if engine.behaviours else answer
@@ -65,6 +70,14 @@
         self._server.shutdown()
         self._server.server_close()
 
+    def report(self, handler: Handler) -> None:
+        """Tell the rank group."""
+        told: dict[str, object] = {"Stage": "dual"}
+        if self.group:
+            told["group"] = {"Name": self.group, "epoch": 1, "rank": 0, "State": "open"}
+            told["size"] = 2
+        handler.reply_json(told)
+
     def entry(self, service: str, state: str = "ready", zone: str = "nbo-a") -> dict[str, object]:
         """Return the engine's entry in the store."""
         return {
@@ -124,6 +137,11 @@
     handler.reply(503, b"", {"Not-Executed": "1"})
 
 
+def group_broken(handler: Handler, engine: PlatformEngine) -> None:
+    """Refuse without running, because another rank of the group is gone."""
+    handler.reply(503, b"", {"Not-Executed": "1", "At-Server": "i-lost"})
+
+
 def moved(handler: Handler, engine: PlatformEngine) -> None:
     """Say that another engine has the address now."""
     handler.reply(421, b"", {"Instance-Id": "i-other"})
--- a/src/canvasyoke/backend/_direct.py
+++ b/src/canvasyoke/backend/_direct.py
@@ -111,6 +111,10 @@
     ) -> Sending:
         """Send ``request`` to ``endpoint`` and wait for the head of its answer."""
 
+    @abstractmethod
+    def group_of(self, endpoint: Endpoint) -> str | None:
+        """Return the rank group of a backend, empty if it has none; ``None`` if unknown."""
+
 
 #: Adapters by name.
 DIRECT_BACKENDS: Registry[type[DirectBackendPort]] = Registry("direct backend adapter")
--- a/src/canvasyoke/direct/_forwarder.py
+++ b/src/canvasyoke/direct/_forwarder.py
@@ -121,7 +121,7 @@
                 self._roster.load_seen(endpoint.id, sent.load)
             call.may_have_run = True
             try:
-                failure = yield from self._relay(call, sent)
+                failure = yield from self._relay(call, sent, endpoint.id)
             finally:
                 sent.close()
         self._note(call, chosen, failure, self._clock.now() - began)
@@ -153,8 +153,12 @@
         else:
             failed = failure is not None and not call.gone()
             self._roster.finished(backend, took, failed=failed)
+        if isinstance(failure, NotRun) and failure.at_fault not in ("", backend):
+            self._roster.group_broke(backend)
         if isinstance(failure, MayHaveRun):
             call.may_have_run = True
+            if call.route.is_stream and not call.gone():
+                self._roster.group_broke(backend)
         outcome = "answered" if failure is None else failure.detail
         call.tried.append(Tried(backend, outcome, took, chosen.load))
 
@@ -185,7 +189,7 @@
         return GaveUp(_UNAVAILABLE, detail, retry_after=pause)
 
     def _relay(
-        self, call: DirectCall, answer: BackendAnswer
+        self, call: DirectCall, answer: BackendAnswer, backend: str
     ) -> Generator[Piece, None, MayHaveRun | None]:
         """Pass an answer on; return why it is not whole, or ``None`` when it is."""
         is_stream = call.route.is_stream and any(
@@ -193,7 +197,7 @@
             for name, value in answer.headers
         )
         if is_stream:
-            return (yield from self._relay_stream(call, answer))
+            return (yield from self._relay_stream(call, answer, backend))
         if call.delivered:
             return MayHaveRun("the backend did not go on with the stream")
         return (yield from self._relay_whole(call, answer))
@@ -227,6 +231,7 @@
             call.route.repeatable
             and len(call.sent_to) < call.route.max_attempts
             and call.deadline - self._clock.now() > call.route.objective // 2
+            and self._roster.has_other(call.service, frozenset(call.sent_to))
             and self._pay(call)
         )
 
@@ -237,13 +242,19 @@
         return call.retry_paid
 
     def _relay_stream(
-        self, call: DirectCall, answer: BackendAnswer
+        self, call: DirectCall, answer: BackendAnswer, backend: str
     ) -> Generator[Piece, None, MayHaveRun | None]:
         """Pass on whole events as they come."""
         cutter = EventCutter()
+        has_begun = False
         try:
             for piece in answer.pieces():
                 for event in cutter.feed(piece):
+                    if has_begun:
+                        self._roster.stream_heard(backend)
+                    else:
+                        has_begun = True
+                        self._roster.stream_began(backend)
                     number = event_id(event)
                     if not is_after(number, call.last_event):
                         continue
@@ -255,6 +266,9 @@
                 answer.wait_at_most(self._time_left(call))
         except ExchangeError as exc:
             return MayHaveRun(f"the stream broke off: {exc}")
+        finally:
+            if has_begun:
+                self._roster.stream_ended(backend)
         if cutter.has_rest:
             return MayHaveRun("the stream ended within an event")
         if not call.delivered:
--- /dev/null
+++ b/src/canvasyoke/direct/_groups.py
@@ -0,0 +1,95 @@
+"""Which backends fall together, and which groups stand still now.
+
+All ranks of a group make their steps together: when one is lost none of them answers,
+and while the group is formed anew all refuse at once, looking idle. What one of them
+shows is therefore held against the whole group.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Final
+
+from canvasyoke._clock import SECOND, Clock
+
+#: Milliseconds for which a group is passed over after one of its ranks said that another
+#: is missing, doubled with each further word up to the limit: groups take half a second
+#: to form, and one with a lost rank stays away longer.
+_PASS_OVER: Final = 250
+_PASS_OVER_LIMIT: Final = 1 * SECOND
+#: Milliseconds without an event on any of a group's streams after which it is taken to
+#: stand still. Events come every 120 ms or sooner where they are on time.
+_STANDSTILL: Final = 400
+
+
+@dataclass(slots=True)
+class _Group:
+    pause: int = _PASS_OVER
+    until: int = 0
+    #: Streams of this entry that have begun and not ended.
+    streams: int = 0
+    #: Time on the clock of the last event on any of them.
+    heard_at: int = 0
+
+
+class RankGroups:
+    """What an entry has seen of the groups; not thread-safe, the roster guards it."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._group_of: dict[str, str] = {}
+        self._groups: dict[str, _Group] = {}
+
+    def learn(self, backend: str, group: str) -> None:
+        """Take note of a backend's group; empty when it is in none."""
+        self._group_of[backend] = group
+
+    def is_learned(self, backend: str) -> bool:
+        """Tell whether the backend's group is known, or that it has none."""
+        return backend in self._group_of
+
+    def forget(self, backend: str) -> None:
+        """Forget a backend that has gone."""
+        self._group_of.pop(backend, None)
+
+    def _find(self, backend: str) -> _Group | None:
+        name = self._group_of.get(backend)
+        return self._groups.setdefault(name, _Group()) if name else None
+
+    def stands_still(self, backend: str) -> bool:
+        """Tell whether the backend's group should be passed over now."""
+        group = self._find(backend)
+        if group is None:
+            return False
+        now = self._clock.now()
+        is_silent = group.streams > 0 and now - group.heard_at > _STANDSTILL
+        return now < group.until or is_silent
+
+    def broke(self, backend: str) -> None:
+        """Take note that the backend's group has lost a rank."""
+        group = self._find(backend)
+        if group is None:
+            return
+        group.until = self._clock.now() + group.pause
+        group.pause = min(_PASS_OVER_LIMIT, group.pause * 2)
+
+    def stream_began(self, backend: str) -> None:
+        """Take note of the first event of a stream."""
+        group = self._find(backend)
+        if group is not None:
+            group.streams += 1
+            self.heard(backend)
+
+    def heard(self, backend: str) -> None:
+        """Take note of an event: the group makes steps."""
+        group = self._find(backend)
+        if group is not None:
+            group.heard_at = self._clock.now()
+            group.pause = _PASS_OVER
+            group.until = 0
+
+    def stream_ended(self, backend: str) -> None:
+        """Take note that a stream has ended or broken off."""
+        group = self._find(backend)
+        if group is not None:
+            group.streams = max(0, group.streams - 1)
--- a/src/canvasyoke/direct/_process.py
+++ b/src/canvasyoke/direct/_process.py
@@ -16,6 +16,7 @@
 from canvasyoke.direct._callers import MAX_HELD, DirectCallers
 from canvasyoke.direct._follower import EndpointFollower, TableFollower, TableView
 from canvasyoke.direct._forwarder import Forwarder
+from canvasyoke.direct._group_learner import GroupLearner
 from canvasyoke.direct._metrics import DirectMetrics
 from canvasyoke.direct._peers import EntryPeers
 from canvasyoke.direct._roster import Roster
@@ -86,9 +87,9 @@
         self._endpoint_follower = EndpointFollower(
             make_store(settings.store), self._roster, self._peers.tell_backend, self._clock, rng
         )
-        forwarder = Forwarder(
-            DIRECT_BACKENDS.get(settings.adapter)(), self._roster, self._budget, self._clock, rng
-        )
+        port = DIRECT_BACKENDS.get(settings.adapter)()
+        forwarder = Forwarder(port, self._roster, self._budget, self._clock, rng)
+        self._groups = GroupLearner(port, self._roster, lambda: self._view.current)
         self._callers = DirectCallers(
             CALLER_PORTS.get(settings.adapter)(),
             lambda: self._view.current,
@@ -120,6 +121,7 @@
         self._table_follower.start()
         self._endpoint_follower.start()
         self._peers.start()
+        self._groups.start()
         self._callers.start()
         for server in (self._ready, self._admin, self._http):
             server.start()
--- a/src/canvasyoke/direct/_roster.py
+++ b/src/canvasyoke/direct/_roster.py
@@ -20,6 +20,7 @@
     RouteRequest,
     filter_candidates,
 )
+from canvasyoke.direct._groups import RankGroups
 from canvasyoke.protocol import Reason
 from canvasyoke.state import Endpoint, EndpointState
 
@@ -80,6 +81,7 @@
     is_known: bool = False
     #: Time on the clock of the last word from the store, for the log.
     heard_at: int = 0
+    _groups: RankGroups = field(init=False)
     _lock: threading.Lock = field(default_factory=threading.Lock)
     _members: dict[str, _Member] = field(default_factory=dict)
     #: Revision of the newest list read from the store; 0 before any.
@@ -89,6 +91,9 @@
     #: Requests of each other entry under way, by backend, and when they were told.
     _peers: dict[str, tuple[int, dict[str, int]]] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        self._groups = RankGroups(self.clock)
+
     def replace(
         self, endpoints: Iterable[Endpoint], revision: int, keep: frozenset[str] = frozenset()
     ) -> None:
@@ -131,6 +136,7 @@
 
     def _forget(self, endpoint_id: str, revision: int) -> None:
         self._members.pop(endpoint_id, None)
+        self._groups.forget(endpoint_id)
         self._gone[endpoint_id] = max(revision, self._gone.get(endpoint_id, 0))
         while len(self._gone) > _GONE_LIMIT:
             del self._gone[next(iter(self._gone))]
@@ -212,7 +218,11 @@
             connected=True,
             leaving=endpoint.state is EndpointState.LEAVING,
             healthy=True,
-            ejected=member.ejection.ejected or now < member.paused_until,
+            ejected=(
+                member.ejection.ejected
+                or now < member.paused_until
+                or self._groups.stands_still(endpoint.id)
+            ),
             slots=endpoint.slots,
             queue=0,
             reported=others + member.own,
@@ -223,6 +233,51 @@
             duration=round(member.duration),
         )
 
+    def has_other(self, service: str, tried: frozenset[str]) -> bool:
+        """Tell whether a service has a backend besides those tried."""
+        with self._lock:
+            return any(
+                m.endpoint.service == service
+                and m.endpoint.id not in tried
+                and m.endpoint.state is EndpointState.READY
+                for m in self._members.values()
+            )
+
+    def without_group(self, services: frozenset[str]) -> list[Endpoint]:
+        """Return the backends of ``services`` whose group is not known yet."""
+        with self._lock:
+            return [
+                m.endpoint
+                for m in self._members.values()
+                if m.endpoint.service in services and not self._groups.is_learned(m.endpoint.id)
+            ]
+
+    def learn_group(self, endpoint_id: str, group: str) -> None:
+        """Take note of a backend's group; empty when it is in none."""
+        with self._lock:
+            if endpoint_id in self._members:
+                self._groups.learn(endpoint_id, group)
+
+    def group_broke(self, endpoint_id: str) -> None:
+        """Take note that the group of a backend has lost a rank."""
+        with self._lock:
+            self._groups.broke(endpoint_id)
+
+    def stream_began(self, endpoint_id: str) -> None:
+        """Take note of the first event of a stream."""
+        with self._lock:
+            self._groups.stream_began(endpoint_id)
+
+    def stream_heard(self, endpoint_id: str) -> None:
+        """Take note of a further event."""
+        with self._lock:
+            self._groups.heard(endpoint_id)
+
+    def stream_ended(self, endpoint_id: str) -> None:
+        """Take note that a stream has ended or broken off."""
+        with self._lock:
+            self._groups.stream_ended(endpoint_id)
+
     def load_seen(self, endpoint_id: str, load: ReportedLoad) -> None:
         """Take note of the load that a backend told on an answer."""
         with self._lock:
--- /dev/null
+++ b/src/canvasyoke/direct/tests/test_roster.py
@@ -0,0 +1,120 @@
+"""What a roster makes of lists, news, loads and groups."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from canvasyoke._clock import ManualClock
+from canvasyoke.backend import ReportedLoad
+from canvasyoke.direct._roster import Chosen, NoneAble, Roster
+from canvasyoke.state import Endpoint, EndpointState
+
+
+def endpoint(name: str, revision: int = 1, leaving: bool = False) -> Endpoint:
+    state = EndpointState.LEAVING if leaving else EndpointState.READY
+    return Endpoint(name, "ink", f"127.0.0.1:{revision}", "nbo-a", 6, state, revision)
+
+
+@pytest.fixture
+def clock() -> ManualClock:
+    return ManualClock(start=10_000)
+
+
+@pytest.fixture
+def roster(clock: ManualClock) -> Roster:
+    roster = Roster("nbo-a", clock, random.Random(1))
+    roster.replace([endpoint("a"), endpoint("b")], revision=5)
+    return roster
+
+
+def choose(roster: Roster, *tried: str) -> str:
+    chosen = roster.choose("ink", frozenset(tried))
+    return chosen.endpoint.id if isinstance(chosen, Chosen) else ""
+
+
+def test_own_requests_are_spread(roster: Roster) -> None:
+    assert {choose(roster), choose(roster)} == {"a", "b"}
+
+
+def test_a_leaving_backend_is_never_chosen(roster: Roster) -> None:
+    roster.put(endpoint("a", 6, leaving=True))
+    assert {choose(roster) for _ in range(5)} == {"b"}
+    roster.put(endpoint("b", 7, leaving=True))
+    assert isinstance(roster.choose("ink", frozenset()), NoneAble)
+
+
+def test_load_that_others_tell_counts(roster: Roster) -> None:
+    roster.peer_load("entry-2", {"a": 4})
+    assert [choose(roster) for _ in range(4)] == ["b"] * 4
+
+
+def test_load_on_answers_counts_where_nobody_tells(roster: Roster, clock: ManualClock) -> None:
+    roster.load_seen("a", ReportedLoad(running=5, waiting=1, slots=6))
+    assert choose(roster) == "b"
+    clock.advance(2_500)
+    assert {choose(roster), choose(roster)} == {"a", "b"}
+
+
+NEWS = [
+    ("newer", endpoint("a", 9, leaving=True), False, True),
+    ("as old as the list", endpoint("c", 5), False, False),
+    ("of a backend not listed", endpoint("c", 8), False, True),
+    ("of a removal", endpoint("a", 8), True, True),
+    ("of an old removal", endpoint("a", 1), True, False),
+]
+
+
+@pytest.mark.parametrize(("news", "gone", "taken"), [case[1:] for case in NEWS])
+def test_news_from_others(roster: Roster, news: Endpoint, gone: bool, taken: bool) -> None:
+    assert roster.hear(news, gone) is taken
+
+
+def test_a_removed_backend_does_not_come_back_by_old_news(roster: Roster) -> None:
+    roster.remove("a", revision=9)
+    assert not roster.hear(endpoint("a", 8), gone=False)
+    assert roster.ids() == {"b"}
+
+
+def test_a_group_that_lost_a_rank_is_passed_over(roster: Roster, clock: ManualClock) -> None:
+    for name, group in (("a", "g-1"), ("b", "g-2")):
+        roster.learn_group(name, group)
+    roster.group_broke("a")
+    assert {choose(roster) for _ in range(5)} == {"b"}
+    clock.advance(300)
+    assert choose(roster) == "a"
+
+
+def test_a_group_whose_streams_stand_still_is_passed_over(
+    roster: Roster, clock: ManualClock
+) -> None:
+    for name, group in (("a", "g-1"), ("b", "g-2")):
+        roster.learn_group(name, group)
+    roster.stream_began("a")
+    clock.advance(500)
+    assert {choose(roster) for _ in range(5)} == {"b"}
+    roster.stream_heard("a")
+    assert choose(roster) == "a"
+
+
+def test_the_last_group_is_used_although_it_stands_still(roster: Roster) -> None:
+    for name in ("a", "b"):
+        roster.learn_group(name, "g-1")
+    roster.group_broke("a")
+    assert choose(roster) in ("a", "b")
+
+
+def test_a_failing_backend_is_not_the_first_choice(roster: Roster) -> None:
+    for _ in range(2):
+        assert choose(roster, "b") == "a"
+        roster.finished("a", 5, failed=True)
+    assert {choose(roster) for _ in range(5)} == {"b"}
+
+
+def test_a_refusing_backend_rests(roster: Roster, clock: ManualClock) -> None:
+    assert choose(roster, "b") == "a"
+    roster.refused("a", pause=150)
+    assert {choose(roster) for _ in range(5)} == {"b"}
+    clock.advance(200)
+    assert choose(roster) == "a"
--- a/src/canvasyoke/platform/_engine.py
+++ b/src/canvasyoke/platform/_engine.py
@@ -16,6 +16,8 @@
     ReportedLoad,
     Sending,
 )
+from canvasyoke.experts import RankUnreachable
+from canvasyoke.platform._ranks import ObjectsRankPort
 from canvasyoke.state import Endpoint
 from canvasyoke.transport import Exchange, ExchangeSlot, NotConnected, Sent, exchange
 
@@ -104,6 +106,13 @@
             return MayHaveRun(sent.detail)
         return _classify(sent, request.request_id)
 
+    def group_of(self, endpoint: Endpoint) -> str | None:
+        """Ask the engine; a plain service has no report and no group."""
+        report = ObjectsRankPort(endpoint.address).report()
+        if isinstance(report, RankUnreachable):
+            return None
+        return report.group if report is not None else ""
+
 
 def _headers(endpoint: Endpoint, request: OutboundRequest) -> list[tuple[str, str]]:
     headers = [
--- a/tests/direct.py
+++ b/tests/direct.py
@@ -34,6 +34,17 @@
 }
 
 
+#: Shape of the rank groups of service ``ink``.
+ENGINE = {
+    "LinkMbps": 92_000.0,
+    "sets": 2,
+    "experts": 8,
+    "places": 3,
+    "spare": 1,
+    "expert_mb": 1_700.0,
+}
+
+
 def route(name: str, service: str, kind: str = "unsafe", **fields: Any) -> dict[str, Any]:
     """Return a route of the operator's configuration, under ``/NAME/``."""
     base = {
@@ -67,7 +78,7 @@
     return {
         "Version": version,
         "Routes": routes,
-        "Services": [{"Name": "shelf", "MaxConnections": 100}, {"Name": "ink"}],
+        "Services": [{"Name": "shelf", "MaxConnections": 100}, {"Name": "ink", "Engine": ENGINE}],
         "Limits": LIMITS,
         "Tenants": [{"Name": "kibanda", "ApiKeys": [KEY], "Priority": 2}],
     }
@@ -238,7 +249,12 @@
         self.store = ObjectStore()
         self.door = StoreDoor(self.store)
         self.shelf = [PlatformEngine("shelf-1"), PlatformEngine("shelf-2")]
-        self.ink = [PlatformEngine("ink-1"), PlatformEngine("ink-2")]
+        #: Two groups: engines 1 and 2, and engine 3.
+        self.ink = [
+            PlatformEngine("ink-1", group="g-1"),
+            PlatformEngine("ink-2", group="g-1"),
+            PlatformEngine("ink-3", group="g-2"),
+        ]
         self.entries: list[DirectEntry] = []
         self._doors = [self.door]
 
--- a/tests/test_direct_fleet.py
+++ b/tests/test_direct_fleet.py
@@ -63,7 +63,7 @@
     wait_until(lambda: entry.call("/new/1").status == 200, "version 9 is in force")
     fleet.store.put("config", "main", configuration(8))
     fleet.store.put("servers", "shelf-3", fleet.shelf[0].entry("shelf"))
-    wait_until(lambda: entry.metric("canvasyoke_backends") == 5, "it has seen what came after")
+    wait_until(lambda: entry.metric("canvasyoke_backends") == 6, "it has seen what came after")
     assert entry.call("/save/1").status == 404
     assert entry.metric("canvasyoke_config_version") == 9
 
@@ -116,7 +116,7 @@
     wait_until(lambda: entry.logged().count("removal held") == 2, "the removals are held")
     assert entry.call("/save/1").status == 200
     fleet.store.put("servers", "shelf-1", fleet.shelf[0].entry("shelf"))
-    wait_until(lambda: entry.metric("canvasyoke_backends") == 3, "the missing one is dropped")
+    wait_until(lambda: entry.metric("canvasyoke_backends") == 4, "the missing one is dropped")
     assert "did not come back" in entry.logged()
     assert entry.call("/save/1").status == 200
 
@@ -134,6 +134,34 @@
     assert leaving.arrivals == []
 
 
+def test_a_group_that_lost_a_rank_is_passed_over_as_a_whole(fleet: DirectFleet) -> None:
+    """Its ranks look idle and refuse at once; the second attempt goes to another group."""
+    fleet.fill_store()
+    entry = fleet.add_entry(retry_slack=10_000)
+    entry.wait_ready()
+    wait_until(lambda: entry.logged().count("group learned") == 3, "it knows the groups")
+    lost, kept = fleet.ink[:2], fleet.ink[2]
+    for engine in lost:
+        engine.behaviours.extend([engines.group_broken] * 100)
+    for number in range(12):
+        reply = entry.call("/stream/1", request_id=f"r-{number}")
+        assert (reply.status, reply.whole) == (200, True)
+    assert len(kept.arrivals) == 12
+    # Without groups every request would meet a refusal first, and some two.
+    assert sum(len(engine.arrivals) for engine in lost) < 12
+
+
+def test_a_failure_goes_back_where_there_is_no_other_backend(fleet: DirectFleet) -> None:
+    fleet.fill_store()
+    fleet.store.remove("servers", "shelf-2")
+    entry = fleet.add_entry(retry_slack=10_000)
+    entry.wait_ready()
+    fleet.behave(fleet.shelf[:1], engines.failing)
+    reply = entry.call("/safe/1", method="GET")
+    assert (reply.status, reply.body) == (500, b"failed")
+    assert reply.headers["Response-Seal"] == "seal-of-shelf-1"
+
+
 def test_an_entry_without_the_store_learns_from_the_others(fleet: DirectFleet) -> None:
     fleet.fill_store(version=3)
     first = fleet.add_entry()
@@ -154,7 +182,7 @@
         assert second.call("/told/1").status == 200
     assert leaving.arrivals == []
     fleet.store.remove("servers", leaving.id)
-    wait_until(lambda: second.metric("canvasyoke_backends") == 3, "the removal reaches it")
+    wait_until(lambda: second.metric("canvasyoke_backends") == 4, "the removal reaches it")
 
 
 def test_strangers_on_the_peer_port_do_no_harm(fleet: DirectFleet) -> None:
