--- a/src/canvasyoke/experts/_change.py
+++ b/src/canvasyoke/experts/_change.py
@@ -11,17 +11,23 @@
 
 A hold does not lapse, so whoever owns the map next looks for one before it does
 anything else, and ends it the same way (``recover``).
+
+The owner's machine may stand still with its rank out of reach. So the hold is not put
+on the owner's rank, and that rank is armed last and disarmed first: it can be armed only
+while all others are. Where one of them is not, another process may end the change
+without a word from the owner's rank (``recover_without_owner``).
 """
 
 from __future__ import annotations
 
 import enum
 import threading
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Set
 from dataclasses import dataclass
 from typing import Final
 
 from canvasyoke._clock import SECOND, Clock
+from canvasyoke.experts._fences import Fences
 from canvasyoke.experts._group import NewMap, Ordered, RankGroup
 from canvasyoke.experts._rank_port import (
     Armed,
@@ -50,6 +56,8 @@
 _ARM_TRIES: Final = 4
 #: Milliseconds between tries of what must succeed before the group may go on.
 _INSIST_EVERY: Final = 50
+#: The rank on which owners put their holds: not their own, which is rank 0.
+HOLD_RANK: Final = 1
 #: Version in an order to disarm that only raises the fence: no map has it.
 _ANY_VERSION: Final = 1
 #: Orders that have been carried out, or that a rank in another epoch has no need of.
@@ -72,20 +80,6 @@
     REPLACED = "replaced"
 
 
-@dataclass(slots=True)
-class Fences:
-    """Numbers that only rise, also from one owner to the next."""
-
-    #: Above every number of earlier owners.
-    base: int
-    _used: int = 0
-
-    def next(self) -> int:
-        """Return a number above all before it."""
-        self._used += 1
-        return self.base + self._used
-
-
 class _Replaced(Exception):
     """A rank has seen the fence of another owner."""
 
@@ -94,20 +88,32 @@
     """The group is in another epoch."""
 
 
+@dataclass(frozen=True, slots=True)
+class ChangeRanks:
+    """Ranks with a part of their own in a change."""
+
+    #: Beside the process that carries the change out; its report costs nothing.
+    own: int
+    #: Beside the owner of the map; armed last and disarmed first.
+    owner: int
+    #: The rank on which a hold is put.
+    hold: int
+
+
 class MapChanger:
     """Changes one group's map, one change after the other."""
 
     def __init__(
         self,
         group: RankGroup,
-        own_rank: int,
+        ranks: ChangeRanks,
         epoch: int,
         fences: Fences,
         clock: Clock,
         pause: Callable[[float], object] | None = None,
     ) -> None:
         self._group = group
-        self._own_rank = own_rank
+        self._ranks = ranks
         self._epoch = epoch
         self._fences = fences
         self._clock = clock
@@ -127,6 +133,9 @@
     def recover(self) -> ChangeResult:
         """End what an earlier owner has left behind: holds and armed ranks."""
         try:
+            every = set(range(self._group.size))
+            if self._group.report_lag and not self._raise_fences(every):
+                return ChangeResult.NOT_HELD
             return self._recover()
         except _Replaced:
             return ChangeResult.REPLACED
@@ -142,9 +151,50 @@
         armed = self._arm(new.version, step)
         if not armed:
             self._disarm_all(dict.fromkeys(range(self._group.size), new.version))
-        self._release({self._own_rank: step})
+        self._release({self._ranks.hold: step})
         return ChangeResult.IN_FORCE if armed else ChangeResult.ABANDONED
 
+    def recover_without_owner(self) -> ChangeResult:
+        """End what a silent owner has left behind while its rank is out of reach too."""
+        try:
+            return self._recover_without_owner()
+        except _Replaced:
+            return ChangeResult.REPLACED
+        except _Reformed:
+            return ChangeResult.REFORMED
+
+    def _recover_without_owner(self) -> ChangeResult:
+        others = set(range(self._group.size)) - {self._ranks.owner}
+        if not self._raise_fences(others):
+            return ChangeResult.NOT_HELD
+        reports = self._group.ask(_ORDER_TIMEOUT)
+        self._check_epoch(reports.values())
+        if not others <= reports.keys():
+            return ChangeResult.NOT_HELD
+        armed = {r: rep.armed for r, rep in reports.items() if rep.armed is not None}
+        if others <= armed.keys():
+            return ChangeResult.NOT_HELD  # the owner's rank may be armed as well
+        held = {r: rep.held_step for r, rep in reports.items() if rep.held_step}
+        first = min((each.step for each in armed.values()), default=0)
+        if armed and not self._is_held_before(first, held):
+            return ChangeResult.NOT_HELD
+        self._disarm(others, {r: each.version for r, each in armed.items()})
+        self._release(held)
+        return ChangeResult.ABANDONED
+
+    def _raise_fences(self, ranks: Set[int]) -> bool:
+        """See that orders of owners before this one find every rank closed, and wait
+        until the ranks' reports tell what orders before that did."""
+        order = MapOrder(
+            MapOrderKind.DISARM, self._fences.next(), self._epoch, version=_ANY_VERSION
+        )
+        given = self._group.give(dict.fromkeys(ranks, order), _ORDER_TIMEOUT)
+        self._check(given)
+        if any(ordered.outcome not in _SETTLED for ordered in given.values()):
+            return False
+        self._pause(self._group.report_lag / SECOND)
+        return True
+
     def _recover(self) -> ChangeResult:
         """End holds, and first the change that one of them was for.
 
@@ -174,7 +224,7 @@
         self._is_careful = False
         step = self._hold()
         if step:
-            held[self._own_rank] = step
+            held[self._ranks.hold] = step
         return 0 < step <= first
 
     def _all_reports(self) -> Mapping[int, RankReport]:
@@ -226,27 +276,36 @@
         """Keep the group from beginning a step soon to come; return it, or 0."""
         fence = self._fences.next()
         for ahead in _STEPS_AHEAD_CAREFUL if self._is_careful else _STEPS_AHEAD:
-            report = self._own()
-            if report.held_step:
-                return report.held_step
-            step = report.step + ahead
+            step = self._own().step + ahead
             order = MapOrder(MapOrderKind.HOLD, fence, self._epoch, step=step)
-            given = self._group.give({self._own_rank: order}, _ORDER_TIMEOUT)
+            given = self._group.give_directly({self._ranks.hold: order}, _ORDER_TIMEOUT)
             self._check(given)
-            held = self._own().held_step
+            if given[self._ranks.hold].outcome is OrderOutcome.DONE:
+                return step
+            held = self._held_now()
             if held:
                 return held
         return 0
 
+    def _held_now(self) -> int:
+        """Return the step that the group is held at; 0 for none that is known."""
+        report = self._group.ask(_ORDER_TIMEOUT).get(self._ranks.hold)
+        return report.held_step if report is not None else 0
+
     def _arm(self, version: int, step: int) -> bool:
         """Arm all ranks for ``step``; true only if every one says that it is."""
+        others = set(range(self._group.size)) - {self._ranks.owner}
         fence = self._fences.next()
         order = MapOrder(MapOrderKind.ARM, fence, self._epoch, version=version, step=step)
-        missing = set(range(self._group.size))
+        return self._arm_each(others, order) and self._arm_each({self._ranks.owner}, order)
+
+    def _arm_each(self, ranks: Set[int], order: MapOrder) -> bool:
+        missing = set(ranks)
         for _ in range(_ARM_TRIES):
             given = self._group.give(dict.fromkeys(missing, order), _ORDER_TIMEOUT)
             self._check(given)
-            missing = {r for r, o in given.items() if not _is_armed(o, Armed(version, step))}
+            wanted = Armed(order.version, order.step)
+            missing = {r for r, o in given.items() if not _is_armed(o, wanted)}
             if not missing:
                 return True
             if any(given[r].outcome is OrderOutcome.CONFLICT for r in missing):
@@ -258,8 +317,13 @@
 
         ``armed`` has the versions that ranks are known to be armed for.
         """
+        others = set(range(self._group.size)) - {self._ranks.owner}
+        self._disarm({self._ranks.owner}, armed)
+        self._disarm(others, armed)
+
+    def _disarm(self, ranks: Set[int], armed: Mapping[int, int]) -> None:
         versions = dict(armed)
-        missing = set(range(self._group.size))
+        missing = set(ranks)
         while missing:
             fence = self._fences.next()
             orders = {
--- a/src/canvasyoke/experts/_group.py
+++ b/src/canvasyoke/experts/_group.py
@@ -26,6 +26,11 @@
     def size(self) -> int:
         """Return the number of ranks."""
 
+    @property
+    def report_lag(self) -> int:
+        """Return the milliseconds by which reports may lag behind what orders did."""
+        return 0
+
     @abstractmethod
     def give(self, orders: Mapping[int, MapOrder], timeout: int) -> Mapping[int, Ordered]:
         """Give orders to several ranks side by side; answers for all of them.
@@ -33,6 +38,13 @@
         A rank that does not answer in time has the outcome ``UNKNOWN``.
         """
 
+    @abstractmethod
+    def give_directly(self, orders: Mapping[int, MapOrder], timeout: int) -> Mapping[int, Ordered]:
+        """As ``give``, at the ranks' engines and not through the processes beside them.
+
+        The reports that come with it may be old: only the outcomes tell.
+        """
+
     @abstractmethod
     def ask(self, timeout: int) -> Mapping[int, RankReport]:
         """Return fresh reports of those ranks that answer in time."""
--- a/src/canvasyoke/experts/_linked_group.py
+++ b/src/canvasyoke/experts/_linked_group.py
@@ -6,6 +6,7 @@
 import threading
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from typing import Final
 
 from canvasyoke._clock import SECOND, Clock
 from canvasyoke.experts._group import Ordered, RankGroup
@@ -20,6 +21,9 @@
 from canvasyoke.protocol import Message, RankOrder, RankOrdered, RankReading
 from canvasyoke.transport import Session
 
+#: Milliseconds for a rank to say whether it still holds its group.
+_HELD_TIMEOUT: Final = 200
+
 
 @dataclass(slots=True)
 class _Link:
@@ -112,6 +116,15 @@
         answers = self._exchange(messages, timeout, own)
         return {rank: answers.get(rank, Ordered(OrderOutcome.UNKNOWN)) for rank in orders}
 
+    def give_directly(self, orders: Mapping[int, MapOrder], timeout: int) -> Mapping[int, Ordered]:
+        """Give orders at the ranks' engines; the adapter's own limit of time holds."""
+        given = {}
+        for rank, order in orders.items():
+            member = self._own if rank == self.own_rank else self._far(rank)
+            if member is not None:
+                given[rank] = member.order(order)
+        return {rank: given.get(rank, Ordered(OrderOutcome.UNKNOWN)) for rank in orders}
+
     def ask(self, timeout: int) -> Mapping[int, RankReport]:
         """Return fresh reports."""
         answers = self._exchange(self._questions(READ), timeout, None)
@@ -121,6 +134,15 @@
             reports[self.own_rank] = own
         return reports
 
+    def last_held(self, rank: int) -> bool:
+        """Tell whether a rank's last reading, and a fresh report, tell of a hold."""
+        with self._changed:
+            link = self._links.get(rank)
+        if link is None or not link.reading.held_step:
+            return False
+        report = self.ask(_HELD_TIMEOUT).get(rank)
+        return report is not None and bool(report.held_step)
+
     def own_report(self) -> RankReport | None:
         """Return the own rank's report."""
         return self._own.report()
--- a/src/canvasyoke/experts/_owner.py
+++ b/src/canvasyoke/experts/_owner.py
@@ -12,22 +12,17 @@
 from dataclasses import dataclass
 from typing import Final
 
-import msgspec
-
 from canvasyoke._clock import Clock
 from canvasyoke.coordination import Layer, MapStep, MapStepLimits, plan_map_step
-from canvasyoke.experts._change import ChangeResult, Fences, MapChanger
+from canvasyoke.experts._change import HOLD_RANK, ChangeRanks, ChangeResult, MapChanger
+from canvasyoke.experts._fences import Fences, take_fences
 from canvasyoke.experts._group import NewMap
 from canvasyoke.experts._linked_group import LinkedGroup
-from canvasyoke.experts._rank_port import RankLayers
+from canvasyoke.experts._rank_port import RankLayers, RankReport
 from canvasyoke.observe import Counter, part_logger
-from canvasyoke.state import FleetStore, Note, RankGeometry
+from canvasyoke.state import FleetStore, RankGeometry, Unavailable, Unusable
 
 _log = part_logger("owner")
-#: Kind of the objects that number the owners of a group.
-_OWNERS: Final = "map-owners"
-#: Orders and maps that one owner can number before it would reach the next one's.
-_FENCES_PER_OWNER: Final = 100_000
 #: Milliseconds for the ranks to say what they hold.
 _LAYERS_TIMEOUT: Final = 500
 #: Part of the weight of older counts that is left when new ones come in. Popularity
@@ -103,7 +98,7 @@
             return True
         if report.epoch != self._group.epoch:
             return False
-        if report.held_step and not self._settle(self._changer.recover()):
+        if self._is_held(report) and not self._settle(self._changer.recover()):
             return False
         self._weigh(self._group.take_counts())
         if not report.is_open or report.armed is not None:
@@ -116,15 +111,13 @@
         """Number this owner, and end what the one before left behind."""
         if not self._group.is_linked:
             return True
-        body = msgspec.json.encode({"incarnation": self._incarnation, "epoch": self._group.epoch})
-        note = self._store.put_note(_OWNERS, self._group.name, body)
-        if not isinstance(note, Note):
-            _log.warning("cannot take the group on", group=self._group.name, cause=note.detail)
+        fences = take_fences(self._store, self._group.name, self._incarnation, self._group.epoch)
+        if isinstance(fences, Unavailable | Unusable):
+            _log.warning("cannot take the group on", group=self._group.name, cause=fences.detail)
             return True
-        fences = Fences(note.revision * _FENCES_PER_OWNER)
-        changer = MapChanger(
-            self._group, self._group.own_rank, self._group.epoch, fences, self._clock
-        )
+        own = self._group.own_rank
+        ranks = ChangeRanks(own=own, owner=own, hold=HOLD_RANK)
+        changer = MapChanger(self._group, ranks, self._group.epoch, fences, self._clock)
         if not self._settle(changer.recover()) or not self._read_layers():
             return self._group.epoch == self._epoch_now()
         self._changer, self._fences = changer, fences
@@ -133,6 +126,10 @@
         )
         return True
 
+    def _is_held(self, own: RankReport) -> bool:
+        """Tell whether a hold stands although no change is under way."""
+        return bool(own.held_step) or self._group.last_held(HOLD_RANK)
+
     def _epoch_now(self) -> int:
         report = self._group.own_report()
         return report.epoch if report is not None else self._group.epoch
--- a/src/canvasyoke/experts/_process.py
+++ b/src/canvasyoke/experts/_process.py
@@ -12,10 +12,12 @@
 import msgspec
 
 from canvasyoke._clock import SECOND, Clock, SystemClock
+from canvasyoke.experts._far_group import FarGroup
 from canvasyoke.experts._linked_group import LinkedGroup
 from canvasyoke.experts._member import RankMember, to_reading
 from canvasyoke.experts._owner import MapOwner, OwnerPolicy
 from canvasyoke.experts._rank_port import RANK_PORTS, RankReport
+from canvasyoke.experts._standby import STANDBY_RANK, Standby
 from canvasyoke.observe import Metrics, part_logger
 from canvasyoke.protocol import Message, RankOrder
 from canvasyoke.state import (
@@ -73,6 +75,8 @@
         self._reload = threading.Event()
         self._link_key = b""
         self._notes: dict[int, _RankNote] = {}
+        #: Ranks that have been reached at their engines, with the address used.
+        self._far: dict[int, tuple[str, RankMember]] = {}
         #: The place in a group that the store's note was written for.
         self._noted: tuple[str, int] | None = None
         self._looked_at = -_LOOK_EVERY
@@ -82,6 +86,7 @@
         self._server: LinkServer | None = None
         self._group: LinkedGroup | None = None
         self._owner: MapOwner | None = None
+        self._standby: Standby | None = None
         self._metrics = Metrics()
         self._results = self._metrics.counter(
             "canvasyoke_map_changes_total", "Changes of the group's map by result.", "result"
@@ -146,6 +151,8 @@
             self._own_map(report)
         else:
             self._follow_owner(report)
+        if report.rank == STANDBY_RANK:
+            self._stand_by(report)
 
     def _is_introduced(self, report: RankReport) -> bool:
         """See that the others can find this process, and that it has the link key."""
@@ -242,8 +249,15 @@
             self._group.took(session, message)
 
     def _far_member(self, rank: int) -> RankMember | None:
+        """Return another rank as its engine is reached from here."""
         note = self._notes.get(rank)
-        return RankMember(self._make_port(note.engine)) if note is not None else None
+        if note is None:
+            return None
+        known = self._far.get(rank)
+        if known is None or known[0] != note.engine:
+            known = (note.engine, RankMember(self._make_port(note.engine)))
+            self._far[rank] = known
+        return known[1]
 
     # The other ranks' side.
 
@@ -282,6 +296,32 @@
         )
         self._client.start()
 
+    def _stand_by(self, report: RankReport) -> None:
+        """See that nothing which the owner began stays unfinished when it falls silent."""
+        if self._standby is None or self._standby.epoch != report.epoch:
+            self._standby = Standby(
+                report,
+                lambda: self._far_member(0),
+                lambda: self._far_group(report),
+                self._store,
+                self._incarnation,
+                self._results,
+                self._clock,
+            )
+        session = self._session
+        away = self._clock.now() - self._linked_at
+        silence = session.silence if session is not None and not session.closed else away
+        self._standby.turn(report, silence)
+
+    def _far_group(self, report: RankReport) -> FarGroup | None:
+        """Return the group as its engines are reached; ``None`` while one is not known."""
+        members = {r: self._far_member(r) for r in range(report.size) if r != report.rank}
+        known = {r: member for r, member in members.items() if member is not None}
+        if len(known) < report.size - 1:
+            self._read_notes(report.group)
+            return None
+        return FarGroup({**known, report.rank: self._member}, report.rank)
+
     def _ordered(self, session: Session, message: Message) -> None:
         if isinstance(message, RankOrder):
             session.send(self._member.answer(message))
--- a/src/canvasyoke/experts/tests/group_model.py
+++ b/src/canvasyoke/experts/tests/group_model.py
@@ -10,6 +10,9 @@
 from canvasyoke.experts import Armed, MapOrder, MapOrderKind, OrderOutcome, RankReport
 from canvasyoke.experts._group import Ordered, RankGroup
 
+#: Milliseconds by which engines' reports to other machines lag.
+_FAR_LAG = 200
+
 
 class OwnerDied(Exception):
     """The owner's process ended between two orders."""
@@ -102,8 +105,18 @@
     arrival: float = 0.2
     reform: float = 0.0
 
+    #: What each rank would have reported, with the time.
+    past: list[list[tuple[int, RankReport]]] = field(default_factory=list)
+
     def __post_init__(self) -> None:
         self.ranks = [Rank(number) for number in range(self.size)]
+        self.past = [[] for _ in self.ranks]
+        self.remember()
+
+    def remember(self) -> None:
+        """Keep what each rank would report now, for those who hear of it late."""
+        for rank in self.ranks:
+            self.past[rank.number].append((self.clock.now(), self.report(rank)))
 
     def pass_time(self) -> None:
         """Let something happen between two orders."""
@@ -115,6 +128,7 @@
             self.ranks[rank].take(order, self.step)
         if self.rng.random() < self.reform:
             self.form_anew()
+        self.remember()
 
     def begin_step(self) -> None:
         """Begin the next step unless a rank holds it."""
@@ -157,19 +171,52 @@
 class ModelGroup(RankGroup):
     """The group as one owner reaches it."""
 
-    def __init__(self, world: World) -> None:
+    def __init__(
+        self,
+        world: World,
+        own_rank: int = 0,
+        out_of_reach: frozenset[int] = frozenset(),
+        lag: int = 0,
+    ) -> None:
         self.world = world
+        self._own_rank = own_rank
+        self._out_of_reach = out_of_reach
+        self._lag = lag
 
     @property
     def size(self) -> int:
         return self.world.size
 
+    @property
+    def report_lag(self) -> int:
+        return self._lag
+
+    def pause(self, seconds: float) -> None:
+        """Let at least so much time pass."""
+        until = self.world.clock.now() + round(seconds * 1_000)
+        while self.world.clock.now() < until:
+            self.world.pass_time()
+
+    def _report(self, rank: Rank) -> RankReport:
+        """Return a report as old as reports of this group may be."""
+        return self._report_of(rank, self._lag)
+
+    def _report_of(self, rank: Rank, lag: int) -> RankReport:
+        if not lag or rank.number == self._own_rank:
+            return self.world.report(rank)
+        limit = self.world.clock.now() - lag
+        past = [each for at, each in self.world.past[rank.number] if at <= limit]
+        return past[-1] if past else self.world.past[rank.number][0][1]
+
     def give(self, orders: Mapping[int, MapOrder], timeout: int) -> Mapping[int, Ordered]:
         answers = {}
         waiting = list(orders.items())
         while waiting:
             rank, order = waiting.pop(0)
             self.world.pass_time()
+            if rank in self._out_of_reach:
+                answers[rank] = Ordered(OrderOutcome.UNKNOWN)
+                continue
             answers[rank] = self._give_one(self.world.ranks[rank], order)
             if self.world.rng.random() < self.world.death:
                 # Or it is paused, and wakes to send the rest when another owns the map.
@@ -177,6 +224,14 @@
                 raise OwnerDied
         return answers
 
+    def give_directly(self, orders: Mapping[int, MapOrder], timeout: int) -> Mapping[int, Ordered]:
+        """Give orders as from another machine, which hears of their effect late."""
+        given = self.give(orders, timeout)
+        return {
+            rank: Ordered(each.outcome, self._report_of(self.world.ranks[rank], _FAR_LAG))
+            for rank, each in given.items()
+        }
+
     def _give_one(self, rank: Rank, order: MapOrder) -> Ordered:
         world, roll = self.world, self.world.rng.random()
         if roll < world.lost:
@@ -186,13 +241,17 @@
             return Ordered(OrderOutcome.UNKNOWN)
         outcome = rank.take(order, world.step)
         if roll < world.lost + world.tardy + world.silent:
-            return Ordered(OrderOutcome.UNKNOWN, world.report(rank))
-        return Ordered(outcome, world.report(rank))
+            return Ordered(OrderOutcome.UNKNOWN, self._report(rank))
+        return Ordered(outcome, self._report(rank))
 
     def ask(self, timeout: int) -> Mapping[int, RankReport]:
         self.world.pass_time()
-        return {rank.number: self.world.report(rank) for rank in self.world.ranks}
+        return {
+            rank.number: self._report(rank)
+            for rank in self.world.ranks
+            if rank.number not in self._out_of_reach
+        }
 
     def own_report(self) -> RankReport | None:
         self.world.pass_time()
-        return self.world.report(self.world.ranks[0])
+        return self.world.report(self.world.ranks[self._own_rank])
--- a/src/canvasyoke/experts/tests/test_change.py
+++ b/src/canvasyoke/experts/tests/test_change.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
 
 import pytest
@@ -10,7 +11,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from canvasyoke.experts import MapOrder, MapOrderKind
-from canvasyoke.experts._change import ChangeResult, Fences, MapChanger
+from canvasyoke.experts._change import HOLD_RANK, ChangeRanks, ChangeResult, MapChanger
+from canvasyoke.experts._fences import Fences
 from canvasyoke.experts._group import NewMap
 from canvasyoke.experts.tests.group_model import MapsDiffer, ModelGroup, OwnerDied, World
 
@@ -20,12 +22,21 @@
 def owner(world: World, number: int = 1) -> tuple[MapChanger, Fences]:
     fences = Fences(number * _OWNER_RANGE)
     group = ModelGroup(world)
+    ranks = ChangeRanks(own=0, owner=0, hold=HOLD_RANK)
     changer = MapChanger(
-        group, 0, world.epoch, fences, world.clock, lambda _seconds: world.pass_time()
+        group, ranks, world.epoch, fences, world.clock, lambda _seconds: world.pass_time()
     )
     return changer, fences
 
 
+def standby(world: World, number: int) -> MapChanger:
+    """Return a changer beside rank 1 that cannot reach the owner's rank."""
+    group = ModelGroup(world, own_rank=HOLD_RANK, out_of_reach=frozenset({0}), lag=200)
+    ranks = ChangeRanks(own=HOLD_RANK, owner=0, hold=HOLD_RANK)
+    fences = Fences(number * _OWNER_RANGE)
+    return MapChanger(group, ranks, world.epoch, fences, world.clock, group.pause)
+
+
 def new_map(fences: Fences) -> NewMap:
     return NewMap(fences.next(), ((),), copy_time=0)
 
@@ -86,6 +97,30 @@
     assert not any(rank.held_step for rank in world.ranks)
 
 
+@pytest.mark.parametrize("seed", range(300))
+def test_a_silent_owner_is_no_need_for_a_long_hold(seed: int) -> None:
+    """Unless all other ranks are armed, the group goes on without the owner's rank."""
+    world = World(4, random.Random(seed), death=0.08, busy=0.3, arrival=0.0)
+    changer, fences = owner(world)
+    with contextlib.suppress(OwnerDied):
+        changer.change(new_map(fences))
+    world.death = 0.0
+    others = world.ranks[1:]
+    is_held = any(rank.held_step for rank in others)
+    may_be_armed = all(rank.armed is not None for rank in others)
+    result = standby(world, 2).recover_without_owner()
+    if is_held and may_be_armed:
+        assert result is ChangeResult.NOT_HELD
+    if is_held and not may_be_armed:
+        assert result is ChangeResult.ABANDONED
+        assert not any(rank.held_step for rank in world.ranks)
+    world.arrival = 0.5
+    while world.late:
+        world.pass_time()  # the owner wakes and sends the rest
+    for _ in range(8):
+        world.begin_step()
+
+
 def test_an_owner_that_was_replaced_stops() -> None:
     world = World(4, random.Random(1))
     old, old_fences = owner(world, 1)
@@ -164,6 +199,20 @@
         if result in (ChangeResult.REFORMED, ChangeResult.REPLACED):
             self.take_over()
 
+    @rule(seed=st.integers(0, 1 << 30), steps=st.integers(0, 10))
+    def owner_falls_silent_with_its_rank(self, seed: int, steps: int) -> None:
+        """Another ends what it left; then it wakes and sends what it had not sent."""
+        self.world.rng = random.Random(seed)
+        self.world.death = 0.1
+        with contextlib.suppress(OwnerDied):
+            self.changer.change(new_map(self.fences))
+        self.world.death = 0.0
+        self.number += 1
+        standby(self.world, self.number).recover_without_owner()
+        for _ in range(steps):
+            self.world.pass_time()
+        self.take_over()
+
     @rule(busy=st.sampled_from([0.0, 0.3, 0.9]))
     def load_changes(self, busy: float) -> None:
         self.world.busy = busy
--- a/src/canvasyoke/transport/_session.py
+++ b/src/canvasyoke/transport/_session.py
@@ -86,10 +86,15 @@
         """Tell whether the session has ended."""
         return self._closed
 
+    @property
+    def silence(self) -> int:
+        """Return the milliseconds since anything came."""
+        return self._clock.now() - self._heard
+
     @property
     def silent(self) -> bool:
         """Tell whether nothing came for so long that the link must be broken."""
-        return self._clock.now() - self._heard > SILENCE
+        return self.silence > SILENCE
 
     def send(self, message: Message) -> None:
         """Queue ``message``; lost without notice when the session has ended."""
