--- a/fakes/http_base.py
+++ b/fakes/http_base.py
@@ -16,6 +16,10 @@
     request_queue_size = 1024
     allow_reuse_address = True
 
+    def serve_forever(self, poll_interval: float = 0.02) -> None:
+        """Serve until shut down; the interval bounds how long a shutdown waits."""
+        super().serve_forever(poll_interval)
+
     def handle_error(self, request: Any, client_address: Any) -> None:
         """Stay quiet when a peer goes away in the middle of an answer."""
 
--- a/src/canvasyoke/coordination/_routing.py
+++ b/src/canvasyoke/coordination/_routing.py
@@ -52,6 +52,8 @@
     own: int
     #: Milliseconds a request takes there; 0 when unknown.
     duration: int
+    #: How much longer its steps last than those of the fastest group; 1 when unknown.
+    pace: float = 1.0
 
     @property
     def load(self) -> int:
@@ -211,3 +213,23 @@
             candidates,
             key=lambda c: (c.load / max(1, c.slots), c.domain != req.domain, self._rng.random()),
         )
+
+
+@RANKERS.register("least_paced")
+class LeastPacedRanker(Ranker):
+    """As ``least_loaded``, with the load weighed by how long a step lasts there.
+
+    One slow rank holds up all steps of its group. The group keeps some requests, since
+    the others would be crowded without it, but fewer the slower it is.
+    """
+
+    def choose(self, candidates: Sequence[Candidate], req: RouteRequest) -> Candidate:
+        """Return the candidate with the smallest weighed part of its slots in use."""
+        return min(
+            candidates,
+            key=lambda c: (
+                (c.load + 1) * c.pace / max(1, c.slots),
+                c.domain != req.domain,
+                self._rng.random(),
+            ),
+        )
--- a/src/canvasyoke/direct/_call.py
+++ b/src/canvasyoke/direct/_call.py
@@ -82,8 +82,8 @@
     #: Time on the clock at which it came, and at which no answer is wanted any more.
     began: int
     deadline: int
-    #: Whether the deadline is the route's and not the caller's.
-    held_to_route: bool
+    #: Whether the caller has asked before: it has less time left than others bring.
+    came_back: bool
     #: Tells whether the caller has gone.
     gone: Callable[[], bool]
     #: Id of the last event that the caller has.
--- a/src/canvasyoke/direct/_callers.py
+++ b/src/canvasyoke/direct/_callers.py
@@ -38,6 +38,9 @@
 MAX_HELD: Final = 600
 #: Milliseconds of patience assumed for a caller who does not say: the route's limit rules.
 _NO_LIMIT: Final = 3_600 * SECOND
+#: Part of the longest time that callers of a route bring, under which one must have been
+#: here before: all callers of a route bring about the same.
+_FIRST_TRY_PART: Final = 0.95
 #: Longest time, in milliseconds, between a caller's leaving and the end of its exchange.
 _WATCH_EVERY: Final = 100
 
@@ -72,6 +75,8 @@
         self._metrics = metrics
         self._lock = threading.Lock()
         self._held: dict[int, DirectCall] = {}
+        #: Most time that a caller has brought, by route.
+        self._longest_patience: dict[str, int] = {}
         self._entered = 0
         self._closed = False
         self._watch = threading.Thread(target=self._watch_callers, name="callers", daemon=True)
@@ -218,11 +223,17 @@
             table_version=table.version,
             began=now,
             deadline=now + min(patience, route.timeout),
-            held_to_route=route.timeout < patience,
+            came_back=self._came_back(route, patience),
             gone=environ.get("waitress.client_disconnected", lambda: False),
             last_event=request.resume_after,
         )
 
+    def _came_back(self, route: TableRoute, patience: int) -> bool:
+        """Tell whether a caller has used up part of the time that callers bring."""
+        longest = max(patience, self._longest_patience.get(route.name, 0))
+        self._longest_patience[route.name] = longest
+        return patience < _FIRST_TRY_PART * longest
+
     def _pick_service(self, shares: tuple[ServiceShare, ...]) -> str:
         if len(shares) == 1:
             return shares[0].service
--- a/src/canvasyoke/direct/_forwarder.py
+++ b/src/canvasyoke/direct/_forwarder.py
@@ -20,6 +20,7 @@
     NotRunCause,
     OutboundRequest,
 )
+from canvasyoke.direct._admission import NO_LIMIT
 from canvasyoke.direct._budget import FleetRetryBudget
 from canvasyoke.direct._call import (
     AnswerEnd,
@@ -46,9 +47,20 @@
 #: Milliseconds for which a full backend is passed over: about two of its passes.
 _FULL_PAUSE: Final = 150
 #: Milliseconds that a caller is asked to wait, drawn between the two so that callers
-#: who were refused together do not come back together.
-_RETRY_SOONEST: Final = 150
-_RETRY_LATEST: Final = 400
+#: who were refused together do not come back together. A backend that is full has room
+#: again after a step or two; where all wait in line, a burst must pass; a group without
+#: one of its ranks is away for seconds, and callers ask again only once.
+_RETRY_FULL: Final = (150, 400)
+_RETRY_CROWDED: Final = (800, 2_400)
+_RETRY_AWAY: Final = (2_000, 2_600)
+#: Part of its time left that a caller is asked to wait at the most; callers wait for up
+#: to a third of it.
+_RETRY_PART: Final = 0.32
+#: Parts of the route's objective for which a request may wait for a slot: where it waits
+#: longer its answer comes late. A caller who was turned away before waits rather than be
+#: turned away for good, as long as the first event comes before streams are given up.
+_WAIT_PART: Final = 0.5
+_WAIT_PART_AGAIN: Final = 3.0
 #: Largest answer, other than a stream, that is collected before it is passed on.
 _WHOLE_LIMIT: Final = 8 << 20
 _SERVER_ERROR: Final = 500
@@ -82,7 +94,7 @@
         while True:
             chosen = self._choose(call)
             if isinstance(chosen, NoneAble):
-                yield self._give_up(call, f"no backend can take it: {chosen.reason}")
+                yield self._give_up(call, f"no backend can take it: {chosen.reason}", chosen)
                 return
             failure = yield from self._attempt(call, chosen)
             if failure is None:
@@ -98,7 +110,7 @@
         if call.deadline - self._clock.now() < _LEAST_TIME:
             return NoneAble(Reason.DEADLINE)
         tried = frozenset(tried.backend for tried in call.tried)
-        return self._roster.choose(call.service, tried)
+        return self._roster.choose(call.service, tried, _patience(call))
 
     def _attempt(
         self, call: DirectCall, chosen: Chosen
@@ -176,17 +188,26 @@
         return self._pay(call)
 
     def _give_up(
-        self, call: DirectCall, detail: str, failure: NotRun | MayHaveRun | None = None
+        self, call: DirectCall, detail: str, cause: NotRun | MayHaveRun | NoneAble
     ) -> GaveUp | BrokeOff:
         if call.delivered:
             return BrokeOff(detail)
         out_of_time = call.deadline - self._clock.now() < _LEAST_TIME
         if call.may_have_run:
             return GaveUp(_GATEWAY_TIMEOUT if out_of_time else _BAD_GATEWAY, detail)
-        if isinstance(failure, NotRun) and failure.cause is NotRunCause.REJECTED:
+        if isinstance(cause, NotRun) and cause.cause is NotRunCause.REJECTED:
             return GaveUp(_BAD_REQUEST, detail)
-        pause = self._rng.randint(_RETRY_SOONEST, _RETRY_LATEST)
-        return GaveUp(_UNAVAILABLE, detail, retry_after=pause)
+        return GaveUp(_UNAVAILABLE, detail, retry_after=self._retry_after(call, cause))
+
+    def _retry_after(self, call: DirectCall, cause: NotRun | MayHaveRun | NoneAble) -> int:
+        """Return when the caller should come back, by what kept the request from running."""
+        bounds = _RETRY_FULL
+        if self._roster.is_away(call.service):
+            bounds = _RETRY_AWAY
+        elif isinstance(cause, NoneAble) and cause.reason is Reason.OVERLOADED:
+            bounds = _RETRY_CROWDED
+        longest = round((call.deadline - self._clock.now()) * _RETRY_PART)
+        return max(1, min(self._rng.randint(*bounds), longest))
 
     def _relay(
         self, call: DirectCall, answer: BackendAnswer, backend: str
@@ -246,15 +267,16 @@
     ) -> Generator[Piece, None, MayHaveRun | None]:
         """Pass on whole events as they come."""
         cutter = EventCutter()
-        has_begun = False
+        heard_at = 0
         try:
             for piece in answer.pieces():
                 for event in cutter.feed(piece):
-                    if has_begun:
-                        self._roster.stream_heard(backend)
+                    now = self._clock.now()
+                    if heard_at:
+                        self._roster.stream_heard(backend, now - heard_at)
                     else:
-                        has_begun = True
                         self._roster.stream_began(backend)
+                    heard_at = now
                     number = event_id(event)
                     if not is_after(number, call.last_event):
                         continue
@@ -267,7 +289,7 @@
         except ExchangeError as exc:
             return MayHaveRun(f"the stream broke off: {exc}")
         finally:
-            if has_begun:
+            if heard_at:
                 self._roster.stream_ended(backend)
         if cutter.has_rest:
             return MayHaveRun("the stream ended within an event")
@@ -278,3 +300,11 @@
 
     def _time_left(self, call: DirectCall) -> int:
         return call.deadline - self._clock.now() + _BACKEND_GRACE
+
+
+def _patience(call: DirectCall) -> int:
+    """Return the longest wait for a slot that makes sense for a request."""
+    if not call.route.objective:
+        return NO_LIMIT
+    part = _WAIT_PART_AGAIN if call.came_back or call.delivered else _WAIT_PART
+    return round(part * call.route.objective)
--- a/src/canvasyoke/direct/_groups.py
+++ b/src/canvasyoke/direct/_groups.py
@@ -20,6 +20,14 @@
 #: Milliseconds without an event on any of a group's streams after which it is taken to
 #: stand still. Events come every 120 ms or sooner where they are on time.
 _STANDSTILL: Final = 400
+#: Weight of a new pause between two events in a group's running mean. An entry sees
+#: some fifty a second of each group, so the mean follows within a second.
+_PAUSE_WEIGHT: Final = 0.05
+#: Milliseconds after which a mean pause is not relied on any more.
+_PAUSE_AGE: Final = 1 * SECOND
+#: Ratio of two groups' mean pauses up to which they count as equally fast: batches and
+#: expert maps differ by that much without any rank being slow.
+_SAME_PACE: Final = 1.4
 
 
 @dataclass(slots=True)
@@ -30,6 +38,8 @@
     streams: int = 0
     #: Time on the clock of the last event on any of them.
     heard_at: int = 0
+    #: Running mean of the milliseconds between two events of a stream; 0 before any.
+    event_pause: float = 0.0
 
 
 class RankGroups:
@@ -80,13 +90,33 @@
             group.streams += 1
             self.heard(backend)
 
-    def heard(self, backend: str) -> None:
-        """Take note of an event: the group makes steps."""
+    def heard(self, backend: str, pause: int = 0) -> None:
+        """Take note of an event, ``pause`` milliseconds after the one before it, if any.
+
+        The group makes steps.
+        """
         group = self._find(backend)
-        if group is not None:
-            group.heard_at = self._clock.now()
-            group.pause = _PASS_OVER
-            group.until = 0
+        if group is None:
+            return
+        group.heard_at = self._clock.now()
+        group.pause = _PASS_OVER
+        group.until = 0
+        if pause:
+            weight = _PAUSE_WEIGHT if group.event_pause else 1.0
+            group.event_pause += weight * (pause - group.event_pause)
+
+    def pace(self, backend: str) -> float:
+        """Return how much longer the group's steps last than those of the fastest one."""
+        group = self._find(backend)
+        if group is None:
+            return 1.0
+        oldest = self._clock.now() - _PAUSE_AGE
+        pauses = [g.event_pause for g in self._groups.values() if g.heard_at > oldest]
+        fastest = min((pause for pause in pauses if pause), default=0.0)
+        if not fastest or not group.event_pause or group.heard_at <= oldest:
+            return 1.0
+        ratio = group.event_pause / fastest
+        return ratio if ratio > _SAME_PACE else 1.0
 
     def stream_ended(self, backend: str) -> None:
         """Take note that a stream has ended or broken off."""
--- a/src/canvasyoke/direct/_roster.py
+++ b/src/canvasyoke/direct/_roster.py
@@ -20,6 +20,7 @@
     RouteRequest,
     filter_candidates,
 )
+from canvasyoke.direct._admission import ADMISSIONS, NO_LIMIT
 from canvasyoke.direct._groups import RankGroups
 from canvasyoke.protocol import Reason
 from canvasyoke.state import Endpoint, EndpointState
@@ -35,9 +36,13 @@
 #: Milliseconds for which a backend is passed over whose address another run has: the list
 #: will have caught up by then.
 _MOVED_PAUSE: Final = 5 * SECOND
+#: Milliseconds that a request is taken to need before any of its service has ended: a
+#: stream takes somewhat more, a short answer much less.
+_ASSUMED_DURATION: Final = 1_000.0
 #: Part of a new duration in the running mean.
 _DURATION_WEIGHT: Final = 0.2
-_RANKER: Final = "least_loaded"
+_RANKER: Final = "least_paced"
+_ADMISSION: Final = "short_queue"
 
 
 @dataclass(slots=True)
@@ -79,8 +84,6 @@
     rng: random.Random
     #: Whether a list has been read.
     is_known: bool = False
-    #: Time on the clock of the last word from the store, for the log.
-    heard_at: int = 0
     _groups: RankGroups = field(init=False)
     _lock: threading.Lock = field(default_factory=threading.Lock)
     _members: dict[str, _Member] = field(default_factory=dict)
@@ -90,6 +93,8 @@
     _gone: dict[str, int] = field(default_factory=dict)
     #: Requests of each other entry under way, by backend, and when they were told.
     _peers: dict[str, tuple[int, dict[str, int]]] = field(default_factory=dict)
+    #: Running mean of the milliseconds that a request takes, by service.
+    _durations: dict[str, float] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self._groups = RankGroups(self.clock)
@@ -106,19 +111,16 @@
             for endpoint in listed.values():
                 self._put(endpoint)
             self.is_known = True
-            self.heard_at = self.clock.now()
 
     def put(self, endpoint: Endpoint) -> None:
         """Add or change one backend."""
         with self._lock:
             self._put(endpoint)
-            self.heard_at = self.clock.now()
 
     def remove(self, endpoint_id: str, revision: int) -> None:
         """Forget one backend; requests under way there go on."""
         with self._lock:
             self._forget(endpoint_id, revision)
-            self.heard_at = self.clock.now()
 
     def hear(self, endpoint: Endpoint, gone: bool) -> bool:
         """Take what another entry learned from the store; false when it is old."""
@@ -186,8 +188,14 @@
         with self._lock:
             return {i: m.own for i, m in self._members.items() if m.own}
 
-    def choose(self, service: str, tried: frozenset[str]) -> Chosen | NoneAble:
-        """Return the backend for a request and count the request there."""
+    def choose(
+        self, service: str, tried: frozenset[str], patience: int = NO_LIMIT
+    ) -> Chosen | NoneAble:
+        """Return the backend for a request and count the request there.
+
+        ``patience`` is the longest wait for a slot, in milliseconds, that still makes
+        sense for the request.
+        """
         with self._lock:
             others = self._peers_load()
             found = filter_candidates(
@@ -199,6 +207,9 @@
             ranker = RANKERS.get(_RANKER)(self.rng)
             best = ranker.choose(found.candidates, RouteRequest(service, self.domain, tried))
             member = self._members[best.instance]
+            duration = self._durations.get(service, _ASSUMED_DURATION)
+            if not ADMISSIONS.get(_ADMISSION)(best, duration, patience):
+                return NoneAble(Reason.OVERLOADED)
             member.own += 1
             member.ejection.sent()
             return Chosen(member.endpoint, best.load)
@@ -231,8 +242,15 @@
             own_reported=member.own,
             own=member.own,
             duration=round(member.duration),
+            pace=self._groups.pace(endpoint.id),
         )
 
+    def is_away(self, service: str) -> bool:
+        """Tell whether every group of a service stands still."""
+        with self._lock:
+            ready = [m for m in self._members.values() if m.endpoint.service == service]
+            return bool(ready) and all(self._groups.stands_still(m.endpoint.id) for m in ready)
+
     def has_other(self, service: str, tried: frozenset[str]) -> bool:
         """Tell whether a service has a backend besides those tried."""
         with self._lock:
@@ -268,10 +286,10 @@
         with self._lock:
             self._groups.stream_began(endpoint_id)
 
-    def stream_heard(self, endpoint_id: str) -> None:
-        """Take note of a further event."""
+    def stream_heard(self, endpoint_id: str, pause: int) -> None:
+        """Take note of a further event, ``pause`` milliseconds after the one before."""
         with self._lock:
-            self._groups.heard(endpoint_id)
+            self._groups.heard(endpoint_id, pause)
 
     def stream_ended(self, endpoint_id: str) -> None:
         """Take note that a stream has ended or broken off."""
@@ -300,6 +318,9 @@
                 return
             member.ejection.succeeded()
             member.duration += _DURATION_WEIGHT * (duration - member.duration)
+            service = member.endpoint.service
+            mean = self._durations.get(service, float(duration))
+            self._durations[service] = mean + _DURATION_WEIGHT * (duration - mean)
 
     def moved(self, endpoint_id: str) -> None:
         """Take note that another run has the address of this one."""
--- a/src/canvasyoke/direct/tests/test_roster.py
+++ b/src/canvasyoke/direct/tests/test_roster.py
@@ -9,6 +9,7 @@
 from canvasyoke._clock import ManualClock
 from canvasyoke.backend import ReportedLoad
 from canvasyoke.direct._roster import Chosen, NoneAble, Roster
+from canvasyoke.protocol import Reason
 from canvasyoke.state import Endpoint, EndpointState
 
 
@@ -94,7 +95,7 @@
     roster.stream_began("a")
     clock.advance(500)
     assert {choose(roster) for _ in range(5)} == {"b"}
-    roster.stream_heard("a")
+    roster.stream_heard("a", 70)
     assert choose(roster) == "a"
 
 
@@ -118,3 +119,67 @@
     assert {choose(roster) for _ in range(5)} == {"b"}
     clock.advance(200)
     assert choose(roster) == "a"
+
+
+def test_a_group_with_slower_steps_gets_fewer_requests(roster: Roster) -> None:
+    for name, group, pause in (("a", "g-1", 70), ("b", "g-2", 350)):
+        roster.learn_group(name, group)
+        roster.stream_began(name)
+        roster.stream_heard(name, pause)
+    chosen = [choose(roster) for _ in range(12)]
+    assert chosen.count("b") in (1, 2)
+
+
+def test_groups_of_about_the_same_pace_share_alike(roster: Roster) -> None:
+    for name, group, pause in (("a", "g-1", 70), ("b", "g-2", 90)):
+        roster.learn_group(name, group)
+        roster.stream_began(name)
+        roster.stream_heard(name, pause)
+    chosen = [choose(roster) for _ in range(12)]
+    assert chosen.count("b") == 6
+
+
+def test_an_old_pace_is_forgotten(roster: Roster, clock: ManualClock) -> None:
+    for name, group, pause in (("a", "g-1", 70), ("b", "g-2", 350)):
+        roster.learn_group(name, group)
+        roster.stream_began(name)
+        roster.stream_heard(name, pause)
+        roster.stream_ended(name)
+    clock.advance(1_500)
+    chosen = [choose(roster) for _ in range(12)]
+    assert chosen.count("b") == 6
+
+
+#: Requests under way at each of two backends with 6 slots, the longest wait that makes
+#: sense, and whether a request is sent. A request takes 1,200 ms.
+QUEUES = [
+    ("a slot is free", 5, 0, True),
+    ("one is ahead", 6, 200, True),
+    ("two are ahead", 7, 200, False),
+    ("two are ahead of a patient one", 7, 1_200, True),
+    ("a long line", 13, 1_200, False),
+]
+
+
+@pytest.mark.parametrize(("each", "patience", "sent"), [case[1:] for case in QUEUES])
+def test_a_request_that_would_wait_too_long_is_not_sent(
+    roster: Roster, each: int, patience: int, sent: bool
+) -> None:
+    choose(roster)
+    roster.finished("a", 1_200, failed=False)
+    roster.finished("b", 1_200, failed=False)
+    roster.peer_load("entry-2", {"a": each, "b": each})
+    chosen = roster.choose("ink", frozenset(), patience)
+    assert isinstance(chosen, Chosen) is sent
+    if isinstance(chosen, NoneAble):
+        assert chosen.reason is Reason.OVERLOADED
+
+
+def test_a_service_is_away_when_all_its_groups_are(roster: Roster) -> None:
+    for name, group in (("a", "g-1"), ("b", "g-2")):
+        roster.learn_group(name, group)
+    roster.group_broke("a")
+    assert not roster.is_away("ink")
+    roster.group_broke("b")
+    assert roster.is_away("ink")
+    assert not roster.is_away("shelf")
--- a/tests/test_direct_fleet.py
+++ b/tests/test_direct_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http.client
 import signal
 import threading
 import time
@@ -151,6 +152,46 @@
     assert sum(len(engine.arrivals) for engine in lost) < 12
 
 
+def test_callers_stay_away_for_seconds_while_all_groups_are_lost(fleet: DirectFleet) -> None:
+    """They ask again only once, so an early return would be refused for good."""
+    fleet.fill_store()
+    entry = fleet.add_entry(retry_slack=10_000)
+    entry.wait_ready()
+    wait_until(lambda: entry.logged().count("group learned") == 3, "it knows the groups")
+    for engine in fleet.ink:
+        engine.behaviours.extend([engines.group_broken] * 10)
+    reply = entry.call("/stream/1", Request_Deadline="6000")
+    assert reply.status == 503
+    assert 1.5 < float(reply.headers["Retry-After"]) < 2.0  # under a third of the time left
+
+
+def test_more_than_the_queues_should_hold_is_refused_unrun(fleet: DirectFleet) -> None:
+    """But a caller that was refused before, so that it has less time left, waits."""
+    fleet.fill_store()
+    entry = fleet.add_entry()
+    entry.wait_ready()
+    slots = 6 * len(fleet.ink)
+    for engine in fleet.ink:
+        engine.behaviours.extend([engines.endless_stream] * slots)
+    held: list[http.client.HTTPConnection] = []
+    while fleet.arrivals() < 2 * slots:
+        before = fleet.arrivals()
+        conn = entry.send("/stream/1", request_id=f"r-{len(held)}")
+        held.append(conn)
+        answered = conn.getresponse()
+        if answered.status == 503:
+            break
+        assert fleet.arrivals() == before + 1
+    assert answered.status == 503
+    assert slots <= fleet.arrivals() < 2 * slots
+    assert float(answered.headers["Retry-After"]) >= 0.8
+    conn = entry.send("/stream/1", request_id="r-again", Request_Deadline="3000")
+    held.append(conn)
+    assert conn.getresponse().status == 200
+    for conn in held:
+        conn.close()
+
+
 def test_a_failure_goes_back_where_there_is_no_other_backend(fleet: DirectFleet) -> None:
     fleet.fill_store()
     fleet.store.remove("servers", "shelf-2")
