--- a/src/canvasyoke/direct/_call.py
+++ b/src/canvasyoke/direct/_call.py
@@ -97,7 +97,10 @@
     tried: list[Tried] = field(default_factory=list)
     #: Ids of the backends that the request was sent to.
     sent_to: set[str] = field(default_factory=set)
-    #: Time on the clock of the first piece of the answer; 0 before it.
+    #: Time on the clock of the first piece of the answer and of the last; 0 before them.
     first_piece_at: int = 0
+    last_piece_at: int = 0
+    #: Longest time between two pieces, in milliseconds.
+    longest_gap: int = 0
     #: The exchange under way; lets the watch over callers end it.
     slot: ExchangeSlot | None = None
--- a/src/canvasyoke/direct/_callers.py
+++ b/src/canvasyoke/direct/_callers.py
@@ -149,6 +149,9 @@
             organisation=call.organisation,
             config=call.table_version,
             took=took,
+            first=call.first_piece_at - call.began if call.first_piece_at else None,
+            longest_gap=call.longest_gap,
+            came_back=call.came_back,
             detail=detail,
             tried=[f"{t.backend} load={t.load} {t.took}ms {t.outcome}" for t in call.tried],
         )
--- a/src/canvasyoke/direct/_forwarder.py
+++ b/src/canvasyoke/direct/_forwarder.py
@@ -38,8 +38,9 @@
 from canvasyoke.transport import ExchangeError, ExchangeSlot
 
 #: Milliseconds for a connection to a backend. A round trip takes 3 ms and a backend up
-#: to 1 ms; a full queue of new connections drops the first packet for a second.
-_CONNECT_TIMEOUT: Final = 250
+#: to 1 ms. Where the first packet is lost the next one follows after a second, and
+#: another backend answers sooner.
+_CONNECT_TIMEOUT: Final = 100
 #: Milliseconds past the deadline for the backend's own word that time ran out.
 _BACKEND_GRACE: Final = 40
 #: Least time left, in milliseconds, with which an attempt is still begun.
@@ -57,10 +58,10 @@
 #: to a third of it.
 _RETRY_PART: Final = 0.32
 #: Parts of the route's objective for which a request may wait for a slot: where it waits
-#: longer its answer comes late. A caller who was turned away before waits rather than be
-#: turned away for good, as long as the first event comes before streams are given up.
+#: longer its answer comes late. A caller who was turned away before goes first, but not
+#: by much: played at 3.0, such callers filled the queues and every answer was late.
 _WAIT_PART: Final = 0.5
-_WAIT_PART_AGAIN: Final = 3.0
+_WAIT_PART_AGAIN: Final = 0.75
 #: Largest answer, other than a stream, that is collected before it is passed on.
 _WHOLE_LIMIT: Final = 8 << 20
 _SERVER_ERROR: Final = 500
@@ -157,6 +158,10 @@
     ) -> None:
         """Tell the roster and the log what became of an attempt."""
         backend = chosen.endpoint.id
+        if not isinstance(failure, NotRun) or failure.cause is not NotRunCause.UNREACHABLE:
+            self._roster.domain_reached(chosen.endpoint.domain)
+        elif not call.gone():
+            self._roster.domain_missed(chosen.endpoint)
         if isinstance(failure, NotRun) and failure.cause is not NotRunCause.UNREACHABLE:
             if failure.cause is NotRunCause.MOVED:
                 self._roster.moved(backend)
@@ -303,7 +308,7 @@
 
 
 def _patience(call: DirectCall) -> int:
-    """Return the longest wait for a slot that makes sense for a request."""
+    """Return the longest wait for a slot, in milliseconds, that makes sense."""
     if not call.route.objective:
         return NO_LIMIT
     part = _WAIT_PART_AGAIN if call.came_back or call.delivered else _WAIT_PART
--- a/src/canvasyoke/direct/_metrics.py
+++ b/src/canvasyoke/direct/_metrics.py
@@ -21,10 +21,13 @@
         )
 
     def piece(self, call: DirectCall, now: int) -> None:
-        """Time the first piece of an answer."""
+        """Time the first piece of an answer, and the pauses after it."""
         if not call.first_piece_at:
             call.first_piece_at = now
             self._first.record(now - call.began)
+        else:
+            call.longest_gap = max(call.longest_gap, now - call.last_piece_at)
+        call.last_piece_at = now
 
     def ended(self, outcome: str, took: int) -> None:
         """Count a request that has ended after ``took`` milliseconds."""
--- a/src/canvasyoke/direct/_process.py
+++ b/src/canvasyoke/direct/_process.py
@@ -14,6 +14,7 @@
 from canvasyoke.direct._budget import FleetRetryBudget, RetryAllowance
 from canvasyoke.direct._caller_port import CALLER_PORTS
 from canvasyoke.direct._callers import MAX_HELD, DirectCallers
+from canvasyoke.direct._domains import DomainProber
 from canvasyoke.direct._follower import EndpointFollower, TableFollower, TableView
 from canvasyoke.direct._forwarder import Forwarder
 from canvasyoke.direct._group_learner import GroupLearner
@@ -26,6 +27,7 @@
     CallerLimits,
     DirectSettings,
     RoutingTable,
+    WatchedFile,
     load_settings,
 )
 from canvasyoke.transport import CallerServer, ServerLimits
@@ -37,6 +39,8 @@
 #: Milliseconds for which the balancer may still send new connections after the entry
 #: has stopped being ready: it asks once a second and needs two refusals.
 _BALANCER_TIME: Final = 2_300
+#: Milliseconds between looks at the settings file and at what is in reach.
+_LOOK_EVERY: Final = 500
 #: Milliseconds between looks at whether all requests have ended.
 _POLL: Final = 50
 #: Milliseconds for the last bytes to leave before the process ends.
@@ -62,6 +66,8 @@
         self._settings_path = settings_path
         self._clock = clock or SystemClock()
         rng = random.Random(secrets.randbits(64))
+        self._settings_file = WatchedFile(settings_path)
+        self._was_isolated = False
         self._leaving = threading.Event()
         self._reload = threading.Event()
         self._wake = threading.Event()
@@ -90,6 +96,7 @@
         port = DIRECT_BACKENDS.get(settings.adapter)()
         forwarder = Forwarder(port, self._roster, self._budget, self._clock, rng)
         self._groups = GroupLearner(port, self._roster, lambda: self._view.current)
+        self._domains = DomainProber(self._roster.cut_addresses, self._roster.domain_reached)
         self._callers = DirectCallers(
             CALLER_PORTS.get(settings.adapter)(),
             lambda: self._view.current,
@@ -122,16 +129,15 @@
         self._endpoint_follower.start()
         self._peers.start()
         self._groups.start()
+        self._domains.start()
         self._callers.start()
         for server in (self._ready, self._admin, self._http):
             server.start()
         _log.info("started", instance=self._settings.instance, http=self._settings.http)
         while not self._leaving.is_set():
-            self._wake.wait()
+            self._wake.wait(_LOOK_EVERY / SECOND)
             self._wake.clear()
-            if self._reload.is_set():
-                self._reload.clear()
-                self._load_settings()
+            self._look()
         self._drain()
         return 0
 
@@ -139,6 +145,17 @@
         event.set()
         self._wake.set()
 
+    def _look(self) -> None:
+        """Follow what changes without a word: the settings file, and the network."""
+        if self._settings_file.has_changed() or self._reload.is_set():
+            self._reload.clear()
+            self._load_settings()
+        isolated = self._roster.is_isolated()
+        if isolated != self._was_isolated:
+            self._was_isolated = isolated
+            self._http.set_draining(isolated)
+            _log.warning("isolated" if isolated else "no longer isolated")
+
     def _load_settings(self) -> None:
         loaded = load_settings(self._settings_path, DirectSettings)
         if isinstance(loaded, list):
@@ -151,7 +168,7 @@
     def _drain(self) -> None:
         """Leave the balancer, answer what is held, exit."""
         _log.info("stopping", in_flight=self._callers.in_flight)
-        self._http.drain()
+        self._http.set_draining(True)
         pause = threading.Event()
         pause.wait(_BALANCER_TIME / SECOND)
         # A request that comes later could not be sure of its end before the process is
@@ -175,6 +192,8 @@
             return "no configuration yet"
         if not self._roster.is_known:
             return "no list of backends yet"
+        if self._roster.is_isolated():
+            return "cut off from the backends"
         return ""
 
     def _add_gauges(self) -> None:
--- a/src/canvasyoke/direct/_roster.py
+++ b/src/canvasyoke/direct/_roster.py
@@ -21,7 +21,9 @@
     filter_candidates,
 )
 from canvasyoke.direct._admission import ADMISSIONS, NO_LIMIT
+from canvasyoke.direct._domains import DomainReach
 from canvasyoke.direct._groups import RankGroups
+from canvasyoke.observe import part_logger
 from canvasyoke.protocol import Reason
 from canvasyoke.state import Endpoint, EndpointState
 
@@ -43,6 +45,7 @@
 _DURATION_WEIGHT: Final = 0.2
 _RANKER: Final = "least_paced"
 _ADMISSION: Final = "short_queue"
+_log = part_logger("roster")
 
 
 @dataclass(slots=True)
@@ -85,6 +88,9 @@
     #: Whether a list has been read.
     is_known: bool = False
     _groups: RankGroups = field(init=False)
+    _domains: DomainReach = field(default_factory=DomainReach)
+    #: Whether the entry has found itself cut off from all that could serve its callers.
+    _is_isolated: bool = False
     _lock: threading.Lock = field(default_factory=threading.Lock)
     _members: dict[str, _Member] = field(default_factory=dict)
     #: Revision of the newest list read from the store; 0 before any.
@@ -193,8 +199,7 @@
     ) -> Chosen | NoneAble:
         """Return the backend for a request and count the request there.
 
-        ``patience`` is the longest wait for a slot, in milliseconds, that still makes
-        sense for the request.
+        ``patience`` is the longest wait for a slot, in milliseconds, that makes sense.
         """
         with self._lock:
             others = self._peers_load()
@@ -233,6 +238,7 @@
                 member.ejection.ejected
                 or now < member.paused_until
                 or self._groups.stands_still(endpoint.id)
+                or self._domains.is_cut(endpoint.domain)
             ),
             slots=endpoint.slots,
             queue=0,
@@ -251,6 +257,48 @@
             ready = [m for m in self._members.values() if m.endpoint.service == service]
             return bool(ready) and all(self._groups.stands_still(m.endpoint.id) for m in ready)
 
+    def domain_missed(self, endpoint: Endpoint) -> None:
+        """Take note that no connection was made to a backend."""
+        with self._lock:
+            if self._domains.missed(endpoint.domain, endpoint.id):
+                _log.warning("domain out of reach", domain=endpoint.domain, own=self.domain)
+
+    def domain_reached(self, domain: str) -> None:
+        """Take note that a connection was made to a backend of a domain."""
+        with self._lock:
+            if self._domains.reached(domain):
+                _log.info("domain in reach", domain=domain, own=self.domain)
+
+    def cut_addresses(self) -> dict[str, str]:
+        """Return the address of one backend in each domain that is out of reach."""
+        with self._lock:
+            cut = self._domains.cut()
+            found = [m.endpoint for m in self._members.values() if m.endpoint.domain in cut]
+            self.rng.shuffle(found)
+            return {endpoint.domain: endpoint.address for endpoint in found}
+
+    def is_isolated(self) -> bool:
+        """Tell whether callers had better go to entries of other domains.
+
+        So it is while all other domains are out of reach from here and a service has no
+        backend left that answers; the others may still reach some. It stays so until a
+        domain is in reach again, since without callers nothing tells of the backends.
+        """
+        with self._lock:
+            endpoints = [m.endpoint for m in self._members.values()]
+            others = {e.domain for e in endpoints} - {self.domain}
+            if not others or not others <= self._domains.cut():
+                self._is_isolated = False
+            elif not self._is_isolated:
+                services = {e.service for e in endpoints}
+                served = {e.service for e in endpoints if self._answers(e)}
+                self._is_isolated = served != services
+            return self._is_isolated
+
+    def _answers(self, endpoint: Endpoint) -> bool:
+        is_cut = self._domains.is_cut(endpoint.domain)
+        return not is_cut and not self._groups.stands_still(endpoint.id)
+
     def has_other(self, service: str, tried: frozenset[str]) -> bool:
         """Tell whether a service has a backend besides those tried."""
         with self._lock:
--- a/src/canvasyoke/direct/tests/test_roster.py
+++ b/src/canvasyoke/direct/tests/test_roster.py
@@ -183,3 +183,73 @@
     roster.group_broke("b")
     assert roster.is_away("ink")
     assert not roster.is_away("shelf")
+
+
+def fill_domains(roster: Roster, *domains: str) -> None:
+    """Put two backends in each domain, all of one group a domain."""
+    listed = [
+        Endpoint(f"{domain}-{n}", "ink", f"{domain}:{n}", domain, 6, EndpointState.READY, 7)
+        for domain in domains
+        for n in (1, 2)
+    ]
+    roster.replace(listed, revision=7)
+    for each in listed:
+        roster.learn_group(each.id, f"g-{each.domain}")
+
+
+def miss(roster: Roster, *names: str) -> None:
+    for each in roster.endpoints():
+        if each.id in names:
+            roster.domain_missed(each)
+
+
+def test_a_domain_out_of_reach_is_passed_over(roster: Roster) -> None:
+    fill_domains(roster, "nbo-a", "nbo-b")
+    miss(roster, "nbo-b-1")
+    assert roster.cut_addresses() == {}
+    miss(roster, "nbo-b-1", "nbo-b-2")
+    assert {choose(roster)[:5] for _ in range(8)} == {"nbo-a"}
+    assert roster.cut_addresses().keys() == {"nbo-b"}
+    roster.domain_reached("nbo-b")
+    assert {choose(roster)[:5] for _ in range(8)} == {"nbo-b"}
+
+
+def test_one_backend_out_of_reach_is_not_its_domain(roster: Roster) -> None:
+    fill_domains(roster, "nbo-a", "nbo-b")
+    miss(roster, "nbo-b-1", "nbo-b-1")
+    roster.domain_reached("nbo-b")
+    miss(roster, "nbo-b-2")
+    assert roster.cut_addresses() == {}
+
+
+#: Domains out of reach, groups that stand still, and whether the entry is isolated.
+ISOLATED = [
+    ("nothing is wrong", (), (), False),
+    ("one of two is cut off, and the own group is lost", ("nbo-b",), ("nbo-a",), False),
+    ("all are cut off, but the own group serves", ("nbo-b", "nbo-c"), (), False),
+    ("all are cut off, and the own group is lost", ("nbo-b", "nbo-c"), ("nbo-a",), True),
+    ("groups are lost, but in reach", (), ("nbo-a", "nbo-b", "nbo-c"), False),
+]
+
+
+@pytest.mark.parametrize(("cut", "lost", "isolated"), [case[1:] for case in ISOLATED])
+def test_isolation(
+    roster: Roster, cut: tuple[str, ...], lost: tuple[str, ...], isolated: bool
+) -> None:
+    fill_domains(roster, "nbo-a", "nbo-b", "nbo-c")
+    for domain in cut:
+        miss(roster, f"{domain}-1", f"{domain}-2")
+    for domain in lost:
+        roster.group_broke(f"{domain}-1")
+    assert roster.is_isolated() is isolated
+
+
+def test_isolation_lasts_until_a_domain_is_in_reach(roster: Roster, clock: ManualClock) -> None:
+    fill_domains(roster, "nbo-a", "nbo-b")
+    miss(roster, "nbo-b-1", "nbo-b-2")
+    roster.group_broke("nbo-a-1")
+    assert roster.is_isolated()
+    clock.advance(10_000)
+    assert roster.is_isolated()
+    roster.domain_reached("nbo-b")
+    assert not roster.is_isolated()
--- a/src/canvasyoke/experts/__init__.py
+++ b/src/canvasyoke/experts/__init__.py
@@ -1,6 +1,7 @@
 """Processes beside engines that move the experts of their rank groups."""
 
 from canvasyoke.experts._rank_port import (
+    FAR_TIMEOUT,
     RANK_PORTS,
     Armed,
     MapOrder,
@@ -13,6 +14,7 @@
 )
 
 __all__ = [
+    "FAR_TIMEOUT",
     "RANK_PORTS",
     "Armed",
     "MapOrder",
--- a/src/canvasyoke/experts/_change.py
+++ b/src/canvasyoke/experts/_change.py
@@ -52,8 +52,9 @@
 #: The same while orders go unanswered: arming then takes several timeouts, and a step
 #: farther ahead leaves time for them before the group has to stand still.
 _STEPS_AHEAD_CAREFUL: Final = (5, 5, 6, 7, 8)
-#: Times that arming is tried while the group is held.
-_ARM_TRIES: Final = 4
+#: Times that arming is tried while the group is held: with a third of the orders
+#: unanswered, all of eight ranks have answered after five in 24 of 25 changes.
+_ARM_TRIES: Final = 5
 #: Milliseconds between tries of what must succeed before the group may go on.
 _INSIST_EVERY: Final = 50
 #: The rank on which owners put their holds: not their own, which is rank 0.
--- a/src/canvasyoke/experts/_process.py
+++ b/src/canvasyoke/experts/_process.py
@@ -16,7 +16,12 @@
 from canvasyoke.experts._linked_group import LinkedGroup
 from canvasyoke.experts._member import RankMember, to_reading
 from canvasyoke.experts._owner import MapOwner, OwnerPolicy
-from canvasyoke.experts._rank_port import RANK_PORTS, RankReport
+from canvasyoke.experts._rank_port import (
+    FAR_TIMEOUT,
+    NEAR_TIMEOUT,
+    RANK_PORTS,
+    RankReport,
+)
 from canvasyoke.experts._standby import STANDBY_RANK, Standby
 from canvasyoke.observe import Metrics, part_logger
 from canvasyoke.protocol import Message, RankOrder
@@ -26,6 +31,7 @@
     RankGeometry,
     RanksSettings,
     TableRead,
+    WatchedFile,
     load_settings,
     read_link_key,
 )
@@ -65,12 +71,13 @@
     ) -> None:
         self._settings = settings
         self._settings_path = settings_path
+        self._settings_file = WatchedFile(settings_path)
         self._clock = clock or SystemClock()
         self._rng = random.Random(secrets.randbits(64))
         self._incarnation = secrets.token_hex(8)
         self._store = FLEET_STORES.get(settings.adapter)(settings.store)
         self._make_port = RANK_PORTS.get(settings.adapter)
-        self._member = RankMember(self._make_port(settings.engine))
+        self._member = RankMember(self._make_port(settings.engine, NEAR_TIMEOUT))
         self._stop = threading.Event()
         self._reload = threading.Event()
         self._link_key = b""
@@ -116,7 +123,7 @@
         admin.start()
         _log.info("started", instance=self._settings.instance, engine=self._settings.engine)
         while not self._stop.is_set():
-            if self._reload.is_set():
+            if self._settings_file.has_changed() or self._reload.is_set():
                 self._reload.clear()
                 self._load_settings()
             report = self._member.report()
@@ -255,7 +262,7 @@
             return None
         known = self._far.get(rank)
         if known is None or known[0] != note.engine:
-            known = (note.engine, RankMember(self._make_port(note.engine)))
+            known = (note.engine, RankMember(self._make_port(note.engine, FAR_TIMEOUT)))
             self._far[rank] = known
         return known[1]
 
--- a/src/canvasyoke/experts/_rank_port.py
+++ b/src/canvasyoke/experts/_rank_port.py
@@ -6,7 +6,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import TypeAlias
+from typing import Final, TypeAlias
 
 from canvasyoke._registry import Registry
 
@@ -123,8 +123,14 @@
         """Give an order and wait for its answer."""
 
 
-#: Makes a rank adapter for the engine at ``IP:PORT``.
-MakeRankPort: TypeAlias = Callable[[str], RankPort]
+#: Milliseconds for an answer of the engine beside, which takes one, and of the farthest,
+#: which takes ten; what takes longer was lost. An order without an answer is given again
+#: while the group stands still, so the limits are short.
+NEAR_TIMEOUT: Final = 30
+FAR_TIMEOUT: Final = 80
+
+#: Makes a rank adapter for the engine at ``IP:PORT`` with a limit in milliseconds.
+MakeRankPort: TypeAlias = Callable[[str, int], RankPort]
 
 #: Adapters by name.
 RANK_PORTS: Registry[MakeRankPort] = Registry("rank adapter")
--- a/src/canvasyoke/platform/_ranks.py
+++ b/src/canvasyoke/platform/_ranks.py
@@ -9,6 +9,7 @@
 
 from canvasyoke._clock import SECOND
 from canvasyoke.experts import (
+    FAR_TIMEOUT,
     RANK_PORTS,
     Armed,
     MapOrder,
@@ -20,9 +21,6 @@
     RankUnreachable,
 )
 
-#: Milliseconds for an answer. The engine beside answers in a millisecond, the farthest
-#: in ten; what takes longer was lost.
-_TIMEOUT: Final = 80
 _OK: Final = 200
 _OUTCOMES: Final = {
     200: OrderOutcome.DONE,
@@ -83,10 +81,10 @@
 class ObjectsRankPort(RankPort):
     """One engine, over connections that are kept: engines count new ones."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, timeout: int = FAR_TIMEOUT) -> None:
         host, port = address.rsplit(":", 1)
         self._pool = urllib3.HTTPConnectionPool(
-            host, int(port), maxsize=2, retries=False, timeout=_TIMEOUT / SECOND
+            host, int(port), maxsize=2, retries=False, timeout=timeout / SECOND
         )
 
     def report(self) -> RankReport | RankUnreachable | None:
--- a/src/canvasyoke/state/__init__.py
+++ b/src/canvasyoke/state/__init__.py
@@ -65,6 +65,7 @@
     PlatformSettings,
     RanksSettings,
     TargetSettings,
+    WatchedFile,
     load_settings,
 )
 from canvasyoke.state._submission import (
@@ -144,6 +145,7 @@
     "Unavailable",
     "Unchanged",
     "Unusable",
+    "WatchedFile",
     "Written",
     "build_config",
     "check_file",
--- a/src/canvasyoke/state/_settings.py
+++ b/src/canvasyoke/state/_settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from typing import Annotated, Literal, TypeAlias, TypeVar
 
 import msgspec
@@ -117,6 +118,29 @@
     log: LogSettings = LogSettings(format="json")
 
 
+class WatchedFile:
+    """Tells whether a file has been written since it was last asked about."""
+
+    def __init__(self, path: str) -> None:
+        self._path = path
+        self._seen = self._stamp()
+
+    def has_changed(self) -> bool:
+        """Tell whether the file differs from what it was at the last call."""
+        stamp = self._stamp()
+        changed = stamp is not None and stamp != self._seen
+        self._seen = stamp or self._seen
+        return changed
+
+    def _stamp(self) -> tuple[int, int, int] | None:
+        """Return what changes with each write; ``None`` while there is no file."""
+        try:
+            stat = os.stat(self._path)
+        except OSError:
+            return None
+        return stat.st_mtime_ns, stat.st_size, stat.st_ino
+
+
 SettingsT = TypeVar("SettingsT", EntrySettings, TargetSettings, DirectSettings, RanksSettings)
 
 
--- a/src/canvasyoke/state/tests/test_settings.py
+++ b/src/canvasyoke/state/tests/test_settings.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from canvasyoke.state import EntrySettings, Fault, TargetSettings, load_settings
+from canvasyoke.state import EntrySettings, Fault, TargetSettings, WatchedFile, load_settings
 
 GOOD = """
 instance: e-1
@@ -47,3 +47,16 @@
     faults = load_settings("/nonexistent/t.yaml", TargetSettings)
     assert isinstance(faults, list)
     assert "cannot be read" in str(faults[0])
+
+
+def test_a_file_that_is_written_again_is_noticed_once(tmp_path: Path) -> None:
+    path = tmp_path / "settings.yaml"
+    watched = WatchedFile(str(path))
+    assert not watched.has_changed()
+    path.write_text("instance: a")
+    assert watched.has_changed()
+    assert not watched.has_changed()
+    path.write_text("instance: longer")
+    assert watched.has_changed()
+    path.unlink()
+    assert not watched.has_changed()
--- a/src/canvasyoke/transport/__init__.py
+++ b/src/canvasyoke/transport/__init__.py
@@ -7,6 +7,7 @@
     ExchangeSlot,
     NotConnected,
     Sent,
+    can_connect,
     exchange,
 )
 from canvasyoke.transport._http_client import BackendPool, CallFailed, HttpFailure, HttpReply
@@ -31,5 +32,6 @@
     "Sent",
     "ServerLimits",
     "Session",
+    "can_connect",
     "exchange",
 ]
--- a/src/canvasyoke/transport/_caller_server.py
+++ b/src/canvasyoke/transport/_caller_server.py
@@ -198,9 +198,9 @@
         self._server.adj.max_request_header_size = limits.header_bytes + 1
         self._server.adj.max_request_body_size = limits.body_bytes + 1
 
-    def drain(self) -> None:
-        """Tell callers with each answer to close their connection."""
-        self._server.is_draining = True
+    def set_draining(self, is_draining: bool) -> None:
+        """Tell callers with each answer to close their connection, or no longer."""
+        self._server.is_draining = is_draining
 
     def close_idle(self) -> None:
         """Close every connection on which nothing is under way."""
--- a/src/canvasyoke/transport/_exchange.py
+++ b/src/canvasyoke/transport/_exchange.py
@@ -131,6 +131,16 @@
                 self._sock.shutdown(socket.SHUT_RDWR)
 
 
+def can_connect(address: str, timeout: int) -> bool:
+    """Tell whether a connection to ``address`` is made within ``timeout`` milliseconds."""
+    host, port = address.rsplit(":", 1)
+    try:
+        socket.create_connection((host, int(port)), timeout / SECOND).close()
+    except OSError:
+        return False
+    return True
+
+
 def exchange(
     address: str,
     method: str,
--- a/tests/test_direct_fleet.py
+++ b/tests/test_direct_fleet.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import http.client
 import signal
 import threading
 import time
@@ -168,28 +167,46 @@
 def test_more_than_the_queues_should_hold_is_refused_unrun(fleet: DirectFleet) -> None:
     """But a caller that was refused before, so that it has less time left, waits."""
     fleet.fill_store()
+    calm = route("stream", "ink", "streaming", TargetLatencyMs=900)
+    fleet.store.put("config", "main", configuration(4, [calm]))
     entry = fleet.add_entry()
     entry.wait_ready()
     slots = 6 * len(fleet.ink)
     for engine in fleet.ink:
         engine.behaviours.extend([engines.endless_stream] * slots)
-    held: list[http.client.HTTPConnection] = []
+    # The responses are kept too: one that is let go of closes its connection.
+    held: list[object] = []
     while fleet.arrivals() < 2 * slots:
         before = fleet.arrivals()
         conn = entry.send("/stream/1", request_id=f"r-{len(held)}")
-        held.append(conn)
         answered = conn.getresponse()
+        held += [conn, answered]
         if answered.status == 503:
             break
+        assert answered.status == 200, entry.logged()[-2_000:]
         assert fleet.arrivals() == before + 1
-    assert answered.status == 503
     assert slots <= fleet.arrivals() < 2 * slots
     assert float(answered.headers["Retry-After"]) >= 0.8
     conn = entry.send("/stream/1", request_id="r-again", Request_Deadline="3000")
-    held.append(conn)
     assert conn.getresponse().status == 200
-    for conn in held:
-        conn.close()
+
+
+def test_an_entry_cut_off_from_all_it_could_use_leaves_the_balancer(fleet: DirectFleet) -> None:
+    fleet.fill_store()
+    entry = fleet.add_entry(retry_slack=10_000, domain="nbo-b")
+    entry.wait_ready()
+    # All backends stand in domain nbo-a, and none takes a connection any more.
+    for engine in [*fleet.shelf, *fleet.ink]:
+        engine.close()
+    wait_until(
+        lambda: entry.call("/save/1").status == 503 and entry.ready_status() == 503,
+        "it is not ready",
+    )
+    wait_until(
+        lambda: entry.call("/save/1").headers.get("Connection") == "close",
+        "callers are told to connect anew",
+    )
+    assert "domain out of reach" in entry.logged()
 
 
 def test_a_failure_goes_back_where_there_is_no_other_backend(fleet: DirectFleet) -> None:
