--- a/src/canvasyoke/direct/_peers.py
+++ b/src/canvasyoke/direct/_peers.py
@@ -2,14 +2,19 @@
 
 Each entry learns of the others from the store when it starts and links with them; one
 that comes later links with those before it. Over the links go, several times a second,
-each entry's requests under way, so that all choose backends by the same picture; and at
-once whatever one of them learns from the store, for those that the store does not serve.
+each entry's requests under way and the version of its configuration, so that all choose
+backends by the same picture; and at once what one of them learns of a backend.
+
+A configuration is large, and mostly all entries have it from the store at the same
+moment. So only its version is told, and an entry that the store does not serve asks one
+of the others for it. All backends are sent on request only, too.
 """
 
 from __future__ import annotations
 
 import random
 import threading
+from collections.abc import Callable
 from typing import Final
 
 import msgspec
@@ -19,7 +24,14 @@
 from canvasyoke.direct._follower import TableView
 from canvasyoke.direct._roster import Roster
 from canvasyoke.observe import part_logger
-from canvasyoke.protocol import BackendNews, EntryLoad, Message, TableDocument
+from canvasyoke.protocol import (
+    BackendNews,
+    BackendsWanted,
+    EntryLoad,
+    Message,
+    TableDocument,
+    TableWanted,
+)
 from canvasyoke.state import (
     DirectSettings,
     Endpoint,
@@ -37,6 +49,10 @@
 _TELL_EVERY: Final = 150
 #: Milliseconds after which load is told even if it has not changed.
 _TELL_AT_LEAST: Final = 900
+#: Milliseconds that an entry waits for the store after another one told of a newer
+#: configuration, and until it asks a second one for it.
+_STORE_FIRST: Final = 150
+_ASK_AGAIN: Final = 500
 #: Milliseconds between looks into the store while there is something to find there.
 _LOOK_EVERY: Final = 1 * SECOND
 #: Milliseconds between looks for entries that have come to be without being told of.
@@ -67,9 +83,15 @@
         budget: FleetRetryBudget,
         clock: Clock,
         rng: random.Random,
+        lacks_backends: Callable[[], bool],
     ) -> None:
         self._settings = settings
         self._store = store
+        #: Tells whether the store is no help now for the list of backends.
+        self._lacks_backends = lacks_backends
+        #: The newest configuration that another entry told of, by whom, and when.
+        self._newer: tuple[int, Session, int] | None = None
+        self._asked_at = -_ASK_AGAIN
         self._incarnation = incarnation
         self._view = view
         self._roster = roster
@@ -100,10 +122,9 @@
             return sum(1 for session in self._sessions.values() if not session.closed)
 
     def tell_table(self) -> None:
-        """Pass the configuration in force on at once."""
-        message = self._document()
-        if message is not None:
-            self._tell_all(message)
+        """Tell at once which configuration is in force."""
+        self._told = None
+        self._tell_load()
 
     def tell_backend(self, endpoint: Endpoint, gone: bool, revision: int) -> None:
         """Pass on what the store said of a backend."""
@@ -113,6 +134,7 @@
         while not self._stop.wait(_TELL_EVERY / SECOND):
             self._look()
             self._tell_load()
+            self._ask_for_table()
 
     def _look(self) -> None:
         """Find the other entries in the store, and see that they can find this one."""
@@ -198,11 +220,9 @@
         with self._lock:
             self._sessions[session.peer] = session
         _log.info("linked", peer=session.peer, incarnation=session.incarnation)
-        document = self._document()
-        if document is not None:
-            session.send(document)
-        for endpoint in self._roster.endpoints():
-            session.send(_news(endpoint, False, endpoint.revision))
+        session.send(EntryLoad(self._view.current.version, self._roster.own_load()))
+        if self._lacks_backends():
+            session.send(BackendsWanted())
 
     def _closed(self, session: Session) -> None:
         with self._lock:
@@ -215,10 +235,12 @@
         match message:
             case EntryLoad():
                 self._roster.peer_load(session.peer, message.under_way)
-                if message.config_version < self._view.current.version:
-                    document = self._document()
-                    if document is not None:
-                        session.send(document)
+                self._heard_of(message.config_version, session)
+            case TableWanted():
+                self._send_table(session, message.version)
+            case BackendsWanted():
+                for endpoint in self._roster.endpoints():
+                    session.send(_news(endpoint, False, endpoint.revision))
             case TableDocument():
                 self._take_table(session, message)
             case BackendNews():
@@ -255,9 +277,35 @@
                 peer=session.peer,
             )
 
-    def _document(self) -> TableDocument | None:
+    def _heard_of(self, version: int, session: Session) -> None:
+        """Take note of the version that another entry follows."""
+        if version <= self._view.current.version:
+            return
+        newer = self._newer
+        if newer is None or newer[0] < version:
+            self._newer = (version, session, self._clock.now())
+        elif newer[1].closed or self._asked_at >= newer[2]:
+            self._newer = (version, session, newer[2])  # ask this one next
+
+    def _ask_for_table(self) -> None:
+        """Ask for a newer configuration that the store has not brought."""
+        newer, now = self._newer, self._clock.now()
+        if newer is None:
+            return
+        version, session, heard_at = newer
+        current = self._view.current.version
+        if version <= current:
+            self._newer = None
+            return
+        store_first = _STORE_FIRST if current else 0
+        if now - heard_at >= store_first and now - self._asked_at >= _ASK_AGAIN:
+            self._asked_at = now
+            session.send(TableWanted(current))
+
+    def _send_table(self, session: Session, version: int) -> None:
         table, document = self._view.current, self._view.document
-        return TableDocument(table.version, document) if document else None
+        if document and table.version > version:
+            session.send(TableDocument(table.version, document))
 
     def _tell_load(self) -> None:
         now = self._clock.now()
--- a/src/canvasyoke/direct/_process.py
+++ b/src/canvasyoke/direct/_process.py
@@ -89,6 +89,7 @@
             self._budget,
             self._clock,
             rng,
+            lambda: not self._roster.is_known or self._endpoint_follower.is_lost,
         )
         self._endpoint_follower = EndpointFollower(
             make_store(settings.store), self._roster, self._peers.tell_backend, self._clock, rng
--- a/src/canvasyoke/experts/_change.py
+++ b/src/canvasyoke/experts/_change.py
@@ -101,6 +101,18 @@
     hold: int
 
 
+@dataclass(slots=True)
+class ChangeTimes:
+    """What parts of a change took, in milliseconds."""
+
+    #: Orders to prepare, and the copies.
+    prepare: int = 0
+    #: Arming all ranks; the group stands still once it has reached the held step.
+    arm: int = 0
+    #: Times that ranks were told to arm.
+    arm_tries: int = 0
+
+
 class MapChanger:
     """Changes one group's map, one change after the other."""
 
@@ -119,6 +131,8 @@
         self._fences = fences
         self._clock = clock
         self._pause = pause or threading.Event().wait
+        #: What the parts of the last change took.
+        self.times = ChangeTimes()
         #: Whether a rank left an order of the change under way unanswered.
         self._is_careful = False
 
@@ -144,12 +158,18 @@
             return ChangeResult.REFORMED
 
     def _change(self, new: NewMap) -> ChangeResult:
-        if not self._prepare(new):
+        self.times = ChangeTimes()
+        began = self._clock.now()
+        is_prepared = self._prepare(new)
+        self.times.prepare = self._clock.now() - began
+        if not is_prepared:
             return ChangeResult.NOT_PREPARED
         step = self._hold()
         if not step:
             return ChangeResult.NOT_HELD
+        began = self._clock.now()
         armed = self._arm(new.version, step)
+        self.times.arm = self._clock.now() - began
         if not armed:
             self._disarm_all(dict.fromkeys(range(self._group.size), new.version))
         self._release({self._ranks.hold: step})
@@ -303,6 +323,7 @@
     def _arm_each(self, ranks: Set[int], order: MapOrder) -> bool:
         missing = set(ranks)
         for _ in range(_ARM_TRIES):
+            self.times.arm_tries += 1
             given = self._group.give(dict.fromkeys(missing, order), _ORDER_TIMEOUT)
             self._check(given)
             wanted = Armed(order.version, order.step)
--- a/src/canvasyoke/experts/_owner.py
+++ b/src/canvasyoke/experts/_owner.py
@@ -25,9 +25,12 @@
 _log = part_logger("owner")
 #: Milliseconds for the ranks to say what they hold.
 _LAYERS_TIMEOUT: Final = 500
-#: Part of the weight of older counts that is left when new ones come in. Popularity
-#: changes about every four seconds, and a reading comes four times a second.
+#: Part of the weight of older counts that is left at the owner's next turn, in a group
+#: whose ranks all send a reading between two turns; where they take several turns for
+#: it, older counts fade as many times more slowly. Popularity changes about every four
+#: seconds.
 _OLD_WEIGHT: Final = 0.45
+_READINGS_A_TURN: Final = 8
 #: Choices, over all layers and experts, under which the counts say too little.
 _ENOUGH_COUNTS: Final = 20_000
 #: Experts that a rank copies for one change: 0.15 s each, and a change in force soon is
@@ -158,9 +161,8 @@
         if len(counts) != len(self._weights):
             self._weights = [float(count) for count in counts]
             return
-        self._weights = [
-            old * _OLD_WEIGHT + new for old, new in zip(self._weights, counts, strict=True)
-        ]
+        kept = _OLD_WEIGHT ** min(1.0, _READINGS_A_TURN / self._group.size)
+        self._weights = [old * kept + new for old, new in zip(self._weights, counts, strict=True)]
 
     def _improve(self, changer: MapChanger) -> bool:
         if sum(self._weights) < _ENOUGH_COUNTS:
@@ -204,6 +206,9 @@
             skew_before=round(step.skew_before, 3),
             skew_planned=round(step.skew_after, 3),
             took=self._clock.now() - began,
+            prepare=changer.times.prepare,
+            arm=changer.times.arm,
+            arm_tries=changer.times.arm_tries,
         )
         if result is ChangeResult.IN_FORCE:
             self._layers, self._version = step.layers, new.version
--- a/src/canvasyoke/experts/_process.py
+++ b/src/canvasyoke/experts/_process.py
@@ -41,6 +41,10 @@
 #: Milliseconds between readings of the own rank. Demand drifts within seconds, and a
 #: reading from the engine beside costs nothing but the processor's time.
 _READ_EVERY: Final = 200
+#: Ranks of a group whose readings reach the owner each time. In larger groups each rank
+#: sends so much less often: a reading has a number for each expert and layer, and
+#: those of 32 ranks five times a second were more than the owner's 4 Mbit/s carried.
+_READINGS_AT_ONCE: Final = 8
 #: Milliseconds between looks of the owner whether a change is due.
 _TURN_EVERY: Final = 100
 #: Milliseconds between looks into the store for what is missing.
@@ -88,6 +92,8 @@
         self._noted: tuple[str, int] | None = None
         self._looked_at = -_LOOK_EVERY
         self._session: Session | None = None
+        #: Turns at which a reading could have been sent.
+        self._readings = 0
         self._client: LinkClient | None = None
         self._linked_at = -_LINK_PATIENCE
         self._server: LinkServer | None = None
@@ -274,11 +280,23 @@
         session = self._session
         if session is not None and not session.closed:
             self._linked_at = self._clock.now()
-            session.send(to_reading(report, self._member.read_counts()))
+            self._send_reading(session, report)
             return
         if self._clock.now() - self._linked_at > _LINK_PATIENCE and self._may_look():
             self._dial(report.group)
 
+    def _send_reading(self, session: Session, report: RankReport) -> None:
+        """Tell the owner what the rank has counted, unless it is not this one's turn.
+
+        The standby always does: the answers tell it that the owner is alive.
+        """
+        if report.rank != STANDBY_RANK:
+            rounds = -(-report.size // _READINGS_AT_ONCE)
+            self._readings += 1
+            if (self._readings + report.rank) % rounds:
+                return
+        session.send(to_reading(report, self._member.read_counts()))
+
     def _dial(self, group: str) -> None:
         """Link with the process beside rank 0, wherever it is now."""
         self._read_notes(group)
--- a/src/canvasyoke/protocol/__init__.py
+++ b/src/canvasyoke/protocol/__init__.py
@@ -14,6 +14,7 @@
 from canvasyoke.protocol._key import MalformedKeyError, key_time, new_key
 from canvasyoke.protocol._messages import (
     BackendNews,
+    BackendsWanted,
     Cancel,
     Chunk,
     ConfigOffer,
@@ -41,6 +42,7 @@
     SlotClaim,
     Started,
     TableDocument,
+    TableWanted,
 )
 from canvasyoke.protocol._outcome import HTTP_STATUS, Outcome, Reason, Refusal
 from canvasyoke.protocol._seal import (
@@ -66,6 +68,7 @@
     "PRIORITY_HEADER",
     "REQUEST_ID_HEADER",
     "BackendNews",
+    "BackendsWanted",
     "CallOptions",
     "Cancel",
     "Chunk",
@@ -109,6 +112,7 @@
     "Started",
     "Status",
     "TableDocument",
+    "TableWanted",
     "TargetStatus",
     "Welcome",
     "accept_hello",
--- a/src/canvasyoke/protocol/_messages.py
+++ b/src/canvasyoke/protocol/_messages.py
@@ -308,6 +308,17 @@
     under_way: Annotated[dict[str, int], msgspec.Meta(max_length=20_000)] = {}
 
 
+class TableWanted(msgspec.Struct, frozen=True, tag="table_wanted"):
+    """Direct entry to entry: asks for the configuration that the other one told of."""
+
+    #: Version that the asking one follows; 0 for none.
+    version: Count
+
+
+class BackendsWanted(msgspec.Struct, frozen=True, tag="backends_wanted"):
+    """Direct entry to entry: asks for all backends, for want of the store."""
+
+
 class TableDocument(msgspec.Struct, frozen=True, tag="table_document"):
     """Direct entry to entry: a configuration that the other one lacks."""
 
@@ -355,6 +366,8 @@
     | RankOrder
     | RankOrdered
     | EntryLoad
+    | TableWanted
     | TableDocument
+    | BackendsWanted
     | BackendNews
 )
