--- a/src/canvasyoke/coordination/_routing.py
+++ b/src/canvasyoke/coordination/_routing.py
@@ -90,6 +90,8 @@
     domain: str
     #: Targets that have been tried.
     tried: frozenset[str] = frozenset()
+    #: Entries that choose among the same targets.
+    entries: int = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,6 +139,12 @@
         """Return one of ``candidates``, of which there is at least one."""
 
 
+#: Entries that may choose among all targets at once.
+_FEW_ENTRIES: Final = 8
+#: Times that the samples of all entries together cover the targets, and the least of one.
+_SAMPLES: Final = 2
+_LEAST_SAMPLE: Final = 2
+
 #: Rankers by name.
 RANKERS: Registry[type[Ranker]] = Registry("ranker")
 
@@ -225,11 +233,25 @@
 
     def choose(self, candidates: Sequence[Candidate], req: RouteRequest) -> Candidate:
         """Return the candidate with the smallest weighed part of its slots in use."""
-        return min(
-            candidates,
-            key=lambda c: (
-                (c.load + 1) * c.pace / max(1, c.slots),
-                c.domain != req.domain,
-                self._rng.random(),
-            ),
-        )
+        return min(candidates, key=lambda c: self._weigh(c, req))
+
+    def _weigh(self, candidate: Candidate, req: RouteRequest) -> tuple[float, bool, float]:
+        load = (candidate.load + 1) * candidate.pace / max(1, candidate.slots)
+        return load, candidate.domain != req.domain, self._rng.random()
+
+
+@RANKERS.register("sampled_paced")
+class SampledPacedRanker(LeastPacedRanker):
+    """As ``least_paced``, among a random sample that is smaller the more entries choose.
+
+    Entries hear of each other's choices some 150 ms late. A few of them rarely meet at
+    the one least loaded target in that time; thirty do, and crowd it while others idle.
+    """
+
+    def choose(self, candidates: Sequence[Candidate], req: RouteRequest) -> Candidate:
+        """Return the best of the sample."""
+        if req.entries <= _FEW_ENTRIES:
+            return super().choose(candidates, req)
+        size = max(_LEAST_SAMPLE, len(candidates) * _SAMPLES // req.entries)
+        drawn = self._rng.sample(candidates, min(size, len(candidates)))
+        return super().choose(drawn, req)
--- a/src/canvasyoke/coordination/tests/test_routing.py
+++ b/src/canvasyoke/coordination/tests/test_routing.py
@@ -134,3 +134,32 @@
     for _ in range(100):
         budget.earn()
     assert 9 <= sum(budget.spend() for _ in range(100)) <= 10
+
+
+def _crowding(name: str, entries: int, targets: int, seed: int) -> int:
+    """Return the most requests that one target gets while entries do not hear of each
+    other: each sends one request by the same old picture, in which five are less loaded."""
+    rng = random.Random(seed)
+    candidates = [
+        dataclasses.replace(GOOD, instance=f"ink-{n}", reported=1 if n < 5 else 2)
+        for n in range(targets)
+    ]
+    req = RouteRequest("ink", "nbo-a", entries=entries)
+    chosen = [RANKERS.get(name)(rng).choose(candidates, req).instance for _ in range(entries)]
+    return max(chosen.count(c.instance) for c in candidates)
+
+
+def test_many_entries_do_not_crowd_the_least_loaded_target() -> None:
+    seeds = range(20)
+    alike = [_crowding("least_paced", 30, 64, seed) for seed in seeds]
+    sampled = [_crowding("sampled_paced", 30, 64, seed) for seed in seeds]
+    assert min(alike) >= 6
+    assert sum(sampled) < 0.6 * sum(alike)
+
+
+def test_few_entries_choose_among_all() -> None:
+    ranker = RANKERS.get("sampled_paced")(random.Random(1))
+    others = [dataclasses.replace(GOOD, instance=f"ink-{n}", reported=2) for n in range(15)]
+    free = dataclasses.replace(GOOD, instance="free")
+    req = RouteRequest("ink", "nbo-a", entries=8)
+    assert all(ranker.choose([*others, free], req) is free for _ in range(20))
--- a/src/canvasyoke/direct/_follower.py
+++ b/src/canvasyoke/direct/_follower.py
@@ -40,6 +40,10 @@
 _BACKOFF_LIMIT: Final = 500
 #: Milliseconds between two watches without news, should the store end them at once.
 _PAUSE: Final = 20
+#: Milliseconds between news and the next watch. Each watch that wakes is a call that the
+#: platform prices, and news come in series: all backends write their entries when they
+#: start. Nothing that follows has to be known sooner.
+_PAUSE_AFTER_NEWS: Final = 120
 #: Milliseconds that the store must have been away for entries to have lapsed: they do
 #: after three heartbeats, of which one may have been missed before.
 _LAPSE_TIME: Final = 1 * SECOND
@@ -146,6 +150,7 @@
                     self._contact.answered()
                     revision = seen.revision
                     self._view.adopt(seen.table, seen.document, "store")
+                    self._stop.wait(_PAUSE_AFTER_NEWS / SECOND)
                 case NothingNew() as seen:
                     self._contact.answered()
                     revision = revision or seen.revision
@@ -211,6 +216,7 @@
                     self._contact.answered()
                     self._revision = revision = seen.revision
                     self._take_changes(seen)
+                    self._stop.wait(_PAUSE_AFTER_NEWS / SECOND)
                 case NothingNew():
                     self._contact.answered()
                     self._stop.wait(_PAUSE / SECOND)
--- a/src/canvasyoke/direct/_forwarder.py
+++ b/src/canvasyoke/direct/_forwarder.py
@@ -99,6 +99,7 @@
                 return
             failure = yield from self._attempt(call, chosen)
             if failure is None:
+                yield AnswerEnd()
                 return
             if call.gone():
                 yield CallerLeft()
@@ -245,7 +246,6 @@
             return MayHaveRun(f"the backend failed with status {answer.status}")
         yield AnswerHead(answer.status, answer.headers, len(body))
         yield bytes(body)
-        yield AnswerEnd()
         return None
 
     def _worth_repeating(self, call: DirectCall) -> bool:
@@ -300,7 +300,6 @@
             return MayHaveRun("the stream ended within an event")
         if not call.delivered:
             yield AnswerHead(answer.status, answer.headers, None)
-        yield AnswerEnd()
         return None
 
     def _time_left(self, call: DirectCall) -> int:
--- a/src/canvasyoke/direct/_roster.py
+++ b/src/canvasyoke/direct/_roster.py
@@ -43,7 +43,7 @@
 _ASSUMED_DURATION: Final = 1_000.0
 #: Part of a new duration in the running mean.
 _DURATION_WEIGHT: Final = 0.2
-_RANKER: Final = "least_paced"
+_RANKER: Final = "sampled_paced"
 _ADMISSION: Final = "short_queue"
 _log = part_logger("roster")
 
@@ -203,14 +203,14 @@
         """
         with self._lock:
             others = self._peers_load()
+            req = RouteRequest(service, self.domain, tried, len(self._peers) + 1)
             found = filter_candidates(
-                [self._candidate(m, others) for m in self._members.values()],
-                RouteRequest(service, self.domain, tried),
+                [self._candidate(m, others) for m in self._members.values()], req
             )
             if not found.candidates:
                 return NoneAble(found.reason)
             ranker = RANKERS.get(_RANKER)(self.rng)
-            best = ranker.choose(found.candidates, RouteRequest(service, self.domain, tried))
+            best = ranker.choose(found.candidates, req)
             member = self._members[best.instance]
             duration = self._durations.get(service, _ASSUMED_DURATION)
             if not ADMISSIONS.get(_ADMISSION)(best, duration, patience):
--- a/src/canvasyoke/experts/_change.py
+++ b/src/canvasyoke/experts/_change.py
@@ -49,6 +49,9 @@
 #: Steps ahead of the last one begun that are tried, nearest first. A step takes 50 ms
 #: or more, and arming takes a round trip: the nearest step mostly begins on time.
 _STEPS_AHEAD: Final = (1, 1, 2, 3, 5)
+#: Ranks armed and released in the time of one step; with more of them a step farther
+#: ahead is held, so that the group need not stand still. 32 ranks take about 80 ms.
+_RANKS_A_STEP: Final = 16
 #: The same while orders go unanswered: arming then takes several timeouts, and a step
 #: farther ahead leaves time for them before the group has to stand still.
 _STEPS_AHEAD_CAREFUL: Final = (5, 5, 6, 7, 8)
@@ -296,8 +299,9 @@
     def _hold(self) -> int:
         """Keep the group from beginning a step soon to come; return it, or 0."""
         fence = self._fences.next()
+        more = (self._group.size - 1) // _RANKS_A_STEP
         for ahead in _STEPS_AHEAD_CAREFUL if self._is_careful else _STEPS_AHEAD:
-            step = self._own().step + ahead
+            step = self._own().step + ahead + more
             order = MapOrder(MapOrderKind.HOLD, fence, self._epoch, step=step)
             given = self._group.give_directly({self._ranks.hold: order}, _ORDER_TIMEOUT)
             self._check(given)
--- a/tests/test_direct_requests.py
+++ b/tests/test_direct_requests.py
@@ -236,3 +236,15 @@
     )[0]
     for part in ("refused 502", "kibanda", '"config":3', "shelf-", "save"):
         assert part in line
+
+
+def test_the_line_of_an_answered_request_tells_who_served_it(
+    fleet: DirectFleet, entry: DirectEntry
+) -> None:
+    entry.call("/save/7", request_id="r-told")
+    served_by = next(e.id for e in fleet.shelf if e.arrivals)
+    line = wait_until(
+        lambda: next((x for x in entry.logged().splitlines() if '"r-told"' in x), ""), "its line"
+    )
+    assert f'"tried":["{served_by} load=' in line
+    assert '"first":' in line
