--- a/fakes/object_store.py
+++ b/fakes/object_store.py
@@ -9,6 +9,7 @@
 import json
 import threading
 import time
+from collections import Counter
 from dataclasses import dataclass
 from typing import Any
 
@@ -80,6 +81,8 @@
         #: Watches hear nothing of what changes, and end as if nothing had.
         self._mute = False
         self._cuts = 0
+        #: Watches that wait now, by kind of object.
+        self.watching: Counter[str] = Counter()
 
     def mute(self) -> None:
         """Hide from watches what changes from now on."""
@@ -122,7 +125,11 @@
         _, _, kind, *rest = path.split("/")
         with self._changed:
             if method == "GET" and "watch" in query:
-                return self._watch(kind, int(query["watch"]), int(query["WaitMs"]))
+                self.watching[kind] += 1
+                try:
+                    return self._watch(kind, int(query["watch"]), int(query["WaitMs"]))
+                finally:
+                    self.watching[kind] -= 1
             if method == "GET":
                 return self._list(kind, query.get("After", ""))
             sent = json.loads(body)
