--- a/src/canvasyoke/coordination/_routing.py
+++ b/src/canvasyoke/coordination/_routing.py
@@ -249,9 +249,10 @@
     """
 
     def choose(self, candidates: Sequence[Candidate], req: RouteRequest) -> Candidate:
-        """Return the best of the sample."""
+        """Return the best of the sample, or of all when none in it has room."""
         if req.entries <= _FEW_ENTRIES:
             return super().choose(candidates, req)
         size = max(_LEAST_SAMPLE, len(candidates) * _SAMPLES // req.entries)
         drawn = self._rng.sample(candidates, min(size, len(candidates)))
-        return super().choose(drawn, req)
+        best = super().choose(drawn, req)
+        return best if best.has_room else super().choose(candidates, req)
--- a/src/canvasyoke/coordination/tests/test_routing.py
+++ b/src/canvasyoke/coordination/tests/test_routing.py
@@ -163,3 +163,11 @@
     free = dataclasses.replace(GOOD, instance="free")
     req = RouteRequest("ink", "nbo-a", entries=8)
     assert all(ranker.choose([*others, free], req) is free for _ in range(20))
+
+
+def test_a_sample_without_room_is_not_the_last_word() -> None:
+    ranker = RANKERS.get("sampled_paced")(random.Random(1))
+    full = [dataclasses.replace(GOOD, instance=f"ink-{n}", reported=4) for n in range(63)]
+    free = dataclasses.replace(GOOD, instance="free")
+    req = RouteRequest("ink", "nbo-a", entries=30)
+    assert all(ranker.choose([*full, free], req) is free for _ in range(20))
--- a/src/canvasyoke/direct/_callers.py
+++ b/src/canvasyoke/direct/_callers.py
@@ -38,6 +38,8 @@
 MAX_HELD: Final = 600
 #: Milliseconds of patience assumed for a caller who does not say: the route's limit rules.
 _NO_LIMIT: Final = 3_600 * SECOND
+#: Routes of which the time that callers bring is remembered.
+_ROUTES_REMEMBERED: Final = 10_000
 #: Part of the longest time that callers of a route bring, under which one must have been
 #: here before: all callers of a route bring about the same.
 _FIRST_TRY_PART: Final = 0.95
@@ -234,6 +236,8 @@
     def _came_back(self, route: TableRoute, patience: int) -> bool:
         """Tell whether a caller has used up part of the time that callers bring."""
         longest = max(patience, self._longest_patience.get(route.name, 0))
+        if len(self._longest_patience) >= _ROUTES_REMEMBERED:
+            self._longest_patience.clear()  # of routes that have long been dropped, mostly
         self._longest_patience[route.name] = longest
         return patience < _FIRST_TRY_PART * longest
 
--- a/src/canvasyoke/direct/_metrics.py
+++ b/src/canvasyoke/direct/_metrics.py
@@ -16,9 +16,6 @@
         )
         self._whole = self.all.timer("canvasyoke_request_seconds", "Time to a whole answer.")
         self._first = self.all.timer("canvasyoke_first_piece_seconds", "Time to the first piece.")
-        self.attempts = self.all.counter(
-            "canvasyoke_attempts_total", "Attempts by what became of them.", "outcome"
-        )
 
     def piece(self, call: DirectCall, now: int) -> None:
         """Time the first piece of an answer, and the pauses after it."""
--- a/src/canvasyoke/direct/_process.py
+++ b/src/canvasyoke/direct/_process.py
@@ -210,6 +210,11 @@
         gauge("canvasyoke_backends", "Backends known.", lambda: len(self._roster.ids()))
         gauge("canvasyoke_log_lines_dropped", "Lost log lines.", lambda: self._log_writer.dropped)
         gauge("canvasyoke_peers", "Entries linked with.", lambda: self._peers.linked)
+        gauge(
+            "canvasyoke_isolated",
+            "1 while cut off from what callers need.",
+            lambda: int(self._roster.is_isolated()),
+        )
         gauge(
             "canvasyoke_store_lost",
             "1 while the store does not answer.",
--- a/src/canvasyoke/experts/_change.py
+++ b/src/canvasyoke/experts/_change.py
@@ -20,13 +20,12 @@
 
 from __future__ import annotations
 
-import enum
 import threading
 from collections.abc import Callable, Mapping, Set
-from dataclasses import dataclass
 from typing import Final
 
 from canvasyoke._clock import SECOND, Clock
+from canvasyoke.experts._change_types import ChangeRanks, ChangeResult, ChangeTimes
 from canvasyoke.experts._fences import Fences
 from canvasyoke.experts._group import NewMap, Ordered, RankGroup
 from canvasyoke.experts._rank_port import (
@@ -49,41 +48,23 @@
 #: Steps ahead of the last one begun that are tried, nearest first. A step takes 50 ms
 #: or more, and arming takes a round trip: the nearest step mostly begins on time.
 _STEPS_AHEAD: Final = (1, 1, 2, 3, 5)
-#: Ranks armed and released in the time of one step; with more of them a step farther
-#: ahead is held, so that the group need not stand still. 32 ranks take about 80 ms.
-_RANKS_A_STEP: Final = 16
 #: The same while orders go unanswered: arming then takes several timeouts, and a step
 #: farther ahead leaves time for them before the group has to stand still.
 _STEPS_AHEAD_CAREFUL: Final = (5, 5, 6, 7, 8)
+#: Ranks armed and released in the time of one step; with more of them a step farther
+#: ahead is held, so that the group need not stand still. 32 ranks take about 80 ms.
+_RANKS_A_STEP: Final = 16
 #: Times that arming is tried while the group is held: with a third of the orders
 #: unanswered, all of eight ranks have answered after five in 24 of 25 changes.
 _ARM_TRIES: Final = 5
 #: Milliseconds between tries of what must succeed before the group may go on.
 _INSIST_EVERY: Final = 50
-#: The rank on which owners put their holds: not their own, which is rank 0.
-HOLD_RANK: Final = 1
 #: Version in an order to disarm that only raises the fence: no map has it.
 _ANY_VERSION: Final = 1
 #: Orders that have been carried out, or that a rank in another epoch has no need of.
 _SETTLED: Final = frozenset({OrderOutcome.DONE, OrderOutcome.CONFLICT})
 
 
-class ChangeResult(enum.StrEnum):
-    """How a change of the map ended."""
-
-    IN_FORCE = "in force"
-    #: A rank did not copy its experts; nothing else was done.
-    NOT_PREPARED = "not prepared"
-    #: No step could be held; nothing else was done.
-    NOT_HELD = "not held"
-    #: Not every rank could be armed; all were disarmed.
-    ABANDONED = "abandoned"
-    #: The group was formed anew, with nothing prepared, armed or held.
-    REFORMED = "reformed"
-    #: Another owner has given orders.
-    REPLACED = "replaced"
-
-
 class _Replaced(Exception):
     """A rank has seen the fence of another owner."""
 
@@ -92,30 +73,6 @@
     """The group is in another epoch."""
 
 
-@dataclass(frozen=True, slots=True)
-class ChangeRanks:
-    """Ranks with a part of their own in a change."""
-
-    #: Beside the process that carries the change out; its report costs nothing.
-    own: int
-    #: Beside the owner of the map; armed last and disarmed first.
-    owner: int
-    #: The rank on which a hold is put.
-    hold: int
-
-
-@dataclass(slots=True)
-class ChangeTimes:
-    """What parts of a change took, in milliseconds."""
-
-    #: Orders to prepare, and the copies.
-    prepare: int = 0
-    #: Arming all ranks; the group stands still once it has reached the held step.
-    arm: int = 0
-    #: Times that ranks were told to arm.
-    arm_tries: int = 0
-
-
 class MapChanger:
     """Changes one group's map, one change after the other."""
 
--- a/src/canvasyoke/experts/_owner.py
+++ b/src/canvasyoke/experts/_owner.py
@@ -14,7 +14,8 @@
 
 from canvasyoke._clock import Clock
 from canvasyoke.coordination import Layer, MapStep, MapStepLimits, plan_map_step
-from canvasyoke.experts._change import HOLD_RANK, ChangeRanks, ChangeResult, MapChanger
+from canvasyoke.experts._change import MapChanger
+from canvasyoke.experts._change_types import HOLD_RANK, ChangeRanks, ChangeResult
 from canvasyoke.experts._fences import Fences, take_fences
 from canvasyoke.experts._group import NewMap
 from canvasyoke.experts._linked_group import LinkedGroup
--- a/src/canvasyoke/experts/_standby.py
+++ b/src/canvasyoke/experts/_standby.py
@@ -14,7 +14,8 @@
 from typing import Final
 
 from canvasyoke._clock import Clock
-from canvasyoke.experts._change import HOLD_RANK, ChangeRanks, ChangeResult, MapChanger
+from canvasyoke.experts._change import MapChanger
+from canvasyoke.experts._change_types import HOLD_RANK, ChangeRanks, ChangeResult
 from canvasyoke.experts._fences import take_fences
 from canvasyoke.experts._group import RankGroup
 from canvasyoke.experts._member import RankMember
--- a/src/canvasyoke/experts/tests/test_change.py
+++ b/src/canvasyoke/experts/tests/test_change.py
@@ -11,7 +11,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from canvasyoke.experts import MapOrder, MapOrderKind
-from canvasyoke.experts._change import HOLD_RANK, ChangeRanks, ChangeResult, MapChanger
+from canvasyoke.experts._change import MapChanger
+from canvasyoke.experts._change_types import HOLD_RANK, ChangeRanks, ChangeResult
 from canvasyoke.experts._fences import Fences
 from canvasyoke.experts._group import NewMap
 from canvasyoke.experts.tests.group_model import MapsDiffer, ModelGroup, OwnerDied, World
--- a/src/canvasyoke/experts/tests/test_standby.py
+++ b/src/canvasyoke/experts/tests/test_standby.py
@@ -10,7 +10,8 @@
 import pytest
 
 from canvasyoke.experts import MapOrder, MapOrderKind, OrderOutcome, RankReport
-from canvasyoke.experts._change import HOLD_RANK, ChangeRanks, ChangeResult, MapChanger
+from canvasyoke.experts._change import MapChanger
+from canvasyoke.experts._change_types import HOLD_RANK, ChangeRanks, ChangeResult
 from canvasyoke.experts._fences import Fences, take_fences
 from canvasyoke.experts._group import NewMap
 from canvasyoke.experts._member import RankMember
