--- a/src/canvasyoke/experts/_owner.py
+++ b/src/canvasyoke/experts/_owner.py
@@ -39,11 +39,11 @@
 _COPIES: Final = 2
 _COPIES_PER_LAYER: Final = 1
 #: Part of a rank's mean load that one copy must take off a step to repay its cost.
-_LEAST_GAIN: Final = 0.03
+#: Played at 0.03 and 0.06 on calm and loaded days of both sites.
+_LEAST_GAIN: Final = 0.06
 #: Most loaded rank over the mean, summed over layers, up to which a map is left alone.
-#: Played at 1.0, 1.25 and 1.5 on the calm day of both sites: each time fewer copies,
-#: more steps and more worth.
-_GOOD_ENOUGH: Final = 1.5
+#: Played at 1.0, 1.25, 1.5 and 1.75: each time fewer copies and more worth.
+_GOOD_ENOUGH: Final = 1.75
 
 
 @dataclass(frozen=True, slots=True)
