--- a/src/canvasyoke/transport/tests/test_links.py
+++ b/src/canvasyoke/transport/tests/test_links.py
@@ -80,7 +80,8 @@
 @pytest.fixture
 def client(address: str, server: Server) -> Iterator[Client]:
     client = Client(address)
-    wait_until(lambda: client.session is not None, "a session")
+    # The server's side of it begins a moment after the client's.
+    wait_until(lambda: client.session is not None and bool(server.sessions), "a session")
     yield client
     client.link.stop()
 
@@ -130,7 +131,7 @@
         lambda session: None,
     )
     slow.start()
-    wait_until(lambda: len(opened) == 1, "a session")
+    wait_until(lambda: len(opened) == 1 and bool(server.sessions), "a session")
     for number in range(1_000):
         server.sessions[0].send(Chunk(1, 1, number, bytes(20_000)))
     time.sleep(0.5)  # what is not held back has gone by now
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -56,6 +56,7 @@
             pool.map(lambda i: generate(caller, prompts[i], 5, entries[i % 2]), range(len(prompts)))
         )
     for prompt, answer in zip(prompts, answers, strict=True):
+        assert answer.status == 200, answer.body
         lines = [json.loads(line) for line in answer.body.splitlines()]
         assert [line.get("token") for line in lines[:-1]] == make_tokens(prompt, 0, 5)
     runs = [generations(narrow)[prompt] for prompt in prompts]
