--- a/src/canvasyoke/direct/_forwarder.py
+++ b/src/canvasyoke/direct/_forwarder.py
@@ -19,6 +19,7 @@
     NotRun,
     NotRunCause,
     OutboundRequest,
+    Sending,
 )
 from canvasyoke.direct._admission import NO_LIMIT
 from canvasyoke.direct._budget import FleetRetryBudget
@@ -35,6 +36,7 @@
 from canvasyoke.direct._events import EventCutter, event_id, is_after
 from canvasyoke.direct._roster import Chosen, NoneAble, Roster
 from canvasyoke.protocol import Reason
+from canvasyoke.state import Endpoint
 from canvasyoke.transport import ExchangeError, ExchangeSlot
 
 #: Milliseconds for a connection to a backend. A round trip takes 3 ms and a backend up
@@ -125,6 +127,7 @@
         if call.gone():
             call.slot.shut()
         sent = self._port.send(endpoint, self._outbound(call), _CONNECT_TIMEOUT, call.slot)
+        self._note_reach(call, endpoint, sent)
         if not isinstance(sent, NotRun) or sent.cause is not NotRunCause.UNREACHABLE:
             call.sent_to.add(endpoint.id)
         failure: NotRun | MayHaveRun | None
@@ -141,6 +144,19 @@
         self._note(call, chosen, failure, self._clock.now() - began)
         return failure
 
+    def _note_reach(self, call: DirectCall, endpoint: Endpoint, sent: Sending) -> None:
+        """Tell the roster whether the backend's domain is in reach now.
+
+        A request without an answer tells nothing: its connection was made a while ago,
+        and may have ended because the domain was cut off since.
+        """
+        if isinstance(sent, MayHaveRun):
+            return
+        if not isinstance(sent, NotRun) or sent.cause is not NotRunCause.UNREACHABLE:
+            self._roster.domain_reached(endpoint.domain)
+        elif not call.gone():
+            self._roster.domain_missed(endpoint)
+
     def _outbound(self, call: DirectCall) -> OutboundRequest:
         return OutboundRequest(
             method=call.method,
@@ -159,10 +175,6 @@
     ) -> None:
         """Tell the roster and the log what became of an attempt."""
         backend = chosen.endpoint.id
-        if not isinstance(failure, NotRun) or failure.cause is not NotRunCause.UNREACHABLE:
-            self._roster.domain_reached(chosen.endpoint.domain)
-        elif not call.gone():
-            self._roster.domain_missed(chosen.endpoint)
         if isinstance(failure, NotRun) and failure.cause is not NotRunCause.UNREACHABLE:
             if failure.cause is NotRunCause.MOVED:
                 self._roster.moved(backend)
