--- a/src/canvasyoke/direct/_groups.py
+++ b/src/canvasyoke/direct/_groups.py
@@ -105,19 +105,25 @@
             weight = _PAUSE_WEIGHT if group.event_pause else 1.0
             group.event_pause += weight * (pause - group.event_pause)
 
-    def pace(self, backend: str) -> float:
+    def fastest_pause(self) -> float:
+        """Return the least of the groups' mean pauses between events; 0 when unknown."""
+        pauses = [self._known_pause(group) for group in self._groups.values()]
+        return min((pause for pause in pauses if pause), default=0.0)
+
+    def pace(self, backend: str, fastest: float) -> float:
         """Return how much longer the group's steps last than those of the fastest one."""
         group = self._find(backend)
-        if group is None:
+        pause = self._known_pause(group) if group is not None else 0.0
+        if not fastest or not pause:
             return 1.0
-        oldest = self._clock.now() - _PAUSE_AGE
-        pauses = [g.event_pause for g in self._groups.values() if g.heard_at > oldest]
-        fastest = min((pause for pause in pauses if pause), default=0.0)
-        if not fastest or not group.event_pause or group.heard_at <= oldest:
-            return 1.0
-        ratio = group.event_pause / fastest
+        ratio = pause / fastest
         return ratio if ratio > _SAME_PACE else 1.0
 
+    def _known_pause(self, group: _Group) -> float:
+        """Return a group's mean pause; 0 when none was seen lately."""
+        is_fresh = self._clock.now() - group.heard_at < _PAUSE_AGE
+        return group.event_pause if is_fresh else 0.0
+
     def stream_ended(self, backend: str) -> None:
         """Take note that a stream has ended or broken off."""
         group = self._find(backend)
--- a/src/canvasyoke/direct/_roster.py
+++ b/src/canvasyoke/direct/_roster.py
@@ -17,6 +17,7 @@
     RANKERS,
     Candidate,
     Ejection,
+    Ranker,
     RouteRequest,
     filter_candidates,
 )
@@ -88,6 +89,7 @@
     #: Whether a list has been read.
     is_known: bool = False
     _groups: RankGroups = field(init=False)
+    _ranker: Ranker = field(init=False)
     _domains: DomainReach = field(default_factory=DomainReach)
     #: Whether the entry has found itself cut off from all that could serve its callers.
     _is_isolated: bool = False
@@ -104,6 +106,7 @@
 
     def __post_init__(self) -> None:
         self._groups = RankGroups(self.clock)
+        self._ranker = RANKERS.get(_RANKER)(self.rng)
 
     def replace(
         self, endpoints: Iterable[Endpoint], revision: int, keep: frozenset[str] = frozenset()
@@ -204,13 +207,18 @@
         with self._lock:
             others = self._peers_load()
             req = RouteRequest(service, self.domain, tried, len(self._peers) + 1)
+            fastest = self._groups.fastest_pause()
             found = filter_candidates(
-                [self._candidate(m, others) for m in self._members.values()], req
+                [
+                    self._candidate(m, others, fastest)
+                    for m in self._members.values()
+                    if m.endpoint.service == service
+                ],
+                req,
             )
             if not found.candidates:
                 return NoneAble(found.reason)
-            ranker = RANKERS.get(_RANKER)(self.rng)
-            best = ranker.choose(found.candidates, req)
+            best = self._ranker.choose(found.candidates, req)
             member = self._members[best.instance]
             duration = self._durations.get(service, _ASSUMED_DURATION)
             if not ADMISSIONS.get(_ADMISSION)(best, duration, patience):
@@ -219,7 +227,7 @@
             member.ejection.sent()
             return Chosen(member.endpoint, best.load)
 
-    def _candidate(self, member: _Member, told: dict[str, int] | None) -> Candidate:
+    def _candidate(self, member: _Member, told: dict[str, int] | None, fastest: float) -> Candidate:
         now = self.clock.now()
         endpoint = member.endpoint
         if told is not None:
@@ -248,7 +256,7 @@
             own_reported=member.own,
             own=member.own,
             duration=round(member.duration),
-            pace=self._groups.pace(endpoint.id),
+            pace=self._groups.pace(endpoint.id, fastest),
         )
 
     def is_away(self, service: str) -> bool:
--- a/src/canvasyoke/experts/_change.py
+++ b/src/canvasyoke/experts/_change.py
@@ -25,7 +25,7 @@
 from typing import Final
 
 from canvasyoke._clock import SECOND, Clock
-from canvasyoke.experts._change_types import ChangeRanks, ChangeResult, ChangeTimes
+from canvasyoke.experts._change_types import HOLD_RANK, OWNER_RANK, ChangeResult, ChangeTimes
 from canvasyoke.experts._fences import Fences
 from canvasyoke.experts._group import NewMap, Ordered, RankGroup
 from canvasyoke.experts._rank_port import (
@@ -79,14 +79,12 @@
     def __init__(
         self,
         group: RankGroup,
-        ranks: ChangeRanks,
         epoch: int,
         fences: Fences,
         clock: Clock,
         pause: Callable[[float], object] | None = None,
     ) -> None:
         self._group = group
-        self._ranks = ranks
         self._epoch = epoch
         self._fences = fences
         self._clock = clock
@@ -98,24 +96,11 @@
 
     def change(self, new: NewMap) -> ChangeResult:
         """Put ``new`` in force; returns when all is settled either way."""
-        try:
-            return self._change(new)
-        except _Replaced:
-            return ChangeResult.REPLACED
-        except _Reformed:
-            return ChangeResult.REFORMED
+        return _end_of(lambda: self._change(new))
 
     def recover(self) -> ChangeResult:
         """End what an earlier owner has left behind: holds and armed ranks."""
-        try:
-            every = set(range(self._group.size))
-            if self._group.report_lag and not self._raise_fences(every):
-                return ChangeResult.NOT_HELD
-            return self._recover()
-        except _Replaced:
-            return ChangeResult.REPLACED
-        except _Reformed:
-            return ChangeResult.REFORMED
+        return _end_of(self._recover)
 
     def _change(self, new: NewMap) -> ChangeResult:
         self.times = ChangeTimes()
@@ -132,37 +117,36 @@
         self.times.arm = self._clock.now() - began
         if not armed:
             self._disarm_all(dict.fromkeys(range(self._group.size), new.version))
-        self._release({self._ranks.hold: step})
+        self._release({HOLD_RANK: step})
         return ChangeResult.IN_FORCE if armed else ChangeResult.ABANDONED
 
     def recover_without_owner(self) -> ChangeResult:
         """End what a silent owner has left behind while its rank is out of reach too."""
-        try:
-            return self._recover_without_owner()
-        except _Replaced:
-            return ChangeResult.REPLACED
-        except _Reformed:
-            return ChangeResult.REFORMED
+        return _end_of(self._recover_without_owner)
 
     def _recover_without_owner(self) -> ChangeResult:
-        others = set(range(self._group.size)) - {self._ranks.owner}
-        if not self._raise_fences(others):
+        if not self._raise_fences(self._others):
             return ChangeResult.NOT_HELD
         reports = self._group.ask(_ORDER_TIMEOUT)
         self._check_epoch(reports.values())
-        if not others <= reports.keys():
+        if not self._others <= reports.keys():
             return ChangeResult.NOT_HELD
         armed = {r: rep.armed for r, rep in reports.items() if rep.armed is not None}
-        if others <= armed.keys():
+        if self._others <= armed.keys():
             return ChangeResult.NOT_HELD  # the owner's rank may be armed as well
         held = {r: rep.held_step for r, rep in reports.items() if rep.held_step}
         first = min((each.step for each in armed.values()), default=0)
         if armed and not self._is_held_before(first, held):
             return ChangeResult.NOT_HELD
-        self._disarm(others, {r: each.version for r, each in armed.items()})
+        self._disarm(self._others, {r: each.version for r, each in armed.items()})
         self._release(held)
         return ChangeResult.ABANDONED
 
+    @property
+    def _others(self) -> set[int]:
+        """Return all ranks but the owner's."""
+        return set(range(self._group.size)) - {OWNER_RANK}
+
     def _raise_fences(self, ranks: Set[int]) -> bool:
         """See that orders of owners before this one find every rank closed, and wait
         until the ranks' reports tell what orders before that did."""
@@ -184,6 +168,8 @@
         way, and must meet a higher fence before the hold is released. Meanwhile the group
         must not reach the step that some are armed for.
         """
+        if self._group.report_lag and not self._raise_fences(set(range(self._group.size))):
+            return ChangeResult.NOT_HELD
         reports = self._all_reports()
         held = {r: report.held_step for r, report in reports.items() if report.held_step}
         armed = [report.armed for report in reports.values() if report.armed is not None]
@@ -205,7 +191,7 @@
         self._is_careful = False
         step = self._hold()
         if step:
-            held[self._ranks.hold] = step
+            held[HOLD_RANK] = step
         return 0 < step <= first
 
     def _all_reports(self) -> Mapping[int, RankReport]:
@@ -260,9 +246,9 @@
         for ahead in _STEPS_AHEAD_CAREFUL if self._is_careful else _STEPS_AHEAD:
             step = self._own().step + ahead + more
             order = MapOrder(MapOrderKind.HOLD, fence, self._epoch, step=step)
-            given = self._group.give_directly({self._ranks.hold: order}, _ORDER_TIMEOUT)
+            given = self._group.give_directly({HOLD_RANK: order}, _ORDER_TIMEOUT)
             self._check(given)
-            if given[self._ranks.hold].outcome is OrderOutcome.DONE:
+            if given[HOLD_RANK].outcome is OrderOutcome.DONE:
                 return step
             held = self._held_now()
             if held:
@@ -271,15 +257,14 @@
 
     def _held_now(self) -> int:
         """Return the step that the group is held at; 0 for none that is known."""
-        report = self._group.ask(_ORDER_TIMEOUT).get(self._ranks.hold)
+        report = self._group.ask(_ORDER_TIMEOUT).get(HOLD_RANK)
         return report.held_step if report is not None else 0
 
     def _arm(self, version: int, step: int) -> bool:
         """Arm all ranks for ``step``; true only if every one says that it is."""
-        others = set(range(self._group.size)) - {self._ranks.owner}
         fence = self._fences.next()
         order = MapOrder(MapOrderKind.ARM, fence, self._epoch, version=version, step=step)
-        return self._arm_each(others, order) and self._arm_each({self._ranks.owner}, order)
+        return self._arm_each(self._others, order) and self._arm_each({OWNER_RANK}, order)
 
     def _arm_each(self, ranks: Set[int], order: MapOrder) -> bool:
         missing = set(ranks)
@@ -300,9 +285,8 @@
 
         ``armed`` has the versions that ranks are known to be armed for.
         """
-        others = set(range(self._group.size)) - {self._ranks.owner}
-        self._disarm({self._ranks.owner}, armed)
-        self._disarm(others, armed)
+        self._disarm({OWNER_RANK}, armed)
+        self._disarm(self._others, armed)
 
     def _disarm(self, ranks: Set[int], armed: Mapping[int, int]) -> None:
         versions = dict(armed)
@@ -372,6 +356,16 @@
                 raise _Reformed
 
 
+def _end_of(carry_out: Callable[[], ChangeResult]) -> ChangeResult:
+    """Return how a change ended, also where it is no longer this owner's to end."""
+    try:
+        return carry_out()
+    except _Replaced:
+        return ChangeResult.REPLACED
+    except _Reformed:
+        return ChangeResult.REFORMED
+
+
 def _has_taken(ordered: Ordered, version: int) -> bool:
     if ordered.outcome is OrderOutcome.DONE:
         return True
--- a/src/canvasyoke/experts/_change_types.py
+++ b/src/canvasyoke/experts/_change_types.py
@@ -6,7 +6,9 @@
 from dataclasses import dataclass
 from typing import Final
 
-#: The rank on which owners put their holds: not their own, which is rank 0.
+#: The rank beside the owner of a group's map; armed last and disarmed first.
+OWNER_RANK: Final = 0
+#: The rank on which holds are put; the process beside it stands by for the owner.
 HOLD_RANK: Final = 1
 
 
@@ -26,18 +28,6 @@
     REPLACED = "replaced"
 
 
-@dataclass(frozen=True, slots=True)
-class ChangeRanks:
-    """Ranks with a part of their own in a change."""
-
-    #: Beside the process that carries the change out; its report costs nothing.
-    own: int
-    #: Beside the owner of the map; armed last and disarmed first.
-    owner: int
-    #: The rank on which a hold is put.
-    hold: int
-
-
 @dataclass(slots=True)
 class ChangeTimes:
     """What parts of a change took, in milliseconds."""
--- a/src/canvasyoke/experts/_far_group.py
+++ b/src/canvasyoke/experts/_far_group.py
@@ -42,10 +42,6 @@
         given = self._on_each(orders, lambda rank, member: member.order(orders[rank]))
         return {rank: given.get(rank, Ordered(OrderOutcome.UNKNOWN)) for rank in orders}
 
-    def give_directly(self, orders: Mapping[int, MapOrder], timeout: int) -> Mapping[int, Ordered]:
-        """Give each rank its order."""
-        return self.give(orders, timeout)
-
     def ask(self, timeout: int) -> Mapping[int, RankReport]:
         """Return the reports of those ranks that answer."""
         reports = self._on_each(self._members, lambda _rank, member: member.report())
--- a/src/canvasyoke/experts/_group.py
+++ b/src/canvasyoke/experts/_group.py
@@ -38,12 +38,12 @@
         A rank that does not answer in time has the outcome ``UNKNOWN``.
         """
 
-    @abstractmethod
     def give_directly(self, orders: Mapping[int, MapOrder], timeout: int) -> Mapping[int, Ordered]:
         """As ``give``, at the ranks' engines and not through the processes beside them.
 
         The reports that come with it may be old: only the outcomes tell.
         """
+        return self.give(orders, timeout)
 
     @abstractmethod
     def ask(self, timeout: int) -> Mapping[int, RankReport]:
--- a/src/canvasyoke/experts/_owner.py
+++ b/src/canvasyoke/experts/_owner.py
@@ -15,7 +15,7 @@
 from canvasyoke._clock import Clock
 from canvasyoke.coordination import Layer, MapStep, MapStepLimits, plan_map_step
 from canvasyoke.experts._change import MapChanger
-from canvasyoke.experts._change_types import HOLD_RANK, ChangeRanks, ChangeResult
+from canvasyoke.experts._change_types import HOLD_RANK, ChangeResult
 from canvasyoke.experts._fences import Fences, take_fences
 from canvasyoke.experts._group import NewMap
 from canvasyoke.experts._linked_group import LinkedGroup
@@ -119,9 +119,7 @@
         if isinstance(fences, Unavailable | Unusable):
             _log.warning("cannot take the group on", group=self._group.name, cause=fences.detail)
             return True
-        own = self._group.own_rank
-        ranks = ChangeRanks(own=own, owner=own, hold=HOLD_RANK)
-        changer = MapChanger(self._group, ranks, self._group.epoch, fences, self._clock)
+        changer = MapChanger(self._group, self._group.epoch, fences, self._clock)
         if not self._settle(changer.recover()) or not self._read_layers():
             return self._group.epoch == self._epoch_now()
         self._changer, self._fences = changer, fences
--- a/src/canvasyoke/experts/_process.py
+++ b/src/canvasyoke/experts/_process.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from canvasyoke._clock import SECOND, Clock, SystemClock
+from canvasyoke.experts._change_types import OWNER_RANK
 from canvasyoke.experts._far_group import FarGroup
 from canvasyoke.experts._linked_group import LinkedGroup
 from canvasyoke.experts._member import RankMember, to_reading
@@ -160,7 +161,7 @@
         """Do what the rank's place in its group asks for."""
         if not self._is_introduced(report):
             return
-        if report.rank == 0:
+        if report.rank == OWNER_RANK:
             self._own_map(report)
         else:
             self._follow_owner(report)
@@ -298,9 +299,9 @@
         session.send(to_reading(report, self._member.read_counts()))
 
     def _dial(self, group: str) -> None:
-        """Link with the process beside rank 0, wherever it is now."""
+        """Link with the owner's process, wherever it is now."""
         self._read_notes(group)
-        owner = self._notes.get(0)
+        owner = self._notes.get(OWNER_RANK)
         if owner is None:
             return
         if self._client is not None:
@@ -326,7 +327,7 @@
         if self._standby is None or self._standby.epoch != report.epoch:
             self._standby = Standby(
                 report,
-                lambda: self._far_member(0),
+                lambda: self._far_member(OWNER_RANK),
                 lambda: self._far_group(report),
                 self._store,
                 self._incarnation,
--- a/src/canvasyoke/experts/tests/test_change.py
+++ b/src/canvasyoke/experts/tests/test_change.py
@@ -10,12 +10,18 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from canvasyoke.experts import MapOrder, MapOrderKind
+from canvasyoke.experts import MapOrder, MapOrderKind, OrderOutcome
 from canvasyoke.experts._change import MapChanger
-from canvasyoke.experts._change_types import HOLD_RANK, ChangeRanks, ChangeResult
+from canvasyoke.experts._change_types import HOLD_RANK, ChangeResult
 from canvasyoke.experts._fences import Fences
-from canvasyoke.experts._group import NewMap
-from canvasyoke.experts.tests.group_model import MapsDiffer, ModelGroup, OwnerDied, World
+from canvasyoke.experts._group import NewMap, Ordered
+from canvasyoke.experts.tests.group_model import (
+    MapsDiffer,
+    ModelGroup,
+    OwnerDied,
+    Rank,
+    World,
+)
 
 _OWNER_RANGE = 100_000
 
@@ -23,9 +29,8 @@
 def owner(world: World, number: int = 1) -> tuple[MapChanger, Fences]:
     fences = Fences(number * _OWNER_RANGE)
     group = ModelGroup(world)
-    ranks = ChangeRanks(own=0, owner=0, hold=HOLD_RANK)
     changer = MapChanger(
-        group, ranks, world.epoch, fences, world.clock, lambda _seconds: world.pass_time()
+        group, world.epoch, fences, world.clock, lambda _seconds: world.pass_time()
     )
     return changer, fences
 
@@ -33,9 +38,8 @@
 def standby(world: World, number: int) -> MapChanger:
     """Return a changer beside rank 1 that cannot reach the owner's rank."""
     group = ModelGroup(world, own_rank=HOLD_RANK, out_of_reach=frozenset({0}), lag=200)
-    ranks = ChangeRanks(own=HOLD_RANK, owner=0, hold=HOLD_RANK)
     fences = Fences(number * _OWNER_RANGE)
-    return MapChanger(group, ranks, world.epoch, fences, world.clock, group.pause)
+    return MapChanger(group, world.epoch, fences, world.clock, group.pause)
 
 
 def new_map(fences: Fences) -> NewMap:
@@ -122,6 +126,39 @@
         world.begin_step()
 
 
+class _OwnArmLate(ModelGroup):
+    """The owner's own order to arm comes late, and it dies at one of its disarms."""
+
+    def __init__(self, world: World, disarms: int) -> None:
+        super().__init__(world)
+        self._disarms = disarms
+
+    def _give_one(self, rank: Rank, order: MapOrder) -> Ordered:
+        if rank.number == 0 and order.kind is MapOrderKind.ARM:
+            self.world.late.append((0, order))
+            return Ordered(OrderOutcome.UNKNOWN)
+        if order.kind is MapOrderKind.DISARM:
+            self._disarms -= 1
+            if self._disarms < 0:
+                raise OwnerDied
+        return super()._give_one(rank, order)
+
+
+@pytest.mark.parametrize("disarms", range(5))
+def test_an_owner_that_dies_while_it_disarms_leaves_no_two_maps(disarms: int) -> None:
+    world = World(4, random.Random(1), busy=0.0, arrival=0.0)
+    fences = Fences(_OWNER_RANGE)
+    group = _OwnArmLate(world, disarms)
+    with contextlib.suppress(OwnerDied):
+        MapChanger(group, 1, fences, world.clock, group.pause).change(new_map(fences))
+    standby(world, 2).recover_without_owner()
+    world.arrival = 1.0
+    while world.late:
+        world.pass_time()
+    for _ in range(8):
+        world.begin_step()
+
+
 def test_an_owner_that_was_replaced_stops() -> None:
     world = World(4, random.Random(1))
     old, old_fences = owner(world, 1)
--- a/src/canvasyoke/experts/tests/test_standby.py
+++ b/src/canvasyoke/experts/tests/test_standby.py
@@ -11,7 +11,7 @@
 
 from canvasyoke.experts import MapOrder, MapOrderKind, OrderOutcome, RankReport
 from canvasyoke.experts._change import MapChanger
-from canvasyoke.experts._change_types import HOLD_RANK, ChangeRanks, ChangeResult
+from canvasyoke.experts._change_types import HOLD_RANK, ChangeResult
 from canvasyoke.experts._fences import Fences, take_fences
 from canvasyoke.experts._group import NewMap
 from canvasyoke.experts._member import RankMember
@@ -49,8 +49,7 @@
         assert isinstance(fences, Fences)
         pause = lambda _seconds: self.world.pass_time()  # noqa: E731
         group = ModelGroup(self.world)
-        ranks = ChangeRanks(own=0, owner=0, hold=HOLD_RANK)
-        return MapChanger(group, ranks, 1, fences, self.world.clock, pause), fences
+        return MapChanger(group, 1, fences, self.world.clock, pause), fences
 
     def turn(self, silence: int) -> StandbyTurn:
         return self.standby.turn(self.world.report(self.world.ranks[1]), silence)
