Maps are changed by what a change pays back; readings of small groups come each turn

Cause: after a change of demand the steps of a group of twelve ranks took 105 to 140 ms for 1.1 to 1.5 s, where 120 ms is the longest pause that is on time: 0.3 s until the owner knew, since each rank told its counts at every second turn only, and 0.85 s to copy two experts a rank at 0.4 s each. One copy a rank takes the skew from 2.5 to 3.8 down to 1.25 to 1.4, two to 1.1 to 1.2 (computed from recorded counts): the second copy cost half of the time for an eighth of the gain. The fixed number of copies and the fixed skew of 1.75 did not know what a copy costs.

Now each number of copies a rank is weighed: the square of the steps' time until demand moves on, with what copying adds. How long demand stays is learned from how long maps stayed good. Counts of turns that are not a rank's own are left out, so that large groups plan by fresh counts too. The planner runs only where a perfect map would pay.

Ruled out: admission (steps were too long with three streams a rank), arming (13 to 40 ms), robust maps that need no change (the most wanted experts, 22 of 96 parts, move at random).

--- a/src/canvasyoke/coordination/__init__.py
+++ b/src/canvasyoke/coordination/__init__.py
@@ -4,6 +4,7 @@
 that a process runs.
 """
 
+from canvasyoke.coordination._demand import DemandSpan
 from canvasyoke.coordination._ejection import Ejection
 from canvasyoke.coordination._fair_queue import FairQueue, Offer, Waiting
 from canvasyoke.coordination._homes import (
@@ -22,7 +23,7 @@
 )
 from canvasyoke.coordination._layer_plan import Layer, PlanPolicy
 from canvasyoke.coordination._lease import LEASE, RENEW_EVERY, Lease, LeaseWatch
-from canvasyoke.coordination._map_step import MapStep, MapStepLimits, plan_map_step
+from canvasyoke.coordination._map_step import MapStep, MapTerms, plan_map_step
 from canvasyoke.coordination._planner import (
     POLICIES,
     ExpertMap,
@@ -49,6 +50,7 @@
     "RENEW_EVERY",
     "Attempted",
     "Candidate",
+    "DemandSpan",
     "Ejection",
     "ExpertMap",
     "FairQueue",
@@ -64,7 +66,7 @@
     "Lease",
     "LeaseWatch",
     "MapStep",
-    "MapStepLimits",
+    "MapTerms",
     "Offer",
     "PlanPolicy",
     "Ranker",
--- a/src/canvasyoke/coordination/_map_step.py
+++ b/src/canvasyoke/coordination/_map_step.py
@@ -1,9 +1,14 @@
-"""The next small change of a group's expert map, where popularity drifts within seconds.
+"""The next change of a group's expert map, where popularity drifts within seconds.
 
 A step of the group lasts as long as the most loaded rank of each layer, layer after
-layer. What a change gains is lost again to drift while its experts are being copied, so
-a plan is kept so small that every rank has copied its part within a bounded time, and
-the copies go to the layers where they shorten the step most.
+layer. What a change gains is lost again to drift, and while its experts are being copied
+steps last longer. So a change is as large as pays back: a copy is worth what it takes off
+the steps until demand has moved on, less what it adds to them while it is made. Copies go
+to the layers where they shorten the step most.
+
+How many experts each rank copies is weighed from one upward. With 96 experts, 12 ranks
+and 0.4 s a copy, one copy a rank takes the skew after a change of demand from 2.5 to 3.8
+down to 1.25 to 1.4, and a second one only to 1.1 to 1.2 (computed from recorded counts).
 """
 
 from __future__ import annotations
@@ -15,80 +20,134 @@
 
 from canvasyoke.coordination._layer_plan import Layer, LayerChange, LayerPlan
 
-#: Changes looked at for one plan at the most; bounds the planner's time.
-_CHANGES: Final = 64
+#: Part by which steps last longer while experts are being copied, as the platform says.
+_COPY_BURDEN: Final = 0.15
+#: Time of a step that no map changes, in parts of what it would take with even ranks:
+#: engines with half of their slots taken need about as long for the step itself as for
+#: the tokens in it.
+_FIXED_PART: Final = 1.0
+#: Part of the burden over the horizon that a change must save to be made. It leaves
+#: skews below some 1.75 alone; of 1.0, 1.25, 1.5 and 1.75 as plain limits on skew each
+#: gave callers more than the one before.
+_LEAST_SAVED: Final = 0.25
+#: Part of the mean load of a layer's ranks that one copy must take off a step to be
+#: looked at. Played at 0.03 and 0.06 on calm and loaded days of two fleets.
+_LEAST_GAIN: Final = 0.06
+#: Copies on one rank that are weighed at the most; bounds the planner's time.
+_MOST_COPIES: Final = 8
 
 
 @dataclass(frozen=True, slots=True)
-class MapStepLimits:
-    """How large one change of a map may be."""
+class MapTerms:
+    """What a change of a map may bring, and what it costs. Times in milliseconds."""
 
     #: Experts that a rank holds in a layer at the most.
     capacity: int
-    #: Experts that a rank copies for one change: in all layers, and in each.
-    copies: int
-    copies_per_layer: int
-    #: Part of the mean load of a layer's ranks that a copy must take off the step.
-    least_gain: float
+    #: Experts new to a rank in a layer that one change may bring.
+    new_limit: int
+    #: Time for one copy; a rank makes one after the other.
+    copy_time: float
+    #: Time that a change takes beside its copies.
+    overhead: float
+    #: Time for which demand is expected to stay as it is.
+    horizon: float
 
 
 @dataclass(frozen=True, slots=True)
 class MapStep:
-    """A planned change."""
+    """A planned change; without copies when none pays."""
 
     layers: tuple[Layer, ...]
     #: Most loaded rank over the mean, summed over layers, before and after.
     skew_before: float
     skew_after: float
     #: Experts that have to be copied, in all and to the rank that copies most.
-    copies: int
-    most_copies: int
+    copies: int = 0
+    most_copies: int = 0
 
 
 class _Planner:
+    """Changes a map copy by copy, the most useful one first."""
+
     def __init__(
         self,
         layers: Sequence[Layer],
         weights: Sequence[Sequence[float]],
         ranks: Sequence[int],
-        limits: MapStepLimits,
+        terms: MapTerms,
     ) -> None:
         self._weights = weights
         self._ranks = ranks
-        self._limits = limits
+        self._terms = terms
         self._plans = [
-            LayerPlan(layer, load, ranks, limits.capacity)
+            LayerPlan(layer, load, ranks, terms.capacity)
             for layer, load in zip(layers, weights, strict=True)
         ]
+        self._copies = 0
         self._copied: Counter[int] = Counter()
         self._copied_in_layer: Counter[tuple[int, int]] = Counter()
+        self._before = self._skew()
 
     def run(self) -> MapStep:
-        before = self._skew()
+        """Return the change that saves most, or one without copies."""
+        unchanged = self._step()
+        best, least = unchanged, self._burden(unchanged)
+        enough = least * (1 - _LEAST_SAVED)
+        if self._burden(MapStep(unchanged.layers, self._before, 1.0, 1, 1)) > enough:
+            return unchanged  # not even a perfect map after one copy would pay
+        for self._copies in range(1, _MOST_COPIES + 1):
+            self._improve()
+            step = self._step()
+            if step.most_copies < self._copies:
+                break
+            burden = self._burden(step)
+            if burden < least:
+                best, least = step, burden
+        return best if least <= enough else unchanged
+
+    def _improve(self) -> None:
+        """Change the map while a copy gains enough and no rank copies more than it may."""
         pending = {index: self._next(index) for index in range(len(self._plans))}
-        for _ in range(_CHANGES):
+        while True:
             index = max(pending, key=lambda i: self._gain(i, pending[i]))
             change = pending[index]
             if change is None or self._gain(index, change) < self._least(index):
-                break
-            if not self._fits(index, change):
+                return
+            if self._closed(index).intersection(self._plans[index].new_copies(change)):
+                # Planned before another layer's change closed one of its ranks.
                 pending[index] = self._next(index)
-                if pending[index] == change:
-                    pending[index] = None
                 continue
             for rank in self._plans[index].new_copies(change):
                 self._copied[rank] += 1
                 self._copied_in_layer[index, rank] += 1
             self._plans[index].apply(change)
             pending[index] = self._next(index)
+
+    def _step(self) -> MapStep:
         return MapStep(
             layers=tuple(plan.result() for plan in self._plans),
-            skew_before=before,
+            skew_before=self._before,
             skew_after=self._skew(),
             copies=sum(self._copied.values()),
             most_copies=max(self._copied.values(), default=0),
         )
 
+    def _burden(self, step: MapStep) -> float:
+        """Return what the steps of one horizon cost with a change, in a unit of its own.
+
+        The square of their time counts: while steps are long, streams pile up, and make
+        them longer still.
+        """
+        horizon = self._terms.horizon
+        if not step.copies:
+            return (_FIXED_PART + step.skew_before) ** 2 * horizon
+        copying = step.most_copies * self._terms.copy_time
+        waiting = copying + self._terms.overhead
+        before = (_FIXED_PART + step.skew_before) ** 2
+        after = (_FIXED_PART + step.skew_after) ** 2
+        burdened = (1 + _COPY_BURDEN) ** 2 * copying + self._terms.overhead
+        return before * burdened + after * max(0.0, horizon - waiting)
+
     def _skew(self) -> float:
         total = sum(sum(weights) for weights in self._weights)
         peaks = sum(plan.peak for plan in self._plans)
@@ -101,17 +160,13 @@
 
     def _closed(self, index: int) -> frozenset[int]:
         """Return the ranks that may not copy another expert of a layer."""
-        limits = self._limits
         return frozenset(
             rank
             for rank in self._ranks
-            if self._copied[rank] >= limits.copies
-            or self._copied_in_layer[index, rank] >= limits.copies_per_layer
+            if self._copied[rank] >= self._copies
+            or self._copied_in_layer[index, rank] >= self._terms.new_limit
         )
 
-    def _fits(self, index: int, change: LayerChange) -> bool:
-        return not self._closed(index).intersection(self._plans[index].new_copies(change))
-
     def _gain(self, index: int, change: LayerChange | None) -> float:
         """Return how much load a change takes off the step, for each copy."""
         if change is None:
@@ -119,14 +174,14 @@
         return (self._plans[index].peak - change.peak) / change.copies
 
     def _least(self, index: int) -> float:
-        return self._limits.least_gain * sum(self._weights[index]) / len(self._ranks)
+        return _LEAST_GAIN * sum(self._weights[index]) / len(self._ranks)
 
 
 def plan_map_step(
     layers: Sequence[Layer],
     weights: Sequence[Sequence[float]],
     ranks: Sequence[int],
-    limits: MapStepLimits,
+    terms: MapTerms,
 ) -> MapStep:
     """Return the next change of a map; ``weights`` are counts by layer and expert."""
-    return _Planner(layers, weights, ranks, limits).run()
+    return _Planner(layers, weights, ranks, terms).run()
--- a/src/canvasyoke/experts/_owner.py
+++ b/src/canvasyoke/experts/_owner.py
@@ -9,11 +9,10 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 from typing import Final
 
 from canvasyoke._clock import Clock
-from canvasyoke.coordination import Layer, MapStep, MapStepLimits, plan_map_step
+from canvasyoke.coordination import DemandSpan, Layer, MapStep, MapTerms, plan_map_step
 from canvasyoke.experts._change import MapChanger
 from canvasyoke.experts._change_types import HOLD_RANK, ChangeResult
 from canvasyoke.experts._fences import Fences, take_fences
@@ -26,34 +25,14 @@
 _log = part_logger("owner")
 #: Milliseconds for the ranks to say what they hold.
 _LAYERS_TIMEOUT: Final = 500
-#: Part of the weight of older counts that is left at the owner's next turn, in a group
-#: whose ranks all send a reading between two turns; where they take several turns for
-#: it, older counts fade as many times more slowly. Popularity changes about every four
-#: seconds.
+#: Part of the weight of older counts that is left at the owner's next turn. Popularity
+#: changes within seconds, and readings tell of the last 200 ms.
 _OLD_WEIGHT: Final = 0.45
-_READINGS_A_TURN: Final = 8
 #: Choices, over all layers and experts, under which the counts say too little.
 _ENOUGH_COUNTS: Final = 20_000
-#: Experts that a rank copies for one change: 0.15 s each, and a change in force soon is
-#: worth more than a better one later.
-_COPIES: Final = 2
-_COPIES_PER_LAYER: Final = 1
-#: Part of a rank's mean load that one copy must take off a step to repay its cost.
-#: Played at 0.03 and 0.06 on calm and loaded days of both sites.
-_LEAST_GAIN: Final = 0.06
-#: Most loaded rank over the mean, summed over layers, up to which a map is left alone.
-#: Played at 1.0, 1.25, 1.5 and 1.75: each time fewer copies and more worth.
-_GOOD_ENOUGH: Final = 1.75
-
-
-@dataclass(frozen=True, slots=True)
-class OwnerPolicy:
-    """How an owner weighs a shorter step against the copies it costs."""
-
-    copies: int = _COPIES
-    copies_per_layer: int = _COPIES_PER_LAYER
-    least_gain: float = _LEAST_GAIN
-    good_enough: float = _GOOD_ENOUGH
+#: Milliseconds that a change takes beside its copies: orders, questions and arming. 14 of
+#: 15 changes of 12 ranks took 46 to 144.
+_CHANGE_OVERHEAD: Final = 100
 
 
 class MapOwner:
@@ -65,7 +44,7 @@
         store: FleetStore,
         incarnation: str,
         geometry: RankGeometry,
-        policy: OwnerPolicy,
+        demand: DemandSpan,
         results: Counter,
         clock: Clock,
     ) -> None:
@@ -73,7 +52,7 @@
         self._store = store
         self._incarnation = incarnation
         self._geometry = geometry
-        self._policy = policy
+        self._demand = demand
         self._clock = clock
         self._changer: MapChanger | None = None
         self._fences: Fences | None = None
@@ -82,6 +61,8 @@
         self._version = 0
         self._weights: list[float] = []
         self._results = results
+        #: Skew of the map in force under the demand seen last; 0 before any.
+        self.skew = 0.0
 
     @property
     def epoch(self) -> int:
@@ -160,14 +141,17 @@
         if len(counts) != len(self._weights):
             self._weights = [float(count) for count in counts]
             return
-        kept = _OLD_WEIGHT ** min(1.0, _READINGS_A_TURN / self._group.size)
-        self._weights = [old * kept + new for old, new in zip(self._weights, counts, strict=True)]
+        self._weights = [
+            old * _OLD_WEIGHT + new for old, new in zip(self._weights, counts, strict=True)
+        ]
 
     def _improve(self, changer: MapChanger) -> bool:
         if sum(self._weights) < _ENOUGH_COUNTS:
             return True
         step = self._plan()
-        if not step.copies or step.skew_before < self._policy.good_enough:
+        self.skew = step.skew_before
+        self._demand.saw(self._clock.now(), step.skew_before)
+        if not step.copies:
             return True
         return self._put_in_force(changer, step)
 
@@ -177,13 +161,14 @@
             self._weights[start : start + experts]
             for start in range(0, len(self._weights), experts)
         ]
-        limits = MapStepLimits(
+        terms = MapTerms(
             capacity=self._geometry.capacity,
-            copies=self._policy.copies,
-            copies_per_layer=min(self._policy.copies_per_layer, self._geometry.new_limit),
-            least_gain=self._policy.least_gain,
+            new_limit=self._geometry.new_limit,
+            copy_time=self._geometry.copy_time,
+            overhead=_CHANGE_OVERHEAD,
+            horizon=self._demand.expected,
         )
-        return plan_map_step(self._layers, weights, range(self._group.size), limits)
+        return plan_map_step(self._layers, weights, range(self._group.size), terms)
 
     def _put_in_force(self, changer: MapChanger, step: MapStep) -> bool:
         assert self._fences is not None
@@ -204,6 +189,7 @@
             most_copies=step.most_copies,
             skew_before=round(step.skew_before, 3),
             skew_planned=round(step.skew_after, 3),
+            horizon=round(self._demand.expected),
             took=self._clock.now() - began,
             prepare=changer.times.prepare,
             arm=changer.times.arm,
@@ -211,6 +197,7 @@
         )
         if result is ChangeResult.IN_FORCE:
             self._layers, self._version = step.layers, new.version
+            self._demand.began(self._clock.now())
         return self._settle(result)
 
 
--- a/src/canvasyoke/experts/_process.py
+++ b/src/canvasyoke/experts/_process.py
@@ -12,11 +12,12 @@
 import msgspec
 
 from canvasyoke._clock import SECOND, Clock, SystemClock
+from canvasyoke.coordination import DemandSpan
 from canvasyoke.experts._change_types import OWNER_RANK
 from canvasyoke.experts._far_group import FarGroup
 from canvasyoke.experts._linked_group import LinkedGroup
 from canvasyoke.experts._member import RankMember, to_reading
-from canvasyoke.experts._owner import MapOwner, OwnerPolicy
+from canvasyoke.experts._owner import MapOwner
 from canvasyoke.experts._rank_port import (
     FAR_TIMEOUT,
     NEAR_TIMEOUT,
@@ -42,10 +43,12 @@
 #: Milliseconds between readings of the own rank. Demand drifts within seconds, and a
 #: reading from the engine beside costs nothing but the processor's time.
 _READ_EVERY: Final = 200
-#: Ranks of a group whose readings reach the owner each time. In larger groups each rank
-#: sends so much less often: a reading has a number for each expert and layer, and
-#: those of 32 ranks five times a second were more than the owner's 4 Mbit/s carried.
+#: Ranks of a group whose readings reach the owner each time, or more of them as far as
+#: their numbers, one for each expert and layer, stay under the second limit. In larger
+#: groups each rank sends so much less often: readings of 32 ranks with 1,536 numbers,
+#: five times a second, were more than the owner's 4 Mbit/s carried.
 _READINGS_AT_ONCE: Final = 8
+_NUMBERS_AT_ONCE: Final = 4_096
 #: Milliseconds between looks of the owner whether a change is due.
 _TURN_EVERY: Final = 100
 #: Milliseconds between looks into the store for what is missing.
@@ -101,6 +104,8 @@
         self._group: LinkedGroup | None = None
         self._owner: MapOwner | None = None
         self._standby: Standby | None = None
+        #: Outlives the group's epochs: demand changes as often after one as before.
+        self._demand = DemandSpan()
         self._metrics = Metrics()
         self._results = self._metrics.counter(
             "canvasyoke_map_changes_total", "Changes of the group's map by result.", "result"
@@ -108,6 +113,16 @@
         self._metrics.gauge(
             "canvasyoke_owns_map", "1 where this process owns a map.", self._owns_map
         )
+        self._metrics.gauge(
+            "canvasyoke_map_skew",
+            "Most loaded rank over the mean under the demand seen last; 0 without a map.",
+            lambda: self._owner.skew if self._owner is not None else 0.0,
+        )
+        self._metrics.gauge(
+            "canvasyoke_demand_span_seconds",
+            "Time for which demand is expected to stay as it is.",
+            lambda: self._demand.expected / SECOND,
+        )
         self._metrics.gauge(
             "canvasyoke_linked", "1 while the owner is linked.", lambda: int(self._is_linked)
         )
@@ -245,7 +260,7 @@
             self._store,
             self._incarnation,
             geometry,
-            OwnerPolicy(),
+            self._demand,
             self._results,
             self._clock,
         )
@@ -291,12 +306,11 @@
 
         The standby always does: the answers tell it that the owner is alive.
         """
-        if report.rank != STANDBY_RANK:
-            rounds = -(-report.size // _READINGS_AT_ONCE)
-            self._readings += 1
-            if (self._readings + report.rank) % rounds:
-                return
-        session.send(to_reading(report, self._member.read_counts()))
+        counts = self._member.read_counts()
+        self._readings += 1
+        is_due = not (self._readings + report.rank) % _rounds(report.size, len(counts))
+        if is_due or report.rank == STANDBY_RANK:
+            session.send(to_reading(report, counts))
 
     def _dial(self, group: str) -> None:
         """Link with the owner's process, wherever it is now."""
@@ -360,3 +374,13 @@
         if self._session is session:
             self._session = None
             _log.info("lost the owner", owner=session.peer)
+
+
+def _rounds(ranks: int, numbers: int) -> int:
+    """Return the turns in which all ranks of a group have sent a reading once.
+
+    What a rank counts in turns that are not its own is left out: the ranks' requests are
+    alike, and counts of one turn are fresher than those of all turns since the last one.
+    """
+    at_once = max(_READINGS_AT_ONCE, _NUMBERS_AT_ONCE // max(1, numbers))
+    return -(-ranks // at_once)
