A rank process that starts may look into the store three times at once

Cause: after all processes of a group of twelve were restarted they had introduced themselves 0.03 s after their start, and were linked with the owner 1.02 s later: one look a second was granted, and the first had gone into the introduction. The owner had the group 0.5 s after that, and until its first map steps were too long for every stream.

Ruled out: the links themselves (0.04 s once dialled), the fences (one call of 4 ms).

A rank tells its first reading at once, not when its turn comes.

--- a/src/canvasyoke/experts/_process.py
+++ b/src/canvasyoke/experts/_process.py
@@ -16,6 +16,7 @@
 from canvasyoke.experts._change_types import OWNER_RANK
 from canvasyoke.experts._far_group import FarGroup
 from canvasyoke.experts._linked_group import LinkedGroup
+from canvasyoke.experts._looks import Looks
 from canvasyoke.experts._member import RankMember, to_reading
 from canvasyoke.experts._owner import MapOwner
 from canvasyoke.experts._rank_port import (
@@ -51,8 +52,6 @@
 _NUMBERS_AT_ONCE: Final = 4_096
 #: Milliseconds between looks of the owner whether a change is due.
 _TURN_EVERY: Final = 100
-#: Milliseconds between looks into the store for what is missing.
-_LOOK_EVERY: Final = 1 * SECOND
 #: Milliseconds without a link to the owner after which its address is looked up again.
 _LINK_PATIENCE: Final = 3 * SECOND
 #: Kinds of the system's own objects in the store.
@@ -94,10 +93,12 @@
         self._far: dict[int, tuple[str, RankMember]] = {}
         #: The place in a group that the store's note was written for.
         self._noted: tuple[str, int] | None = None
-        self._looked_at = -_LOOK_EVERY
+        self._looks = Looks(self._clock)
         self._session: Session | None = None
         #: Turns at which a reading could have been sent.
         self._readings = 0
+        #: Whether the owner has had a reading over the present link.
+        self._is_heard = False
         self._client: LinkClient | None = None
         self._linked_at = -_LINK_PATIENCE
         self._server: LinkServer | None = None
@@ -188,7 +189,7 @@
         place = (report.group, report.rank)
         if self._noted == place and self._link_key:
             return True
-        if not self._may_look():
+        if not self._looks.take():
             return False
         if not self._link_key:
             self._link_key = read_link_key(self._store, _KEY_NAME)
@@ -200,14 +201,6 @@
                 _log.info("introduced", group=report.group, rank=report.rank)
         return self._noted == place and bool(self._link_key)
 
-    def _may_look(self) -> bool:
-        """Tell whether the store may be asked again, and note that it is."""
-        now = self._clock.now()
-        if now - self._looked_at < _LOOK_EVERY:
-            return False
-        self._looked_at = now
-        return True
-
     def _read_notes(self, group: str) -> None:
         """Learn where the processes beside the group's ranks are."""
         notes = self._store.notes(_RANKS)
@@ -249,7 +242,7 @@
             self._group = None
 
     def _make_owner(self, group: LinkedGroup) -> MapOwner | None:
-        if not self._may_look():
+        if not self._looks.take():
             return None
         self._read_notes(group.name)
         geometry = self._geometry()
@@ -298,7 +291,7 @@
             self._linked_at = self._clock.now()
             self._send_reading(session, report)
             return
-        if self._clock.now() - self._linked_at > _LINK_PATIENCE and self._may_look():
+        if self._clock.now() - self._linked_at > _LINK_PATIENCE and self._looks.take():
             self._dial(report.group)
 
     def _send_reading(self, session: Session, report: RankReport) -> None:
@@ -309,7 +302,8 @@
         counts = self._member.read_counts()
         self._readings += 1
         is_due = not (self._readings + report.rank) % _rounds(report.size, len(counts))
-        if is_due or report.rank == STANDBY_RANK:
+        if is_due or not self._is_heard or report.rank == STANDBY_RANK:
+            self._is_heard = True
             session.send(to_reading(report, counts))
 
     def _dial(self, group: str) -> None:
@@ -368,6 +362,7 @@
 
     def _opened(self, session: Session) -> None:
         self._session = session
+        self._is_heard = False
         _log.info("linked with the owner", owner=session.peer)
 
     def _closed(self, session: Session) -> None:
