Try: a limit on a group's streams by the pauses seen; a table of losses from logs

Cause supposed: a group's steps grow with the streams in it, and one step too long makes every stream in the group late. So a request that would push the next step over what its route allows would better be refused, and told to come back.

Why it does not help: with maps that follow within 0.6 s, steps are too long for two to four steps, and the streams that make them so are in the group already. Those refused meanwhile are late as well when they come back, and some are refused again. Where it does act in time, on the second before a map follows, it saves as many as it refuses.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,4 +1,8 @@
-"""Runs experiments: ``python -m bench [NAME...]``; ``python -m bench page`` writes the page."""
+"""Runs experiments: ``python -m bench [NAME...]``.
+
+``python -m bench page`` writes the page of their results, ``python -m bench losses FILE...``
+tells from logs where callers lost something.
+"""
 
 from __future__ import annotations
 
@@ -10,10 +14,11 @@
 
 import bench.expert_maps
 import bench.faults
+import bench.losses
 import bench.overhead
 import bench.recovery
 import bench.routing
-import bench.slopes  # noqa: F401  (they fill the registry)
+import bench.slopes
 from bench._registry import EXPERIMENTS, SEED, Result, render
 
 _ROOT: Final = Path(__file__).resolve().parent.parent
@@ -33,6 +38,8 @@
     if names == ["page"]:
         write_page()
         return 0
+    if names[:1] == ["losses"]:
+        return bench.losses.main(names[1:])
     unknown = [name for name in names if name not in EXPERIMENTS.names()]
     if unknown:
         print(f"no experiment {unknown[0]!r}; there are: {', '.join(EXPERIMENTS.names())}")
--- a/src/canvasyoke/coordination/__init__.py
+++ b/src/canvasyoke/coordination/__init__.py
@@ -40,6 +40,13 @@
     RouteRequest,
     filter_candidates,
 )
+from canvasyoke.coordination._step_model import (
+    STREAM_LIMITS,
+    UNLIMITED,
+    GroupShape,
+    ModelledLimit,
+    StreamLimit,
+)
 
 __all__ = [
     "CLOCK_MARGIN",
@@ -48,6 +55,8 @@
     "RANKERS",
     "REDIRECTS",
     "RENEW_EVERY",
+    "STREAM_LIMITS",
+    "UNLIMITED",
     "Attempted",
     "Candidate",
     "DemandSpan",
@@ -55,6 +64,7 @@
     "ExpertMap",
     "FairQueue",
     "Filtered",
+    "GroupShape",
     "Handover",
     "HomeVerdict",
     "HomeView",
@@ -67,6 +77,7 @@
     "LeaseWatch",
     "MapStep",
     "MapTerms",
+    "ModelledLimit",
     "Offer",
     "PlanPolicy",
     "Ranker",
@@ -75,6 +86,7 @@
     "Slot",
     "SlotTable",
     "Step",
+    "StreamLimit",
     "Waiting",
     "check_key",
     "filter_candidates",
--- a/src/canvasyoke/direct/_call.py
+++ b/src/canvasyoke/direct/_call.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import enum
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TypeAlias
 
-from canvasyoke.state import TableRoute
+from canvasyoke.state import StepCosts, TableRoute
 from canvasyoke.transport import ExchangeSlot
 
 
@@ -64,6 +65,18 @@
     load: int
 
 
+class Lateness(enum.StrEnum):
+    """Why a whole answer was late, by the route's own limits."""
+
+    ON_TIME = ""
+    #: The caller had been turned away before: the objective counts from its first try.
+    CAME_BACK = "came back"
+    #: Its first piece came after the objective.
+    FIRST = "first piece"
+    #: A pause between two events was too long.
+    PAUSE = "pause"
+
+
 @dataclass(slots=True)
 class DirectCall:
     """A request that was admitted."""
@@ -86,6 +99,8 @@
     came_back: bool
     #: Tells whether the caller has gone.
     gone: Callable[[], bool]
+    #: What a step of the service's engines takes; ``None`` when unknown.
+    step_costs: StepCosts | None = None
     #: Id of the last event that the caller has.
     last_event: str = ""
     #: Whether any of the answer's body has been delivered, and with which status.
@@ -104,3 +119,16 @@
     longest_gap: int = 0
     #: The exchange under way; lets the watch over callers end it.
     slot: ExchangeSlot | None = None
+
+    @property
+    def lateness(self) -> Lateness:
+        """Tell whether an answer that is whole now was late, and why."""
+        route = self.route
+        if self.came_back:
+            return Lateness.CAME_BACK
+        counted_to = self.first_piece_at if route.is_stream else self.last_piece_at
+        if route.objective and counted_to - self.began > route.objective:
+            return Lateness.FIRST
+        if route.longest_pause and self.longest_gap > route.longest_pause:
+            return Lateness.PAUSE
+        return Lateness.ON_TIME
--- a/src/canvasyoke/direct/_callers.py
+++ b/src/canvasyoke/direct/_callers.py
@@ -28,6 +28,8 @@
 _UNAUTHORISED: Final = 401
 _NOT_FOUND: Final = 404
 _UNAVAILABLE: Final = 503
+#: Outcome of a request whose answer was passed on whole.
+_ANSWERED: Final = "answered"
 #: Milliseconds a caller is asked to wait while the entry knows no configuration, or holds
 #: as many requests as it may.
 _RETRY_AFTER: Final = 300
@@ -131,7 +133,7 @@
                     self._metrics.piece(call, self._clock.now())
                     yield piece
                 case AnswerEnd():
-                    self._report(call, "answered", "")
+                    self._report(call, _ANSWERED, "")
                 case CallerLeft():
                     self._report(call, "caller left", "")
                     raise AnswerTruncated("the caller has gone")
@@ -144,6 +146,9 @@
     def _report(self, call: DirectCall, outcome: str, detail: str) -> None:
         took = self._clock.now() - call.began
         self._metrics.ended(outcome, took)
+        late = call.lateness if outcome == _ANSWERED else None
+        if late is not None:
+            self._metrics.answered(call, late)
         _log.info(
             outcome,
             request_id=call.request_id,
@@ -153,6 +158,7 @@
             took=took,
             first=call.first_piece_at - call.began if call.first_piece_at else None,
             longest_gap=call.longest_gap,
+            late=late.value if late is not None else None,
             came_back=call.came_back,
             detail=detail,
             tried=[f"{t.backend} load={t.load} {t.took}ms {t.outcome}" for t in call.tried],
@@ -215,6 +221,8 @@
         priority = route.priority
         if organisation is not None and organisation.priority is not None:
             priority = organisation.priority
+        service = self._pick_service(route.shares)
+        known = table.services.get(service)
         return DirectCall(
             request_id=request.request_id,
             method=request.method,
@@ -222,7 +230,7 @@
             headers=request.headers,
             body=body,
             route=route,
-            service=self._pick_service(route.shares),
+            service=service,
             organisation=organisation.name if organisation else "",
             priority=priority,
             table_version=table.version,
@@ -230,6 +238,7 @@
             deadline=now + min(patience, route.timeout),
             came_back=self._came_back(route, patience),
             gone=environ.get("waitress.client_disconnected", lambda: False),
+            step_costs=known.step_costs if known is not None else None,
             last_event=request.resume_after,
         )
 
--- a/src/canvasyoke/direct/_forwarder.py
+++ b/src/canvasyoke/direct/_forwarder.py
@@ -34,7 +34,7 @@
     Tried,
 )
 from canvasyoke.direct._events import EventCutter, event_id, is_after
-from canvasyoke.direct._roster import Chosen, NoneAble, Roster
+from canvasyoke.direct._roster import Chosen, NoneAble, Roster, Wanted
 from canvasyoke.protocol import Reason
 from canvasyoke.state import Endpoint
 from canvasyoke.transport import ExchangeError, ExchangeSlot
@@ -51,11 +51,17 @@
 _FULL_PAUSE: Final = 150
 #: Milliseconds that a caller is asked to wait, drawn between the two so that callers
 #: who were refused together do not come back together. A backend that is full has room
-#: again after a step or two; where all wait in line, a burst must pass; a group without
-#: one of its ranks is away for seconds, and callers ask again only once.
+#: again after a step or two, and a group whose steps are too long has a new map within
+#: half a second; where all wait in line, a burst must pass; a group without one of its
+#: ranks is away for seconds, and callers ask again only once.
 _RETRY_FULL: Final = (150, 400)
+_RETRY_STEPS: Final = (150, 300)
 _RETRY_CROWDED: Final = (800, 2_400)
-_RETRY_AWAY: Final = (2_000, 2_600)
+_RETRY_AWAY: Final = (2_400, 2_600)
+_RETRY_AFTER: Final = {
+    Reason.OVERLOADED: _RETRY_CROWDED,
+    Reason.STEPS_TOO_LONG: _RETRY_STEPS,
+}
 #: Part of its time left that a caller is asked to wait at the most; callers wait for up
 #: to a third of it.
 _RETRY_PART: Final = 0.32
@@ -113,8 +119,16 @@
     def _choose(self, call: DirectCall) -> Chosen | NoneAble:
         if call.deadline - self._clock.now() < _LEAST_TIME:
             return NoneAble(Reason.DEADLINE)
-        tried = frozenset(tried.backend for tried in call.tried)
-        return self._roster.choose(call.service, tried, _patience(call))
+        return self._roster.choose(
+            Wanted(
+                service=call.service,
+                tried=frozenset(tried.backend for tried in call.tried),
+                patience=_patience(call),
+                came_back=call.came_back,
+                longest_pause=call.route.longest_pause,
+                step_costs=call.step_costs,
+            )
+        )
 
     def _attempt(
         self, call: DirectCall, chosen: Chosen
@@ -222,8 +236,8 @@
         bounds = _RETRY_FULL
         if self._roster.is_away(call.service):
             bounds = _RETRY_AWAY
-        elif isinstance(cause, NoneAble) and cause.reason is Reason.OVERLOADED:
-            bounds = _RETRY_CROWDED
+        elif isinstance(cause, NoneAble):
+            bounds = _RETRY_AFTER.get(cause.reason, bounds)
         longest = round((call.deadline - self._clock.now()) * _RETRY_PART)
         return max(1, min(self._rng.randint(*bounds), longest))
 
--- a/src/canvasyoke/direct/_metrics.py
+++ b/src/canvasyoke/direct/_metrics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from canvasyoke.direct._call import DirectCall
+from canvasyoke.direct._call import DirectCall, Lateness
 from canvasyoke.observe import Metrics
 
 
@@ -16,6 +16,12 @@
         )
         self._whole = self.all.timer("canvasyoke_request_seconds", "Time to a whole answer.")
         self._first = self.all.timer("canvasyoke_first_piece_seconds", "Time to the first piece.")
+        self._pauses = self.all.timer(
+            "canvasyoke_stream_pause_seconds", "Longest time between two events of a stream."
+        )
+        self._late = self.all.counter(
+            "canvasyoke_late_total", "Whole answers that were late, by cause.", "cause"
+        )
 
     def piece(self, call: DirectCall, now: int) -> None:
         """Time the first piece of an answer, and the pauses after it."""
@@ -30,3 +36,10 @@
         """Count a request that has ended after ``took`` milliseconds."""
         self._outcomes.add(outcome)
         self._whole.record(took)
+
+    def answered(self, call: DirectCall, late: Lateness) -> None:
+        """Count an answer that is whole."""
+        if call.longest_gap:
+            self._pauses.record(call.longest_gap)
+        if late is not Lateness.ON_TIME:
+            self._late.add(late.value)
--- a/src/canvasyoke/direct/_roster.py
+++ b/src/canvasyoke/direct/_roster.py
@@ -7,7 +7,7 @@
 
 import random
 import threading
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -24,15 +24,14 @@
 from canvasyoke.direct._admission import ADMISSIONS, NO_LIMIT
 from canvasyoke.direct._domains import DomainReach
 from canvasyoke.direct._groups import RankGroups
+from canvasyoke.direct._peer_loads import PeerLoads
 from canvasyoke.observe import part_logger
 from canvasyoke.protocol import Reason
-from canvasyoke.state import Endpoint, EndpointState
+from canvasyoke.state import Endpoint, EndpointState, StepCosts
 
 #: Milliseconds over which a report of load fades to nothing: requests of others that it
 #: counted have ended by then, and new ones have come that it does not know.
 _REPORT_FADES: Final = 2 * SECOND
-#: Milliseconds after which what another entry told of its load is left out.
-_PEER_LOAD_LIMIT: Final = 3 * SECOND
 #: Backends that are remembered after they have gone, so that old news of them is known
 #: as such.
 _GONE_LIMIT: Final = 10_000
@@ -44,6 +43,9 @@
 _ASSUMED_DURATION: Final = 1_000.0
 #: Part of a new duration in the running mean.
 _DURATION_WEIGHT: Final = 0.2
+#: Part of a group's limit on streams up to which callers are let in who were turned away
+#: before: they ask only once more.
+_AGAIN_PART: Final = 1.25
 _RANKER: Final = "sampled_paced"
 _ADMISSION: Final = "short_queue"
 _log = part_logger("roster")
@@ -72,6 +74,23 @@
     load: int
 
 
+@dataclass(frozen=True, slots=True)
+class Wanted:
+    """What a request needs of a backend."""
+
+    service: str
+    #: Backends that have been tried.
+    tried: frozenset[str] = frozenset()
+    #: Longest wait for a slot, in milliseconds, that makes sense.
+    patience: int = NO_LIMIT
+    #: Whether the caller was turned away before.
+    came_back: bool = False
+    #: Longest time between two events, in milliseconds; 0 when it does not matter.
+    longest_pause: int = 0
+    #: What a step of the service's groups takes; ``None`` when unknown.
+    step_costs: StepCosts | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class NoneAble:
     """No backend may take a request."""
@@ -99,8 +118,7 @@
     _listed_at: int = 0
     #: Backends that are gone, with the revision of their removal.
     _gone: dict[str, int] = field(default_factory=dict)
-    #: Requests of each other entry under way, by backend, and when they were told.
-    _peers: dict[str, tuple[int, dict[str, int]]] = field(default_factory=dict)
+    _peers: PeerLoads = field(default_factory=PeerLoads)
     #: Running mean of the milliseconds that a request takes, by service.
     _durations: dict[str, float] = field(default_factory=dict)
 
@@ -162,25 +180,12 @@
     def peer_load(self, peer: str, under_way: dict[str, int]) -> None:
         """Take note of another entry's requests under way."""
         with self._lock:
-            self._peers[peer] = (self.clock.now(), under_way)
+            self._peers.took(peer, under_way, self.clock.now())
 
     def peer_left(self, peer: str) -> None:
         """Forget another entry's load."""
         with self._lock:
-            self._peers.pop(peer, None)
-
-    def _peers_load(self) -> dict[str, int] | None:
-        """Return the other entries' requests by backend; ``None`` when none is linked."""
-        if not self._peers:
-            return None
-        now = self.clock.now()
-        load: dict[str, int] = {}
-        for told_at, under_way in self._peers.values():
-            if now - told_at > _PEER_LOAD_LIMIT:
-                continue
-            for backend, count in under_way.items():
-                load[backend] = load.get(backend, 0) + count
-        return load
+            self._peers.left(peer)
 
     def ids(self) -> frozenset[str]:
         """Return the ids of all backends known."""
@@ -197,44 +202,64 @@
         with self._lock:
             return {i: m.own for i, m in self._members.items() if m.own}
 
-    def choose(
-        self, service: str, tried: frozenset[str], patience: int = NO_LIMIT
-    ) -> Chosen | NoneAble:
-        """Return the backend for a request and count the request there.
-
-        ``patience`` is the longest wait for a slot, in milliseconds, that makes sense.
-        """
+    def choose(self, wanted: Wanted) -> Chosen | NoneAble:
+        """Return the backend for a request and count the request there."""
         with self._lock:
-            others = self._peers_load()
-            req = RouteRequest(service, self.domain, tried, len(self._peers) + 1)
+            self._peers.forget_stale(self.clock.now())
+            req = RouteRequest(wanted.service, self.domain, wanted.tried, self._peers.entries + 1)
             fastest = self._groups.fastest_pause()
             found = filter_candidates(
                 [
-                    self._candidate(m, others, fastest)
+                    self._candidate(m, fastest)
                     for m in self._members.values()
-                    if m.endpoint.service == service
+                    if m.endpoint.service == wanted.service
                 ],
                 req,
             )
             if not found.candidates:
                 return NoneAble(found.reason)
-            best = self._ranker.choose(found.candidates, req)
+            open_ = self._bearing(found.candidates, wanted)
+            if not open_:
+                return NoneAble(Reason.STEPS_TOO_LONG)
+            best = self._ranker.choose(open_, req)
             member = self._members[best.instance]
-            duration = self._durations.get(service, _ASSUMED_DURATION)
-            if not ADMISSIONS.get(_ADMISSION)(best, duration, patience):
+            duration = self._durations.get(wanted.service, _ASSUMED_DURATION)
+            if not ADMISSIONS.get(_ADMISSION)(best, duration, wanted.patience):
                 return NoneAble(Reason.OVERLOADED)
             member.own += 1
             member.ejection.sent()
             return Chosen(member.endpoint, best.load)
 
-    def _candidate(self, member: _Member, told: dict[str, int] | None, fastest: float) -> Candidate:
+    def _bearing(self, candidates: Sequence[Candidate], wanted: Wanted) -> list[Candidate]:
+        """Return those whose group keeps its steps short with one more stream."""
+        if wanted.step_costs is None or not wanted.longest_pause:
+            return list(candidates)
+        bears: dict[frozenset[str], bool] = {}
+        for candidate in candidates:
+            group = self._groups.members(candidate.instance)
+            if group not in bears:
+                bears[group] = not group or self._bears_another(group, wanted, wanted.step_costs)
+        return [c for c in candidates if bears[self._groups.members(c.instance)]]
+
+    def _bears_another(self, group: frozenset[str], wanted: Wanted, costs: StepCosts) -> bool:
+        known = [self._members[each] for each in group if each in self._members]
+        slots = sum(member.endpoint.slots for member in known)
+        limit = self._groups.stream_limit(next(iter(group)), slots, costs, wanted.longest_pause)
+        return sum(map(self._load, known)) < limit * (_AGAIN_PART if wanted.came_back else 1)
+
+    def _load(self, member: _Member) -> int:
+        """Return the requests of all entries at a backend."""
+        return member.own + self._others(member)
+
+    def _others(self, member: _Member) -> int:
+        if self._peers.entries:
+            return self._peers.of(member.endpoint.id)
+        fade = max(0.0, 1 - (self.clock.now() - member.reported_at) / _REPORT_FADES)
+        return round(member.others * fade)
+
+    def _candidate(self, member: _Member, fastest: float) -> Candidate:
         now = self.clock.now()
         endpoint = member.endpoint
-        if told is not None:
-            others = told.get(endpoint.id, 0)
-        else:
-            fade = max(0.0, 1 - (now - member.reported_at) / _REPORT_FADES)
-            others = round(member.others * fade)
         return Candidate(
             instance=endpoint.id,
             domain=endpoint.domain,
@@ -250,7 +275,7 @@
             ),
             slots=endpoint.slots,
             queue=0,
-            reported=others + member.own,
+            reported=self._load(member),
             waiting=0,
             report_age=0,
             own_reported=member.own,
@@ -346,6 +371,9 @@
         """Take note of a further event, ``pause`` milliseconds after the one before."""
         with self._lock:
             self._groups.heard(endpoint_id, pause)
+            group = self._groups.members(endpoint_id)
+            known = [self._members[each] for each in group if each in self._members]
+            self._groups.saw_step(endpoint_id, pause, sum(map(self._load, known)))
 
     def stream_ended(self, endpoint_id: str) -> None:
         """Take note that a stream has ended or broken off."""
--- /dev/null
+++ b/src/canvasyoke/direct/tests/test_peer_loads.py
@@ -0,0 +1,47 @@
+"""What an entry makes of the loads that others tell."""
+
+from __future__ import annotations
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from canvasyoke._clock import SECOND
+from canvasyoke.direct._peer_loads import PeerLoads
+
+BACKENDS = ("a", "b", "c")
+LOADS = st.dictionaries(st.sampled_from(BACKENDS), st.integers(0, 9))
+
+
+class PeerLoadsMachine(RuleBasedStateMachine):
+    """Compares the sums that are kept with sums made anew."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loads = PeerLoads()
+        self.told: dict[str, tuple[int, dict[str, int]]] = {}
+        self.now = 0
+
+    @rule(peer=st.sampled_from("xyz"), under_way=LOADS)
+    def tell(self, peer: str, under_way: dict[str, int]) -> None:
+        self.loads.took(peer, under_way, self.now)
+        self.told[peer] = (self.now, under_way)
+
+    @rule(peer=st.sampled_from("xyz"))
+    def leave(self, peer: str) -> None:
+        self.loads.left(peer)
+        self.told.pop(peer, None)
+
+    @rule(passed=st.integers(0, 4 * SECOND))
+    def wait(self, passed: int) -> None:
+        self.now += passed
+        self.loads.forget_stale(self.now)
+
+    @invariant()
+    def sums_add_up(self) -> None:
+        fresh = [load for at, load in self.told.values() if self.now - at <= 3 * SECOND]
+        for backend in BACKENDS:
+            assert self.loads.of(backend) == sum(load.get(backend, 0) for load in fresh)
+        assert self.loads.entries == len(self.told)
+
+
+TestPeerLoads = PeerLoadsMachine.TestCase
--- a/src/canvasyoke/direct/tests/test_roster.py
+++ b/src/canvasyoke/direct/tests/test_roster.py
@@ -8,7 +8,7 @@
 
 from canvasyoke._clock import ManualClock
 from canvasyoke.backend import ReportedLoad
-from canvasyoke.direct._roster import Chosen, NoneAble, Roster
+from canvasyoke.direct._roster import Chosen, NoneAble, Roster, Wanted
 from canvasyoke.protocol import Reason
 from canvasyoke.state import Endpoint, EndpointState
 
@@ -31,7 +31,7 @@
 
 
 def choose(roster: Roster, *tried: str) -> str:
-    chosen = roster.choose("ink", frozenset(tried))
+    chosen = roster.choose(Wanted("ink", frozenset(tried)))
     return chosen.endpoint.id if isinstance(chosen, Chosen) else ""
 
 
@@ -43,7 +43,7 @@
     roster.put(endpoint("a", 6, leaving=True))
     assert {choose(roster) for _ in range(5)} == {"b"}
     roster.put(endpoint("b", 7, leaving=True))
-    assert isinstance(roster.choose("ink", frozenset()), NoneAble)
+    assert isinstance(roster.choose(Wanted("ink")), NoneAble)
 
 
 def test_load_that_others_tell_counts(roster: Roster) -> None:
@@ -169,7 +169,7 @@
     roster.finished("a", 1_200, failed=False)
     roster.finished("b", 1_200, failed=False)
     roster.peer_load("entry-2", {"a": each, "b": each})
-    chosen = roster.choose("ink", frozenset(), patience)
+    chosen = roster.choose(Wanted("ink", patience=patience))
     assert isinstance(chosen, Chosen) is sent
     if isinstance(chosen, NoneAble):
         assert chosen.reason is Reason.OVERLOADED
--- a/src/canvasyoke/platform/_config.py
+++ b/src/canvasyoke/platform/_config.py
@@ -12,6 +12,7 @@
     Repeatability,
     RoutingTable,
     ServiceShare,
+    StepCosts,
     TableOrganisation,
     TableRoute,
     TableService,
@@ -45,6 +46,7 @@
     max_attempts: int = msgspec.field(name="MaxAttempts", default=1)
     is_anonymous: bool = msgspec.field(name="AllowAnonymous", default=False)
     resumable: bool = msgspec.field(name="StreamResume", default=False)
+    longest_pause: float = msgspec.field(name="gap_aim_ms", default=0.0)
 
 
 class _Engine(msgspec.Struct, frozen=True):
@@ -55,6 +57,12 @@
     places: int = 0
     spare: int = 0
     expert_mb: float = 0.0
+    # Token steps that a group makes at once; all of them are one step here, which brings
+    # one event of each stream.
+    token_steps: int = msgspec.field(name="stride", default=1)
+    token_step: float = msgspec.field(name="step_ms", default=0.0)
+    # For each stream that writes, of each token step.
+    per_stream: float = msgspec.field(name="per_seq_ms", default=0.0)
 
 
 class _Service(msgspec.Struct, frozen=True):
@@ -126,11 +134,17 @@
         priority=route.priority,
         max_attempts=max(1, route.max_attempts),
         is_anonymous=route.is_anonymous,
+        longest_pause=round(route.longest_pause),
     )
 
 
 def _service(service: _Service) -> TableService:
-    return TableService(service.name, service.max_connections, _geometry(service.engine))
+    return TableService(
+        service.name,
+        service.max_connections,
+        _geometry(service.engine),
+        _step_costs(service.engine),
+    )
 
 
 def _geometry(engine: _Engine | None) -> RankGeometry | None:
@@ -146,6 +160,15 @@
     )
 
 
+def _step_costs(engine: _Engine | None) -> StepCosts | None:
+    if engine is None or not engine.token_step:
+        return None
+    return StepCosts(
+        base=engine.token_steps * engine.token_step,
+        per_stream=engine.token_steps * engine.per_stream,
+    )
+
+
 def _limits(limits: _Limits) -> CallerLimits:
     return CallerLimits(
         limits.header_bytes, limits.body_bytes, limits.header_time, limits.idle_time
--- a/src/canvasyoke/state/_routing_table.py
+++ b/src/canvasyoke/state/_routing_table.py
@@ -53,6 +53,9 @@
     max_attempts: int
     #: Whether a request needs no API key.
     is_anonymous: bool
+    #: Longest time between two events of a stream, in milliseconds, with which its answer
+    #: is still on time; 0 when the route states none.
+    longest_pause: int = 0
 
     @property
     def repeatable(self) -> bool:
@@ -77,6 +80,16 @@
     copy_time: float
 
 
+@dataclass(frozen=True, slots=True)
+class StepCosts:
+    """What a step of a service's engines takes, as the operator states it."""
+
+    #: Milliseconds of a step, whatever is in it.
+    base: float
+    #: Milliseconds that each stream on an engine adds to the engine's part of a step.
+    per_stream: float
+
+
 @dataclass(frozen=True, slots=True)
 class TableService:
     """A service that routes name."""
@@ -86,6 +99,8 @@
     max_connections: int
     #: Shape of its rank groups; ``None`` for a plain service.
     geometry: RankGeometry | None = None
+    #: ``None`` where the operator does not state it.
+    step_costs: StepCosts | None = None
 
 
 @dataclass(frozen=True, slots=True)
