--- a/src/canvasyoke/coordination/__init__.py
+++ b/src/canvasyoke/coordination/__init__.py
@@ -40,13 +40,6 @@
     RouteRequest,
     filter_candidates,
 )
-from canvasyoke.coordination._step_model import (
-    STREAM_LIMITS,
-    UNLIMITED,
-    GroupShape,
-    ModelledLimit,
-    StreamLimit,
-)
 
 __all__ = [
     "CLOCK_MARGIN",
@@ -55,8 +48,6 @@
     "RANKERS",
     "REDIRECTS",
     "RENEW_EVERY",
-    "STREAM_LIMITS",
-    "UNLIMITED",
     "Attempted",
     "Candidate",
     "DemandSpan",
@@ -64,7 +55,6 @@
     "ExpertMap",
     "FairQueue",
     "Filtered",
-    "GroupShape",
     "Handover",
     "HomeVerdict",
     "HomeView",
@@ -77,7 +67,6 @@
     "LeaseWatch",
     "MapStep",
     "MapTerms",
-    "ModelledLimit",
     "Offer",
     "PlanPolicy",
     "Ranker",
@@ -86,7 +75,6 @@
     "Slot",
     "SlotTable",
     "Step",
-    "StreamLimit",
     "Waiting",
     "check_key",
     "filter_candidates",
--- a/src/canvasyoke/direct/_call.py
+++ b/src/canvasyoke/direct/_call.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from typing import TypeAlias
 
-from canvasyoke.state import StepCosts, TableRoute
+from canvasyoke.state import TableRoute
 from canvasyoke.transport import ExchangeSlot
 
 
@@ -99,8 +99,6 @@
     came_back: bool
     #: Tells whether the caller has gone.
     gone: Callable[[], bool]
-    #: What a step of the service's engines takes; ``None`` when unknown.
-    step_costs: StepCosts | None = None
     #: Id of the last event that the caller has.
     last_event: str = ""
     #: Whether any of the answer's body has been delivered, and with which status.
--- a/src/canvasyoke/direct/_callers.py
+++ b/src/canvasyoke/direct/_callers.py
@@ -222,7 +222,6 @@
         if organisation is not None and organisation.priority is not None:
             priority = organisation.priority
         service = self._pick_service(route.shares)
-        known = table.services.get(service)
         return DirectCall(
             request_id=request.request_id,
             method=request.method,
@@ -238,7 +237,6 @@
             deadline=now + min(patience, route.timeout),
             came_back=self._came_back(route, patience),
             gone=environ.get("waitress.client_disconnected", lambda: False),
-            step_costs=known.step_costs if known is not None else None,
             last_event=request.resume_after,
         )
 
--- a/src/canvasyoke/direct/_forwarder.py
+++ b/src/canvasyoke/direct/_forwarder.py
@@ -51,16 +51,13 @@
 _FULL_PAUSE: Final = 150
 #: Milliseconds that a caller is asked to wait, drawn between the two so that callers
 #: who were refused together do not come back together. A backend that is full has room
-#: again after a step or two, and a group whose steps are too long has a new map within
-#: half a second; where all wait in line, a burst must pass; a group without one of its
-#: ranks is away for seconds, and callers ask again only once.
+#: again after a step or two; where all wait in line, a burst must pass; a group without
+#: one of its ranks is away for seconds, and callers ask again only once.
 _RETRY_FULL: Final = (150, 400)
-_RETRY_STEPS: Final = (150, 300)
 _RETRY_CROWDED: Final = (800, 2_400)
 _RETRY_AWAY: Final = (2_400, 2_600)
 _RETRY_AFTER: Final = {
     Reason.OVERLOADED: _RETRY_CROWDED,
-    Reason.STEPS_TOO_LONG: _RETRY_STEPS,
 }
 #: Part of its time left that a caller is asked to wait at the most; callers wait for up
 #: to a third of it.
@@ -124,9 +121,6 @@
                 service=call.service,
                 tried=frozenset(tried.backend for tried in call.tried),
                 patience=_patience(call),
-                came_back=call.came_back,
-                longest_pause=call.route.longest_pause,
-                step_costs=call.step_costs,
             )
         )
 
--- a/src/canvasyoke/direct/_groups.py
+++ b/src/canvasyoke/direct/_groups.py
@@ -11,8 +11,6 @@
 from typing import Final
 
 from canvasyoke._clock import SECOND, Clock
-from canvasyoke.coordination import STREAM_LIMITS, UNLIMITED, GroupShape, StreamLimit
-from canvasyoke.state import StepCosts
 
 #: Milliseconds for which a group is passed over after one of its ranks said that another
 #: is missing, doubled with each further word up to the limit: groups take half a second
@@ -30,8 +28,6 @@
 #: Ratio of two groups' mean pauses up to which they count as equally fast: batches and
 #: expert maps differ by that much without any rank being slow.
 _SAME_PACE: Final = 1.4
-#: Name of the registered limit on the streams of a group.
-_LIMIT: Final = "wary_model"
 
 
 @dataclass(slots=True)
@@ -44,10 +40,6 @@
     heard_at: int = 0
     #: Running mean of the milliseconds between two events of a stream; 0 before any.
     event_pause: float = 0.0
-    #: Backends known to be its ranks.
-    members: frozenset[str] = frozenset()
-    #: ``None`` before a request told what the group's steps cost.
-    limit: StreamLimit | None = None
 
 
 class RankGroups:
@@ -60,11 +52,7 @@
 
     def learn(self, backend: str, group: str) -> None:
         """Take note of a backend's group; empty when it is in none."""
-        self.forget(backend)
         self._group_of[backend] = group
-        found = self._find(backend)
-        if found is not None:
-            found.members |= {backend}
 
     def is_learned(self, backend: str) -> bool:
         """Tell whether the backend's group is known, or that it has none."""
@@ -72,36 +60,12 @@
 
     def forget(self, backend: str) -> None:
         """Forget a backend that has gone."""
-        group = self._find(backend)
-        if group is not None:
-            group.members -= {backend}
         self._group_of.pop(backend, None)
 
     def _find(self, backend: str) -> _Group | None:
         name = self._group_of.get(backend)
         return self._groups.setdefault(name, _Group()) if name else None
 
-    def members(self, backend: str) -> frozenset[str]:
-        """Return all backends of the backend's group; empty when it is in none."""
-        group = self._find(backend)
-        return group.members if group is not None else frozenset()
-
-    def stream_limit(self, backend: str, slots: int, costs: StepCosts, longest: int) -> int:
-        """Return how many streams the backend's group may have for steps of ``longest``."""
-        group = self._find(backend)
-        if group is None:
-            return UNLIMITED
-        if group.limit is None:
-            group.limit = STREAM_LIMITS.get(_LIMIT)(costs)
-        shape = GroupShape(len(group.members), slots)
-        return group.limit.limit(self._clock.now(), shape, longest)
-
-    def saw_step(self, backend: str, pause: int, streams: int) -> None:
-        """Take note of how long a step of the backend's group took, with how many streams."""
-        group = self._find(backend)
-        if group is not None and group.limit is not None:
-            group.limit.saw(self._clock.now(), pause, streams)
-
     def stands_still(self, backend: str) -> bool:
         """Tell whether the backend's group should be passed over now."""
         group = self._find(backend)
@@ -116,8 +80,6 @@
         group = self._find(backend)
         if group is None:
             return
-        if group.limit is not None:
-            group.limit.formed()
         group.until = self._clock.now() + group.pause
         group.pause = min(_PASS_OVER_LIMIT, group.pause * 2)
 
--- a/src/canvasyoke/direct/_roster.py
+++ b/src/canvasyoke/direct/_roster.py
@@ -7,7 +7,7 @@
 
 import random
 import threading
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -27,7 +27,7 @@
 from canvasyoke.direct._peer_loads import PeerLoads
 from canvasyoke.observe import part_logger
 from canvasyoke.protocol import Reason
-from canvasyoke.state import Endpoint, EndpointState, StepCosts
+from canvasyoke.state import Endpoint, EndpointState
 
 #: Milliseconds over which a report of load fades to nothing: requests of others that it
 #: counted have ended by then, and new ones have come that it does not know.
@@ -43,9 +43,6 @@
 _ASSUMED_DURATION: Final = 1_000.0
 #: Part of a new duration in the running mean.
 _DURATION_WEIGHT: Final = 0.2
-#: Part of a group's limit on streams up to which callers are let in who were turned away
-#: before: they ask only once more.
-_AGAIN_PART: Final = 1.25
 _RANKER: Final = "sampled_paced"
 _ADMISSION: Final = "short_queue"
 _log = part_logger("roster")
@@ -83,12 +80,6 @@
     tried: frozenset[str] = frozenset()
     #: Longest wait for a slot, in milliseconds, that makes sense.
     patience: int = NO_LIMIT
-    #: Whether the caller was turned away before.
-    came_back: bool = False
-    #: Longest time between two events, in milliseconds; 0 when it does not matter.
-    longest_pause: int = 0
-    #: What a step of the service's groups takes; ``None`` when unknown.
-    step_costs: StepCosts | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -218,10 +209,7 @@
             )
             if not found.candidates:
                 return NoneAble(found.reason)
-            open_ = self._bearing(found.candidates, wanted)
-            if not open_:
-                return NoneAble(Reason.STEPS_TOO_LONG)
-            best = self._ranker.choose(open_, req)
+            best = self._ranker.choose(found.candidates, req)
             member = self._members[best.instance]
             duration = self._durations.get(wanted.service, _ASSUMED_DURATION)
             if not ADMISSIONS.get(_ADMISSION)(best, duration, wanted.patience):
@@ -230,23 +218,6 @@
             member.ejection.sent()
             return Chosen(member.endpoint, best.load)
 
-    def _bearing(self, candidates: Sequence[Candidate], wanted: Wanted) -> list[Candidate]:
-        """Return those whose group keeps its steps short with one more stream."""
-        if wanted.step_costs is None or not wanted.longest_pause:
-            return list(candidates)
-        bears: dict[frozenset[str], bool] = {}
-        for candidate in candidates:
-            group = self._groups.members(candidate.instance)
-            if group not in bears:
-                bears[group] = not group or self._bears_another(group, wanted, wanted.step_costs)
-        return [c for c in candidates if bears[self._groups.members(c.instance)]]
-
-    def _bears_another(self, group: frozenset[str], wanted: Wanted, costs: StepCosts) -> bool:
-        known = [self._members[each] for each in group if each in self._members]
-        slots = sum(member.endpoint.slots for member in known)
-        limit = self._groups.stream_limit(next(iter(group)), slots, costs, wanted.longest_pause)
-        return sum(map(self._load, known)) < limit * (_AGAIN_PART if wanted.came_back else 1)
-
     def _load(self, member: _Member) -> int:
         """Return the requests of all entries at a backend."""
         return member.own + self._others(member)
@@ -371,9 +342,6 @@
         """Take note of a further event, ``pause`` milliseconds after the one before."""
         with self._lock:
             self._groups.heard(endpoint_id, pause)
-            group = self._groups.members(endpoint_id)
-            known = [self._members[each] for each in group if each in self._members]
-            self._groups.saw_step(endpoint_id, pause, sum(map(self._load, known)))
 
     def stream_ended(self, endpoint_id: str) -> None:
         """Take note that a stream has ended or broken off."""
--- a/src/canvasyoke/platform/_config.py
+++ b/src/canvasyoke/platform/_config.py
@@ -12,7 +12,6 @@
     Repeatability,
     RoutingTable,
     ServiceShare,
-    StepCosts,
     TableOrganisation,
     TableRoute,
     TableService,
@@ -57,12 +56,6 @@
     places: int = 0
     spare: int = 0
     expert_mb: float = 0.0
-    # Token steps that a group makes at once; all of them are one step here, which brings
-    # one event of each stream.
-    token_steps: int = msgspec.field(name="stride", default=1)
-    token_step: float = msgspec.field(name="step_ms", default=0.0)
-    # For each stream that writes, of each token step.
-    per_stream: float = msgspec.field(name="per_seq_ms", default=0.0)
 
 
 class _Service(msgspec.Struct, frozen=True):
@@ -143,7 +136,6 @@
         service.name,
         service.max_connections,
         _geometry(service.engine),
-        _step_costs(service.engine),
     )
 
 
@@ -160,15 +152,6 @@
     )
 
 
-def _step_costs(engine: _Engine | None) -> StepCosts | None:
-    if engine is None or not engine.token_step:
-        return None
-    return StepCosts(
-        base=engine.token_steps * engine.token_step,
-        per_stream=engine.token_steps * engine.per_stream,
-    )
-
-
 def _limits(limits: _Limits) -> CallerLimits:
     return CallerLimits(
         limits.header_bytes, limits.body_bytes, limits.header_time, limits.idle_time
--- a/src/canvasyoke/protocol/_outcome.py
+++ b/src/canvasyoke/protocol/_outcome.py
@@ -34,7 +34,6 @@
     NO_CONFIGURATION = "no_configuration"
     NO_TARGET = "no_target"
     OVERLOADED = "overloaded"
-    STEPS_TOO_LONG = "steps_too_long"
     OVER_LIMIT = "over_limit"
     DEADLINE = "deadline"
     LEAVING = "leaving"
@@ -60,7 +59,6 @@
     Reason.NO_CONFIGURATION: 503,
     Reason.NO_TARGET: 503,
     Reason.OVERLOADED: 503,
-    Reason.STEPS_TOO_LONG: 503,
     Reason.OVER_LIMIT: 429,
     Reason.DEADLINE: 504,
     Reason.LEAVING: 503,
--- a/src/canvasyoke/state/_routing_table.py
+++ b/src/canvasyoke/state/_routing_table.py
@@ -80,16 +80,6 @@
     copy_time: float
 
 
-@dataclass(frozen=True, slots=True)
-class StepCosts:
-    """What a step of a service's engines takes, as the operator states it."""
-
-    #: Milliseconds of a step, whatever is in it.
-    base: float
-    #: Milliseconds that each stream on an engine adds to the engine's part of a step.
-    per_stream: float
-
-
 @dataclass(frozen=True, slots=True)
 class TableService:
     """A service that routes name."""
@@ -99,8 +89,6 @@
     max_connections: int
     #: Shape of its rank groups; ``None`` for a plain service.
     geometry: RankGeometry | None = None
-    #: ``None`` where the operator does not state it.
-    step_costs: StepCosts | None = None
 
 
 @dataclass(frozen=True, slots=True)
