A request whose caller has left says nothing of its backend or of others

Cause: such a request counted as one that had ended well, after as little time as the caller had stayed. So the mean that admission uses was too short while many callers left early, and requests were sent that waited too long for a slot; and a backend that let its callers wait until they left was never passed over for it.

Ruled out: counting them as failures (callers also leave for reasons of their own).

Before, the two tests: the request is sent although it would wait 600 ms at a patience of 200; the backend that failed three times is chosen again. Now it is refused, and passed over.

--- a/src/canvasyoke/direct/_forwarder.py
+++ b/src/canvasyoke/direct/_forwarder.py
@@ -188,9 +188,10 @@
                 self._roster.moved(backend)
             else:
                 self._roster.refused(backend, _FULL_PAUSE)
+        elif failure is not None and call.gone():
+            self._roster.cancelled(backend)
         else:
-            failed = failure is not None and not call.gone()
-            self._roster.finished(backend, took, failed=failed)
+            self._roster.finished(backend, took, failed=failure is not None)
         if isinstance(failure, NotRun) and failure.at_fault not in ("", backend):
             self._roster.group_broke(backend)
         if isinstance(failure, MayHaveRun):
--- a/src/canvasyoke/direct/_roster.py
+++ b/src/canvasyoke/direct/_roster.py
@@ -374,6 +374,16 @@
             mean = self._durations.get(service, float(duration))
             self._durations[service] = mean + _DURATION_WEIGHT * (duration - mean)
 
+    def cancelled(self, endpoint_id: str) -> None:
+        """Take note that the caller of a request there has left.
+
+        That says nothing of the backend, and how long the request took nothing of others.
+        """
+        with self._lock:
+            member = self._members.get(endpoint_id)
+            if member is not None:
+                member.own = max(0, member.own - 1)
+
     def moved(self, endpoint_id: str) -> None:
         """Take note that another run has the address of this one."""
         with self._lock:
--- a/src/canvasyoke/direct/tests/test_roster.py
+++ b/src/canvasyoke/direct/tests/test_roster.py
@@ -175,6 +175,25 @@
         assert chosen.reason is Reason.OVERLOADED
 
 
+def test_a_request_whose_caller_left_says_nothing_of_the_others(roster: Roster) -> None:
+    """Counted as short ones they made the mean wait for a slot too short."""
+    choose(roster)
+    roster.finished("a", 1_200, failed=False)
+    for _ in range(20):
+        choose(roster)
+        for name in ("a", "b"):
+            roster.cancelled(name)
+    roster.peer_load("entry-2", {"a": 7, "b": 7})
+    assert isinstance(roster.choose(Wanted("ink", patience=200)), NoneAble)
+
+
+def test_a_request_whose_caller_left_does_not_speak_for_its_backend(roster: Roster) -> None:
+    for _ in range(3):
+        roster.finished("a", 5, failed=True)
+        roster.cancelled("a")
+    assert [choose(roster) for _ in range(3)] == ["b"] * 3
+
+
 def test_a_service_is_away_when_all_its_groups_are(roster: Roster) -> None:
     for name, group in (("a", "g-1"), ("b", "g-2")):
         roster.learn_group(name, group)
