--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,7 +1,8 @@
 """Runs experiments: ``python -m bench [NAME...]``.
 
 ``python -m bench page`` writes the page of their results, ``python -m bench losses FILE...``
-tells from logs where callers lost something.
+tells from logs where callers lost something, ``python -m bench ablate ...`` what each
+mechanism is worth.
 """
 
 from __future__ import annotations
@@ -12,6 +13,7 @@
 
 import msgspec
 
+import bench.ablation
 import bench.expert_maps
 import bench.faults
 import bench.losses
@@ -40,6 +42,8 @@
         return 0
     if names[:1] == ["losses"]:
         return bench.losses.main(names[1:])
+    if names[:1] == ["ablate"]:
+        return bench.ablation.main(names[1:])
     unknown = [name for name in names if name not in EXPERIMENTS.names()]
     if unknown:
         print(f"no experiment {unknown[0]!r}; there are: {', '.join(EXPERIMENTS.names())}")
