When a load is told, and what a request asks of the roster, have modules of their own

Ruled out: splitting the roster by its callers (they share one lock).

Nothing that a process does has changed; the same tests pass.

--- a/src/canvasyoke/coordination/_map_step.py
+++ b/src/canvasyoke/coordination/_map_step.py
@@ -15,7 +15,7 @@
 
 from collections import Counter
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 from canvasyoke.coordination._layer_plan import Layer, LayerChange, LayerPlan
@@ -83,7 +83,8 @@
             LayerPlan(layer, load, ranks, terms.capacity)
             for layer, load in zip(layers, weights, strict=True)
         ]
-        self._copies = 0
+        #: Copies that a rank may make at present.
+        self._allowed = 0
         self._copied: Counter[int] = Counter()
         self._copied_in_layer: Counter[tuple[int, int]] = Counter()
         self._before = self._skew()
@@ -93,12 +94,14 @@
         unchanged = self._step()
         best, least = unchanged, self._burden(unchanged)
         enough = least * (1 - _LEAST_SAVED)
-        if self._burden(MapStep(unchanged.layers, self._before, 1.0, 1, 1)) > enough:
-            return unchanged  # not even a perfect map after one copy would pay
-        for self._copies in range(1, _MOST_COPIES + 1):
+        perfect = replace(unchanged, skew_after=1.0, copies=1, most_copies=1)
+        if self._burden(perfect) > enough:
+            return unchanged
+        for allowed in range(1, _MOST_COPIES + 1):
+            self._allowed = allowed
             self._improve()
             step = self._step()
-            if step.most_copies < self._copies:
+            if step.most_copies < allowed:
                 break
             burden = self._burden(step)
             if burden < least:
@@ -163,7 +166,7 @@
         return frozenset(
             rank
             for rank in self._ranks
-            if self._copied[rank] >= self._copies
+            if self._copied[rank] >= self._allowed
             or self._copied_in_layer[index, rank] >= self._terms.new_limit
         )
 
--- a/src/canvasyoke/direct/_forwarder.py
+++ b/src/canvasyoke/direct/_forwarder.py
@@ -33,8 +33,9 @@
     Piece,
     Tried,
 )
+from canvasyoke.direct._choice import Chosen, NoneAble, Wanted
 from canvasyoke.direct._events import EventCutter, event_id, is_after
-from canvasyoke.direct._roster import Chosen, NoneAble, Roster, Wanted
+from canvasyoke.direct._roster import Roster
 from canvasyoke.protocol import Reason
 from canvasyoke.state import Endpoint
 from canvasyoke.transport import ExchangeError, ExchangeSlot
--- a/src/canvasyoke/direct/_peers.py
+++ b/src/canvasyoke/direct/_peers.py
@@ -23,6 +23,7 @@
 from canvasyoke.direct._budget import FleetRetryBudget
 from canvasyoke.direct._follower import TableView
 from canvasyoke.direct._roster import Roster
+from canvasyoke.direct._telling import TELL_EVERY, Telling
 from canvasyoke.observe import part_logger
 from canvasyoke.protocol import (
     BackendNews,
@@ -44,14 +45,6 @@
 from canvasyoke.transport import LinkClient, LinkServer, Session
 
 _log = part_logger("peers")
-#: Milliseconds between two tellings of the load, among as many entries as the second
-#: figure. A choice made on older figures sends several entries' requests to the same
-#: backend. Among more entries each one tells so much less often: told every 150 ms by
-#: 32 entries to all others, loads were two thirds of the bytes between failure domains.
-_TELL_EVERY: Final = 150
-_TELL_AT_ONCE: Final = 8
-#: Milliseconds after which load is told even if it has not changed.
-_TELL_AT_LEAST: Final = 900
 #: Milliseconds that an entry waits for the store after another one told of a newer
 #: configuration, and until it asks a second one for it.
 _STORE_FIRST: Final = 150
@@ -113,8 +106,8 @@
         self._looked_at = -_LOOK_EVERY
         #: Entries whose failure domain is this one's, as the store's notes say.
         self._near: frozenset[str] = frozenset()
-        self._tell_near = _Telling(clock)
-        self._tell_far = _Telling(clock)
+        self._tell_near = Telling(clock)
+        self._tell_far = Telling(clock)
         self._server: LinkServer | None = None
         self._task = threading.Thread(target=self._run, name="peers", daemon=True)
 
@@ -139,7 +132,7 @@
         self._tell_all(_news(endpoint, gone, revision))
 
     def _run(self) -> None:
-        while not self._stop.wait(_TELL_EVERY / SECOND):
+        while not self._stop.wait(TELL_EVERY / SECOND):
             self._look()
             self._tell_load()
             self._ask_for_table()
@@ -338,32 +331,6 @@
             session.send(message)
 
 
-class _Telling:
-    """When a load is told next to some of the other entries."""
-
-    def __init__(self, clock: Clock) -> None:
-        self._clock = clock
-        self._told: EntryLoad | None = None
-        self._told_at = 0
-
-    def forget(self) -> None:
-        """Have the load told at the next look, whatever it is."""
-        self._told = None
-
-    def is_due(self, load: EntryLoad, entries: int) -> bool:
-        """Tell whether ``load`` is to be told now among ``entries``, and note that it is."""
-        now = self._clock.now()
-        age = now - self._told_at
-        rounds = -(-entries // _TELL_AT_ONCE)
-        # Looks come every _TELL_EVERY; half of it less, so that none is missed by a hair.
-        is_early = age < (rounds - 0.5) * _TELL_EVERY
-        is_old_news = load == self._told and age < _TELL_AT_LEAST
-        if self._told is not None and (is_early or is_old_news):
-            return False
-        self._told, self._told_at = load, now
-        return True
-
-
 def _news(endpoint: Endpoint, gone: bool, revision: int) -> BackendNews:
     return BackendNews(
         id=endpoint.id,
--- a/src/canvasyoke/direct/_roster.py
+++ b/src/canvasyoke/direct/_roster.py
@@ -21,7 +21,8 @@
     RouteRequest,
     filter_candidates,
 )
-from canvasyoke.direct._admission import ADMISSIONS, NO_LIMIT
+from canvasyoke.direct._admission import ADMISSIONS
+from canvasyoke.direct._choice import Chosen, NoneAble, Wanted
 from canvasyoke.direct._domains import DomainReach
 from canvasyoke.direct._groups import RankGroups
 from canvasyoke.direct._peer_loads import PeerLoads
@@ -62,33 +63,6 @@
     paused_until: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class Chosen:
-    """A backend to send a request to."""
-
-    endpoint: Endpoint
-    #: Requests it was thought to have, for the log.
-    load: int
-
-
-@dataclass(frozen=True, slots=True)
-class Wanted:
-    """What a request needs of a backend."""
-
-    service: str
-    #: Backends that have been tried.
-    tried: frozenset[str] = frozenset()
-    #: Longest wait for a slot, in milliseconds, that makes sense.
-    patience: int = NO_LIMIT
-
-
-@dataclass(frozen=True, slots=True)
-class NoneAble:
-    """No backend may take a request."""
-
-    reason: Reason
-
-
 @dataclass(slots=True)
 class Roster:
     """All backends known; thread-safe."""
--- a/src/canvasyoke/direct/tests/test_roster.py
+++ b/src/canvasyoke/direct/tests/test_roster.py
@@ -8,7 +8,8 @@
 
 from canvasyoke._clock import ManualClock
 from canvasyoke.backend import ReportedLoad
-from canvasyoke.direct._roster import Chosen, NoneAble, Roster, Wanted
+from canvasyoke.direct._choice import Chosen, NoneAble, Wanted
+from canvasyoke.direct._roster import Roster
 from canvasyoke.protocol import Reason
 from canvasyoke.state import Endpoint, EndpointState
 
--- a/src/canvasyoke/direct/tests/test_telling.py
+++ b/src/canvasyoke/direct/tests/test_telling.py
@@ -5,7 +5,7 @@
 import pytest
 
 from canvasyoke._clock import ManualClock
-from canvasyoke.direct._peers import _Telling
+from canvasyoke.direct._telling import Telling
 from canvasyoke.protocol import EntryLoad
 
 #: Entries that tell each other, whether the load changes, and tellings in three seconds of
@@ -22,7 +22,7 @@
 @pytest.mark.parametrize(("entries", "changes", "expected"), [case[1:] for case in CASES])
 def test_more_entries_tell_less_often(entries: int, changes: bool, expected: int) -> None:
     clock = ManualClock(start=10_000)
-    telling = _Telling(clock)
+    telling = Telling(clock)
     told = 0
     for look in range(20):
         load = EntryLoad(1, {"b-1": look if changes else 1})
@@ -33,7 +33,7 @@
 
 def test_what_is_forgotten_is_told_at_once() -> None:
     clock = ManualClock(start=10_000)
-    telling = _Telling(clock)
+    telling = Telling(clock)
     assert telling.is_due(EntryLoad(1), 32)
     assert not telling.is_due(EntryLoad(2), 32)
     telling.forget()
