A role ends its process itself, not by an exit of the interpreter

Cause: in one suite run beside load an entry that had drained ended with SIGABRT in place of 0 (tests/test_leaving.py). Its log has the library of the links panic in a receiving task, in pthread_mutex_lock: on an orderly exit the library is torn down while tasks still wait on their links. Other times the tear-down fails such a task, which ends the process as a fault. All roles have such tasks.

Ruled out: the log's stream (a task that holds its lock while the interpreter ends also aborts, but 37 tries with four writing tasks did not show it, and the trace is another).

--- a/src/canvasyoke/cli/_roles.py
+++ b/src/canvasyoke/cli/_roles.py
@@ -7,6 +7,7 @@
 import threading
 import traceback
 from collections.abc import Callable, Sequence
+from typing import NoReturn
 
 import pynng
 
@@ -108,21 +109,31 @@
         traceback.format_exception(fault.exc_type, fault.exc_value, fault.exc_traceback)
     )
     _log.error("a task died, so the process ends", task=name, trace=trace)
-    if writer is not None:
-        writer.flush(_LAST_LINES)
-    os._exit(FAULT)
+    _end(FAULT, writer)
 
 
-def _run(role: Callable[[], int], writer: LineWriter | None = None) -> int:
+def _run(role: Callable[[], int], writer: LineWriter | None = None) -> NoReturn:
     threading.excepthook = lambda fault: _stop_on_fault(fault, writer)
     try:
-        return role()
+        code = role()
     except (OSError, LookupError, pynng.NNGException) as exc:
         print(f"canvasyoke: cannot start: {exc}", file=sys.stderr)
-        return REFUSED
-    finally:
-        if writer is not None:
-            writer.flush(_LAST_LINES)
+        code = REFUSED
+    _end(code, writer)
+
+
+def _end(code: int, writer: LineWriter | None) -> NoReturn:
+    """End the process at once, with its last lines written and all else left as it is.
+
+    Tasks still wait on their links. Torn down below them by an orderly exit of the
+    interpreter, the library of the links aborts the process, or fails a task, which ends
+    it as a fault: with 16 waiting tasks ten of ten exits.
+    """
+    if writer is not None:
+        writer.flush(_LAST_LINES)
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(code)
 
 
 def _refuse(faults: Sequence[Fault]) -> int:
--- /dev/null
+++ b/src/canvasyoke/cli/tests/test_roles.py
@@ -0,0 +1,44 @@
+"""How the process of a role ends."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+
+import pytest
+
+#: A role whose tasks wait on links of their own while it ends.
+ROLE = """
+import sys, threading
+import pynng
+from canvasyoke.cli._roles import _run
+
+def receive():
+    with pynng.Pair1(polyamorous=True, recv_timeout=1) as socket:
+        socket.listen("tcp://127.0.0.1:0")
+        waiting.wait()
+        while True:
+            try:
+                socket.recv()
+            except pynng.Timeout:
+                pass
+
+def role():
+    for _ in range(16):
+        threading.Thread(target=receive, daemon=True).start()
+    waiting.wait()
+    print("the last line")
+    return code
+
+code = int(sys.argv[1])
+waiting = threading.Barrier(17)
+sys.exit(_run(role))
+"""
+
+
+@pytest.mark.parametrize("code", [0, 0, 0, 0, 1])
+def test_a_role_ends_as_it_says_although_its_tasks_still_wait(code: int) -> None:
+    done = subprocess.run(
+        [sys.executable, "-c", ROLE, str(code)], capture_output=True, text=True, check=False
+    )
+    assert (done.returncode, done.stdout, done.stderr) == (code, "the last line\n", "")
