--- a/src/canvasyoke/coordination/_map_step.py
+++ b/src/canvasyoke/coordination/_map_step.py
@@ -31,7 +31,7 @@
 #: gave callers more than the one before.
 _LEAST_SAVED: Final = 0.25
 #: Part of the mean load of a layer's ranks that one copy must take off a step to be
-#: looked at. Played at 0.03 and 0.06 on calm and loaded days of two fleets.
+#: looked at. 0.03 was tried as well, on calm and loaded days of two fleets.
 _LEAST_GAIN: Final = 0.06
 #: Copies on one rank that are weighed, in turn; each bound more takes the planner as long
 #: as the copies that it allows.
@@ -95,8 +95,8 @@
         unchanged = self._step()
         best, least = unchanged, self._burden(unchanged)
         enough = least * (1 - _LEAST_SAVED)
-        perfect = replace(unchanged, skew_after=1.0, copies=1, most_copies=1)
-        if self._burden(perfect) > enough:
+        even = replace(unchanged, skew_after=1.0, copies=1, most_copies=1)
+        if self._burden(even) > enough:  # not even the best map after one copy would pay
             return unchanged
         for self._allowed in _COPIES:
             self._improve()
--- a/src/canvasyoke/direct/_callers.py
+++ b/src/canvasyoke/direct/_callers.py
@@ -221,7 +221,6 @@
         priority = route.priority
         if organisation is not None and organisation.priority is not None:
             priority = organisation.priority
-        service = self._pick_service(route.shares)
         return DirectCall(
             request_id=request.request_id,
             method=request.method,
@@ -229,7 +228,7 @@
             headers=request.headers,
             body=body,
             route=route,
-            service=service,
+            service=self._pick_service(route.shares),
             organisation=organisation.name if organisation else "",
             priority=priority,
             table_version=table.version,
--- a/src/canvasyoke/direct/_forwarder.py
+++ b/src/canvasyoke/direct/_forwarder.py
@@ -57,15 +57,12 @@
 _RETRY_FULL: Final = (150, 400)
 _RETRY_CROWDED: Final = (800, 2_400)
 _RETRY_AWAY: Final = (2_400, 2_600)
-_RETRY_AFTER: Final = {
-    Reason.OVERLOADED: _RETRY_CROWDED,
-}
 #: Part of its time left that a caller is asked to wait at the most; callers wait for up
 #: to a third of it.
 _RETRY_PART: Final = 0.32
 #: Parts of the route's objective for which a request may wait for a slot: where it waits
 #: longer its answer comes late. A caller who was turned away before goes first, but not
-#: by much: played at 3.0, such callers filled the queues and every answer was late.
+#: by much: at 3.0 such callers filled the queues and every answer was late.
 _WAIT_PART: Final = 0.5
 _WAIT_PART_AGAIN: Final = 0.75
 #: Largest answer, other than a stream, that is collected before it is passed on.
@@ -232,8 +229,8 @@
         bounds = _RETRY_FULL
         if self._roster.is_away(call.service) or _is_lasting(call, cause):
             bounds = _RETRY_AWAY
-        elif isinstance(cause, NoneAble):
-            bounds = _RETRY_AFTER.get(cause.reason, bounds)
+        elif isinstance(cause, NoneAble) and cause.reason is Reason.OVERLOADED:
+            bounds = _RETRY_CROWDED
         longest = round((call.deadline - self._clock.now()) * _RETRY_PART)
         return max(1, min(self._rng.randint(*bounds), longest))
 
--- a/src/canvasyoke/direct/_peer_loads.py
+++ b/src/canvasyoke/direct/_peer_loads.py
@@ -30,15 +30,22 @@
     def left(self, peer: str) -> None:
         """Forget an entry's load."""
         _, under_way = self._told.pop(peer, (0, {}))
-        self._sums.subtract(under_way)
+        self._leave_out(under_way)
 
     def forget_stale(self, now: int) -> None:
         """Leave out entries that have not told anything for long; they stay known."""
         for peer, (told_at, under_way) in self._told.items():
             if under_way and now - told_at > _LIMIT:
-                self._sums.subtract(under_way)
+                self._leave_out(under_way)
                 self._told[peer] = (told_at, {})
 
+    def _leave_out(self, under_way: dict[str, int]) -> None:
+        """Take loads out of the sums; backends without any are not kept."""
+        self._sums.subtract(under_way)
+        for backend in under_way:
+            if not self._sums[backend]:
+                del self._sums[backend]
+
     @property
     def entries(self) -> int:
         """Return the number of other entries that told their load."""
--- a/src/canvasyoke/direct/tests/test_peer_loads.py
+++ b/src/canvasyoke/direct/tests/test_peer_loads.py
@@ -41,6 +41,7 @@
         fresh = [load for at, load in self.told.values() if self.now - at <= 3 * SECOND]
         for backend in BACKENDS:
             assert self.loads.of(backend) == sum(load.get(backend, 0) for load in fresh)
+        assert self.loads._sums.keys() <= {backend for load in fresh for backend in load}
         assert self.loads.entries == len(self.told)
 
 
