A backend's failure is passed on when another attempt comes to nothing

Ruled out: not trying a second backend (it mostly answers), asking a third (the route's attempts are spent).

Test first: of five outcomes of the second attempt three gave a failure of the entry's own; now the first backend's 500 with its headers and body. Whatever the second one answers goes before it, as it did.

--- a/src/canvasyoke/direct/_call.py
+++ b/src/canvasyoke/direct/_call.py
@@ -48,6 +48,14 @@
     """The caller closed its connection; there is nobody to tell."""
 
 
+@dataclass(frozen=True, slots=True)
+class KeptAnswer:
+    """A backend's own failure, passed on if nothing better comes of another attempt."""
+
+    head: AnswerHead
+    body: bytes
+
+
 Piece: TypeAlias = AnswerHead | bytes | AnswerEnd | GaveUp | BrokeOff | CallerLeft
 
 
@@ -103,6 +111,8 @@
     last_event: str = ""
     #: Whether any of the answer's body has been delivered, and with which status.
     delivered: bool = False
+    #: What a backend answered that had failed, while another one is tried.
+    kept: KeptAnswer | None = None
     #: Whether an attempt may have run.
     may_have_run: bool = False
     #: Whether the retry that follows has been taken from the budget already.
--- a/src/canvasyoke/direct/_forwarder.py
+++ b/src/canvasyoke/direct/_forwarder.py
@@ -30,6 +30,7 @@
     CallerLeft,
     DirectCall,
     GaveUp,
+    KeptAnswer,
     Piece,
     Tried,
 )
@@ -98,7 +99,7 @@
         while True:
             chosen = self._choose(call)
             if isinstance(chosen, NoneAble):
-                yield self._give_up(call, f"no backend can take it: {chosen.reason}", chosen)
+                yield from self._end(call, f"no backend can take it: {chosen.reason}", chosen)
                 return
             failure = yield from self._attempt(call, chosen)
             if failure is None:
@@ -108,7 +109,7 @@
                 yield CallerLeft()
                 return
             if not self._may_go_on(call, failure):
-                yield self._give_up(call, failure.detail, failure)
+                yield from self._end(call, failure.detail, failure)
                 return
 
     def _choose(self, call: DirectCall) -> Chosen | NoneAble:
@@ -212,6 +213,17 @@
             return True  # nothing arrived anywhere, so nothing is spent
         return self._pay(call)
 
+    def _end(
+        self, call: DirectCall, detail: str, cause: NotRun | MayHaveRun | NoneAble
+    ) -> Iterator[Piece]:
+        """Pass on what a backend has answered, if any has, or give up."""
+        if call.kept is None or call.delivered:
+            yield self._give_up(call, detail, cause)
+            return
+        yield call.kept.head
+        yield call.kept.body
+        yield AnswerEnd()
+
     def _give_up(
         self, call: DirectCall, detail: str, cause: NotRun | MayHaveRun | NoneAble
     ) -> GaveUp | BrokeOff:
@@ -261,9 +273,11 @@
                 answer.wait_at_most(self._time_left(call))
         except ExchangeError as exc:
             return MayHaveRun(f"the answer broke off: {exc}")
+        head = AnswerHead(answer.status, answer.headers, len(body))
         if answer.status >= _SERVER_ERROR and self._worth_repeating(call):
+            call.kept = KeptAnswer(head, bytes(body))
             return MayHaveRun(f"the backend failed with status {answer.status}")
-        yield AnswerHead(answer.status, answer.headers, len(body))
+        yield head
         yield bytes(body)
         return None
 
