Tests of attempts share one request and one canned way to backends

Ruled out: a fixture (two tests need the request in different states).

The tests are the same, and as many; nothing of the product has changed.

--- /dev/null
+++ b/src/canvasyoke/direct/tests/calls.py
@@ -0,0 +1,57 @@
+"""Requests, and a way to backends, for the tests of what becomes of them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from canvasyoke.backend import DirectBackendPort, OutboundRequest, Sending
+from canvasyoke.direct._call import DirectCall
+from canvasyoke.state import Endpoint, Repeatability, ServiceShare, TableRoute
+from canvasyoke.transport import ExchangeSlot
+
+ROUTE = TableRoute(
+    name="r",
+    host="reader.example",
+    path_prefix="/r/",
+    shares=(ServiceShare("ink", 1),),
+    repeatability=Repeatability.ONCE,
+    is_stream=True,
+    resumable=False,
+    timeout=8_000,
+    objective=400,
+    priority=1,
+    max_attempts=1,
+    is_anonymous=True,
+)
+
+
+class CannedPort(DirectBackendPort):
+    def __init__(self, send: Callable[[], Sending]) -> None:
+        self._send = send
+
+    def send(
+        self, endpoint: Endpoint, request: OutboundRequest, connect_timeout: int, slot: ExchangeSlot
+    ) -> Sending:
+        return self._send()
+
+    def group_of(self, endpoint: Endpoint) -> str | None:
+        return ""
+
+
+def make_call(route: TableRoute = ROUTE, came_back: bool = False) -> DirectCall:
+    return DirectCall(
+        request_id="q",
+        method="POST",
+        target="/r/1",
+        headers=(),
+        body=b"",
+        route=route,
+        service="ink",
+        organisation="",
+        priority=1,
+        table_version=1,
+        began=10_000,
+        deadline=18_000,
+        came_back=came_back,
+        gone=lambda: False,
+    )
--- a/src/canvasyoke/direct/tests/test_forwarder.py
+++ b/src/canvasyoke/direct/tests/test_forwarder.py
@@ -10,34 +10,17 @@
 from canvasyoke._clock import ManualClock
 from canvasyoke.backend import (
     BackendAnswer,
-    DirectBackendPort,
     MayHaveRun,
     NotRun,
     NotRunCause,
-    OutboundRequest,
     Sending,
 )
 from canvasyoke.direct._budget import FleetRetryBudget, RetryAllowance
-from canvasyoke.direct._call import DirectCall
 from canvasyoke.direct._forwarder import Forwarder
 from canvasyoke.direct._roster import Roster
-from canvasyoke.state import Endpoint, EndpointState, Repeatability, ServiceShare, TableRoute
-from canvasyoke.transport import ExchangeError, ExchangeSlot
-
-ROUTE = TableRoute(
-    name="r",
-    host="reader.example",
-    path_prefix="/r/",
-    shares=(ServiceShare("ink", 1),),
-    repeatability=Repeatability.ONCE,
-    is_stream=True,
-    resumable=False,
-    timeout=8_000,
-    objective=400,
-    priority=1,
-    max_attempts=1,
-    is_anonymous=True,
-)
+from canvasyoke.direct.tests.calls import CannedPort, make_call
+from canvasyoke.state import Endpoint, EndpointState
+from canvasyoke.transport import ExchangeError
 
 
 class _BrokenStream(BackendAnswer):
@@ -61,19 +44,6 @@
         pass
 
 
-class _Port(DirectBackendPort):
-    def __init__(self, send: Callable[[], Sending]) -> None:
-        self._send = send
-
-    def send(
-        self, endpoint: Endpoint, request: OutboundRequest, connect_timeout: int, slot: ExchangeSlot
-    ) -> Sending:
-        return self._send()
-
-    def group_of(self, endpoint: Endpoint) -> str | None:
-        return ""
-
-
 @pytest.fixture
 def roster() -> Roster:
     roster = Roster("nbo-a", ManualClock(start=10_000), random.Random(1))
@@ -92,23 +62,8 @@
 def run(roster: Roster, send: Callable[[], Sending]) -> None:
     clock = ManualClock(start=10_000)
     budget = FleetRetryBudget(RetryAllowance(0.2, 10, 10_000), clock)
-    call = DirectCall(
-        request_id="q",
-        method="POST",
-        target="/r/1",
-        headers=(),
-        body=b"",
-        route=ROUTE,
-        service="ink",
-        organisation="",
-        priority=1,
-        table_version=1,
-        began=10_000,
-        deadline=18_000,
-        came_back=False,
-        gone=lambda: False,
-    )
-    list(Forwarder(_Port(send), roster, budget, clock, random.Random(1)).run(call))
+    forwarder = Forwarder(CannedPort(send), roster, budget, clock, random.Random(1))
+    list(forwarder.run(make_call()))
 
 
 def test_a_stream_that_a_cut_breaks_off_does_not_end_the_cut(roster: Roster) -> None:
--- a/src/canvasyoke/direct/tests/test_kept_answers.py
+++ b/src/canvasyoke/direct/tests/test_kept_answers.py
@@ -14,8 +14,7 @@
 from canvasyoke.direct._call import AnswerEnd, AnswerHead, Piece
 from canvasyoke.direct._forwarder import Forwarder
 from canvasyoke.direct._roster import Roster
-from canvasyoke.direct.tests.test_forwarder import ROUTE, _Port
-from canvasyoke.direct.tests.test_return_times import make_call
+from canvasyoke.direct.tests.calls import ROUTE, CannedPort, make_call
 from canvasyoke.state import Endpoint, EndpointState, Repeatability
 
 READ = dataclasses.replace(ROUTE, is_stream=False, repeatability=Repeatability.SAFE, max_attempts=2)
@@ -62,7 +61,6 @@
     )
     answers: list[Sending] = [_Short(500, b"failed"), second]
     budget = FleetRetryBudget(RetryAllowance(0.2, 10, 10_000), clock)
-    port = _Port(lambda: answers.pop(0))
-    call = make_call()
-    call.route = READ
+    port = CannedPort(lambda: answers.pop(0))
+    call = make_call(READ)
     assert list(Forwarder(port, roster, budget, clock, random.Random(1)).run(call)) == expected
--- a/src/canvasyoke/direct/tests/test_return_times.py
+++ b/src/canvasyoke/direct/tests/test_return_times.py
@@ -10,10 +10,10 @@
 from canvasyoke._clock import ManualClock
 from canvasyoke.backend import NotRun, NotRunCause
 from canvasyoke.direct._budget import FleetRetryBudget, RetryAllowance
-from canvasyoke.direct._call import DirectCall, GaveUp, Lateness
+from canvasyoke.direct._call import GaveUp, Lateness
 from canvasyoke.direct._forwarder import Forwarder
 from canvasyoke.direct._roster import Roster
-from canvasyoke.direct.tests.test_forwarder import ROUTE, _Port
+from canvasyoke.direct.tests.calls import ROUTE, CannedPort, make_call
 from canvasyoke.state import Endpoint, EndpointState
 
 LACKS_RANK = NotRun(NotRunCause.FULL, "refused with status 503", at_fault="b-9")
@@ -36,25 +36,6 @@
     return roster
 
 
-def make_call(came_back: bool = False) -> DirectCall:
-    return DirectCall(
-        request_id="q",
-        method="POST",
-        target="/r/1",
-        headers=(),
-        body=b"",
-        route=dataclasses.replace(ROUTE, max_attempts=2),
-        service="ink",
-        organisation="",
-        priority=1,
-        table_version=1,
-        began=10_000,
-        deadline=18_000,
-        came_back=came_back,
-        gone=lambda: False,
-    )
-
-
 #: Why a request was refused, and the earliest and latest return that is asked for.
 RETURNS = [
     ("a full backend", FULL, 150, 400),
@@ -68,8 +49,8 @@
     roster: Roster, clock: ManualClock, refusal: NotRun, least: int, most: int
 ) -> None:
     budget = FleetRetryBudget(RetryAllowance(0.2, 10, 10_000), clock)
-    forwarder = Forwarder(_Port(lambda: refusal), roster, budget, clock, random.Random(1))
-    last = list(forwarder.run(make_call()))[-1]
+    forwarder = Forwarder(CannedPort(lambda: refusal), roster, budget, clock, random.Random(1))
+    last = list(forwarder.run(make_call(dataclasses.replace(ROUTE, max_attempts=2))))[-1]
     assert isinstance(last, GaveUp)
     assert last.status == 503
     assert least <= last.retry_after <= most
@@ -88,8 +69,7 @@
 
 @pytest.mark.parametrize(("first", "pause", "again", "late"), [case[1:] for case in LATENESS])
 def test_lateness(first: int, pause: int, again: bool, late: Lateness) -> None:
-    call = make_call(came_back=again)
-    call.route = dataclasses.replace(ROUTE, longest_pause=120)
+    call = make_call(dataclasses.replace(ROUTE, longest_pause=120), came_back=again)
     call.first_piece_at = call.began + first
     call.longest_gap = pause
     assert call.lateness is late
