Figures of a deployment need not be whole

Cause: the retry slack was read as a whole number; a deployment that scales it with its size hands over 37.33, and each entry then ended at its start with a fault in its settings, again and again. Times in the operator's document had the same limit.

Ruled out: guessing a default where a setting cannot be understood. A setting of a wrong kind is a mistake of the operator; it still gets one line that names it.

Before: an entry with retry_slack 37.33 does not start (the new tests were red). After: it starts; a table of tests has every figure that the deployment fills in, whole and not.

--- a/src/canvasyoke/direct/_budget.py
+++ b/src/canvasyoke/direct/_budget.py
@@ -29,7 +29,7 @@
     #: Retries for each request to a service.
     ratio: float
     #: Retries in a window beyond the ratio.
-    slack: int
+    slack: float
     #: Length of the window in milliseconds.
     window: int
 
--- a/src/canvasyoke/platform/_config.py
+++ b/src/canvasyoke/platform/_config.py
@@ -35,9 +35,9 @@
     host: str = msgspec.field(name="Host")
     path_prefix: str = msgspec.field(name="PathPrefix")
     kind: str = msgspec.field(name="Kind")
-    timeout: int = msgspec.field(name="TimeoutMs")
+    timeout: float = msgspec.field(name="TimeoutMs")
     # Counted up to the first event of a stream, to the whole answer otherwise.
-    objective: int = msgspec.field(name="TargetLatencyMs", default=0)
+    objective: float = msgspec.field(name="TargetLatencyMs", default=0.0)
     priority: int = msgspec.field(name="Priority", default=5)
     service: str = msgspec.field(name="Service", default="")
     shares: list[_Share] = msgspec.field(name="TrafficSplit", default=[])
@@ -67,8 +67,8 @@
 class _Limits(msgspec.Struct, frozen=True):
     header_bytes: int = msgspec.field(name="MaxHeaderBytes")
     body_bytes: int = msgspec.field(name="MaxBodyBytes")
-    header_time: int = msgspec.field(name="HeaderTimeoutMs")
-    idle_time: int = msgspec.field(name="IdleTimeoutMs")
+    header_time: float = msgspec.field(name="HeaderTimeoutMs")
+    idle_time: float = msgspec.field(name="IdleTimeoutMs")
 
 
 class _Organisation(msgspec.Struct, frozen=True):
@@ -122,8 +122,8 @@
         repeatability=Repeatability.SAFE if safe else Repeatability.ONCE,
         is_stream=route.kind == _STREAM,
         resumable=route.resumable,
-        timeout=route.timeout,
-        objective=route.objective,
+        timeout=round(route.timeout),
+        objective=round(route.objective),
         priority=route.priority,
         max_attempts=max(1, route.max_attempts),
         is_anonymous=route.is_anonymous,
@@ -154,5 +154,5 @@
 
 def _limits(limits: _Limits) -> CallerLimits:
     return CallerLimits(
-        limits.header_bytes, limits.body_bytes, limits.header_time, limits.idle_time
+        limits.header_bytes, limits.body_bytes, round(limits.header_time), round(limits.idle_time)
     )
--- a/src/canvasyoke/state/_settings.py
+++ b/src/canvasyoke/state/_settings.py
@@ -101,7 +101,9 @@
         float, Meta(gt=0, description="Seconds over which retries are counted.")
     ] = 10.0
     retry_slack: Annotated[
-        int, Meta(ge=0, description="Retries allowed in a window beyond the ratio, fleet-wide.")
+        # Deployments scale it with their size, so it need not be whole.
+        float,
+        Meta(ge=0, description="Retries allowed in a window beyond the ratio, fleet-wide."),
     ] = 20
     log: LogSettings = LogSettings(format="json")
 
--- a/src/canvasyoke/state/tests/test_settings.py
+++ b/src/canvasyoke/state/tests/test_settings.py
@@ -2,7 +2,14 @@
 
 import pytest
 
-from canvasyoke.state import EntrySettings, Fault, TargetSettings, WatchedFile, load_settings
+from canvasyoke.state import (
+    DirectSettings,
+    EntrySettings,
+    Fault,
+    TargetSettings,
+    WatchedFile,
+    load_settings,
+)
 
 GOOD = """
 instance: e-1
@@ -60,3 +67,48 @@
     assert watched.has_changed()
     path.unlink()
     assert not watched.has_changed()
+
+
+DIRECT = """
+instance: front-1
+domain: nbo-a
+http: 10.1.0.40:8227
+ready: 10.1.0.40:8220
+peer: 10.1.0.40:7340
+metrics: 10.1.0.40:7341
+store: 10.200.1.7:8223
+adapter: objects
+"""
+
+#: Figures that a deployment hands over, as whole numbers and as fractions.
+FIGURES = [
+    ("retry_ratio", "0.2", 0.2),
+    ("retry_ratio", "1", 1.0),
+    ("retry_window_s", "10", 10.0),
+    ("retry_window_s", "7.5", 7.5),
+    ("retry_slack", "448", 448.0),
+    ("retry_slack", "448.0", 448.0),
+    ("retry_slack", "37.33", 37.33),
+    ("retry_slack", "0", 0.0),
+]
+
+
+@pytest.mark.parametrize(("name", "text", "value"), FIGURES)
+def test_figures_of_a_deployment_need_not_be_whole(
+    tmp_path: Path, name: str, text: str, value: float
+) -> None:
+    path = tmp_path / "e.yaml"
+    path.write_text(f"{DIRECT}{name}: {text}\n")
+    settings = load_settings(str(path), DirectSettings)
+    assert isinstance(settings, DirectSettings)
+    assert getattr(settings, name) == value
+
+
+@pytest.mark.parametrize("name", ["retry_ratio", "retry_window_s", "retry_slack"])
+@pytest.mark.parametrize("text", ["many", "-1", "true", "[1]"])
+def test_a_figure_of_another_kind_is_one_fault(tmp_path: Path, name: str, text: str) -> None:
+    path = tmp_path / "e.yaml"
+    path.write_text(f"{DIRECT}{name}: {text}\n")
+    faults = load_settings(str(path), DirectSettings)
+    assert isinstance(faults, list)
+    assert [fault.path for fault in faults] == [name]
