Entries form an overlay of few links, and one of each domain watches the store

Cause: what each of n entries did with all others and all engines grew with the square of the fleet. 99 entries: 4,851 links, 212 tasks an entry, 19,008 questions for groups, each with a connection of its own, and most of 6,620 store calls in 24 s (trials of the code before).

Change: membership/ chooses few links by a rule that each entry evaluates alone (a mesh up to 12 entries), news is passed on by those to whom it is new, a list is asked for over each new link, one entry a domain watches the store and asks its domain's engines for their groups, and in an overlay loads are told within the domain, whose engines come first.

--- a/src/canvasyoke/coordination/_routing.py
+++ b/src/canvasyoke/coordination/_routing.py
@@ -92,6 +92,8 @@
     tried: frozenset[str] = frozenset()
     #: Entries that choose among the same targets.
     entries: int = 1
+    #: Those of them in the same failure domain.
+    near_entries: int = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -256,3 +258,26 @@
         drawn = self._rng.sample(candidates, min(size, len(candidates)))
         best = super().choose(drawn, req)
         return best if best.has_room else super().choose(candidates, req)
+
+
+@RANKERS.register("near_paced")
+class NearPacedRanker(LeastPacedRanker):
+    """The own failure domain first, others only where it has no room.
+
+    Among a hundred entries each hears only the load of its own domain's. There its
+    picture is good, and an answer does not cross to another domain; elsewhere it has
+    seen next to nothing, and draws two. Within the domain it draws among few, since the
+    others choose at the same moment.
+    """
+
+    def choose(self, candidates: Sequence[Candidate], req: RouteRequest) -> Candidate:
+        """Return one with room in the own domain, else one with room elsewhere."""
+        near = [c for c in candidates if c.domain == req.domain]
+        size = max(_LEAST_SAMPLE, len(near) * _SAMPLES // max(1, req.near_entries))
+        free = [c for c in near if c.has_room]
+        if free:
+            return super().choose(self._rng.sample(free, min(size, len(free))), req)
+        far = [c for c in candidates if c.domain != req.domain and c.has_room]
+        if far:
+            return super().choose(self._rng.sample(far, min(_LEAST_SAMPLE, len(far))), req)
+        return super().choose(candidates, req)
--- a/src/canvasyoke/direct/_follower.py
+++ b/src/canvasyoke/direct/_follower.py
@@ -1,9 +1,10 @@
 """Keeps an entry's configuration and list of backends up to date from the store.
 
 Two tasks, one for each kind of object: list once, then watch from the revision of the
-list. A watch that was cut begins with a new list, which is compared and not taken for a
-loss: the store can lose events before it cuts its watches and forgets its history, and
-a watch that goes on from before hears of that only with the next event.
+list while this entry watches for its domain; others hear of changes from it. A watch that
+was cut begins with a new list, which is compared and not taken for a loss: the store can
+lose events before it cuts its watches and forgets its history, and a watch that goes on
+from before hears of that only with the next event.
 """
 
 from __future__ import annotations
@@ -14,10 +15,9 @@
 from typing import Final
 
 from canvasyoke._clock import SECOND, Clock
-from canvasyoke.direct._roster import Roster
+from canvasyoke.direct._roster import BackendChange, Roster
 from canvasyoke.observe import part_logger
 from canvasyoke.state import (
-    Endpoint,
     EndpointChanges,
     EndpointList,
     EndpointsSeen,
@@ -35,6 +35,8 @@
 #: Milliseconds that a watch waits. Each watch is a call that the store counts; a longer
 #: one would be noticed later when the store has gone silent.
 _WATCH: Final = 5 * SECOND
+#: Milliseconds between looks of an entry that does not watch at whether it is to.
+_IDLE: Final = 100
 #: Milliseconds between calls that fail, doubled from the first to the second.
 _BACKOFF_START: Final = 50
 _BACKOFF_LIMIT: Final = 500
@@ -85,6 +87,7 @@
         self._stop = stop
         self._backoff = _BACKOFF_START
         self._lost_at = 0
+        self._is_resting = False
         #: Time on the clock at which the store answered again after it had been away for
         #: so long that entries may have lapsed; 0 if never.
         self.regained_at = 0
@@ -104,6 +107,20 @@
         self._stop.wait(self._backoff * self._rng.uniform(0.5, 1.5) / SECOND)
         self._backoff = min(_BACKOFF_LIMIT, self._backoff * 2)
 
+    def left_to_others(self) -> None:
+        """Note that this task makes no calls for now."""
+        self._lost_at = 0
+        self._is_resting = True
+
+    def resumes(self) -> None:
+        """Note that this task makes calls.
+
+        After a rest entries may have lapsed: it may begin because nobody had contact.
+        """
+        if self._is_resting:
+            self._is_resting = False
+            self._lost_at = self._clock.now() - _LAPSE_TIME
+
     def answered(self) -> None:
         """Note a usable answer."""
         self._backoff = _BACKOFF_START
@@ -120,10 +137,16 @@
     """Follows the configuration."""
 
     def __init__(
-        self, store: FleetStore, view: TableView, clock: Clock, rng: random.Random
+        self,
+        store: FleetStore,
+        view: TableView,
+        is_watching: Callable[[], bool],
+        clock: Clock,
+        rng: random.Random,
     ) -> None:
         self._store = store
         self._view = view
+        self._is_watching = is_watching
         self._stop = threading.Event()
         self._contact = _Contact("configuration", clock, rng, self._stop)
         self._task = threading.Thread(target=self._run, name="follow-config", daemon=True)
@@ -145,6 +168,12 @@
     def _run(self) -> None:
         revision = 0
         while not self._stop.is_set():
+            if self._view.current.version and not self._is_watching():
+                revision = 0
+                self._contact.left_to_others()
+                self._stop.wait(_IDLE / SECOND)
+                continue
+            self._contact.resumes()
             match self._look(revision):
                 case TableRead() as seen:
                     self._contact.answered()
@@ -174,11 +203,13 @@
         self,
         store: FleetStore,
         roster: Roster,
-        on_news: Callable[[Endpoint, bool, int], None],
+        on_news: Callable[[BackendChange], None],
+        is_watching: Callable[[], bool],
         clock: Clock,
         rng: random.Random,
     ) -> None:
         self._on_news = on_news
+        self._is_watching = is_watching
         self._store = store
         self._roster = roster
         self._clock = clock
@@ -207,6 +238,13 @@
     def _run(self) -> None:
         revision = 0
         while not self._stop.is_set():
+            if self._roster.is_known and not self._is_watching():
+                revision = 0
+                self._held.clear()
+                self._contact.left_to_others()
+                self._stop.wait(_IDLE / SECOND)
+                continue
+            self._contact.resumes()
             match self._look(revision):
                 case EndpointList() as seen:
                     self._contact.answered()
@@ -248,9 +286,12 @@
             self._hold(endpoint_id, until)
         for endpoint_id in listed & self._held.keys():
             del self._held[endpoint_id]
-        for endpoint_id in missing - keep:
-            _log.info("backend gone", backend=endpoint_id, source="list")
-        self._roster.replace(seen.endpoints, seen.revision, keep)
+        is_first = not self._roster.is_known
+        for change in self._roster.merge_from_store(seen.endpoints, seen.revision, keep):
+            if change.gone:
+                _log.info("backend gone", backend=change.endpoint.id, source="list")
+            if not is_first:
+                self._on_news(change)
         _log.info("backends listed", count=len(listed), held=len(keep), revision=seen.revision)
 
     def _take_changes(self, seen: EndpointChanges) -> None:
@@ -259,7 +300,7 @@
             if not gone:
                 self._held.pop(endpoint.id, None)
                 self._roster.put(endpoint)
-                self._on_news(endpoint, False, endpoint.revision)
+                self._on_news(BackendChange(endpoint, False, endpoint.revision))
                 _log.info(
                     "backend changed",
                     backend=endpoint.id,
@@ -271,8 +312,9 @@
                 self._hold(endpoint.id, until)
             else:
                 self._roster.remove(endpoint.id, seen.revision)
-                self._on_news(endpoint, True, seen.revision)
+                self._on_news(BackendChange(endpoint, True, seen.revision))
                 _log.info("backend gone", backend=endpoint.id, revision=seen.revision)
+        self._roster.knows_up_to(seen.revision)
 
     def _hold(self, endpoint_id: str, until: int) -> None:
         if endpoint_id not in self._held:
@@ -286,5 +328,7 @@
         for endpoint_id, until in list(self._held.items()):
             if now >= until:
                 del self._held[endpoint_id]
-                self._roster.remove(endpoint_id, self._revision)
+                gone = self._roster.remove(endpoint_id, self._revision)
+                if gone is not None:
+                    self._on_news(BackendChange(gone, True, self._revision))
                 _log.info("backend gone", backend=endpoint_id, source="did not come back")
--- a/src/canvasyoke/direct/_groups.py
+++ b/src/canvasyoke/direct/_groups.py
@@ -58,6 +58,10 @@
         """Tell whether the backend's group is known, or that it has none."""
         return backend in self._group_of
 
+    def learned(self) -> dict[str, str]:
+        """Return all groups known by backend."""
+        return dict(self._group_of)
+
     def forget(self, backend: str) -> None:
         """Forget a backend that has gone."""
         self._group_of.pop(backend, None)
--- a/src/canvasyoke/direct/_peer_loads.py
+++ b/src/canvasyoke/direct/_peer_loads.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -12,44 +13,73 @@
 _LIMIT: Final = 3 * SECOND
 
 
+@dataclass(frozen=True, slots=True)
+class ToldLoad:
+    """What one entry told of its load."""
+
+    #: Time on its clock, by which later word is known.
+    told_at: int
+    #: Its requests under way by backend.
+    under_way: Mapping[str, int]
+
+
+@dataclass(slots=True)
+class _Heard:
+    load: ToldLoad
+    #: Time on this entry's clock.
+    at: int
+
+
 @dataclass(slots=True)
 class PeerLoads:
     """The sums are kept, not made for each request: with 32 entries and 72 backends that
     took a choice some 2,000 steps. Not thread-safe, the roster guards it."""
 
-    #: Requests of each other entry under way, by backend, and when they were told.
-    _told: dict[str, tuple[int, dict[str, int]]] = field(default_factory=dict)
+    _heard: dict[str, _Heard] = field(default_factory=dict)
     _sums: Counter[str] = field(default_factory=Counter)
+    #: Entries whose load came since it was last asked which to pass on.
+    _unrelayed: set[str] = field(default_factory=set)
 
-    def took(self, peer: str, under_way: dict[str, int], now: int) -> None:
-        """Take what an entry tells in place of what it told before."""
-        self.left(peer)
-        self._told[peer] = (now, under_way)
-        self._sums.update(under_way)
+    def took(self, entry: str, load: ToldLoad, now: int) -> bool:
+        """Take what an entry tells in place of what it told before; false if it is old."""
+        known = self._heard.get(entry)
+        if known is not None and load.told_at <= known.load.told_at and now - known.at < _LIMIT:
+            return False
+        self.left(entry)
+        self._heard[entry] = _Heard(load, now)
+        self._sums.update(load.under_way)
+        self._unrelayed.add(entry)
+        return True
 
-    def left(self, peer: str) -> None:
+    def left(self, entry: str) -> None:
         """Forget an entry's load."""
-        _, under_way = self._told.pop(peer, (0, {}))
-        self._leave_out(under_way)
+        known = self._heard.pop(entry, None)
+        self._unrelayed.discard(entry)
+        if known is not None:
+            self._leave_out(known.load)
 
     def forget_stale(self, now: int) -> None:
-        """Leave out entries that have not told anything for long; they stay known."""
-        for peer, (told_at, under_way) in self._told.items():
-            if under_way and now - told_at > _LIMIT:
-                self._leave_out(under_way)
-                self._told[peer] = (told_at, {})
-
-    def _leave_out(self, under_way: dict[str, int]) -> None:
-        """Take loads out of the sums; backends without any are not kept."""
-        self._sums.subtract(under_way)
-        for backend in under_way:
+        """Forget entries that have not told anything for long."""
+        for entry in [e for e, heard in self._heard.items() if now - heard.at > _LIMIT]:
+            self.left(entry)
+
+    def take_unrelayed(self) -> dict[str, ToldLoad]:
+        """Return the loads that came since the last call."""
+        taken = {entry: self._heard[entry].load for entry in self._unrelayed}
+        self._unrelayed.clear()
+        return taken
+
+    def _leave_out(self, load: ToldLoad) -> None:
+        """Take a load out of the sums; backends without any are not kept."""
+        self._sums.subtract(load.under_way)
+        for backend in load.under_way:
             if not self._sums[backend]:
                 del self._sums[backend]
 
     @property
     def entries(self) -> int:
-        """Return the number of other entries that told their load."""
-        return len(self._told)
+        """Return the number of other entries whose load is known."""
+        return len(self._heard)
 
     def of(self, backend: str) -> int:
         """Return the other entries' requests at a backend."""
--- a/src/canvasyoke/direct/_peers.py
+++ b/src/canvasyoke/direct/_peers.py
@@ -1,13 +1,16 @@
 """What direct entries tell each other: load, configuration, news of backends.
 
-Each entry learns of the others from the store when it starts and links with them; one
-that comes later links with those before it. Over the links go, several times a second,
-each entry's requests under way and the version of its configuration, so that all choose
-backends by the same picture; and at once what one of them learns of a backend.
-
-A configuration is large, and mostly all entries have it from the store at the same
-moment. So only its version is told, and an entry that the store does not serve asks one
-of the others for it. All backends are sent on request only, too.
+Over the links of the overlay go, several times a second, each entry's requests under way,
+the version of its configuration, and how much it knows of the backends; and at once what
+one of them learns of a backend. Whoever learns something new passes it on, so that it
+reaches all that are in touch although each has few links.
+
+A link loses nothing while it stands and keeps the order. So an entry that hears over a
+link that the other one knows all changes up to a revision has heard of them itself,
+unless they are older than the link; then it asks for the whole list.
+
+A configuration is large, and mostly all entries have it at the same moment. So only its
+version is told, and an entry that lacks it asks for it.
 """
 
 from __future__ import annotations
@@ -17,19 +20,24 @@
 from collections.abc import Callable
 from typing import Final
 
-import msgspec
-
 from canvasyoke._clock import SECOND, Clock
 from canvasyoke.direct._budget import FleetRetryBudget
+from canvasyoke.direct._entry_notes import EntryNotes
 from canvasyoke.direct._follower import TableView
-from canvasyoke.direct._roster import Roster
-from canvasyoke.direct._telling import TELL_EVERY, Telling
+from canvasyoke.direct._peer_loads import ToldLoad
+from canvasyoke.direct._roster import BackendChange, FleetSize, Roster
+from canvasyoke.direct._telling import AT_LEAST, TELL_EVERY, Telling
+from canvasyoke.membership import OverlayLinks, Place, StoreContact, WatchRota
 from canvasyoke.observe import part_logger
 from canvasyoke.protocol import (
+    BackendList,
     BackendNews,
     BackendsWanted,
     EntryLoad,
+    GroupNews,
     Message,
+    RelayedLoad,
+    StoreWatcher,
     TableDocument,
     TableWanted,
 )
@@ -38,38 +46,25 @@
     Endpoint,
     EndpointState,
     FleetStore,
-    Note,
     Unusable,
-    read_link_key,
 )
-from canvasyoke.transport import LinkClient, LinkServer, Session
+from canvasyoke.transport import Session
 
 _log = part_logger("peers")
-#: Milliseconds that an entry waits for the store after another one told of a newer
-#: configuration, and until it asks a second one for it.
+#: Milliseconds that an entry which watches the store waits for it after another one told
+#: of a newer configuration, and until any entry asks a second one for it.
 _STORE_FIRST: Final = 150
 _ASK_AGAIN: Final = 500
-#: Milliseconds between looks into the store while there is something to find there.
-_LOOK_EVERY: Final = 1 * SECOND
-#: Milliseconds between looks for entries that have come to be without being told of.
-_LOOK_AGAIN_EVERY: Final = 15 * SECOND
-#: Milliseconds without a link after which an entry is no longer dialled: it was replaced.
-_FORGET_AFTER: Final = 30 * SECOND
-_KIND: Final = "entries"
-_KEY_NAME: Final = "entries"
+#: Milliseconds between questions for all backends, one for each link that is new.
+_LIST_AGAIN: Final = 200
+#: Milliseconds between tellings in an overlay even if nothing is new: word of who watches
+#: the store goes from neighbour to neighbour with them.
+_RELAY_AT_LEAST: Final = 300
 _ROLE: Final = "direct"
 
 
-class _EntryNote(msgspec.Struct, frozen=True):
-    """Where an entry listens for the others."""
-
-    peer: str
-    #: Failure domain of the entry; empty in notes of older ones.
-    domain: str = ""
-
-
 class EntryPeers:
-    """The links of one entry to all others."""
+    """The exchange of one entry with the others."""
 
     def __init__(
         self,
@@ -81,34 +76,31 @@
         budget: FleetRetryBudget,
         clock: Clock,
         rng: random.Random,
-        lacks_backends: Callable[[], bool],
+        in_contact: Callable[[], bool],
     ) -> None:
-        self._settings = settings
+        self._own = Place(settings.instance, settings.peer, settings.domain)
         self._store = store
-        #: Tells whether the store is no help now for the list of backends.
-        self._lacks_backends = lacks_backends
         #: The newest configuration that another entry told of, by whom, and when.
         self._newer: tuple[int, Session, int] | None = None
         self._asked_at = -_ASK_AGAIN
-        self._incarnation = incarnation
+        self._listed_at = -_LIST_AGAIN
         self._view = view
         self._roster = roster
         self._budget = budget
         self._clock = clock
-        self._rng = rng
         self._stop = threading.Event()
-        self._lock = threading.Lock()
-        self._sessions: dict[str, Session] = {}
-        self._clients: dict[str, LinkClient] = {}
-        self._dialled_at: dict[str, int] = {}
-        self._link_key = b""
-        self._noted = False
-        self._looked_at = -_LOOK_EVERY
-        #: Entries whose failure domain is this one's, as the store's notes say.
+        self._notes = EntryNotes(self._own, store, clock)
+        #: Entries of the own failure domain, as the store's notes say.
         self._near: frozenset[str] = frozenset()
+        #: Sessions over which all older changes of backends have come.
+        self._caught_up: set[Session] = set()
         self._tell_near = Telling(clock)
         self._tell_far = Telling(clock)
-        self._server: LinkServer | None = None
+        self._links = OverlayLinks(
+            self._own, _ROLE, incarnation, clock, rng, self._took, self._opened, self._closed
+        )
+        #: Whether this entry watches the store for its domain.
+        self.rota = WatchRota(settings.instance, clock, in_contact)
         self._task = threading.Thread(target=self._run, name="peers", daemon=True)
 
     def start(self) -> None:
@@ -118,139 +110,126 @@
     @property
     def linked(self) -> int:
         """Return the number of entries linked with."""
-        with self._lock:
-            return sum(1 for session in self._sessions.values() if not session.closed)
+        return self._links.linked
+
+    def is_watching(self) -> bool:
+        """Tell whether this entry watches the store for its domain."""
+        return self.rota.is_watching
 
     def tell_table(self) -> None:
         """Tell at once which configuration is in force."""
-        self._tell_near.forget()
-        self._tell_far.forget()
-        self._tell_load()
+        self._tell_now()
 
-    def tell_backend(self, endpoint: Endpoint, gone: bool, revision: int) -> None:
+    def tell_backend(self, change: BackendChange) -> None:
         """Pass on what the store said of a backend."""
-        self._tell_all(_news(endpoint, gone, revision))
+        self._tell_all(_news(change.endpoint, change.gone, change.revision))
+
+    def tell_group(self, backend: str, group: str) -> None:
+        """Pass on which group a backend belongs to."""
+        self._tell_all(GroupNews(backend, group))
 
     def _run(self) -> None:
         while not self._stop.wait(TELL_EVERY / SECOND):
             self._look()
+            self._decide_to_watch()
             self._tell_load()
             self._ask_for_table()
 
     def _look(self) -> None:
-        """Find the other entries in the store, and see that they can find this one."""
-        now = self._clock.now()
-        pause = _LOOK_AGAIN_EVERY if self._noted and self.linked else _LOOK_EVERY
-        if now - self._looked_at < pause:
-            return
-        self._looked_at = now
-        if not self._link_key:
-            self._link_key = read_link_key(self._store, _KEY_NAME)
-        if not self._link_key:
-            return
-        if self._server is None:
-            self._listen()
-        if not self._noted:
-            body = msgspec.json.encode(_EntryNote(self._settings.peer, self._settings.domain))
-            note = self._store.put_note(_KIND, self._settings.instance, body)
-            self._noted = isinstance(note, Note)
-        self._dial_listed()
-
-    def _dial_listed(self) -> None:
-        notes = self._store.notes(_KIND)
-        if not isinstance(notes, list):
-            return
-        others = [note for note in notes if note.name != self._settings.instance]
-        self._budget.entries = max(1, len(notes))
-        places = {n.name: msgspec.json.decode(n.body, type=_EntryNote) for n in others}
-        self._near = frozenset(n for n, p in places.items() if p.domain == self._settings.domain)
-        for name, place in places.items():
-            if not self._is_linked(name):
-                self._dial(name, place.peer)
-        self._forget_lost()
-
-    def _is_linked(self, instance: str) -> bool:
-        with self._lock:
-            session = self._sessions.get(instance)
-        return session is not None and not session.closed
-
-    def _listen(self) -> None:
-        self._server = LinkServer(
-            self._settings.peer,
-            self._link_key,
-            self._settings.instance,
-            self._incarnation,
-            self._clock,
-            self._took,
-            self._opened,
-            self._closed,
-        )
-        self._server.start()
-
-    def _dial(self, instance: str, address: str) -> None:
-        client = self._clients.get(instance)
-        if client is not None:
-            if client.address == address:
-                return
-            client.stop()
-        client = LinkClient(
-            address,
-            self._link_key,
-            _ROLE,
-            self._settings.instance,
-            self._incarnation,
-            self._clock,
-            self._rng,
-            self._took,
-            self._opened,
-            self._closed,
-        )
-        self._clients[instance] = client
-        self._dialled_at[instance] = self._clock.now()
-        client.start()
+        """Find the other entries, and keep the links that the overlay asks for."""
+        places = self._notes.look(self.linked > 0)
+        if self._notes.link_key:
+            self._links.listen(self._notes.link_key)
+        if places is not None:
+            self._links.set_places(places)
+            self._near = frozenset(p.name for p in places if p.domain == self._own.domain)
+            self._budget.entries = len(places) + 1
+            self._roster.set_fleet(
+                FleetSize(len(places) + 1, len(self._near) + 1, self._links.is_mesh)
+            )
+            self.rota.set_domain(self._near)
+        self._links.look()
 
-    def _forget_lost(self) -> None:
-        """Stop dialling entries that have been away for long; a new look finds them again."""
-        now = self._clock.now()
-        for instance in list(self._clients):
-            if self._is_linked(instance):
-                self._dialled_at[instance] = now
-            elif now - self._dialled_at[instance] > _FORGET_AFTER:
-                self._clients.pop(instance).stop()
+    def _decide_to_watch(self) -> None:
+        near = [session for session in self._links.sessions() if session.peer in self._near]
+        watched = self.rota.is_watching
+        if self.rota.decide(bool(near)) != watched:
+            _log.info("watches the store" if not watched else "leaves the store to others")
 
     def _opened(self, session: Session) -> None:
-        with self._lock:
-            self._sessions[session.peer] = session
         _log.info("linked", peer=session.peer, incarnation=session.incarnation)
-        session.send(EntryLoad(self._view.current.version, self._roster.own_load()))
-        if self._lacks_backends():
-            session.send(BackendsWanted())
+        session.send(self._load(is_near=session.peer in self._near, relayed=[]))
 
     def _closed(self, session: Session) -> None:
-        with self._lock:
-            if self._sessions.get(session.peer) is session:
-                del self._sessions[session.peer]
-        self._roster.peer_left(session.peer)
+        self._caught_up.discard(session)
+        if self._links.is_mesh:
+            self._roster.peer_left(session.peer)
         _log.info("link lost", peer=session.peer)
 
     def _took(self, session: Session, message: Message) -> None:
         match message:
             case EntryLoad():
-                self._roster.peer_load(session.peer, message.under_way)
-                self._heard_of(message.config_version, session)
+                self._took_load(session, message)
             case TableWanted():
                 self._send_table(session, message.version)
             case BackendsWanted():
-                for endpoint in self._roster.endpoints():
-                    session.send(_news(endpoint, False, endpoint.revision))
+                session.send(self._backend_list())
             case TableDocument():
-                self._take_table(session, message)
+                self._adopt(session, message)
             case BackendNews():
                 self._take_news(session, message)
+            case BackendList():
+                self._take_list(session, message)
+            case GroupNews():
+                if self._roster.learn_group(message.backend, message.group):
+                    self._tell_all(message, but=session)
             case _:
                 _log.warning("unexpected message", peer=session.peer, kind=type(message).__name__)
 
-    def _take_table(self, session: Session, message: TableDocument) -> None:
+    def _took_load(self, session: Session, load: EntryLoad) -> None:
+        if self._links.is_mesh or session.peer in self._near:
+            self._roster.peer_load(session.peer, ToldLoad(load.told_at, load.under_way))
+        for relayed in load.relayed:
+            if relayed.entry != self._own.name:
+                told = ToldLoad(relayed.told_at, relayed.under_way)
+                self._roster.peer_load(relayed.entry, told)
+        self.rota.hear([StoreContact(w.name, w.age) for w in load.watchers])
+        self._heard_of(load.config_version, session)
+        self._heard_up_to(load.backends_revision, session)
+
+    def _heard_up_to(self, revision: int, session: Session) -> None:
+        """Take note of the revision up to which another entry knows all backends."""
+        now = self._clock.now()
+        if session in self._caught_up:
+            self._roster.knows_up_to(revision)
+        elif revision and now - self._listed_at >= _LIST_AGAIN:
+            self._listed_at = now
+            session.send(BackendsWanted())
+
+    def _backend_list(self) -> BackendList:
+        revision = self._roster.revision
+        backends = [_news(e, False, e.revision) for e in self._roster.endpoints()]
+        return BackendList(revision, backends, self._roster.groups())
+
+    def _take_list(self, session: Session, listed: BackendList) -> None:
+        """Take all backends from another entry, and pass on what was new."""
+        self._caught_up.add(session)
+        changes = self._roster.merge([_endpoint(news) for news in listed.backends], listed.revision)
+        _log.info(
+            "backends heard",
+            count=len(listed.backends),
+            changes=len(changes),
+            revision=listed.revision,
+            peer=session.peer,
+        )
+        for change in changes:
+            self._tell_all(_news(change.endpoint, change.gone, change.revision), but=session)
+        for backend, group in listed.groups.items():
+            if self._roster.learn_group(backend, group):
+                self._tell_all(GroupNews(backend, group), but=session)
+        self._tell_now()
+
+    def _adopt(self, session: Session, message: TableDocument) -> None:
         if message.version <= self._view.current.version:
             return
         table = self._store.parse_table(message.document)
@@ -260,24 +239,17 @@
         self._view.adopt(table, message.document, f"peer {session.peer}")
 
     def _take_news(self, session: Session, news: BackendNews) -> None:
-        endpoint = Endpoint(
-            id=news.id,
-            service=news.service,
-            address=news.address,
-            domain=news.domain,
-            slots=news.slots,
-            state=EndpointState.LEAVING if news.leaving else EndpointState.READY,
+        if not self._roster.hear(_endpoint(news), news.gone):
+            return
+        self._tell_all(news, but=session)
+        _log.info(
+            "backend news",
+            backend=news.id,
+            gone=news.gone,
+            leaving=news.leaving,
             revision=news.revision,
+            peer=session.peer,
         )
-        if self._roster.hear(endpoint, news.gone):
-            _log.info(
-                "backend news",
-                backend=news.id,
-                gone=news.gone,
-                leaving=news.leaving,
-                revision=news.revision,
-                peer=session.peer,
-            )
 
     def _heard_of(self, version: int, session: Session) -> None:
         """Take note of the version that another entry follows."""
@@ -286,6 +258,7 @@
         newer = self._newer
         if newer is None or newer[0] < version:
             self._newer = (version, session, self._clock.now())
+            self._ask_for_table()
         elif newer[1].closed or self._asked_at >= newer[2]:
             self._newer = (version, session, newer[2])  # ask this one next
 
@@ -299,7 +272,7 @@
         if version <= current:
             self._newer = None
             return
-        store_first = _STORE_FIRST if current else 0
+        store_first = _STORE_FIRST if current and self.rota.is_watching else 0
         if now - heard_at >= store_first and now - self._asked_at >= _ASK_AGAIN:
             self._asked_at = now
             session.send(TableWanted(current))
@@ -309,26 +282,55 @@
         if document and table.version > version:
             session.send(TableDocument(table.version, document))
 
+    def _load(self, is_near: bool, relayed: list[RelayedLoad]) -> EntryLoad:
+        """Return what to tell an entry of the own domain, or of another one."""
+        tells_load = is_near or self._links.is_mesh
+        watchers = [StoreWatcher(c.name, c.age) for c in self.rota.tell()] if is_near else []
+        return EntryLoad(
+            config_version=self._view.current.version,
+            under_way=self._roster.own_load() if tells_load else {},
+            told_at=self._clock.now(),
+            backends_revision=self._roster.revision,
+            watchers=watchers,
+            relayed=relayed,
+        )
+
+    def _tell_now(self) -> None:
+        self._tell_near.forget()
+        self._tell_far.forget()
+        self._tell_load()
+
     def _tell_load(self) -> None:
         """Tell the load to those for whom it is due, the own domain's entries more often."""
-        load = EntryLoad(self._view.current.version, self._roster.own_load())
-        with self._lock:
-            sessions = list(self._sessions.values())
+        sessions = self._links.sessions()
         near = [session for session in sessions if session.peer in self._near]
         far = [session for session in sessions if session.peer not in self._near]
-        for telling, told, entries in (
-            (self._tell_near, near, len(near) + 1),
-            (self._tell_far, far, len(sessions) + 1),
-        ):
-            if telling.is_due(load, entries):
-                for session in told:
-                    session.send(load)
-
-    def _tell_all(self, message: Message) -> None:
-        with self._lock:
-            sessions = list(self._sessions.values())
-        for session in sessions:
-            session.send(message)
+        is_mesh = self._links.is_mesh
+        at_least = AT_LEAST if is_mesh else _RELAY_AT_LEAST
+        if self._tell_near.is_due(self._what_is_new(True), len(near) + 1, at_least):
+            relayed = [] if is_mesh else self._unrelayed()
+            load = self._load(is_near=True, relayed=relayed)
+            for session in near:
+                session.send(load)
+        if self._tell_far.is_due(self._what_is_new(is_mesh), len(sessions) + 1):
+            load = self._load(is_near=False, relayed=[])
+            for session in far:
+                session.send(load)
+
+    def _what_is_new(self, with_load: bool) -> tuple[int, int, tuple[tuple[str, int], ...]]:
+        under_way = tuple(sorted(self._roster.own_load().items())) if with_load else ()
+        return self._view.current.version, self._roster.revision, under_way
+
+    def _unrelayed(self) -> list[RelayedLoad]:
+        return [
+            RelayedLoad(entry, load.told_at, dict(load.under_way))
+            for entry, load in self._roster.unrelayed_loads().items()
+        ]
+
+    def _tell_all(self, message: Message, but: Session | None = None) -> None:
+        for session in self._links.sessions():
+            if session is not but:
+                session.send(message)
 
 
 def _news(endpoint: Endpoint, gone: bool, revision: int) -> BackendNews:
@@ -342,3 +344,15 @@
         gone=gone,
         revision=revision,
     )
+
+
+def _endpoint(news: BackendNews) -> Endpoint:
+    return Endpoint(
+        id=news.id,
+        service=news.service,
+        address=news.address,
+        domain=news.domain,
+        slots=news.slots,
+        state=EndpointState.LEAVING if news.leaving else EndpointState.READY,
+        revision=news.revision,
+    )
--- a/src/canvasyoke/direct/_process.py
+++ b/src/canvasyoke/direct/_process.py
@@ -77,9 +77,6 @@
         self._budget.entries = _ASSUMED_ENTRIES
         self._metrics = DirectMetrics()
         make_store = FLEET_STORES.get(settings.adapter)
-        self._table_follower = TableFollower(
-            make_store(settings.store), self._view, self._clock, rng
-        )
         self._peers = EntryPeers(
             settings,
             make_store(settings.store),
@@ -89,14 +86,29 @@
             self._budget,
             self._clock,
             rng,
-            lambda: not self._roster.is_known or self._endpoint_follower.is_lost,
+            lambda: not (self._table_follower.is_lost or self._endpoint_follower.is_lost),
+        )
+        self._table_follower = TableFollower(
+            make_store(settings.store), self._view, self._peers.is_watching, self._clock, rng
         )
         self._endpoint_follower = EndpointFollower(
-            make_store(settings.store), self._roster, self._peers.tell_backend, self._clock, rng
+            make_store(settings.store),
+            self._roster,
+            self._peers.tell_backend,
+            self._peers.is_watching,
+            self._clock,
+            rng,
         )
         port = DIRECT_BACKENDS.get(settings.adapter)()
         forwarder = Forwarder(port, self._roster, self._budget, self._clock, rng)
-        self._groups = GroupLearner(port, self._roster, lambda: self._view.current)
+        self._groups = GroupLearner(
+            port,
+            self._roster,
+            lambda: self._view.current,
+            self._peers.is_watching,
+            self._peers.tell_group,
+            self._clock,
+        )
         self._domains = DomainProber(self._roster.cut_addresses, self._roster.domain_reached)
         self._callers = DirectCallers(
             CALLER_PORTS.get(settings.adapter)(),
@@ -210,6 +222,11 @@
         gauge("canvasyoke_backends", "Backends known.", lambda: len(self._roster.ids()))
         gauge("canvasyoke_log_lines_dropped", "Lost log lines.", lambda: self._log_writer.dropped)
         gauge("canvasyoke_peers", "Entries linked with.", lambda: self._peers.linked)
+        gauge(
+            "canvasyoke_watches_store",
+            "1 while this entry watches the store for its failure domain.",
+            lambda: int(self._peers.is_watching()),
+        )
         gauge(
             "canvasyoke_isolated",
             "1 while cut off from what callers need.",
--- a/src/canvasyoke/direct/_roster.py
+++ b/src/canvasyoke/direct/_roster.py
@@ -8,7 +8,7 @@
 import random
 import threading
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Final
 
 from canvasyoke._clock import SECOND, Clock
@@ -25,7 +25,7 @@
 from canvasyoke.direct._choice import Chosen, NoneAble, Wanted
 from canvasyoke.direct._domains import DomainReach
 from canvasyoke.direct._groups import RankGroups
-from canvasyoke.direct._peer_loads import PeerLoads
+from canvasyoke.direct._peer_loads import PeerLoads, ToldLoad
 from canvasyoke.observe import part_logger
 from canvasyoke.protocol import Reason
 from canvasyoke.state import Endpoint, EndpointState
@@ -45,10 +45,34 @@
 #: Part of a new duration in the running mean.
 _DURATION_WEIGHT: Final = 0.2
 _RANKER: Final = "sampled_paced"
+#: In a fleet too large for all entries to tell each other their loads.
+_FLEET_RANKER: Final = "near_paced"
 _ADMISSION: Final = "short_queue"
 _log = part_logger("roster")
 
 
+@dataclass(frozen=True, slots=True)
+class BackendChange:
+    """What the store said of a backend."""
+
+    endpoint: Endpoint
+    #: Whether its entry was removed.
+    gone: bool
+    #: Revision of the store at which this came to be.
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class FleetSize:
+    """How many entries choose among the same backends."""
+
+    entries: int = 1
+    #: Those of the own failure domain.
+    near: int = 1
+    #: Whether each entry hears the load of all others, or only of its own domain's.
+    hears_all: bool = True
+
+
 @dataclass(slots=True)
 class _Member:
     endpoint: Endpoint
@@ -72,6 +96,9 @@
     rng: random.Random
     #: Whether a list has been read.
     is_known: bool = False
+    #: Revision of the store up to which all changes are known; 0 before any list.
+    revision: int = 0
+    _fleet: FleetSize = FleetSize()
     _groups: RankGroups = field(init=False)
     _ranker: Ranker = field(init=False)
     _domains: DomainReach = field(default_factory=DomainReach)
@@ -79,8 +106,6 @@
     _is_isolated: bool = False
     _lock: threading.Lock = field(default_factory=threading.Lock)
     _members: dict[str, _Member] = field(default_factory=dict)
-    #: Revision of the newest list read from the store; 0 before any.
-    _listed_at: int = 0
     #: Backends that are gone, with the revision of their removal.
     _gone: dict[str, int] = field(default_factory=dict)
     _peers: PeerLoads = field(default_factory=PeerLoads)
@@ -91,41 +116,94 @@
         self._groups = RankGroups(self.clock)
         self._ranker = RANKERS.get(_RANKER)(self.rng)
 
-    def replace(
+    def merge(
         self, endpoints: Iterable[Endpoint], revision: int, keep: frozenset[str] = frozenset()
-    ) -> None:
-        """Take a whole list; those in ``keep`` stay although it lacks them."""
+    ) -> list[BackendChange]:
+        """Take a whole list of a revision, and return what it changes.
+
+        Those in ``keep`` stay although it lacks them, and so does what is newer.
+        """
         with self._lock:
             listed = {endpoint.id: endpoint for endpoint in endpoints}
-            for lost in self._members.keys() - listed.keys() - keep:
-                self._forget(lost, revision)
-            self._listed_at = revision
+            lost = [
+                member.endpoint
+                for endpoint_id, member in self._members.items()
+                if endpoint_id not in listed
+                and endpoint_id not in keep
+                and member.endpoint.revision <= revision
+            ]
+            for endpoint in lost:
+                self._forget(endpoint.id, revision)
+            changes = [BackendChange(endpoint, True, revision) for endpoint in lost]
             for endpoint in listed.values():
-                self._put(endpoint)
+                if not self._is_old(endpoint) and self._put(endpoint):
+                    changes.append(BackendChange(endpoint, False, endpoint.revision))
+            self.revision = max(self.revision, revision)
             self.is_known = True
+            return changes
+
+    def merge_from_store(
+        self, endpoints: Iterable[Endpoint], revision: int, keep: frozenset[str] = frozenset()
+    ) -> list[BackendChange]:
+        """As ``merge``, for a list that the store has just given.
+
+        The store can lose events. What it lists is then older than what is known here and
+        at other entries, and yet right; it is taken as of the list's own revision, so that
+        it counts as new everywhere.
+        """
+        known = self.revision
+        return self.merge(
+            [
+                replace(endpoint, revision=revision)
+                if self._was_lost(endpoint, known)
+                else endpoint
+                for endpoint in endpoints
+            ],
+            revision,
+            keep,
+        )
+
+    def _was_lost(self, endpoint: Endpoint, known: int) -> bool:
+        """Tell whether a backend in the store's list should have been heard of before."""
+        with self._lock:
+            member = self._members.get(endpoint.id)
+            return endpoint.revision <= known and (
+                member is None or member.endpoint.revision < endpoint.revision
+            )
+
+    def _is_old(self, endpoint: Endpoint) -> bool:
+        """Tell whether what others say of a backend is no news here."""
+        member = self._members.get(endpoint.id)
+        known = member.endpoint.revision if member is not None else self.revision
+        return endpoint.revision <= max(known, self._gone.get(endpoint.id, 0))
+
+    def knows_up_to(self, revision: int) -> None:
+        """Take note that all changes up to a revision of the store have come."""
+        with self._lock:
+            if self.is_known:
+                self.revision = max(self.revision, revision)
 
     def put(self, endpoint: Endpoint) -> None:
         """Add or change one backend."""
         with self._lock:
             self._put(endpoint)
 
-    def remove(self, endpoint_id: str, revision: int) -> None:
-        """Forget one backend; requests under way there go on."""
+    def remove(self, endpoint_id: str, revision: int) -> Endpoint | None:
+        """Forget one backend and return it; requests under way there go on."""
         with self._lock:
+            member = self._members.get(endpoint_id)
             self._forget(endpoint_id, revision)
+            return member.endpoint if member is not None else None
 
     def hear(self, endpoint: Endpoint, gone: bool) -> bool:
         """Take what another entry learned from the store; false when it is old."""
         with self._lock:
-            member = self._members.get(endpoint.id)
-            known = member.endpoint.revision if member is not None else self._listed_at
-            if endpoint.revision <= max(known, self._gone.get(endpoint.id, 0)):
+            if self._is_old(endpoint):
                 return False
             if gone:
                 self._forget(endpoint.id, endpoint.revision)
             else:
                 self._put(endpoint)
-                self.is_known = True
             return True
 
     def _forget(self, endpoint_id: str, revision: int) -> None:
@@ -135,17 +213,36 @@
         while len(self._gone) > _GONE_LIMIT:
             del self._gone[next(iter(self._gone))]
 
-    def _put(self, endpoint: Endpoint) -> None:
+    def _put(self, endpoint: Endpoint) -> bool:
+        """Add or change a backend; false when nothing is new."""
+        if endpoint.revision < self._gone.get(endpoint.id, 0):
+            return False
         member = self._members.get(endpoint.id)
         if member is None:
             self._members[endpoint.id] = _Member(endpoint, Ejection(self.clock))
-        elif endpoint.revision >= member.endpoint.revision:
-            member.endpoint = endpoint
+            return True
+        if endpoint.revision < member.endpoint.revision or endpoint == member.endpoint:
+            return False
+        member.endpoint = endpoint
+        return True
 
-    def peer_load(self, peer: str, under_way: dict[str, int]) -> None:
+    def set_fleet(self, fleet: FleetSize) -> None:
+        """Take note of how many entries choose among the same backends."""
+        with self._lock:
+            if fleet.hears_all != self._fleet.hears_all:
+                name = _RANKER if fleet.hears_all else _FLEET_RANKER
+                self._ranker = RANKERS.get(name)(self.rng)
+            self._fleet = fleet
+
+    def peer_load(self, peer: str, load: ToldLoad) -> None:
         """Take note of another entry's requests under way."""
         with self._lock:
-            self._peers.took(peer, under_way, self.clock.now())
+            self._peers.took(peer, load, self.clock.now())
+
+    def unrelayed_loads(self) -> dict[str, ToldLoad]:
+        """Return the other entries' loads that came since the last call."""
+        with self._lock:
+            return self._peers.take_unrelayed()
 
     def peer_left(self, peer: str) -> None:
         """Forget another entry's load."""
@@ -171,7 +268,13 @@
         """Return the backend for a request and count the request there."""
         with self._lock:
             self._peers.forget_stale(self.clock.now())
-            req = RouteRequest(wanted.service, self.domain, wanted.tried, self._peers.entries + 1)
+            req = RouteRequest(
+                wanted.service,
+                self.domain,
+                wanted.tried,
+                self._peers.entries + 1 if self._fleet.hears_all else self._fleet.entries,
+                self._fleet.near,
+            )
             fastest = self._groups.fastest_pause()
             found = filter_candidates(
                 [
@@ -197,10 +300,12 @@
         return member.own + self._others(member)
 
     def _others(self, member: _Member) -> int:
-        if self._peers.entries:
-            return self._peers.of(member.endpoint.id)
+        told = self._peers.of(member.endpoint.id)
+        if self._fleet.hears_all and self._peers.entries:
+            return told
+        # Entries of other domains do not tell their load here.
         fade = max(0.0, 1 - (self.clock.now() - member.reported_at) / _REPORT_FADES)
-        return round(member.others * fade)
+        return max(told, round(member.others * fade))
 
     def _candidate(self, member: _Member, fastest: float) -> Candidate:
         now = self.clock.now()
@@ -296,11 +401,18 @@
                 if m.endpoint.service in services and not self._groups.is_learned(m.endpoint.id)
             ]
 
-    def learn_group(self, endpoint_id: str, group: str) -> None:
-        """Take note of a backend's group; empty when it is in none."""
+    def learn_group(self, endpoint_id: str, group: str) -> bool:
+        """Take note of a backend's group, empty when it is in none; false if known."""
+        with self._lock:
+            if endpoint_id not in self._members or self._groups.is_learned(endpoint_id):
+                return False
+            self._groups.learn(endpoint_id, group)
+            return True
+
+    def groups(self) -> dict[str, str]:
+        """Return the groups learned so far by backend."""
         with self._lock:
-            if endpoint_id in self._members:
-                self._groups.learn(endpoint_id, group)
+            return self._groups.learned()
 
     def group_broke(self, endpoint_id: str) -> None:
         """Take note that the group of a backend has lost a rank."""
--- a/src/canvasyoke/direct/tests/test_forwarder.py
+++ b/src/canvasyoke/direct/tests/test_forwarder.py
@@ -48,7 +48,7 @@
 def roster() -> Roster:
     roster = Roster("nbo-a", ManualClock(start=10_000), random.Random(1))
     names = ("b-1", "b-2", "b-3")
-    roster.replace(
+    roster.merge(
         [Endpoint(n, "ink", f"{n}:1", "nbo-b", 6, EndpointState.READY, 1) for n in names], 1
     )
     return roster
--- a/src/canvasyoke/direct/tests/test_kept_answers.py
+++ b/src/canvasyoke/direct/tests/test_kept_answers.py
@@ -55,7 +55,7 @@
 ) -> None:
     clock = ManualClock(start=10_000)
     roster = Roster("nbo-a", clock, random.Random(1))
-    roster.replace(
+    roster.merge(
         [Endpoint(n, "ink", f"{n}:1", "nbo-b", 6, EndpointState.READY, 1) for n in ("b-1", "b-2")],
         1,
     )
--- a/src/canvasyoke/direct/tests/test_peer_loads.py
+++ b/src/canvasyoke/direct/tests/test_peer_loads.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from canvasyoke._clock import SECOND
-from canvasyoke.direct._peer_loads import PeerLoads
+from canvasyoke.direct._peer_loads import PeerLoads, ToldLoad
 
 BACKENDS = ("a", "b", "c")
 LOADS = st.dictionaries(st.sampled_from(BACKENDS), st.integers(0, 9))
@@ -20,12 +20,23 @@
         self.loads = PeerLoads()
         self.told: dict[str, tuple[int, dict[str, int]]] = {}
         self.now = 0
+        #: Rises with each telling, as the clock of the entry that tells does.
+        self.told_at = 0
 
     @rule(peer=st.sampled_from("xyz"), under_way=LOADS)
     def tell(self, peer: str, under_way: dict[str, int]) -> None:
-        self.loads.took(peer, under_way, self.now)
+        self.told_at += 1
+        assert self.loads.took(peer, ToldLoad(self.told_at, under_way), self.now)
         self.told[peer] = (self.now, under_way)
 
+    @precondition(lambda self: self.told)
+    @rule(under_way=LOADS, data=st.data())
+    def tell_again(self, under_way: dict[str, int], data: st.DataObject) -> None:
+        """Older word comes by another way: it changes nothing while newer is fresh."""
+        peer = data.draw(st.sampled_from(sorted(self.told)))
+        if self.now - self.told[peer][0] < 3 * SECOND:
+            assert not self.loads.took(peer, ToldLoad(0, under_way), self.now)
+
     @rule(peer=st.sampled_from("xyz"))
     def leave(self, peer: str) -> None:
         self.loads.left(peer)
@@ -42,7 +53,14 @@
         for backend in BACKENDS:
             assert self.loads.of(backend) == sum(load.get(backend, 0) for load in fresh)
         assert self.loads._sums.keys() <= {backend for load in fresh for backend in load}
-        assert self.loads.entries == len(self.told)
+        assert self.loads.entries == len(fresh)
+
+    @rule()
+    def pass_on(self) -> None:
+        fresh = {p: load for p, (at, load) in self.told.items() if self.now - at <= 3 * SECOND}
+        for peer, load in self.loads.take_unrelayed().items():
+            assert fresh[peer] == load.under_way
+        assert not self.loads.take_unrelayed()
 
 
 TestPeerLoads = PeerLoadsMachine.TestCase
--- a/src/canvasyoke/direct/tests/test_return_times.py
+++ b/src/canvasyoke/direct/tests/test_return_times.py
@@ -30,7 +30,7 @@
 def roster(clock: ManualClock) -> Roster:
     roster = Roster("nbo-a", clock, random.Random(1))
     names = ("b-1", "b-2", "b-3")
-    roster.replace(
+    roster.merge(
         [Endpoint(n, "ink", f"{n}:1", "nbo-b", 6, EndpointState.READY, 1) for n in names], 1
     )
     return roster
--- a/src/canvasyoke/platform/_store.py
+++ b/src/canvasyoke/platform/_store.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from typing import Any, Final
-from urllib.parse import quote
+from urllib.parse import quote, urlencode
 
 import msgspec
 import urllib3
@@ -138,9 +138,9 @@
         """Return the table in ``document``."""
         return decode_table(document)
 
-    def notes(self, kind: str) -> list[Note] | Unavailable | Unusable:
+    def notes(self, kind: str, may_be_old: bool = False) -> list[Note] | Unavailable | Unusable:
         """Return the system's own objects of ``kind``."""
-        listed = self._list(kind)
+        listed = self._list(kind, may_be_old)
         if isinstance(listed, Unavailable | Unusable):
             return listed
         return [_note(item) for item in listed[0]]
@@ -169,7 +169,9 @@
             return Unavailable(f"status {answer.status}", ambiguous=True)
         return _decode_note(answer.data)
 
-    def _list(self, kind: str) -> tuple[list[_Object], int] | Unavailable | Unusable:
+    def _list(
+        self, kind: str, may_be_old: bool = False
+    ) -> tuple[list[_Object], int] | Unavailable | Unusable:
         """Return all objects of ``kind`` and the revision of the first page.
 
         A watch from that revision repeats what changed while later pages were read.
@@ -178,8 +180,10 @@
         revision = 0
         after = ""
         while True:
-            query = f"?After={quote(after, safe='')}" if after else ""
-            answer = self._call("GET", f"/objects/{kind}{query}")
+            query = {"stale": "1"} if may_be_old else {}
+            if after:
+                query["After"] = after
+            answer = self._call("GET", f"/objects/{kind}?{urlencode(query)}")
             if isinstance(answer, Unavailable):
                 return answer
             if answer.status == _NOT_FOUND:
--- a/src/canvasyoke/state/_fleet_store.py
+++ b/src/canvasyoke/state/_fleet_store.py
@@ -125,8 +125,11 @@
         """Return the table that a document passed on by another process holds."""
 
     @abstractmethod
-    def notes(self, kind: str) -> list[Note] | Unavailable | Unusable:
-        """Return the system's own objects of ``kind``."""
+    def notes(self, kind: str, may_be_old: bool = False) -> list[Note] | Unavailable | Unusable:
+        """Return the system's own objects of ``kind``.
+
+        A list that may be seconds old is cheaper for the store.
+        """
 
     @abstractmethod
     def put_note(self, kind: str, name: str, body: bytes) -> Note | Unavailable | Unusable:
--- a/src/canvasyoke/tests/test_layers.py
+++ b/src/canvasyoke/tests/test_layers.py
@@ -13,6 +13,7 @@
     "state",
     "coordination",
     "observe",
+    "membership",
     "backend",
     "entry",
     "target",
@@ -26,7 +27,7 @@
     "target": {"entry"},
     "direct": {"entry", "target"},
     "experts": {"entry", "target", "direct"},
-    "platform": {"entry", "target", "observe", "coordination"},
+    "platform": {"entry", "target", "observe", "coordination", "membership"},
 }
 MODULES = sorted(
     path for path in PACKAGE.rglob("*.py") if "tests" not in path.parts and path.parent != PACKAGE
