Which backends there are has a module of its own

Change: KnownBackends keeps the former and returns what changes; the roster follows. Another entry's word goes as one typed change in place of three arguments.

Ruled out: a change of behaviour; the tests are the same but for the call.

--- a/src/canvasyoke/direct/_follower.py
+++ b/src/canvasyoke/direct/_follower.py
@@ -15,7 +15,8 @@
 from typing import Final
 
 from canvasyoke._clock import SECOND, Clock
-from canvasyoke.direct._roster import BackendChange, Roster
+from canvasyoke.direct._known_backends import BackendChange
+from canvasyoke.direct._roster import Roster
 from canvasyoke.observe import part_logger
 from canvasyoke.state import (
     EndpointChanges,
@@ -328,7 +329,6 @@
         for endpoint_id, until in list(self._held.items()):
             if now >= until:
                 del self._held[endpoint_id]
-                gone = self._roster.remove(endpoint_id, self._revision)
-                if gone is not None:
-                    self._on_news(BackendChange(gone, True, self._revision))
+                for change in self._roster.remove(endpoint_id, self._revision):
+                    self._on_news(change)
                 _log.info("backend gone", backend=endpoint_id, source="did not come back")
--- a/src/canvasyoke/direct/_peers.py
+++ b/src/canvasyoke/direct/_peers.py
@@ -24,8 +24,9 @@
 from canvasyoke.direct._budget import FleetRetryBudget
 from canvasyoke.direct._entry_notes import EntryNotes
 from canvasyoke.direct._follower import TableView
+from canvasyoke.direct._known_backends import BackendChange
 from canvasyoke.direct._peer_loads import ToldLoad
-from canvasyoke.direct._roster import BackendChange, FleetSize, Roster
+from canvasyoke.direct._roster import FleetSize, Roster
 from canvasyoke.direct._telling import AT_LEAST, TELL_EVERY, Telling
 from canvasyoke.membership import OverlayLinks, Place, StoreContact, WatchRota
 from canvasyoke.observe import part_logger
@@ -240,7 +241,8 @@
         self._view.adopt(table, message.document, f"peer {session.peer}")
 
     def _take_news(self, session: Session, news: BackendNews) -> None:
-        if not self._roster.hear(_endpoint(news), news.gone, news.was_lost):
+        change = BackendChange(_endpoint(news), news.gone, news.revision, news.was_lost)
+        if not self._roster.hear(change):
             return
         self._tell_all(news, but=session)
         _log.info(
--- a/src/canvasyoke/direct/_roster.py
+++ b/src/canvasyoke/direct/_roster.py
@@ -8,7 +8,7 @@
 import random
 import threading
 from collections.abc import Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import Final
 
 from canvasyoke._clock import SECOND, Clock
@@ -25,6 +25,7 @@
 from canvasyoke.direct._choice import Chosen, NoneAble, Wanted
 from canvasyoke.direct._domains import DomainReach
 from canvasyoke.direct._groups import RankGroups
+from canvasyoke.direct._known_backends import BackendChange, KnownBackends
 from canvasyoke.direct._peer_loads import PeerLoads, ToldLoad
 from canvasyoke.observe import part_logger
 from canvasyoke.protocol import Reason
@@ -33,9 +34,6 @@
 #: Milliseconds over which a report of load fades to nothing: requests of others that it
 #: counted have ended by then, and new ones have come that it does not know.
 _REPORT_FADES: Final = 2 * SECOND
-#: Backends that are remembered after they have gone, so that old news of them is known
-#: as such.
-_GONE_LIMIT: Final = 10_000
 #: Milliseconds for which a backend is passed over whose address another run has: the list
 #: will have caught up by then.
 _MOVED_PAUSE: Final = 5 * SECOND
@@ -51,19 +49,6 @@
 _log = part_logger("roster")
 
 
-@dataclass(frozen=True, slots=True)
-class BackendChange:
-    """What the store said of a backend."""
-
-    endpoint: Endpoint
-    #: Whether its entry was removed.
-    gone: bool
-    #: Revision of the store at which this came to be.
-    revision: int
-    #: Whether the store's watch had left it out, so that it was found in a list.
-    was_lost: bool = False
-
-
 @dataclass(frozen=True, slots=True)
 class FleetSize:
     """How many entries choose among the same backends."""
@@ -96,10 +81,6 @@
     domain: str
     clock: Clock
     rng: random.Random
-    #: Whether a list has been read.
-    is_known: bool = False
-    #: Revision of the store up to which all changes are known; 0 before any list.
-    revision: int = 0
     _fleet: FleetSize = FleetSize()
     _groups: RankGroups = field(init=False)
     _ranker: Ranker = field(init=False)
@@ -107,9 +88,8 @@
     #: Whether the entry has found itself cut off from all that could serve its callers.
     _is_isolated: bool = False
     _lock: threading.Lock = field(default_factory=threading.Lock)
+    _known: KnownBackends = field(default_factory=KnownBackends)
     _members: dict[str, _Member] = field(default_factory=dict)
-    #: Backends that are gone, with the revision of their removal.
-    _gone: dict[str, int] = field(default_factory=dict)
     _peers: PeerLoads = field(default_factory=PeerLoads)
     #: Running mean of the milliseconds that a request takes, by service.
     _durations: dict[str, float] = field(default_factory=dict)
@@ -118,120 +98,64 @@
         self._groups = RankGroups(self.clock)
         self._ranker = RANKERS.get(_RANKER)(self.rng)
 
-    def merge(
-        self, endpoints: Iterable[Endpoint], revision: int, keep: frozenset[str] = frozenset()
-    ) -> list[BackendChange]:
-        """Take a whole list of a revision, and return what it changes.
+    @property
+    def is_known(self) -> bool:
+        """Tell whether a list has been read."""
+        return self._known.is_known
 
-        Those in ``keep`` stay although it lacks them, and so does what is newer.
-        """
+    @property
+    def revision(self) -> int:
+        """Return the store's revision up to which all is known; 0 before any list."""
+        return self._known.revision
+
+    def merge(self, endpoints: Iterable[Endpoint], revision: int) -> list[BackendChange]:
+        """Take another entry's list of a revision, and return what it changes."""
         with self._lock:
-            listed = {endpoint.id: endpoint for endpoint in endpoints}
-            lost = [
-                member.endpoint
-                for endpoint_id, member in self._members.items()
-                if endpoint_id not in listed
-                and endpoint_id not in keep
-                and member.endpoint.revision <= revision
-            ]
-            for endpoint in lost:
-                self._forget(endpoint.id, revision)
-            changes = [BackendChange(endpoint, True, revision) for endpoint in lost]
-            for endpoint in listed.values():
-                is_outdated = revision < self.revision and self._is_old(endpoint)
-                if not is_outdated and self._put(endpoint):
-                    changes.append(BackendChange(endpoint, False, endpoint.revision))
-            self.revision = max(self.revision, revision)
-            self.is_known = True
-            return changes
+            return self._follow(self._known.merge(endpoints, revision))
 
     def merge_from_store(
         self, endpoints: Iterable[Endpoint], revision: int, keep: frozenset[str] = frozenset()
     ) -> list[BackendChange]:
-        """As ``merge``, for a list that the store has just given.
-
-        The store can lose events. What it lists is then older than what is known here and
-        at other entries, and yet right; it is taken as of the list's own revision, so that
-        it counts as new everywhere.
-        """
-        listed = list(endpoints)
-        lost = {e.id for e in listed if self._was_lost(e)}
-        as_of_now = [replace(e, revision=revision) if e.id in lost else e for e in listed]
-        changes = self.merge(as_of_now, revision, keep)
-        return [replace(c, was_lost=c.endpoint.id in lost) for c in changes]
-
-    def _was_lost(self, endpoint: Endpoint) -> bool:
-        """Tell whether a backend in the store's list should have been heard of before."""
-        with self._lock:
-            member = self._members.get(endpoint.id)
-            return endpoint.revision <= self.revision and (
-                member is None or member.endpoint.revision < endpoint.revision
-            )
-
-    def _is_old(self, endpoint: Endpoint) -> bool:
-        """Tell whether what others say of a backend is no news here."""
-        member = self._members.get(endpoint.id)
-        known = member.endpoint.revision if member is not None else self.revision
-        return endpoint.revision <= max(known, self._gone.get(endpoint.id, 0))
-
-    def knows_up_to(self, revision: int) -> None:
-        """Take note that all changes up to a revision of the store have come."""
+        """Take the store's list of a revision; those in ``keep`` stay although it lacks them."""
         with self._lock:
-            if self.is_known:
-                self.revision = max(self.revision, revision)
+            return self._follow(self._known.merge_from_store(endpoints, revision, keep))
 
     def put(self, endpoint: Endpoint) -> None:
         """Add or change one backend."""
         with self._lock:
-            self._put(endpoint)
+            self._follow(self._known.put(endpoint))
 
-    def remove(self, endpoint_id: str, revision: int) -> Endpoint | None:
-        """Forget one backend and return it; requests under way there go on."""
+    def remove(self, endpoint_id: str, revision: int) -> list[BackendChange]:
+        """Forget one backend; requests under way there go on."""
         with self._lock:
-            member = self._members.get(endpoint_id)
-            self._forget(endpoint_id, revision)
-            return member.endpoint if member is not None else None
+            return self._follow(self._known.remove(endpoint_id, revision))
 
-    def hear(self, endpoint: Endpoint, gone: bool, was_lost: bool = False) -> bool:
-        """Take what another entry learned from the store; false when it is old.
+    def hear(self, news: BackendChange) -> bool:
+        """Take what another entry learned from the store; false when it is old."""
+        with self._lock:
+            is_new = self._known.hear(news)
+            if is_new:
+                self._follow([news])
+            return is_new
 
-        An event that the store had lost is told as of the list in which it was found: it
-        is no older than what is known here, although all up to there has been heard.
-        """
+    def knows_up_to(self, revision: int) -> None:
+        """Take note that all changes up to a revision of the store have come."""
         with self._lock:
-            is_found = (
-                was_lost
-                and endpoint.id not in self._members
-                and endpoint.revision >= self.revision
-                and endpoint.revision > self._gone.get(endpoint.id, 0)
-            )
-            if self._is_old(endpoint) and not is_found:
-                return False
-            if gone:
-                self._forget(endpoint.id, endpoint.revision)
-            else:
-                self._put(endpoint)
-            return True
+            self._known.knows_up_to(revision)
 
-    def _forget(self, endpoint_id: str, revision: int) -> None:
-        self._members.pop(endpoint_id, None)
-        self._groups.forget(endpoint_id)
-        self._gone[endpoint_id] = max(revision, self._gone.get(endpoint_id, 0))
-        while len(self._gone) > _GONE_LIMIT:
-            del self._gone[next(iter(self._gone))]
-
-    def _put(self, endpoint: Endpoint) -> bool:
-        """Add or change a backend; false when nothing is new."""
-        if endpoint.revision < self._gone.get(endpoint.id, 0):
-            return False
-        member = self._members.get(endpoint.id)
-        if member is None:
-            self._members[endpoint.id] = _Member(endpoint, Ejection(self.clock))
-            return True
-        if endpoint.revision < member.endpoint.revision or endpoint == member.endpoint:
-            return False
-        member.endpoint = endpoint
-        return True
+    def _follow(self, changes: list[BackendChange]) -> list[BackendChange]:
+        """Begin and end to keep what is seen of backends."""
+        for change in changes:
+            endpoint = change.endpoint
+            member = self._members.get(endpoint.id)
+            if change.gone:
+                self._members.pop(endpoint.id, None)
+                self._groups.forget(endpoint.id)
+            elif member is None:
+                self._members[endpoint.id] = _Member(endpoint, Ejection(self.clock))
+            else:
+                member.endpoint = endpoint
+        return changes
 
     def set_fleet(self, fleet: FleetSize) -> None:
         """Take note of how many entries choose among the same backends."""
--- a/src/canvasyoke/direct/tests/test_roster.py
+++ b/src/canvasyoke/direct/tests/test_roster.py
@@ -9,6 +9,7 @@
 from canvasyoke._clock import ManualClock
 from canvasyoke.backend import ReportedLoad
 from canvasyoke.direct._choice import Chosen, NoneAble, Wanted
+from canvasyoke.direct._known_backends import BackendChange
 from canvasyoke.direct._peer_loads import ToldLoad
 from canvasyoke.direct._roster import Roster
 from canvasyoke.protocol import Reason
@@ -71,12 +72,12 @@
 
 @pytest.mark.parametrize(("news", "gone", "taken"), [case[1:] for case in NEWS])
 def test_news_from_others(roster: Roster, news: Endpoint, gone: bool, taken: bool) -> None:
-    assert roster.hear(news, gone) is taken
+    assert roster.hear(BackendChange(news, gone, news.revision)) is taken
 
 
 def test_a_removed_backend_does_not_come_back_by_old_news(roster: Roster) -> None:
     roster.remove("a", revision=9)
-    assert not roster.hear(endpoint("a", 8), gone=False)
+    assert not roster.hear(BackendChange(endpoint("a", 8), gone=False, revision=8))
     assert roster.ids() == {"b"}
 
 
