--- a/src/canvasyoke/coordination/_routing.py
+++ b/src/canvasyoke/coordination/_routing.py
@@ -54,6 +54,8 @@
     duration: int
     #: How much longer its steps last than those of the fastest group; 1 when unknown.
     pace: float = 1.0
+    #: Whether it was dealt to this entry, so that others come there last.
+    is_home: bool = False
 
     @property
     def load(self) -> int:
@@ -262,19 +264,23 @@
 
 @RANKERS.register("near_paced")
 class NearPacedRanker(LeastPacedRanker):
-    """The own failure domain first, others only where it has no room.
+    """What was dealt to the entry first, then its failure domain, then others.
 
-    Among a hundred entries each hears only the load of its own domain's. There its
-    picture is good, and an answer does not cross to another domain; elsewhere it has
-    seen next to nothing, and draws two. Within the domain it draws among few, since the
-    others choose at the same moment.
+    Among a hundred entries each hears only the load of its own domain's, late. What it
+    sent itself to the targets dealt to it, it knows. In the rest of the domain it draws
+    among few, since the others choose at the same moment; an answer from there does not
+    cross to another domain. Elsewhere it has seen next to nothing, and draws two.
     """
 
     def choose(self, candidates: Sequence[Candidate], req: RouteRequest) -> Candidate:
-        """Return one with room in the own domain, else one with room elsewhere."""
+        """Return one with room, from as near as can be."""
         near = [c for c in candidates if c.domain == req.domain]
         size = max(_LEAST_SAMPLE, len(near) * _SAMPLES // max(1, req.near_entries))
         free = [c for c in near if c.has_room]
+        fastest = min((c.pace for c in free), default=1.0)
+        home = [c for c in free if c.is_home and c.pace <= fastest]
+        if home:
+            return super().choose(home, req)
         if free:
             return super().choose(self._rng.sample(free, min(size, len(free))), req)
         far = [c for c in candidates if c.domain != req.domain and c.has_room]
--- a/src/canvasyoke/direct/_peers.py
+++ b/src/canvasyoke/direct/_peers.py
@@ -146,7 +146,7 @@
             self._near = frozenset(p.name for p in places if p.domain == self._own.domain)
             self._budget.entries = len(places) + 1
             self._roster.set_fleet(
-                FleetSize(len(places) + 1, len(self._near) + 1, self._links.is_mesh)
+                FleetSize(len(places) + 1, self._own.name, self._near, self._links.is_mesh)
             )
             self.rota.set_domain(self._near)
         self._links.look()
--- a/src/canvasyoke/direct/_roster.py
+++ b/src/canvasyoke/direct/_roster.py
@@ -25,6 +25,7 @@
 from canvasyoke.direct._choice import Chosen, NoneAble, Wanted
 from canvasyoke.direct._domains import DomainReach
 from canvasyoke.direct._groups import RankGroups
+from canvasyoke.direct._home_share import deal_home_share
 from canvasyoke.direct._known_backends import BackendChange, KnownBackends
 from canvasyoke.direct._peer_loads import PeerLoads, ToldLoad
 from canvasyoke.observe import part_logger
@@ -54,8 +55,9 @@
     """How many entries choose among the same backends."""
 
     entries: int = 1
-    #: Those of the own failure domain.
-    near: int = 1
+    #: Names of this entry, and of the others in its failure domain.
+    own: str = ""
+    near: frozenset[str] = frozenset()
     #: Whether each entry hears the load of all others, or only of its own domain's.
     hears_all: bool = True
 
@@ -82,6 +84,8 @@
     clock: Clock
     rng: random.Random
     _fleet: FleetSize = FleetSize()
+    #: Backends that were dealt to this entry.
+    _home: frozenset[str] = frozenset()
     _groups: RankGroups = field(init=False)
     _ranker: Ranker = field(init=False)
     _domains: DomainReach = field(default_factory=DomainReach)
@@ -155,6 +159,8 @@
                 self._members[endpoint.id] = _Member(endpoint, Ejection(self.clock))
             else:
                 member.endpoint = endpoint
+        if changes:
+            self._deal()
         return changes
 
     def set_fleet(self, fleet: FleetSize) -> None:
@@ -164,6 +170,13 @@
                 name = _RANKER if fleet.hears_all else _FLEET_RANKER
                 self._ranker = RANKERS.get(name)(self.rng)
             self._fleet = fleet
+            self._deal()
+
+    def _deal(self) -> None:
+        """Work out which backends are this entry's before all others."""
+        if not self._fleet.hears_all:
+            endpoints = [member.endpoint for member in self._members.values()]
+            self._home = deal_home_share(self._fleet.own, self.domain, self._fleet.near, endpoints)
 
     def peer_load(self, peer: str, load: ToldLoad) -> None:
         """Take note of another entry's requests under way."""
@@ -204,7 +217,7 @@
                 self.domain,
                 wanted.tried,
                 self._peers.entries + 1 if self._fleet.hears_all else self._fleet.entries,
-                self._fleet.near,
+                len(self._fleet.near) + 1,
             )
             fastest = self._groups.fastest_pause()
             found = filter_candidates(
@@ -263,6 +276,7 @@
             own=member.own,
             duration=round(member.duration),
             pace=self._groups.pace(endpoint.id, fastest),
+            is_home=endpoint.id in self._home,
         )
 
     def is_away(self, service: str) -> bool:
--- a/src/canvasyoke/membership/__init__.py
+++ b/src/canvasyoke/membership/__init__.py
@@ -3,7 +3,7 @@
 
 from canvasyoke.membership._links import OverlayLinks
 from canvasyoke.membership._overlay import MESH_LIMIT, choose_dials, is_mesh
-from canvasyoke.membership._places import Place
+from canvasyoke.membership._places import Place, precedence
 from canvasyoke.membership._rota import StoreContact, WatchRota
 
 __all__ = [
@@ -14,4 +14,5 @@
     "WatchRota",
     "choose_dials",
     "is_mesh",
+    "precedence",
 ]
