Old news of a backend that is gone is answered

Cause: found by the simulation of joins, deaths and changes. An entry that begins to watch reads a list in which a backend is missing whose news it has not heard yet; when the news comes it is old and not passed on, and entries that had it by another way believe for good that the backend is there, since the watcher's revision says that they know all.

Ruled out: a fault of the model; the watcher that had told of the backend needs only to stop between the two changes.

Change: whoever gets old news of a backend that it knows to be gone says so to the sender, and that goes on as news.

--- a/src/canvasyoke/direct/_known_backends.py
+++ b/src/canvasyoke/direct/_known_backends.py
@@ -118,6 +118,17 @@
             self.put(told)
         return True
 
+    def refute(self, news: BackendChange) -> BackendChange | None:
+        """Return what to answer to old news of a backend that is gone; ``None`` for none.
+
+        A list tells what there is, not what has ended since. Whoever read it cannot tell
+        the others of a backend that it never heard of; it can when one of them does.
+        """
+        is_past = self.is_known and news.revision <= self.revision
+        if news.gone or not is_past or news.endpoint.id in self._endpoints:
+            return None
+        return BackendChange(news.endpoint, True, self.revision)
+
     def knows_up_to(self, revision: int) -> None:
         """Take note that all changes up to a revision of the store have come."""
         if self.is_known:
--- a/src/canvasyoke/direct/_peers.py
+++ b/src/canvasyoke/direct/_peers.py
@@ -243,6 +243,9 @@
     def _take_news(self, session: Session, news: BackendNews) -> None:
         change = BackendChange(_endpoint(news), news.gone, news.revision, news.was_lost)
         if not self._roster.hear(change):
+            answer = self._roster.refute(change)
+            if answer is not None:
+                session.send(_news(answer))
             return
         self._tell_all(news, but=session)
         _log.info(
--- a/src/canvasyoke/direct/_roster.py
+++ b/src/canvasyoke/direct/_roster.py
@@ -142,6 +142,11 @@
                 self._follow([news])
             return is_new
 
+    def refute(self, news: BackendChange) -> BackendChange | None:
+        """Return what to answer to old news of a backend that is gone; ``None`` for none."""
+        with self._lock:
+            return self._known.refute(news)
+
     def knows_up_to(self, revision: int) -> None:
         """Take note that all changes up to a revision of the store have come."""
         with self._lock:
--- a/src/canvasyoke/direct/tests/test_spread.py
+++ b/src/canvasyoke/direct/tests/test_spread.py
@@ -67,6 +67,24 @@
     assert all(e.knows() == fleet.expected() for e in fleet.entries.values())
 
 
+def test_what_one_entry_missed_is_passed_on_to_those_behind_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """One link joins two domains; behind it all links have stood for long."""
+    fleet = started((6, 5, 4))
+    near = {pair for pair in fleet.wanted() if pair[0][:7] == pair[1][:7]}
+    bridge = {("front-0-0", "front-1-0"), ("front-1-0", "front-2-0")}
+    monkeypatch.setattr(fleet, "wanted", lambda: near)
+    fleet.pass_turns(2)
+    fleet.change("b-1", None)
+    fleet.change("b-9", EndpointState.READY)
+    fleet.watch_at("front-0-0")
+    fleet.pass_turns(SETTLE_TURNS)
+    monkeypatch.setattr(fleet, "wanted", lambda: near | bridge)
+    fleet.pass_turns(SETTLE_TURNS)
+    assert all(e.knows() == fleet.expected() for e in fleet.entries.values())
+
+
 def test_an_event_that_the_store_lost_is_made_good_everywhere() -> None:
     """The watcher finds it in a later list, where it is older than what all others know."""
     fleet = started(SIZES)
@@ -85,6 +103,17 @@
     assert all("b-lost" in e.knows() for e in fleet.entries.values())
 
 
+def test_a_backend_that_ended_before_a_list_was_read_is_forgotten_by_all() -> None:
+    """Its news is still on the way when another entry lists: the list says nothing of it."""
+    fleet = started((6, 5, 4))
+    fleet.change("b-9", EndpointState.READY)
+    fleet.watch_at("front-0-5")
+    fleet.change("b-9", None)
+    fleet.list_at("front-0-0")
+    fleet.pass_turns(SETTLE_TURNS)
+    assert all(e.knows() == fleet.expected() for e in fleet.entries.values())
+
+
 def test_a_group_is_learned_from_one_entry_by_all() -> None:
     fleet = started(SIZES)
     first = fleet.entries[fleet.places[0].name]
--- a/src/canvasyoke/experts/tests/test_packing.py
+++ b/src/canvasyoke/experts/tests/test_packing.py
@@ -11,6 +11,7 @@
 
 from canvasyoke._clock import ManualClock
 from canvasyoke.experts import MapOrder, MapOrderKind, OrderOutcome, RankPort, RankReport
+from canvasyoke.experts import _linked_group as linked_group_module
 from canvasyoke.experts._linked_group import LinkedGroup
 from canvasyoke.experts._member import RankMember, to_reading
 from canvasyoke.experts._packing import (
@@ -20,6 +21,7 @@
     unpack_counts,
     unpack_layers,
 )
+from canvasyoke.experts._rank_port import RankLayers
 from canvasyoke.protocol import Message, RankOrder, encode_batch
 from canvasyoke.transport import Session
 
@@ -73,6 +75,20 @@
     assert held < 2_000_000
 
 
+def test_a_map_is_packed_once_for_all_ranks(monkeypatch: pytest.MonkeyPatch) -> None:
+    packed = []
+
+    def pack(layers: tuple[RankLayers, ...]) -> bytes:
+        packed.append(layers)
+        return pack_layers(layers)
+
+    monkeypatch.setattr(linked_group_module, "pack_layers", pack)
+    group, _ = large_group()
+    order = MapOrder(MapOrderKind.PREPARE, 5, 1, 3, layers_by_rank=FIRST_MAP)
+    group.give(dict.fromkeys(range(1, RANKS), order), timeout=0)
+    assert packed == [FIRST_MAP]
+
+
 def test_a_map_is_small_on_the_wire_and_whole_at_the_rank() -> None:
     """6 KB to each of 96 ranks took 0.8 s of the owner's 6 Mbit/s; now under 0.1 s."""
     group, sessions = large_group()
