Small groups do not wait for the notes of all their ranks

Cause: read again; the wait is for groups that may have relays, and kept ranks of small ones from their owner while any other rank had not introduced itself.

Before: the new test fails. After: it passes.

--- a/src/canvasyoke/experts/_owner_link.py
+++ b/src/canvasyoke/experts/_owner_link.py
@@ -13,7 +13,7 @@
 from canvasyoke.experts._looks import Looks
 from canvasyoke.experts._member import RankMember, to_reading
 from canvasyoke.experts._rank_port import RankReport
-from canvasyoke.experts._relay import Relay, members_of_relay
+from canvasyoke.experts._relay import DIRECT_LIMIT, Relay, members_of_relay
 from canvasyoke.experts._rounds import reading_rounds
 from canvasyoke.experts._standby import STANDBY_RANK
 from canvasyoke.observe import part_logger
@@ -24,7 +24,7 @@
 #: Milliseconds without a link after which an address is looked up again, and the owner is
 #: dialled in place of a relay.
 _LINK_PATIENCE: Final = 3 * SECOND
-#: Milliseconds for all ranks' notes to be there when a group starts for the first time. A
+#: Milliseconds for all ranks' notes to be there when a large group starts for the first time. A
 #: rank that went by fewer would link with the owner itself, and stay.
 _NOTES_PATIENCE: Final = 5 * SECOND
 _ROLE: Final = "rank"
@@ -135,7 +135,8 @@
         notes = self._read_notes(report.group)
         now = self._clock.now()
         self._looked_since = self._looked_since or now
-        if len(notes) < report.size and now - self._looked_since < _NOTES_PATIENCE:
+        lacks_notes = report.size > DIRECT_LIMIT and len(notes) < report.size
+        if lacks_notes and now - self._looked_since < _NOTES_PATIENCE:
             return
         members = members_of_relay(report.rank, {r: n.domain for r, n in notes.items()})
         if members and members[0] == report.rank:
--- a/src/canvasyoke/experts/_relay.py
+++ b/src/canvasyoke/experts/_relay.py
@@ -31,7 +31,7 @@
 _log = part_logger("relay")
 #: Ranks up to which all link with the owner itself. Readings of 32 ranks with 1,536
 #: numbers take 1.2 Mbit/s.
-_DIRECT_LIMIT: Final = 32
+DIRECT_LIMIT: Final = 32
 #: Ranks that are linked with the owner in any case: the owner and its standby.
 _ALWAYS_DIRECT: Final = 2
 #: Ranks behind one relay at the most, itself included. A map of 2 KB to each of 24 takes
@@ -46,7 +46,7 @@
     domain of each rank that is known; a large domain has several relays.
     """
     domain = domains.get(rank)
-    if len(domains) <= _DIRECT_LIMIT or rank < _ALWAYS_DIRECT or not domain:
+    if len(domains) <= DIRECT_LIMIT or rank < _ALWAYS_DIRECT or not domain:
         return ()
     ranks = sorted(r for r, d in domains.items() if d == domain and r >= _ALWAYS_DIRECT)
     size = -(-len(ranks) // -(-len(ranks) // _MEMBERS))
--- a/src/canvasyoke/experts/tests/test_owner_link.py
+++ b/src/canvasyoke/experts/tests/test_owner_link.py
@@ -43,7 +43,8 @@
 class Process:
     """One rank's process as far as its link goes."""
 
-    def __init__(self, rank: int, notes: Mapping[int, RankNote]) -> None:
+    def __init__(self, rank: int, notes: Mapping[int, RankNote], size: int = RANKS) -> None:
+        self.size = size
         self.clock = ManualClock(start=100_000)
         self.rank = rank
         self.notes = notes
@@ -64,7 +65,7 @@
         return cast(Relay, None)
 
     def pass_time(self, duration: int) -> None:
-        report = RankReport("g", self.rank, RANKS, 1, True, 10, 0, 0, None, 0)
+        report = RankReport("g", self.rank, self.size, 1, True, 10, 0, 0, None, 0)
         for _ in range(duration // TURN):
             self.link.turn(report, b"key")
             self.clock.advance(TURN)
@@ -104,6 +105,12 @@
     assert SilentClient.dialled == [NOTES[2].peer]
 
 
+def test_a_small_group_needs_only_its_owners_note() -> None:
+    process = Process(7, {0: NOTES[0]}, size=12)
+    process.pass_time(1 * SECOND)
+    assert SilentClient.dialled == [NOTES[0].peer]
+
+
 def test_notes_that_stay_away_are_not_waited_for_any_longer() -> None:
     process = Process(12, {rank: NOTES[rank] for rank in (0, 1, 2, 12)})
     process.pass_time(8 * SECOND)
