Looking for entries in the store holds up no link

Cause: read in the code. The task that keeps the links also looked for other entries; with the store dark a look takes two seconds, in which no load and no word of a watcher is told, and word that is 2.5 s old makes others begin to watch: more calls to a store that is dark.

Change: a task of its own looks, and the other one takes what it found.

Before: the new test, a store that does not answer, sees no look at links. After: it does.

--- a/src/canvasyoke/direct/_peers.py
+++ b/src/canvasyoke/direct/_peers.py
@@ -102,10 +102,14 @@
         )
         #: Whether this entry watches the store for its domain.
         self.rota = WatchRota(settings.instance, clock, in_contact)
+        #: Where the other entries are, until the task that keeps the links takes it.
+        self._found: list[Place] | None = None
+        self._finder = threading.Thread(target=self._find_all, name="find-entries", daemon=True)
         self._task = threading.Thread(target=self._run, name="peers", daemon=True)
 
     def start(self) -> None:
         """Start finding and telling the others."""
+        self._finder.start()
         self._task.start()
 
     @property
@@ -129,6 +133,20 @@
         """Pass on which group a backend belongs to."""
         self._tell_all(GroupNews(backend, group))
 
+    def _find_all(self) -> None:
+        """Look for the other entries, apart from all that must not wait for the store.
+
+        A store that is dark takes two seconds a look; links and word of who watches the
+        store would stand still with it.
+        """
+        while not self._stop.wait(TELL_EVERY / SECOND):
+            self._find()
+
+    def _find(self) -> None:
+        places = self._notes.look(self.linked > 0)
+        if places is not None:
+            self._found = places
+
     def _run(self) -> None:
         while not self._stop.wait(TELL_EVERY / SECOND):
             self._look()
@@ -137,8 +155,8 @@
             self._ask_for_table()
 
     def _look(self) -> None:
-        """Find the other entries, and keep the links that the overlay asks for."""
-        places = self._notes.look(self.linked > 0)
+        """Keep the links that the overlay asks for among the entries that were found."""
+        places, self._found = self._found, None
         if self._notes.link_key:
             self._links.listen(self._notes.link_key)
         if places is not None:
--- a/src/canvasyoke/direct/tests/fleet_model.py
+++ b/src/canvasyoke/direct/tests/fleet_model.py
@@ -132,6 +132,7 @@
         return cast(SimLinks, self.peers._links)
 
     def turn(self) -> None:
+        self.peers._find()
         self.peers._look()
         self.peers._decide_to_watch()
         self.peers._tell_load()
--- a/src/canvasyoke/direct/tests/test_spread.py
+++ b/src/canvasyoke/direct/tests/test_spread.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import threading
 from collections.abc import Iterator
 
 import pytest
@@ -9,11 +10,14 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
+from canvasyoke._clock import SECOND
 from canvasyoke.direct import _peers
 from canvasyoke.direct.tests.fleet_model import SETTLE_TURNS, SimFleet, SimLinks
 from canvasyoke.protocol import BackendNews
-from canvasyoke.state import EndpointState
+from canvasyoke.state import EndpointState, Note
 
+#: Seconds after which an event that is waited for has failed to come.
+PATIENCE = 20
 SIZES = (22, 17, 21, 19, 20)
 
 
@@ -148,6 +152,31 @@
     assert entry.knows() == before
 
 
+def test_a_store_that_does_not_answer_holds_up_no_link(monkeypatch: pytest.MonkeyPatch) -> None:
+    fleet = started((6, 5, 4))
+    entry = fleet.entries["front-0-0"]
+    asked, let_go = threading.Event(), threading.Event()
+
+    def notes(_kind: str, may_be_old: bool = False) -> list[Note]:
+        asked.set()
+        let_go.wait(PATIENCE)
+        return []
+
+    monkeypatch.setattr(fleet.store, "notes", notes)
+    looked = threading.Event()
+    monkeypatch.setattr(entry.links, "look", looked.set)
+    fleet.clock.advance(20 * SECOND)
+    entry.peers.start()
+    try:
+        assert asked.wait(PATIENCE)
+        looked.clear()
+        assert looked.wait(PATIENCE)
+        assert not let_go.is_set()
+    finally:
+        entry.peers._stop.set()
+        let_go.set()
+
+
 class SpreadMachine(RuleBasedStateMachine):
     """Joins, deaths, cuts and changes in any order, over an overlay of 15 entries."""
 
