--- a/src/canvasyoke/direct/_peers.py
+++ b/src/canvasyoke/direct/_peers.py
@@ -26,7 +26,7 @@
 from canvasyoke.direct._follower import TableView
 from canvasyoke.direct._known_backends import BackendChange
 from canvasyoke.direct._peer_loads import ToldLoad
-from canvasyoke.direct._roster import FleetSize, Roster
+from canvasyoke.direct._roster import FleetView, Roster
 from canvasyoke.direct._telling import AT_LEAST, TELL_EVERY, Telling
 from canvasyoke.membership import OverlayLinks, Place, StoreContact, WatchRota
 from canvasyoke.observe import part_logger
@@ -164,7 +164,7 @@
             self._near = frozenset(p.name for p in places if p.domain == self._own.domain)
             self._budget.entries = len(places) + 1
             self._roster.set_fleet(
-                FleetSize(len(places) + 1, self._own.name, self._near, self._links.is_mesh)
+                FleetView(len(places) + 1, self._own.name, self._near, self._links.is_mesh)
             )
             self.rota.set_domain(self._near)
         self._links.look()
--- a/src/canvasyoke/direct/_roster.py
+++ b/src/canvasyoke/direct/_roster.py
@@ -51,9 +51,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class FleetSize:
-    """How many entries choose among the same backends."""
+class FleetView:
+    """The entries that choose among the same backends, as far as they are known."""
 
+    #: All of them, this one included.
     entries: int = 1
     #: Names of this entry, and of the others in its failure domain.
     own: str = ""
@@ -83,7 +84,7 @@
     domain: str
     clock: Clock
     rng: random.Random
-    _fleet: FleetSize = FleetSize()
+    _fleet: FleetView = FleetView()
     #: Backends that were dealt to this entry.
     _home: frozenset[str] = frozenset()
     _groups: RankGroups = field(init=False)
@@ -168,8 +169,8 @@
             self._deal()
         return changes
 
-    def set_fleet(self, fleet: FleetSize) -> None:
-        """Take note of how many entries choose among the same backends."""
+    def set_fleet(self, fleet: FleetView) -> None:
+        """Take note of which entries choose among the same backends."""
         with self._lock:
             if fleet.hears_all != self._fleet.hears_all:
                 name = _RANKER if fleet.hears_all else _FLEET_RANKER
--- a/src/canvasyoke/direct/tests/load_model.py
+++ b/src/canvasyoke/direct/tests/load_model.py
@@ -16,7 +16,7 @@
 from canvasyoke.backend import ReportedLoad
 from canvasyoke.direct._choice import Chosen, Wanted
 from canvasyoke.direct._peer_loads import ToldLoad
-from canvasyoke.direct._roster import FleetSize, Roster
+from canvasyoke.direct._roster import FleetView, Roster
 from canvasyoke.state import Endpoint, EndpointState
 
 SERVICE = "ink"
@@ -111,7 +111,7 @@
         roster.merge([engine.endpoint for engine in self.engines.values()], revision=5)
         near = frozenset(f"f-{domain}-{i}" for i in range(self.day.entries[domain]) if i != n)
         roster.set_fleet(
-            FleetSize(sum(self.day.entries), f"f-{domain}-{n}", near, self.day.hears_all)
+            FleetView(sum(self.day.entries), f"f-{domain}-{n}", near, self.day.hears_all)
         )
         return roster
 
