Word of watchers may come at any moment

Cause: read in the code. Links have tasks of their own, and what they hear of watchers changed a table that the deciding task was walking through; that ends the task and with it the process.

Ruled out: the other tables of the exchange; they are guarded or changed in one step.

Change: a lock. Before: the new test, with tasks that take turns every microsecond, ended with RuntimeError three times of three. After: it passes.

--- a/src/canvasyoke/membership/_rota.py
+++ b/src/canvasyoke/membership/_rota.py
@@ -20,6 +20,7 @@
 
 from __future__ import annotations
 
+import threading
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
 from typing import Final
@@ -52,7 +53,7 @@
 
 
 class WatchRota:
-    """Whether this process watches; thread-safe as far as single calls go.
+    """Whether this process watches; thread-safe.
 
     ``in_contact`` tells whether the store answers this process.
     """
@@ -61,6 +62,7 @@
         self._own = own
         self._clock = clock
         self._in_contact = in_contact
+        self._lock = threading.Lock()
         #: Times on the clock at which other watchers were last known to watch, and to
         #: have lost the store.
         self._heard: dict[str, int] = {}
@@ -80,29 +82,36 @@
     def hear(self, contacts: Collection[StoreContact]) -> None:
         """Take what a neighbour of the same domain tells."""
         now = self._clock.now()
-        for contact in contacts:
-            if contact.name != self._own:
-                known = self._lost if contact.is_lost else self._heard
-                at = now - contact.age
-                known[contact.name] = max(at, known.get(contact.name, at))
+        with self._lock:
+            for contact in contacts:
+                if contact.name != self._own:
+                    known = self._lost if contact.is_lost else self._heard
+                    at = now - contact.age
+                    known[contact.name] = max(at, known.get(contact.name, at))
 
     def tell(self) -> list[StoreContact]:
         """Return what to tell neighbours of the same domain."""
         now = self._clock.now()
-        fresh = self._fresh()
+        with self._lock:
+            fresh = self._fresh()
+            lost = [
+                StoreContact(name, now - at, True)
+                for name, at in self._lost.items()
+                if name not in fresh
+            ]
         known = {name: StoreContact(name, now - at) for name, at in fresh.items()}
         if self.is_watching and self._in_contact():
             known[self._own] = StoreContact(self._own, 0)
-        first = sorted(known, key=precedence)[:_TOLD]
-        lost = [StoreContact(n, now - at, True) for n, at in self._lost.items() if n not in fresh]
-        if self.is_watching and not self._in_contact():
+        elif self.is_watching:
             lost.append(StoreContact(self._own, 0, True))
+        first = sorted(known, key=precedence)[:_TOLD]
         return [known[name] for name in first] + lost
 
     def decide(self, is_linked: bool, is_mesh: bool) -> bool:
         """Return whether this process is to watch from now on."""
         now = self._clock.now()
-        fresh = self._fresh()
+        with self._lock:
+            fresh = self._fresh()
         is_watched = len(fresh) >= _WATCHERS
         if is_watched or is_linked != self._is_linked:
             self._silent_since = now
@@ -125,7 +134,7 @@
         return self._is_starting and self._is_linked and not is_first
 
     def _fresh(self) -> dict[str, int]:
-        """Return who is known to watch with success, and since when that is known."""
+        """Return who is known to watch with success, and when; the lock must be held."""
         limit = self._clock.now() - _SILENCE
         self._heard = {name: at for name, at in self._heard.items() if at >= limit}
         self._lost = {name: at for name, at in self._lost.items() if at >= limit}
--- a/src/canvasyoke/membership/tests/test_rota.py
+++ b/src/canvasyoke/membership/tests/test_rota.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import random
+import sys
+import threading
 from collections import defaultdict
 
 import pytest
@@ -153,6 +155,30 @@
     assert rota.decide(is_linked=False, is_mesh=False)
 
 
+def test_word_from_links_may_come_at_any_moment() -> None:
+    """Links have tasks of their own; a rota that broke under them would end its process."""
+    clock = ManualClock(start=10_000)
+    rota = WatchRota("front-1", clock, lambda: True)
+    done = threading.Event()
+
+    def hear() -> None:
+        for n in range(20_000):
+            rota.hear([StoreContact(f"front-{n % 500}", n % 2_000, n % 3 == 0)])
+        done.set()
+
+    before = sys.getswitchinterval()
+    sys.setswitchinterval(1e-6)
+    task = threading.Thread(target=hear)
+    try:
+        task.start()
+        while not done.is_set():
+            rota.decide(is_linked=True, is_mesh=False)
+            rota.tell()
+    finally:
+        sys.setswitchinterval(before)
+        task.join()
+
+
 class RotaMachine(RuleBasedStateMachine):
     """A domain never stays without a watcher that the store answers, if one can be had."""
 
