Sessions that a peer replaced are not kept

Cause: found in reading the change again. Links tell of the end of the session that a peer has now, not of one that it has replaced; such sessions stayed in the exchange's list of those that are caught up, with what they had queued, for the life of the process.

Ruled out: the same in the links' own table, where the newer one takes the older one's place.

Also a module's text said one watcher where there are two.

--- a/src/canvasyoke/direct/_group_learner.py
+++ b/src/canvasyoke/direct/_group_learner.py
@@ -1,8 +1,8 @@
 """Asks engines once which rank group they belong to, and has the answer passed on.
 
 Each entry asked each engine: 99 entries put 19,008 questions, each over a connection of
-its own, before they had answered their first 2,300 requests. Now the entry that watches
-the store for a failure domain asks that domain's engines. Whoever has not heard of an
+its own, before they had answered their first 2,300 requests. Now the entries that watch
+the store for a failure domain ask that domain's engines. Whoever has not heard of an
 engine's group for some time asks it too.
 """
 
--- a/src/canvasyoke/direct/_peers.py
+++ b/src/canvasyoke/direct/_peers.py
@@ -17,6 +17,7 @@
 
 import random
 import threading
+import weakref
 from collections.abc import Callable
 from typing import Final
 
@@ -93,8 +94,9 @@
         self._notes = EntryNotes(self._own, store, clock)
         #: Entries of the own failure domain, as the store's notes say.
         self._near: frozenset[str] = frozenset()
-        #: Sessions over which all older changes of backends have come.
-        self._caught_up: set[Session] = set()
+        #: Sessions over which all older changes of backends have come. Held weakly: the
+        #: end of one that its peer has replaced by another is not told.
+        self._caught_up: weakref.WeakSet[Session] = weakref.WeakSet()
         self._tell_near = Telling(clock)
         self._tell_far = Telling(clock)
         self._links = OverlayLinks(
--- a/src/canvasyoke/direct/tests/test_spread.py
+++ b/src/canvasyoke/direct/tests/test_spread.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import threading
 from collections.abc import Iterator
 
@@ -118,6 +119,18 @@
     assert all(e.knows() == fleet.expected() for e in fleet.entries.values())
 
 
+def test_a_session_that_its_peer_replaced_is_not_kept() -> None:
+    """Its end is not told: links tell only of the session that a peer has now."""
+    fleet = started((2, 2))
+    entry = fleet.entries["front-0-0"]
+    for _ in range(20):
+        fleet.open("front-0-0", "front-0-1")
+        fleet.open("front-0-1", "front-0-0")
+        fleet.pass_turns(4)
+    gc.collect()
+    assert len(entry.peers._caught_up) <= len(entry.links.open)
+
+
 def test_a_group_is_learned_from_one_entry_by_all() -> None:
     fleet = started(SIZES)
     first = fleet.entries[fleet.places[0].name]
