Counts of before a move of demand are dropped, and all ranks read at once

Cause: a map planned soon after a move came from counts of before and after. Two frames of 0.2 s of the same demand differ by 0.015 to 0.05, over a move by 0.16 to 0.24, so a move shows in one frame. Changes: counts are gathered in frames; when one differs from those before the older are dropped, and the next one decides, unless the first differs as much as moves usually do. Ranks read at whole multiples of 0.2 s, relays 40 ms and the owner 80 ms later, so that sums are of the same span.

--- a/src/canvasyoke/coordination/__init__.py
+++ b/src/canvasyoke/coordination/__init__.py
@@ -5,6 +5,11 @@
 """
 
 from canvasyoke.coordination._demand import DemandSpan
+from canvasyoke.coordination._demand_estimate import (
+    DEMAND_ESTIMATES,
+    DemandEstimate,
+    share_distance,
+)
 from canvasyoke.coordination._ejection import Ejection
 from canvasyoke.coordination._fair_queue import FairQueue, Offer, Waiting
 from canvasyoke.coordination._homes import (
@@ -43,6 +48,7 @@
 
 __all__ = [
     "CLOCK_MARGIN",
+    "DEMAND_ESTIMATES",
     "LEASE",
     "POLICIES",
     "RANKERS",
@@ -50,6 +56,7 @@
     "RENEW_EVERY",
     "Attempted",
     "Candidate",
+    "DemandEstimate",
     "DemandSpan",
     "Ejection",
     "ExpertMap",
@@ -83,5 +90,6 @@
     "next_step",
     "plan_map",
     "plan_map_step",
+    "share_distance",
     "slot_of",
 ]
--- a/src/canvasyoke/experts/_change.py
+++ b/src/canvasyoke/experts/_change.py
@@ -219,7 +219,8 @@
             version=new.version,
             layers_by_rank=new.layers_by_rank,
         )
-        limit = self._clock.now() + new.copy_time + _COPY_SLACK
+        began = self._clock.now()
+        limit = began + new.copy_time + _COPY_SLACK
         self._is_careful = False
         missing = set(range(self._group.size))
         while missing:
@@ -239,6 +240,7 @@
                     ranks={r: given[r].outcome.value for r in sorted(missing)[:_LOGGED_RANKS]},
                 )
                 return False
+        self.times.taken = self._clock.now() - began
         return self._await_copies(new, limit)
 
     def _await_copies(self, new: NewMap, limit: int) -> bool:
@@ -246,6 +248,7 @@
         missing = set(range(self._group.size))
         reports: Mapping[int, RankReport] = {}
         while self._clock.now() < limit:
+            self.times.asked += 1
             reports = self._group.ask(self._order_timeout)
             self._check_epoch(reports.values())
             missing = set(range(self._group.size)) - {
--- a/src/canvasyoke/experts/_change_types.py
+++ b/src/canvasyoke/experts/_change_types.py
@@ -32,8 +32,11 @@
 class ChangeTimes:
     """What parts of a change took, in milliseconds."""
 
-    #: Orders to prepare, and the copies.
+    #: Orders to prepare until all ranks have taken them, and with the copies.
+    taken: int = 0
     prepare: int = 0
+    #: Times that all ranks were asked whether they have copied.
+    asked: int = 0
     #: Arming all ranks; the group stands still once it has reached the held step.
     arm: int = 0
     #: Times that ranks were told to arm.
--- a/src/canvasyoke/experts/_owner.py
+++ b/src/canvasyoke/experts/_owner.py
@@ -13,6 +13,8 @@
 
 from canvasyoke._clock import Clock
 from canvasyoke.coordination import (
+    DEMAND_ESTIMATES,
+    DemandEstimate,
     DemandSpan,
     ExpertMap,
     Layer,
@@ -27,18 +29,16 @@
 from canvasyoke.experts._group import NewMap
 from canvasyoke.experts._linked_group import LinkedGroup
 from canvasyoke.experts._rank_port import RankLayers, RankReport
-from canvasyoke.experts._rounds import reading_rounds
+from canvasyoke.experts._relay import sharing_ranks
+from canvasyoke.experts._rounds import READ_EVERY, reading_rounds
 from canvasyoke.observe import Counter, part_logger
 from canvasyoke.state import FleetStore, RankGeometry, Unavailable, Unusable
 
 _log = part_logger("owner")
 #: Milliseconds for the ranks to say what they hold.
 _LAYERS_TIMEOUT: Final = 500
-#: Part of the weight of older counts that is left when each rank has sent a reading
-#: once more. Popularity changes within seconds, and readings tell of the last 200 ms; in
-#: a group whose ranks send in turn, faster fading would leave the counts of a few ranks,
-#: which have the streams of a few callers each.
-_OLD_WEIGHT: Final = 0.45
+#: How demand is estimated.
+_ESTIMATE: Final = "moves"
 #: Choices, over all layers and experts, under which the counts say too little.
 _ENOUGH_COUNTS: Final = 20_000
 #: Milliseconds for which no change is looked for after none paid, and the rise of the skew
@@ -75,7 +75,9 @@
         self._layers: tuple[Layer, ...] = ()
         #: Version that the layers belong to.
         self._version = 0
-        self._weights: list[float] = []
+        self._estimate: DemandEstimate | None = None
+        #: Moves of demand seen when a change was last looked for.
+        self._moves = 0
         self._results = results
         #: Skew at which no change paid, and the time on the clock until which none is
         #: looked for unless the skew rises.
@@ -105,12 +107,14 @@
             return False
         if self._is_held(report) and not self._settle(self._changer.recover()):
             return False
-        self._weigh(self._group.take_counts())
+        is_new = self._weigh(self._group.take_counts())
         if not report.is_open or report.armed is not None:
             return True
         if report.map_version != self._version and not self._read_layers():
             return True
-        return self._improve(self._changer)
+        if not is_new or self._estimate is None:
+            return True
+        return self._improve(self._changer, self._estimate)
 
     def _take_on(self) -> bool:
         """Number this owner, and end what the one before left behind."""
@@ -154,28 +158,29 @@
         self._layers = _holders(held, self._geometry.experts)
         return True
 
-    def _weigh(self, counts: Sequence[int]) -> None:
-        """Add new counts to the fading sum of older ones."""
-        if not counts:
-            return
-        if len(counts) != len(self._weights):
-            self._weights = [float(count) for count in counts]
-            return
-        left = _OLD_WEIGHT ** (1 / reading_rounds(self._group.size, len(counts)))
-        self._weights = [old * left + new for old, new in zip(self._weights, counts, strict=True)]
+    def _weigh(self, counts: Sequence[int]) -> bool:
+        """Take new counts; true when all ranks have told theirs."""
+        if self._estimate is None:
+            if not counts:
+                return False
+            frame = READ_EVERY * reading_rounds(sharing_ranks(self._group.size), len(counts))
+            self._estimate = DEMAND_ESTIMATES.get(_ESTIMATE)(frame)
+        return self._estimate.took(self._clock.wall(), counts)
 
-    def _improve(self, changer: MapChanger) -> bool:
-        if sum(self._weights) < _ENOUGH_COUNTS:
+    def _improve(self, changer: MapChanger, estimate: DemandEstimate) -> bool:
+        weights = self._by_layer(estimate.weights)
+        if sum(estimate.weights) < _ENOUGH_COUNTS:
             return True
-        experts = self._geometry.experts
-        weights = [
-            self._weights[start : start + experts]
-            for start in range(0, len(self._weights), experts)
-        ]
         now = self._clock.now()
         self.skew = map_skew(ExpertMap(self._layers), weights, range(self._group.size))
         self._demand.saw(now, self.skew)
-        if self.skew < self._settled_skew + _UNSETTLED and now < self._settled_until:
+        if estimate.is_moving:
+            _log.info("demand moves", group=self._group.name, skew=round(self.skew, 3))
+            return True
+        has_moved = estimate.moves != self._moves
+        self._moves = estimate.moves
+        is_settled = self.skew < self._settled_skew + _UNSETTLED and now < self._settled_until
+        if is_settled and not has_moved:
             return True
         began = self._clock.now()
         step = self._plan(weights)
@@ -184,7 +189,7 @@
                 "no change of the map pays",
                 group=self._group.name,
                 skew=round(self.skew, 3),
-                counts=round(sum(self._weights)),
+                counts=round(sum(estimate.weights)),
                 horizon=round(self._demand.expected),
                 took=self._clock.now() - began,
             )
@@ -193,6 +198,10 @@
         self._settled_until = 0
         return self._put_in_force(changer, step)
 
+    def _by_layer(self, weights: Sequence[float]) -> list[Sequence[float]]:
+        experts = self._geometry.experts
+        return [weights[start : start + experts] for start in range(0, len(weights), experts)]
+
     def _plan(self, weights: Sequence[Sequence[float]]) -> MapStep:
         terms = MapTerms(
             capacity=self._geometry.capacity,
@@ -224,7 +233,9 @@
             skew_planned=round(step.skew_after, 3),
             horizon=round(self._demand.expected),
             took=self._clock.now() - began,
+            taken=changer.times.taken,
             prepare=changer.times.prepare,
+            asked=changer.times.asked,
             arm=changer.times.arm,
             arm_tries=changer.times.arm_tries,
         )
--- a/src/canvasyoke/experts/_owner_link.py
+++ b/src/canvasyoke/experts/_owner_link.py
@@ -86,6 +86,11 @@
         """Tell whether the link stands."""
         return self._session is not None and not self._session.closed
 
+    @property
+    def is_relay(self) -> bool:
+        """Tell whether other ranks are linked with the owner over this one."""
+        return self._relay is not None
+
     @property
     def silence(self) -> int:
         """Return the milliseconds since anything came from the other end."""
--- a/src/canvasyoke/experts/_process.py
+++ b/src/canvasyoke/experts/_process.py
@@ -27,6 +27,7 @@
     RankReport,
 )
 from canvasyoke.experts._relay import Relay
+from canvasyoke.experts._rounds import OWNER_PHASE, READ_EVERY, RELAY_PHASE, until_next
 from canvasyoke.experts._standby import STANDBY_RANK, Standby
 from canvasyoke.observe import Metrics, part_logger
 from canvasyoke.protocol import Message
@@ -43,9 +44,6 @@
 from canvasyoke.transport import HttpServer, LinkServer, Session
 
 _log = part_logger("ranks")
-#: Milliseconds between readings of the own rank. Demand drifts within seconds, and a
-#: reading from the engine beside costs nothing but the processor's time.
-_READ_EVERY: Final = 200
 #: Milliseconds between looks of the owner whether a change is due.
 _TURN_EVERY: Final = 100
 #: Kinds of the system's own objects in the store.
@@ -139,11 +137,18 @@
             report = self._member.report()
             if report is not None:
                 self._serve(report)
-            pause = _TURN_EVERY if self._owner is not None else _READ_EVERY
-            self._stop.wait(pause / SECOND)
+            self._stop.wait(self._until_turn() / SECOND)
         _log.info("stopped", instance=self._settings.instance)
         return 0
 
+    def _until_turn(self) -> int:
+        """Return the milliseconds until the next turn."""
+        wall = self._clock.wall()
+        if self._owner is not None:
+            return until_next(wall, _TURN_EVERY, OWNER_PHASE)
+        phase = RELAY_PHASE if self._owner_link.is_relay else 0
+        return until_next(wall, READ_EVERY, phase)
+
     def _load_settings(self) -> None:
         """Read the settings again; what a running process cannot change takes a restart."""
         loaded = load_settings(self._settings_path, RanksSettings)
--- a/src/canvasyoke/experts/_relay.py
+++ b/src/canvasyoke/experts/_relay.py
@@ -54,6 +54,11 @@
     return ranks[start : start + size]
 
 
+def sharing_ranks(size: int) -> int:
+    """Return how many ranks of a group share the way on which their readings take turns."""
+    return size if size <= DIRECT_LIMIT else _MEMBERS
+
+
 class Relay:
     """The links of one domain's ranks; fed by the link server's task and the process's own."""
 
--- a/src/canvasyoke/experts/_rounds.py
+++ b/src/canvasyoke/experts/_rounds.py
@@ -4,6 +4,16 @@
 
 from typing import Final
 
+#: Milliseconds between readings of the own rank. Demand drifts within seconds, and a
+#: reading from the engine beside costs nothing but the processor's time.
+READ_EVERY: Final = 200
+#: Milliseconds by which a relay reads after the ranks whose counts it adds up, and the
+#: owner after the relays. All read at whole multiples of the time between readings, so
+#: that the sums are of the same span and are under way as soon as it ends: a choice was
+#: known 0.2 s after it on the mean, and the last of a span 0.4 s after the first, where
+#: each process read at a time of its own.
+RELAY_PHASE: Final = 40
+OWNER_PHASE: Final = 80
 #: Ranks of a group whose readings reach the owner each turn, or more of them as far as
 #: their numbers, one for each expert and layer, stay under the second limit. In larger
 #: groups each rank sends so much less often. Packed numbers take 0.6 bytes each or less,
@@ -14,6 +24,11 @@
 _NUMBERS_AT_ONCE: Final = 50_000
 
 
+def until_next(wall: int, every: int, phase: int) -> int:
+    """Return the milliseconds until the time of day is ``phase`` past a multiple of ``every``."""
+    return every - (wall - phase) % every
+
+
 def reading_rounds(ranks: int, numbers: int) -> int:
     """Return the turns in which all ranks of a group have sent a reading once.
 
