Routes that stay are not built anew with each configuration

Cause: each version of a configuration of 1,440 routes cost each entry 9.2 ms of a processor (10.5 at the first), in a process that relays streams on half of one; versions come up to eight times a second. Profile: 0.9 ms JSON, the rest to build routes and the collector's passes over what was built (with the collector off the parts add up to 1.6 ms once routes are known). Change: routes are kept by what the document says of them, and decoded structs are left out of collections. Ruled out: the index by host, 0.4 ms. Before and after, least of 40 decodings: 9.2 -> 2.0 ms.

--- a/src/canvasyoke/platform/_config.py
+++ b/src/canvasyoke/platform/_config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 from typing import Final
 
 import msgspec
@@ -23,14 +24,18 @@
 _SAFE: Final = "safe"
 _BITS_PER_MEGABYTE: Final = 8.0
 _SECOND: Final = 1_000.0
+#: Routes kept from one version to the next: most stay as they are. With 1,440 routes an
+#: entry took 9.2 ms of a processor for each version, and takes 2.0 where nine in ten are
+#: known. Half of the gain is the collector's, which has no part in what is decoded.
+_ROUTES_KEPT: Final = 10_000
 
 
-class _Share(msgspec.Struct, frozen=True):
+class _Share(msgspec.Struct, frozen=True, gc=False):
     service: str = msgspec.field(name="Service")
     weight: int = msgspec.field(name="Weight")
 
 
-class _Route(msgspec.Struct, frozen=True):
+class _Route(msgspec.Struct, frozen=True, gc=False):
     name: str = msgspec.field(name="Name")
     host: str = msgspec.field(name="Host")
     path_prefix: str = msgspec.field(name="PathPrefix")
@@ -40,7 +45,7 @@
     objective: float = msgspec.field(name="TargetLatencyMs", default=0.0)
     priority: int = msgspec.field(name="Priority", default=5)
     service: str = msgspec.field(name="Service", default="")
-    shares: list[_Share] = msgspec.field(name="TrafficSplit", default=[])
+    shares: tuple[_Share, ...] = msgspec.field(name="TrafficSplit", default=())
     # The backends that one request may be sent to, not the sends.
     max_attempts: int = msgspec.field(name="MaxAttempts", default=1)
     is_anonymous: bool = msgspec.field(name="AllowAnonymous", default=False)
@@ -111,6 +116,7 @@
     )
 
 
+@functools.lru_cache(_ROUTES_KEPT)
 def _route(route: _Route) -> TableRoute:
     shares = tuple(ServiceShare(s.service, s.weight) for s in route.shares)
     safe = route.kind == _SAFE
--- a/src/canvasyoke/platform/tests/test_config.py
+++ b/src/canvasyoke/platform/tests/test_config.py
@@ -6,6 +6,33 @@
 from canvasyoke.state import RoutingTable
 
 
+def document(version: int, timeouts: list[int]) -> bytes:
+    """Return a configuration with a route for each of ``timeouts``."""
+    routes = [
+        {
+            "Name": f"r-{number}",
+            "Host": "h.example",
+            "PathPrefix": f"/{number}/",
+            "Kind": "safe",
+            "TrafficSplit": [{"Service": "s", "Weight": 1}, {"Service": "t", "Weight": number + 1}],
+            "TimeoutMs": timeout,
+        }
+        for number, timeout in enumerate(timeouts)
+    ]
+    return msgspec.json.encode({"Version": version, "Routes": routes})
+
+
+def test_routes_that_stay_are_not_built_anew() -> None:
+    before = decode_table(document(1, [1_000, 2_000, 3_000]))
+    after = decode_table(document(2, [1_000, 2_500, 3_000]))
+    assert isinstance(before, RoutingTable)
+    assert isinstance(after, RoutingTable)
+    same = [a is b for a, b in zip(before.routes, after.routes, strict=True)]
+    assert same == [True, False, True]
+    assert [route.timeout for route in after.routes] == [1_000, 2_500, 3_000]
+    assert [route.timeout for route in before.routes] == [1_000, 2_000, 3_000]
+
+
 def test_times_need_not_be_whole() -> None:
     route = {
         "Name": "r",
