A slow rank is given few experts

Cause: a group's step waits for its slowest rank, and the plan counted tokens alone. Where one of 63 engines took 12 times as long for its work for 9 s, all streams of the group did; the engine says so in its report, which was not read. Change: a rank's load is its tokens times its pace, in skew and plan; paces come with the readings. Ruled out: fewer requests to it alone, since its experts serve all.

--- a/src/canvasyoke/coordination/_layer_plan.py
+++ b/src/canvasyoke/coordination/_layer_plan.py
@@ -4,7 +4,7 @@
 
 import heapq
 import math
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Final, TypeAlias
 
@@ -36,6 +36,7 @@
 def rank_loads(
     layer: Sequence[Sequence[int]], weights: Sequence[float], ranks: Sequence[int]
 ) -> dict[int, float]:
+    """Return the tokens that each rank has to work on."""
     loads = dict.fromkeys(ranks, 0.0)
     for holders, weight in zip(layer, weights, strict=True):
         for rank in holders:
@@ -100,8 +101,11 @@
         weights: Sequence[float],
         ranks: Sequence[int],
         capacity: int,
+        paces: Mapping[int, float] | None = None,
     ) -> None:
+        """``paces`` has the ranks that take longer for the same work, and how many times."""
         alive = set(ranks)
+        self._paces = dict.fromkeys(ranks, 1.0) | dict(paces or {})
         self._holders = [frozenset(h) & alive for h in layer]
         self._weights = weights
         self._ranks = ranks
@@ -114,7 +118,7 @@
         for expert, holders in enumerate(self._holders):
             for rank in holders:
                 self._experts[rank].add(expert)
-                self._loads[rank] += weights[expert] / len(holders)
+                self._loads[rank] += self._paces[rank] * weights[expert] / len(holders)
 
     def result(self) -> Layer:
         """Return the layer as it stands."""
@@ -181,10 +185,10 @@
 
     def _set_holders(self, expert: int, holders: frozenset[int]) -> None:
         for rank in self._holders[expert]:
-            self._loads[rank] -= self._weights[expert] / len(self._holders[expert])
+            self._loads[rank] -= self._paces[rank] * self._share(expert)
             self._experts[rank].discard(expert)
         for rank in holders:
-            self._loads[rank] += self._weights[expert] / len(holders)
+            self._loads[rank] += self._paces[rank] * self._weights[expert] / len(holders)
             self._experts[rank].add(expert)
         self._holders[expert] = holders
         if len(holders) > 1:
@@ -238,7 +242,6 @@
 
     def _options(self, expert: int, slowest: int, place: int, with_swap: bool) -> Iterator[_Option]:
         """Yield the ways to relieve ``slowest`` of ``expert`` at ``place``."""
-        share = self._share(expert)
         if len(self._experts[place]) < self._capacity:
             yield from self._copy_or_move(expert, slowest, place)
         else:
@@ -249,8 +252,9 @@
         if with_swap:
             light = self._counterpart(expert, slowest, place)
             if light is not None:
-                moved = share - self._share(light)
-                floor = max(self._loads[slowest] - moved, self._loads[place] + moved)
+                moved = self._share(expert) - self._share(light)
+                relieved = self._loads[slowest] - self._paces[slowest] * moved
+                floor = max(relieved, self._loads[place] + self._paces[place] * moved)
                 yield _Option(floor, 2, expert, moves=True, swapped=light)
 
     def _copy_or_move(
@@ -262,14 +266,20 @@
         """
         share = self._share(expert)
         thinned = self._weights[expert] / (len(self._holders[expert]) + 1)
-        room = self._loads[place] - (self._share(freed) if freed is not None else 0.0)
-        relieved = self._loads[slowest] - share
-        yield _Option(max(relieved + thinned, room + thinned), 1, expert, freed=freed)
-        yield _Option(max(relieved, room + share), 1, expert, moves=True, freed=freed)
+        pace, place_pace = self._paces[slowest], self._paces[place]
+        room = self._loads[place]
+        if freed is not None:
+            room -= place_pace * self._share(freed)
+        relieved = self._loads[slowest] - pace * share
+        shared = max(relieved + pace * thinned, room + place_pace * thinned)
+        yield _Option(shared, 1, expert, freed=freed)
+        moved = max(relieved, room + place_pace * share)
+        yield _Option(moved, 1, expert, moves=True, freed=freed)
 
     def _counterpart(self, expert: int, slowest: int, place: int) -> int | None:
         """Return that expert of ``place`` which evens the two best in exchange."""
-        surplus = (self._loads[slowest] - self._loads[place]) / 2
+        surplus = self._loads[slowest] - self._loads[place]
+        surplus /= self._paces[slowest] + self._paces[place]
         wanted_share = self._share(expert) - surplus
         candidates = sorted(self._experts[place] - self._experts[slowest])
         if not candidates:
@@ -293,5 +303,5 @@
                 delta[rank] = delta.get(rank, 0.0) - self._weights[expert] / len(old)
             for rank in new:
                 delta[rank] = delta.get(rank, 0.0) + self._weights[expert] / len(new)
-        peak = max(self._loads[rank] + change for rank, change in delta.items())
+        peak = max(self._loads[r] + self._paces[r] * change for r, change in delta.items())
         return LayerChange(peak, option.copies, tuple(wanted))
--- a/src/canvasyoke/coordination/_map_step.py
+++ b/src/canvasyoke/coordination/_map_step.py
@@ -14,7 +14,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, replace
 from typing import Final
 
@@ -76,11 +76,12 @@
         weights: Sequence[Sequence[float]],
         ranks: Sequence[int],
         terms: MapTerms,
+        paces: Mapping[int, float] | None = None,
     ) -> None:
         self._ranks = ranks
         self._terms = terms
         self._plans = [
-            LayerPlan(layer, load, ranks, terms.capacity)
+            LayerPlan(layer, load, ranks, terms.capacity, paces)
             for layer, load in zip(layers, weights, strict=True)
         ]
         #: Copies that a rank may make at present.
@@ -191,6 +192,11 @@
     weights: Sequence[Sequence[float]],
     ranks: Sequence[int],
     terms: MapTerms,
+    paces: Mapping[int, float] | None = None,
 ) -> MapStep:
-    """Return the next change of a map; ``weights`` are counts by layer and expert."""
-    return _Planner(layers, weights, ranks, terms).run()
+    """Return the next change of a map; ``weights`` are counts by layer and expert.
+
+    ``paces`` has the ranks that take longer for the same work, and how many times: a
+    group's step waits for the last rank, so such a rank is given the fewer experts.
+    """
+    return _Planner(layers, weights, ranks, terms, paces).run()
--- a/src/canvasyoke/coordination/_planner.py
+++ b/src/canvasyoke/coordination/_planner.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -58,13 +58,22 @@
     return ExpertMap((layer,) * layers)
 
 
-def map_skew(mapping: ExpertMap, loads: Loads, ranks: Sequence[int]) -> float:
-    """Return the slowest rank's load over the mean rank's, summed over layers."""
+def map_skew(
+    mapping: ExpertMap,
+    loads: Loads,
+    ranks: Sequence[int],
+    paces: Mapping[int, float] | None = None,
+) -> float:
+    """Return the slowest rank's load over the mean rank's, summed over layers.
+
+    ``paces`` has the ranks that take longer for the same work, and how many times.
+    """
+    slow = paces or {}
     slowest = 0.0
     total = 0.0
     for layer, weights in zip(mapping.layers, loads, strict=True):
         per_rank = rank_loads(layer, weights, ranks)
-        slowest += max(per_rank.values())
+        slowest += max(load * slow.get(rank, 1.0) for rank, load in per_rank.items())
         total += sum(weights)
     return slowest * len(ranks) / total if total else 1.0
 
--- a/src/canvasyoke/coordination/tests/test_map_step.py
+++ b/src/canvasyoke/coordination/tests/test_map_step.py
@@ -7,7 +7,15 @@
 
 import pytest
 
-from canvasyoke.coordination import Layer, MapStep, MapTerms, initial_map, plan_map_step
+from canvasyoke.coordination import (
+    ExpertMap,
+    Layer,
+    MapStep,
+    MapTerms,
+    initial_map,
+    map_skew,
+    plan_map_step,
+)
 
 RANKS, EXPERTS, LAYERS, CAPACITY = 12, 96, 3, 11
 SECOND = 1_000
@@ -93,3 +101,24 @@
 
 def test_without_counts_nothing_is_planned() -> None:
     assert plan([[0.0] * EXPERTS] * LAYERS).copies == 0
+
+
+#: Times that one rank of twelve takes for the same work, and the skew that is left at the
+#: most; a plan that does not look at it leaves the whole of it.
+SLOW = [(3.0, 1.6), (5.0, 1.6), (12.0, 1.7)]
+
+
+@pytest.mark.parametrize(("pace", "left"), SLOW)
+@pytest.mark.parametrize("seed", range(4))
+def test_a_slow_rank_is_relieved_of_its_experts(seed: int, pace: float, left: float) -> None:
+    weights = demand(seed)
+    good = plan(weights, 80.0)
+    terms = MapTerms(CAPACITY, 4, 80.0, 100.0, 4 * SECOND)
+    paces = {5: pace}
+    blind = plan_map_step(good.layers, weights, range(RANKS), terms)
+    assert map_skew(ExpertMap(blind.layers), weights, range(RANKS), paces) > 2
+    step = plan_map_step(good.layers, weights, range(RANKS), terms, paces)
+    assert step.skew_after == pytest.approx(
+        map_skew(ExpertMap(step.layers), weights, range(RANKS), paces)
+    )
+    assert step.skew_after < left
--- a/src/canvasyoke/experts/_linked_group.py
+++ b/src/canvasyoke/experts/_linked_group.py
@@ -38,6 +38,10 @@
 #: Milliseconds for a rank to say whether it still holds its group.
 _HELD_TIMEOUT: Final = 200
 
+#: Times that a rank takes for the same work from which on it counts as slow. Demand is
+#: known to a tenth.
+_SLOW: Final = 1.2
+
 
 @dataclass(slots=True)
 class _Link:
@@ -144,6 +148,15 @@
             counts, self._counts = self._counts, []
         return counts
 
+    def paces(self) -> dict[int, float]:
+        """Return the ranks that take longer for the same work, and how many times."""
+        with self._changed:
+            paces = {rank: link.reading.pace for rank, link in self._links.items()}
+        own = self._own.report()
+        if own is not None:
+            paces[self.own_rank] = own.pace
+        return {rank: pace for rank, pace in paces.items() if pace >= _SLOW}
+
     def give(self, orders: Mapping[int, MapOrder], timeout: int) -> Mapping[int, Ordered]:
         """Give orders to ranks over their links; the own rank directly."""
         messages = self._messages(orders)
--- a/src/canvasyoke/experts/_member.py
+++ b/src/canvasyoke/experts/_member.py
@@ -121,6 +121,7 @@
         held_step=report.held_step,
         counts=pack_counts(counts),
         layers=[list(layer) for layer in held.layers] if held is not None else [],
+        pace=report.pace,
     )
 
 
@@ -138,4 +139,5 @@
         prepared=reading.prepared,
         armed=armed,
         held_step=reading.held_step,
+        pace=reading.pace,
     )
--- a/src/canvasyoke/experts/_owner.py
+++ b/src/canvasyoke/experts/_owner.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Final
 
 from canvasyoke._clock import Clock
@@ -172,8 +172,13 @@
         if sum(estimate.weights) < _ENOUGH_COUNTS:
             return True
         now = self._clock.now()
-        self.skew = map_skew(ExpertMap(self._layers), weights, range(self._group.size))
-        self._demand.saw(now, self.skew)
+        ranks = range(self._group.size)
+        paces = self._group.paces()
+        if not paces:
+            self.skew = map_skew(ExpertMap(self._layers), weights, ranks)
+            self._demand.saw(now, self.skew)
+        else:  # what a slow rank does to the skew says nothing of demand
+            self.skew = map_skew(ExpertMap(self._layers), weights, ranks, paces)
         if estimate.is_moving:
             _log.info("demand moves", group=self._group.name, skew=round(self.skew, 3))
             return True
@@ -183,7 +188,7 @@
         if is_settled and not has_moved:
             return True
         began = self._clock.now()
-        step = self._plan(weights)
+        step = self._plan(weights, paces)
         if not step.copies:
             _log.info(
                 "no change of the map pays",
@@ -196,13 +201,15 @@
             self._settled_skew, self._settled_until = self.skew, now + _SETTLED
             return True
         self._settled_until = 0
+        if paces:
+            _log.info("slow ranks", group=self._group.name, paces=paces)
         return self._put_in_force(changer, step)
 
     def _by_layer(self, weights: Sequence[float]) -> list[Sequence[float]]:
         experts = self._geometry.experts
         return [weights[start : start + experts] for start in range(0, len(weights), experts)]
 
-    def _plan(self, weights: Sequence[Sequence[float]]) -> MapStep:
+    def _plan(self, weights: Sequence[Sequence[float]], paces: Mapping[int, float]) -> MapStep:
         terms = MapTerms(
             capacity=self._geometry.capacity,
             new_limit=self._geometry.new_limit,
@@ -210,7 +217,7 @@
             overhead=_CHANGE_OVERHEAD,
             horizon=self._demand.expected,
         )
-        return plan_map_step(self._layers, weights, range(self._group.size), terms)
+        return plan_map_step(self._layers, weights, range(self._group.size), terms, paces)
 
     def _put_in_force(self, changer: MapChanger, step: MapStep) -> bool:
         assert self._fences is not None
--- a/src/canvasyoke/experts/_rank_port.py
+++ b/src/canvasyoke/experts/_rank_port.py
@@ -43,6 +43,8 @@
     armed: Armed | None
     #: Step that this rank keeps its group from beginning; 0 for none.
     held_step: int
+    #: How many times as long as usual it takes for the same work.
+    pace: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/canvasyoke/experts/tests/test_owner.py
+++ b/src/canvasyoke/experts/tests/test_owner.py
@@ -140,6 +140,20 @@
     assert planned == []
 
 
+def test_a_rank_that_turns_slow_is_looked_at_at_once(
+    planned: list[int], clock: ManualClock
+) -> None:
+    group = _Group()
+    owner = make_owner(group, clock)
+    group.counts = EVEN
+    turn(owner, clock, 5)
+    assert len(planned) == 1
+    group.slow = {2: 12.0}
+    turn(owner, clock, 2)
+    assert len(planned) == 2
+    assert owner.skew == pytest.approx(12.0)
+
+
 def test_a_frame_in_which_demand_moves_plans_nothing(
     planned: list[int], clock: ManualClock
 ) -> None:
--- a/src/canvasyoke/platform/_ranks.py
+++ b/src/canvasyoke/platform/_ranks.py
@@ -59,6 +59,8 @@
     prepared: int | None = None
     armed: _Armed | None = None
     held_step: int | None = msgspec.field(name="held", default=None)
+    # How many times as long as usual the engine takes for the same work.
+    pace: float | None = None
 
 
 class _Counts(msgspec.Struct, frozen=True):
@@ -105,6 +107,7 @@
             prepared=seen.prepared or 0,
             armed=Armed(seen.armed.version, seen.armed.step) if seen.armed else None,
             held_step=seen.held_step or 0,
+            pace=max(1.0, seen.pace or 1.0),
         )
 
     def counts(self) -> tuple[int, ...] | RankUnreachable:
--- a/src/canvasyoke/protocol/_messages.py
+++ b/src/canvasyoke/protocol/_messages.py
@@ -274,6 +274,8 @@
     counts: Annotated[bytes, msgspec.Meta(max_length=1_000_000)] = b""
     #: Experts by layer that the rank holds; only when asked for.
     layers: Annotated[list[list[int]], msgspec.Meta(max_length=1_000)] = []
+    #: How many times as long as usual the rank takes for the same work.
+    pace: Annotated[float, msgspec.Meta(ge=1)] = 1.0
 
 
 class RankOrder(msgspec.Struct, frozen=True, tag="rank_order"):
