A change is armed for as many steps ahead as arming takes

Cause: the step that a map is taken at was one ahead for each 16 ranks, three more at 63: arming takes 50 to 100 ms there and steps follow each other every 75 to 120, so the group went on for 0.2 to 0.35 s with the map that no longer fits. Change: both times are learned, and the step is as many ahead as arming lasts for the most part. Ruled out: always the nearest one, which has groups of 96 stand still for a quarter of a second.

--- a/src/canvasyoke/experts/_change.py
+++ b/src/canvasyoke/experts/_change.py
@@ -35,6 +35,7 @@
     OrderOutcome,
     RankReport,
 )
+from canvasyoke.experts._step_timing import StepTiming
 from canvasyoke.observe import part_logger
 
 _log = part_logger("map")
@@ -54,9 +55,6 @@
 #: The same while orders go unanswered: arming then takes several timeouts, and a step
 #: farther ahead leaves time for them before the group has to stand still.
 _STEPS_AHEAD_CAREFUL: Final = (5, 5, 6, 7, 8)
-#: Ranks armed and released in the time of one step; with more of them a step farther
-#: ahead is held, so that the group need not stand still. 32 ranks take about 80 ms.
-_RANKS_A_STEP: Final = 16
 #: Times that arming is tried while the group is held: with a third of the orders
 #: unanswered, all of eight ranks have answered after five in 24 of 25 changes.
 _ARM_TRIES: Final = 5
@@ -98,6 +96,7 @@
         self.times = ChangeTimes()
         #: Whether a rank left an order of the change under way unanswered.
         self._is_careful = False
+        self._timing = StepTiming(group.size)
         self._order_timeout = _ORDER_TIMEOUT + _ORDER_TIME_A_RANK * group.size
 
     def change(self, new: NewMap) -> ChangeResult:
@@ -111,6 +110,7 @@
     def _change(self, new: NewMap) -> ChangeResult:
         self.times = ChangeTimes()
         began = self._clock.now()
+        self._timing.saw_step(self._own().step, began)
         is_prepared = self._prepare(new)
         self.times.prepare = self._clock.now() - began
         if not is_prepared:
@@ -121,6 +121,8 @@
         began = self._clock.now()
         armed = self._arm(new.version, step)
         self.times.arm = self._clock.now() - began
+        self._timing.armed(self.times.arm)
+        self._timing.paused()
         if not armed:
             self._disarm_all(dict.fromkeys(range(self._group.size), new.version))
         self._release({HOLD_RANK: step})
@@ -269,9 +271,10 @@
     def _hold(self) -> int:
         """Keep the group from beginning a step soon to come; return it, or 0."""
         fence = self._fences.next()
-        more = (self._group.size - 1) // _RANKS_A_STEP
         for ahead in _STEPS_AHEAD_CAREFUL if self._is_careful else _STEPS_AHEAD:
-            step = self._own().step + ahead + more
+            own = self._own()
+            self._timing.saw_step(own.step, self._clock.now())
+            step = own.step + ahead + self._timing.more
             order = MapOrder(MapOrderKind.HOLD, fence, self._epoch, step=step)
             given = self._group.give_directly({HOLD_RANK: order}, self._order_timeout)
             self._check(given)
