Engines that hold up their group or say nothing are found and left

Cause: (1) one slow engine holds up all streams of its group, and so do those that run on it; entries sent it as much as any other. Changes: while a group's events come later than routes allow, watchers ask the engines of their domain for their pace and pass it on; a slow one gets requests last, and streams that run on one three times slower go on elsewhere within attempts and retry budget. A stream whose first event is overdue while its group makes steps, with a free slot and nothing else heard from its engine, goes on elsewhere, and the engine is passed over for 5 s by all entries.

--- a/src/canvasyoke/backend/_direct.py
+++ b/src/canvasyoke/backend/_direct.py
@@ -111,6 +111,10 @@
     ) -> Sending:
         """Send ``request`` to ``endpoint`` and wait for the head of its answer."""
 
+    @abstractmethod
+    def pace_of(self, endpoint: Endpoint) -> float | None:
+        """Return how many times as long as usual a backend takes; ``None`` if unknown."""
+
     @abstractmethod
     def group_of(self, endpoint: Endpoint) -> str | None:
         """Return the rank group of a backend, empty if it has none; ``None`` if unknown."""
--- a/src/canvasyoke/direct/_call.py
+++ b/src/canvasyoke/direct/_call.py
@@ -127,6 +127,15 @@
     longest_gap: int = 0
     #: The exchange under way; lets the watch over callers end it.
     slot: ExchangeSlot | None = None
+    #: Backend that the exchange is with, and when it began.
+    backend: str = ""
+    sent_at: int = 0
+    #: Whether the exchange has brought anything.
+    has_begun: bool = False
+    #: Whether the exchange was ended because the backend says nothing.
+    is_unanswered: bool = False
+    #: Whether it was ended because the backend is too slow.
+    is_moved: bool = False
 
     @property
     def lateness(self) -> Lateness:
--- a/src/canvasyoke/direct/_callers.py
+++ b/src/canvasyoke/direct/_callers.py
@@ -70,6 +70,7 @@
         clock: Clock,
         rng: random.Random,
         metrics: DirectMetrics,
+        on_silence: Callable[[str], None],
     ) -> None:
         self._port = port
         self._table = table
@@ -77,6 +78,7 @@
         self._clock = clock
         self._rng = rng
         self._metrics = metrics
+        self._on_silence = on_silence
         self._lock = threading.Lock()
         self._held: dict[int, DirectCall] = {}
         #: Most time that a caller has brought, by route.
@@ -264,6 +266,8 @@
             for call in held:
                 if call.slot is not None and not call.slot.is_shut and call.gone():
                     call.slot.shut()
+                elif self._forwarder.give_up_silent(call):
+                    self._on_silence(call.backend)
 
 
 def _organisation(
--- a/src/canvasyoke/direct/_forwarder.py
+++ b/src/canvasyoke/direct/_forwarder.py
@@ -131,6 +131,8 @@
         endpoint = chosen.endpoint
         call.slot = ExchangeSlot()
         call.retry_paid = False
+        call.backend, call.sent_at = endpoint.id, began
+        call.has_begun = call.is_unanswered = call.is_moved = False
         if call.gone():
             call.slot.shut()
         sent = self._port.send(endpoint, self._outbound(call), _CONNECT_TIMEOUT, call.slot)
@@ -187,7 +189,7 @@
                 self._roster.moved(backend)
             else:
                 self._roster.refused(backend, _FULL_PAUSE)
-        elif failure is not None and call.gone():
+        elif call.is_moved or call.is_unanswered or (failure is not None and call.gone()):
             self._roster.cancelled(backend)
         else:
             self._roster.finished(backend, took, failed=failure is not None)
@@ -195,7 +197,7 @@
             self._roster.group_broke(backend)
         if isinstance(failure, MayHaveRun):
             call.may_have_run = True
-            if call.route.is_stream and not call.gone():
+            if call.route.is_stream and not (call.gone() or call.is_moved or call.is_unanswered):
                 self._roster.group_broke(backend)
         outcome = "answered" if failure is None else failure.detail
         call.tried.append(Tried(backend, outcome, took, chosen.load))
@@ -313,7 +315,8 @@
                     if heard_at:
                         self._roster.stream_heard(backend, now - heard_at)
                     else:
-                        self._roster.stream_began(backend)
+                        call.has_begun = True
+                        self._roster.stream_began(backend, now - call.sent_at)
                     heard_at = now
                     number = event_id(event)
                     if not is_after(number, call.last_event):
@@ -323,6 +326,9 @@
                         yield AnswerHead(answer.status, answer.headers, None)
                     call.last_event = number or call.last_event
                     yield event
+                if self._should_move(call, backend):
+                    call.is_moved = True
+                    return MayHaveRun("the backend is too slow for the stream")
                 answer.wait_at_most(self._time_left(call))
         except ExchangeError as exc:
             return MayHaveRun(f"the stream broke off: {exc}")
@@ -335,6 +341,33 @@
             yield AnswerHead(answer.status, answer.headers, None)
         return None
 
+    def _should_move(self, call: DirectCall, backend: str) -> bool:
+        """Tell whether a stream goes on elsewhere because its backend holds up the group."""
+        return (
+            self._roster.crawls(backend)
+            and call.route.repeatable
+            and len(call.sent_to) < call.route.max_attempts
+            and self._pay(call)
+        )
+
+    def give_up_silent(self, call: DirectCall) -> bool:
+        """End an exchange with a backend that says nothing, so that another one is tried.
+
+        True when it was ended. Callers give a stream up after two seconds without an event;
+        where others get their first one within 0.2, the rest of that time is lost to them.
+        """
+        slot = call.slot
+        may_go_on = call.route.is_stream and call.route.repeatable and not call.has_begun
+        if slot is None or slot.is_shut or not may_go_on:
+            return False
+        if len(call.sent_to) + 1 > call.route.max_attempts:
+            return False
+        if not self._roster.is_overdue(call.backend, self._clock.now() - call.sent_at):
+            return False
+        call.is_unanswered = True
+        slot.shut()
+        return True
+
     def _time_left(self, call: DirectCall) -> int:
         return call.deadline - self._clock.now() + _BACKEND_GRACE
 
--- a/src/canvasyoke/direct/_groups.py
+++ b/src/canvasyoke/direct/_groups.py
@@ -109,6 +109,16 @@
             weight = _PAUSE_WEIGHT if group.event_pause else 1.0
             group.event_pause += weight * (pause - group.event_pause)
 
+    def pause(self, backend: str) -> float:
+        """Return the mean pause between events in the backend's group; 0 when unknown."""
+        group = self._find(backend)
+        return self._known_pause(group) if group is not None else 0.0
+
+    def makes_steps(self, backend: str) -> bool:
+        """Tell whether events of the backend's group came just now."""
+        group = self._find(backend)
+        return group is not None and self._clock.now() - group.heard_at < _STANDSTILL
+
     def fastest_pause(self) -> float:
         """Return the least of the groups' mean pauses between events; 0 when unknown."""
         pauses = [self._known_pause(group) for group in self._groups.values()]
--- a/src/canvasyoke/direct/_peers.py
+++ b/src/canvasyoke/direct/_peers.py
@@ -39,7 +39,9 @@
     EntryLoad,
     GroupNews,
     Message,
+    PaceNews,
     RelayedLoad,
+    SilenceNews,
     StoreWatcher,
     TableDocument,
     TableWanted,
@@ -136,6 +138,14 @@
         """Pass on which group a backend belongs to."""
         self._tell_all(GroupNews(backend, group))
 
+    def tell_pace(self, backend: str, pace: float) -> None:
+        """Pass on how long a backend takes for its work."""
+        self._tell_all(PaceNews(backend, pace))
+
+    def tell_silence(self, backend: str) -> None:
+        """Pass on that a backend says nothing."""
+        self._tell_all(SilenceNews(backend))
+
     def _find_all(self) -> None:
         """Look for the other entries, apart from all that must not wait for the store.
 
@@ -205,6 +215,12 @@
             case GroupNews():
                 if self._roster.learn_group(message.backend, message.group):
                     self._tell_all(message, but=session)
+            case PaceNews():
+                if self._roster.learn_pace(message.backend, message.pace):
+                    self._tell_all(message, but=session)
+            case SilenceNews():
+                if self._roster.fell_silent(message.backend):
+                    self._tell_all(message, but=session)
             case _:
                 _log.warning("unexpected message", peer=session.peer, kind=type(message).__name__)
 
--- a/src/canvasyoke/direct/_process.py
+++ b/src/canvasyoke/direct/_process.py
@@ -19,6 +19,7 @@
 from canvasyoke.direct._forwarder import Forwarder
 from canvasyoke.direct._group_learner import GroupLearner
 from canvasyoke.direct._metrics import DirectMetrics
+from canvasyoke.direct._pace_watch import PaceWatch
 from canvasyoke.direct._peers import EntryPeers
 from canvasyoke.direct._roster import Roster
 from canvasyoke.observe import LineWriter, part_logger
@@ -109,6 +110,13 @@
             self._peers.tell_group,
             self._clock,
         )
+        self._paces = PaceWatch(
+            port,
+            self._roster,
+            lambda: self._view.current,
+            self._peers.is_watching,
+            self._peers.tell_pace,
+        )
         self._domains = DomainProber(self._roster.cut_addresses, self._roster.domain_reached)
         self._callers = DirectCallers(
             CALLER_PORTS.get(settings.adapter)(),
@@ -117,6 +125,7 @@
             self._clock,
             rng,
             self._metrics,
+            self._heard_nothing_of,
         )
         self._add_gauges()
         self._http = CallerServer(
@@ -142,6 +151,7 @@
         self._endpoint_follower.start()
         self._peers.start()
         self._groups.start()
+        self._paces.start()
         self._domains.start()
         self._callers.start()
         for server in (self._ready, self._admin, self._http):
@@ -194,6 +204,12 @@
         pause.wait(_FLUSH / SECOND)
         _log.info("stopped", instance=self._settings.instance)
 
+    def _heard_nothing_of(self, backend: str) -> None:
+        """Pass a backend over that takes streams and says nothing, here and elsewhere."""
+        if self._roster.fell_silent(backend):
+            _log.warning("backend says nothing", backend=backend)
+            self._peers.tell_silence(backend)
+
     def _configured(self, table: RoutingTable) -> None:
         self._http.set_limits(_server_limits(table.limits))
         self._peers.tell_table()
--- a/src/canvasyoke/direct/_roster.py
+++ b/src/canvasyoke/direct/_roster.py
@@ -22,6 +22,7 @@
     filter_candidates,
 )
 from canvasyoke.direct._admission import ADMISSIONS
+from canvasyoke.direct._backend_health import BackendHealth
 from canvasyoke.direct._choice import Chosen, NoneAble, Wanted
 from canvasyoke.direct._domains import DomainReach
 from canvasyoke.direct._groups import RankGroups
@@ -88,6 +89,7 @@
     #: Backends that were dealt to this entry.
     _home: frozenset[str] = frozenset()
     _groups: RankGroups = field(init=False)
+    _health: BackendHealth = field(init=False)
     _ranker: Ranker = field(init=False)
     _domains: DomainReach = field(default_factory=DomainReach)
     #: Whether the entry has found itself cut off from all that could serve its callers.
@@ -101,6 +103,7 @@
 
     def __post_init__(self) -> None:
         self._groups = RankGroups(self.clock)
+        self._health = BackendHealth(self.clock)
         self._ranker = RANKERS.get(_RANKER)(self.rng)
 
     @property
@@ -161,6 +164,7 @@
             if change.gone:
                 self._members.pop(endpoint.id, None)
                 self._groups.forget(endpoint.id)
+                self._health.forget(endpoint.id)
             elif member is None:
                 self._members[endpoint.id] = _Member(endpoint, Ejection(self.clock))
             else:
@@ -270,6 +274,7 @@
             ejected=(
                 member.ejection.ejected
                 or now < member.paused_until
+                or self._health.is_silent(endpoint.id)
                 or self._groups.stands_still(endpoint.id)
                 or self._domains.is_cut(endpoint.domain)
             ),
@@ -281,7 +286,7 @@
             own_reported=member.own,
             own=member.own,
             duration=round(member.duration),
-            pace=self._groups.pace(endpoint.id, fastest),
+            pace=self._groups.pace(endpoint.id, fastest) * self._health.pace(endpoint.id),
             is_home=endpoint.id in self._home,
         )
 
@@ -370,15 +375,72 @@
         with self._lock:
             self._groups.broke(endpoint_id)
 
-    def stream_began(self, endpoint_id: str) -> None:
-        """Take note of the first event of a stream."""
+    def learn_pace(self, endpoint_id: str, pace: float) -> bool:
+        """Take note of how long a backend takes for its work; false if that is no news."""
+        with self._lock:
+            return endpoint_id in self._members and self._health.learn_pace(endpoint_id, pace)
+
+    def is_slow(self, endpoint_id: str) -> bool:
+        """Tell whether a backend is known to take longer than it should."""
+        with self._lock:
+            return self._health.pace(endpoint_id) > 1.0
+
+    def crawls(self, endpoint_id: str) -> bool:
+        """Tell whether a backend is so slow that its streams had better go on elsewhere."""
+        with self._lock:
+            return self._health.crawls(endpoint_id)
+
+    def in_slow_groups(self, service: str, longest_pause: int) -> list[Endpoint]:
+        """Return the backends of this domain whose groups pause for longer than they may.
+
+        Those that are known to be slow are among them: they may have recovered.
+        """
+        with self._lock:
+            near = [
+                m.endpoint
+                for m in self._members.values()
+                if m.endpoint.service == service and m.endpoint.domain == self.domain
+            ]
+            return [
+                e
+                for e in near
+                if self._groups.pause(e.id) > longest_pause or self._health.pace(e.id) > 1.0
+            ]
+
+    def fell_silent(self, endpoint_id: str) -> bool:
+        """Take note that a backend says nothing; false if that is known."""
+        with self._lock:
+            return endpoint_id in self._members and self._health.fell_silent(endpoint_id)
+
+    def is_overdue(self, endpoint_id: str, waited: int) -> bool:
+        """Tell whether a stream has waited for its first event for too long.
+
+        That says nothing while the group stands still: then no backend of it answers. Nor
+        does it where the stream may wait for a slot: taken for silent, backends of a crowded
+        group were passed over, and the rest crowded more.
+        """
+        with self._lock:
+            member = self._members.get(endpoint_id)
+            if member is None or not self._groups.makes_steps(endpoint_id):
+                return False
+            if self._load(member) > member.endpoint.slots:
+                return False
+            return self._health.is_overdue(endpoint_id, member.endpoint.service, waited)
+
+    def stream_began(self, endpoint_id: str, waited: int) -> None:
+        """Take note of the first event of a stream, after a wait for it."""
         with self._lock:
             self._groups.stream_began(endpoint_id)
+            member = self._members.get(endpoint_id)
+            if member is not None:
+                self._health.began(endpoint_id, member.endpoint.service, waited)
 
     def stream_heard(self, endpoint_id: str, pause: int) -> None:
         """Take note of a further event, ``pause`` milliseconds after the one before."""
         with self._lock:
             self._groups.heard(endpoint_id, pause)
+            if endpoint_id in self._members:
+                self._health.heard(endpoint_id)
 
     def stream_ended(self, endpoint_id: str) -> None:
         """Take note that a stream has ended or broken off."""
--- a/src/canvasyoke/direct/tests/calls.py
+++ b/src/canvasyoke/direct/tests/calls.py
@@ -34,6 +34,9 @@
     ) -> Sending:
         return self._send()
 
+    def pace_of(self, endpoint: Endpoint) -> float | None:
+        return None
+
     def group_of(self, endpoint: Endpoint) -> str | None:
         return ""
 
--- a/src/canvasyoke/direct/tests/test_forwarder.py
+++ b/src/canvasyoke/direct/tests/test_forwarder.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable, Iterator
+from dataclasses import replace
 
 import pytest
 
@@ -18,9 +19,9 @@
 from canvasyoke.direct._budget import FleetRetryBudget, RetryAllowance
 from canvasyoke.direct._forwarder import Forwarder
 from canvasyoke.direct._roster import Roster
-from canvasyoke.direct.tests.calls import CannedPort, make_call
+from canvasyoke.direct.tests.calls import ROUTE, CannedPort, make_call
 from canvasyoke.state import Endpoint, EndpointState
-from canvasyoke.transport import ExchangeError
+from canvasyoke.transport import ExchangeError, ExchangeSlot
 
 
 class _BrokenStream(BackendAnswer):
@@ -89,3 +90,92 @@
 def test_connections_that_are_not_made_cut_a_domain_off(roster: Roster) -> None:
     run(roster, lambda: NotRun(NotRunCause.UNREACHABLE, "timed out"))
     assert roster.cut_addresses().keys() == {"nbo-b"}
+
+
+RESUMABLE = replace(ROUTE, resumable=True, max_attempts=2)
+
+
+class _Stream(BackendAnswer):
+    """A whole stream, during which something may happen."""
+
+    def __init__(self, numbers: range, happens: Callable[[], None] = lambda: None) -> None:
+        self.status = 200
+        self.headers = [("Content-Type", "text/event-stream")]
+        self.load = None
+        self.is_closed = False
+        self._numbers = numbers
+        self._happens = happens
+
+    def pieces(self) -> Iterator[bytes]:
+        for number in self._numbers:
+            yield f"id: {number}\ndata: x\n\n".encode()
+            self._happens()
+
+    def wait_at_most(self, duration: int) -> None:
+        pass
+
+    def close(self) -> None:
+        self.is_closed = True
+
+
+def forward(roster: Roster, answers: list[Sending]) -> tuple[list[bytes], list[str]]:
+    """Return the events that a caller gets, and the backends that were tried."""
+    clock = ManualClock(start=10_000)
+    budget = FleetRetryBudget(RetryAllowance(0.2, 10, 10_000), clock)
+    call = make_call(RESUMABLE)
+    forwarder = Forwarder(
+        CannedPort(lambda: answers.pop(0)), roster, budget, clock, random.Random(1)
+    )
+    pieces = [piece for piece in forwarder.run(call) if isinstance(piece, bytes)]
+    return pieces, [tried.backend for tried in call.tried]
+
+
+def test_a_stream_goes_on_elsewhere_when_its_backend_crawls(roster: Roster) -> None:
+    """The rest of the group waits for it otherwise, until its last event."""
+
+    def all_crawl() -> None:
+        for endpoint in roster.endpoints():
+            roster.learn_pace(endpoint.id, 12.0)
+
+    slow, sound = _Stream(range(1, 9), all_crawl), _Stream(range(2, 6))
+    events, tried = forward(roster, [slow, sound])
+    assert events == [f"id: {number}\ndata: x\n\n".encode() for number in range(1, 6)]
+    assert len(set(tried)) == 2
+    assert slow.is_closed
+
+
+def test_a_stream_is_moved_once_at_the_most(roster: Roster) -> None:
+    for endpoint in roster.endpoints():
+        roster.learn_pace(endpoint.id, 12.0)
+    events, tried = forward(roster, [_Stream(range(1, 9)), _Stream(range(2, 9))])
+    assert len(events) == 8
+    assert len(tried) == 2
+
+
+def test_an_exchange_with_a_silent_backend_is_ended_within_the_attempts() -> None:
+    clock = ManualClock(start=10_000)
+    roster = Roster("nbo-a", clock, random.Random(1))
+    roster.merge(
+        [Endpoint(n, "ink", f"{n}:1", "nbo-a", 6, EndpointState.READY, 1) for n in "ab"], 1
+    )
+    for name in "ab":
+        roster.learn_group(name, "g-1")
+    roster.stream_began("a", 150)
+    budget = FleetRetryBudget(RetryAllowance(0.2, 10, 10_000), clock)
+    forwarder = Forwarder(
+        CannedPort(lambda: MayHaveRun("")), roster, budget, clock, random.Random(1)
+    )
+    call = make_call(RESUMABLE)
+    call.slot, call.backend, call.sent_at = ExchangeSlot(), "b", clock.now()
+    for _ in range(7):
+        assert not forwarder.give_up_silent(call)
+        clock.advance(100)
+        roster.stream_heard("a", 100)
+    assert forwarder.give_up_silent(call)
+    assert call.slot.is_shut
+    assert not forwarder.give_up_silent(call)
+    last = make_call(RESUMABLE)
+    last.slot, last.backend, last.sent_at = ExchangeSlot(), "b", call.sent_at
+    last.sent_to.add("a")
+    last.sent_to.add("c")
+    assert not forwarder.give_up_silent(last)
--- a/src/canvasyoke/direct/tests/test_roster.py
+++ b/src/canvasyoke/direct/tests/test_roster.py
@@ -95,7 +95,7 @@
 ) -> None:
     for name, group in (("a", "g-1"), ("b", "g-2")):
         roster.learn_group(name, group)
-    roster.stream_began("a")
+    roster.stream_began("a", 150)
     clock.advance(500)
     assert {choose(roster) for _ in range(5)} == {"b"}
     roster.stream_heard("a", 70)
@@ -127,7 +127,7 @@
 def test_a_group_with_slower_steps_gets_fewer_requests(roster: Roster) -> None:
     for name, group, pause in (("a", "g-1", 70), ("b", "g-2", 350)):
         roster.learn_group(name, group)
-        roster.stream_began(name)
+        roster.stream_began(name, 150)
         roster.stream_heard(name, pause)
     chosen = [choose(roster) for _ in range(12)]
     assert chosen.count("b") in (1, 2)
@@ -136,7 +136,7 @@
 def test_groups_of_about_the_same_pace_share_alike(roster: Roster) -> None:
     for name, group, pause in (("a", "g-1", 70), ("b", "g-2", 90)):
         roster.learn_group(name, group)
-        roster.stream_began(name)
+        roster.stream_began(name, 150)
         roster.stream_heard(name, pause)
     chosen = [choose(roster) for _ in range(12)]
     assert chosen.count("b") == 6
@@ -145,7 +145,7 @@
 def test_an_old_pace_is_forgotten(roster: Roster, clock: ManualClock) -> None:
     for name, group, pause in (("a", "g-1", 70), ("b", "g-2", 350)):
         roster.learn_group(name, group)
-        roster.stream_began(name)
+        roster.stream_began(name, 150)
         roster.stream_heard(name, pause)
         roster.stream_ended(name)
     clock.advance(1_500)
--- a/src/canvasyoke/platform/_engine.py
+++ b/src/canvasyoke/platform/_engine.py
@@ -16,7 +16,7 @@
     ReportedLoad,
     Sending,
 )
-from canvasyoke.experts import RankUnreachable
+from canvasyoke.experts import RankReport, RankUnreachable
 from canvasyoke.platform._ranks import ObjectsRankPort
 from canvasyoke.state import Endpoint
 from canvasyoke.transport import Exchange, ExchangeSlot, NotConnected, Sent, exchange
@@ -106,6 +106,11 @@
             return MayHaveRun(sent.detail)
         return _classify(sent, request.request_id)
 
+    def pace_of(self, endpoint: Endpoint) -> float | None:
+        """Ask the engine; a plain service does not tell."""
+        report = ObjectsRankPort(endpoint.address).report()
+        return report.pace if isinstance(report, RankReport) else None
+
     def group_of(self, endpoint: Endpoint) -> str | None:
         """Ask the engine; a plain service has no report and no group."""
         report = ObjectsRankPort(endpoint.address).report()
--- a/src/canvasyoke/protocol/_messages.py
+++ b/src/canvasyoke/protocol/_messages.py
@@ -416,6 +416,20 @@
     group: Annotated[str, msgspec.Meta(max_length=200)] = ""
 
 
+class PaceNews(msgspec.Struct, frozen=True, tag="pace_news"):
+    """Direct entry to entry: a backend takes longer for its work than it should."""
+
+    backend: Name
+    #: How many times as long as usual.
+    pace: Annotated[float, msgspec.Meta(ge=1)]
+
+
+class SilenceNews(msgspec.Struct, frozen=True, tag="silence_news"):
+    """Direct entry to entry: a backend takes requests and says nothing, though its group does."""
+
+    backend: Name
+
+
 #: Whatever may stand in a frame.
 Message: TypeAlias = (
     Run
@@ -450,4 +464,6 @@
     | BackendNews
     | BackendList
     | GroupNews
+    | PaceNews
+    | SilenceNews
 )
