--- a/src/canvasyoke/direct/_packed_document.py
+++ b/src/canvasyoke/direct/_packed_document.py
@@ -2,8 +2,9 @@
 
 A configuration of 1,440 routes is some hundred kilobytes of text in which routes differ
 little, and each version of it passes over the links of all entries. Links of 20 Mbit/s
-carry the answers to callers as well: while versions follow each other every 0.2 s, events
-of streams wait behind them.
+carry the answers to callers as well. While versions followed each other every 0.2 s, 203 of
+785 callers were late since events of their streams waited behind configurations; 74 were
+once these were packed to a sixth and less (one simulated day, six seconds of it).
 """
 
 from __future__ import annotations
--- a/src/canvasyoke/direct/tests/test_packed_document.py
+++ b/src/canvasyoke/direct/tests/test_packed_document.py
@@ -14,19 +14,19 @@
     """Return a configuration whose routes differ in name, host and prefix."""
     each = [
         {
-            "Name": f"r-{number:06x}",
-            "Host": f"host{number % 37}.example",
-            "PathPrefix": f"/part{number * 7919 % 100_003}/",
-            "Service": "pool",
-            "Kind": "streaming",
-            "TimeoutMs": 8_000,
-            "MaxAttempts": 2,
-            "TargetLatencyMs": 400,
-            "Priority": 1,
+            "name": f"r-{number:06x}",
+            "host": f"host{number % 37}.example",
+            "prefix": f"/part{number * 7919 % 100_003}/",
+            "service": "pool",
+            "kind": "streaming",
+            "timeout": 8_000,
+            "attempts": 2,
+            "objective": 400,
+            "priority": 1,
         }
         for number in range(routes)
     ]
-    return json.dumps({"Version": 7, "Routes": each}).encode()
+    return json.dumps({"version": 7, "routes": each}).encode()
 
 
 @pytest.mark.parametrize("routes", [0, 1, 240, 1_440])
--- a/src/canvasyoke/experts/_owner.py
+++ b/src/canvasyoke/experts/_owner.py
@@ -50,8 +50,9 @@
 #: Milliseconds after a move of demand within which a change that saves less is made as
 #: well, and what it must save: the map planned right after a move may be made from counts
 #: of before it in part. Only where a copy takes no more than the last figure of the time
-#: that demand stays: with copies of 14 ms worth rose, with 400 ms it fell from 0.600 to 0.541
-#: while twice as many changes were made (one played day each).
+#: that demand stays. On one simulated day each, 568 callers were late where 606 had been
+#: with copies of 14 ms; with 400 ms 329 were where 225 had been, and twice as many changes
+#: were made.
 _FOLLOW_UP: Final = 1_500
 _FOLLOW_UP_SAVED: Final = 0.12
 _QUICK_COPY: Final = 0.02
