Logs and metrics tell on which word of a backend a choice was made

A request's line named backend and load; nothing said which word of the store the choice rested on, how old it was, or whether the list was still in step with the store. Added: revision, age of the word and age of the list for each attempt; a gauge of the age, told among entries too; the entry's name where a list is refused. No logic changed.

--- a/src/canvasyoke/direct/_call.py
+++ b/src/canvasyoke/direct/_call.py
@@ -71,6 +71,18 @@
     took: int
     #: Requests that the backend was thought to have.
     load: int
+    #: Revision of the word of the backend that the choice was made on, for how many
+    #: milliseconds it had been known, and how long ago the list was in step.
+    revision: int = 0
+    heard_ago: int = 0
+    list_age: int = 0
+
+    def __str__(self) -> str:
+        """Return what the line of its request says of it."""
+        return (
+            f"{self.backend} load={self.load} revision={self.revision} "
+            f"heard={self.heard_ago}ms list={self.list_age}ms {self.took}ms {self.outcome}"
+        )
 
 
 class Lateness(enum.StrEnum):
--- a/src/canvasyoke/direct/_callers.py
+++ b/src/canvasyoke/direct/_callers.py
@@ -155,7 +155,7 @@
             longest_gap=call.longest_gap,
             late=late.value if late is not None else None,
             detail=detail,
-            tried=[f"{t.backend} load={t.load} {t.took}ms {t.outcome}" for t in call.tried],
+            tried=[str(tried) for tried in call.tried],
         )
 
     def _refuse(
--- a/src/canvasyoke/direct/_choice.py
+++ b/src/canvasyoke/direct/_choice.py
@@ -16,6 +16,10 @@
     endpoint: Endpoint
     #: Requests it was thought to have, for the log.
     load: int
+    #: Milliseconds since the newest word of it came, and since anybody told that the list
+    #: of backends was in step with the store.
+    heard_ago: int = 0
+    list_age: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/canvasyoke/direct/_follower.py
+++ b/src/canvasyoke/direct/_follower.py
@@ -248,16 +248,16 @@
             self._contact.resumes()
             match self._look(revision):
                 case EndpointList() as seen:
-                    self._contact.answered()
+                    self._heard()
                     self._revision = revision = seen.revision
                     self._take_list(seen)
                 case EndpointChanges() as seen:
-                    self._contact.answered()
+                    self._heard()
                     self._revision = revision = seen.revision
                     self._take_changes(seen)
                     self._stop.wait(_PAUSE_AFTER_NEWS / SECOND)
                 case NothingNew():
-                    self._contact.answered()
+                    self._heard()
                     self._stop.wait(_PAUSE / SECOND)
                 case HistoryGone():
                     _log.info("the store forgot its history", what="backends", at=revision)
@@ -267,6 +267,11 @@
                     self._contact.failed(seen)
             self._carry_out_held()
 
+    def _heard(self) -> None:
+        """Take note of a usable answer: the list is in step with the store."""
+        self._contact.answered()
+        self._roster.confirmed()
+
     def _wait_time(self) -> int:
         """Return how long the next watch may wait: no longer than the next held removal."""
         if not self._held:
--- a/src/canvasyoke/direct/_forwarder.py
+++ b/src/canvasyoke/direct/_forwarder.py
@@ -200,7 +200,17 @@
             if call.route.is_stream and not (call.gone() or call.is_moved or call.is_unanswered):
                 self._roster.group_broke(backend)
         outcome = "answered" if failure is None else failure.detail
-        call.tried.append(Tried(backend, outcome, took, chosen.load))
+        call.tried.append(
+            Tried(
+                backend,
+                outcome,
+                took,
+                chosen.load,
+                chosen.endpoint.revision,
+                chosen.heard_ago,
+                chosen.list_age,
+            )
+        )
 
     def _may_go_on(self, call: DirectCall, failure: NotRun | MayHaveRun) -> bool:
         if isinstance(failure, MayHaveRun) and not call.route.repeatable:
--- a/src/canvasyoke/direct/_peers.py
+++ b/src/canvasyoke/direct/_peers.py
@@ -233,13 +233,14 @@
                 self._roster.peer_load(relayed.entry, told)
         self.rota.hear([StoreContact(w.name, w.age, w.is_lost) for w in load.watchers])
         self._heard_of(load.config_version, session)
-        self._heard_up_to(load.backends_revision, session)
+        self._heard_up_to(load.backends_revision, load.backends_age, session)
 
-    def _heard_up_to(self, revision: int, session: Session) -> None:
+    def _heard_up_to(self, revision: int, age: int, session: Session) -> None:
         """Take note of the revision up to which another entry knows all backends."""
         now = self._clock.now()
         if session in self._caught_up:
             self._roster.knows_up_to(revision)
+            self._roster.confirmed(age)
         elif revision and now - self._listed_at >= _LIST_AGAIN:
             self._listed_at = now
             session.send(BackendsWanted())
@@ -341,6 +342,7 @@
             under_way=self._roster.own_load() if tells_load else {},
             told_at=self._clock.now(),
             backends_revision=self._roster.revision,
+            backends_age=self._roster.list_age,
             watchers=watchers,
             relayed=relayed,
         )
--- a/src/canvasyoke/direct/_process.py
+++ b/src/canvasyoke/direct/_process.py
@@ -236,6 +236,11 @@
             lambda: self._view.current.version,
         )
         gauge("canvasyoke_backends", "Backends known.", lambda: len(self._roster.ids()))
+        gauge(
+            "canvasyoke_backends_age_ms",
+            "Milliseconds since the list of backends was known to be in step with the store.",
+            lambda: self._roster.list_age,
+        )
         gauge("canvasyoke_log_lines_dropped", "Lost log lines.", lambda: self._log_writer.dropped)
         gauge("canvasyoke_peers", "Entries linked with.", lambda: self._peers.linked)
         gauge(
--- a/src/canvasyoke/direct/_roster.py
+++ b/src/canvasyoke/direct/_roster.py
@@ -44,6 +44,10 @@
 _ASSUMED_DURATION: Final = 1_000.0
 #: Part of a new duration in the running mean.
 _DURATION_WEIGHT: Final = 0.2
+#: Least milliseconds by which another entry's word of the list must be fresher than what
+#: is known here: entries that hear each other's echo would find the list younger by the
+#: time on the link with each of them, and never see that nobody has the store.
+_CONFIRM_STEP: Final = 200
 _RANKER: Final = "sampled_paced"
 #: In a fleet too large for all entries to tell each other their loads.
 _FLEET_RANKER: Final = "near_paced"
@@ -68,6 +72,8 @@
 class _Member:
     endpoint: Endpoint
     ejection: Ejection
+    #: Time on the clock at which the newest word of it came.
+    heard_at: int
     #: Requests of this entry under way there.
     own: int = 0
     #: Requests of other entries, by the last report, and when that came.
@@ -98,6 +104,9 @@
     _known: KnownBackends = field(default_factory=KnownBackends)
     _members: dict[str, _Member] = field(default_factory=dict)
     _peers: PeerLoads = field(default_factory=PeerLoads)
+    #: Time on the clock at which the list was last known to be in step with the store;
+    #: before any list the time at which this was made.
+    _confirmed_at: int = field(init=False)
     #: Running mean of the milliseconds that a request takes, by service.
     _durations: dict[str, float] = field(default_factory=dict)
 
@@ -105,6 +114,7 @@
         self._groups = RankGroups(self.clock)
         self._health = BackendHealth(self.clock)
         self._ranker = RANKERS.get(_RANKER)(self.rng)
+        self._confirmed_at = self.clock.now()
 
     @property
     def is_known(self) -> bool:
@@ -156,6 +166,22 @@
         with self._lock:
             self._known.knows_up_to(revision)
 
+    def confirmed(self, age: int = 0) -> None:
+        """Take note that the list was in step with the store ``age`` milliseconds ago."""
+        at = self.clock.now() - age
+        with self._lock:
+            if age == 0 or at - self._confirmed_at >= _CONFIRM_STEP:
+                self._confirmed_at = at
+
+    @property
+    def list_age(self) -> int:
+        """Return for how many milliseconds nobody has told that the list is in step."""
+        with self._lock:
+            return self._list_age()
+
+    def _list_age(self) -> int:
+        return self.clock.now() - self._confirmed_at
+
     def _follow(self, changes: list[BackendChange]) -> list[BackendChange]:
         """Begin and end to keep what is seen of backends."""
         for change in changes:
@@ -166,9 +192,10 @@
                 self._groups.forget(endpoint.id)
                 self._health.forget(endpoint.id)
             elif member is None:
-                self._members[endpoint.id] = _Member(endpoint, Ejection(self.clock))
+                now = self.clock.now()
+                self._members[endpoint.id] = _Member(endpoint, Ejection(self.clock), now)
             else:
-                member.endpoint = endpoint
+                member.endpoint, member.heard_at = endpoint, self.clock.now()
         if changes:
             self._deal()
         return changes
@@ -247,7 +274,8 @@
                 return NoneAble(Reason.OVERLOADED)
             member.own += 1
             member.ejection.sent()
-            return Chosen(member.endpoint, best.load)
+            heard_ago = self.clock.now() - member.heard_at
+            return Chosen(member.endpoint, best.load, heard_ago, self._list_age())
 
     def _load(self, member: _Member) -> int:
         """Return the requests of all entries at a backend."""
--- a/src/canvasyoke/platform/_store.py
+++ b/src/canvasyoke/platform/_store.py
@@ -103,21 +103,24 @@
         if isinstance(listed, Unavailable | Unusable):
             return listed
         items, revision = listed
-        try:
-            return EndpointList(tuple(_endpoint(item) for item in items), revision)
-        except msgspec.MsgspecError as exc:
-            return Unusable(f"an endpoint cannot be read: {exc}")
+        endpoints = [_endpoint(item) for item in items]
+        fault = next((e for e in endpoints if isinstance(e, Unusable)), None)
+        if fault is not None:
+            return fault
+        return EndpointList(tuple(e for e in endpoints if isinstance(e, Endpoint)), revision)
 
     def watch_endpoints(self, after: int, wait: int) -> EndpointsSeen:
         """Wait for changes of backends."""
         seen = self._watch(_ENDPOINTS, after, wait)
         if not isinstance(seen, _Events):
             return seen
-        try:
-            changes = tuple((_endpoint(event.object), event.gone) for event in seen.events)
-        except msgspec.MsgspecError as exc:
-            return Unusable(f"an endpoint cannot be read: {exc}")
-        return EndpointChanges(changes, seen.revision)
+        changes: list[tuple[Endpoint, bool]] = []
+        for event in seen.events:
+            endpoint = _endpoint(event.object)
+            if isinstance(endpoint, Unusable):
+                return endpoint
+            changes.append((endpoint, event.gone))
+        return EndpointChanges(tuple(changes), seen.revision)
 
     def table(self) -> TableSeen:
         """Return the configuration in the store."""
@@ -239,8 +242,11 @@
     return table if isinstance(table, Unusable) else TableRead(table, revision, documents[-1])
 
 
-def _endpoint(item: _Object) -> Endpoint:
-    server = msgspec.json.decode(item.spec, type=_Server)
+def _endpoint(item: _Object) -> Endpoint | Unusable:
+    try:
+        server = msgspec.json.decode(item.spec, type=_Server)
+    except msgspec.MsgspecError as exc:
+        return Unusable(f"the entry of backend {item.meta.name} cannot be read: {exc}")
     leaving = server.state != "ready"
     return Endpoint(
         id=item.meta.name,
--- a/src/canvasyoke/protocol/_messages.py
+++ b/src/canvasyoke/protocol/_messages.py
@@ -357,6 +357,8 @@
     told_at: Count = 0
     #: Revision of the store up to which the entry knows all backends; 0 for none.
     backends_revision: Count = 0
+    #: Milliseconds since that list was known to be in step with the store.
+    backends_age: Count = 0
     #: Who watches the store; told within a domain.
     watchers: Annotated[list[StoreWatcher], msgspec.Meta(max_length=100)] = []
     #: Loads heard since the last telling; told within a domain of an overlay.
