--- a/tests/direct.py
+++ b/tests/direct.py
@@ -90,9 +90,9 @@
         return int(probe.getsockname()[1])
 
 
-def wait_until(happened: Callable[[], Any], what: str) -> Any:
+def wait_until(happened: Callable[[], Any], what: str, patience: float = PATIENCE) -> Any:
     """Return what ``happened`` gives once it is true."""
-    deadline = time.monotonic() + PATIENCE
+    deadline = time.monotonic() + patience
     while time.monotonic() < deadline:
         value = happened()
         if value:
