Each entry of the store is read alone; what cannot be read names no backend

Lists and watches were decoded whole or not at all, so one entry by another writer left every process with the backends it had known, those that had left since among them, and a process that started beside it without any. Class: a fault of one item is taken for a fault of all, and the last good state is kept without an end. Ruled out as a mend: leaving out what fails in the follower; the whole answer was gone by then. Changed: platform/_endpoints.py reads items one by one and tells which entries name no backend; these are dropped at once (never held), logged once with name and cause, counted in canvasyoke_entries_unreadable. A removal needs its name only, and is filed before the event that follows it, not under the revision of the batch: a backend that was back within one batch stayed unknown. A list that does not go on after a name is unusable instead of read for ever.

--- a/src/canvasyoke/direct/_follower.py
+++ b/src/canvasyoke/direct/_follower.py
@@ -19,7 +19,9 @@
 from canvasyoke.direct._roster import Roster
 from canvasyoke.observe import part_logger
 from canvasyoke.state import (
+    Endpoint,
     EndpointChanges,
+    EndpointGone,
     EndpointList,
     EndpointsSeen,
     FleetStore,
@@ -218,6 +220,8 @@
         self._contact = _Contact("backends", clock, rng, self._stop)
         #: Backends whose removal is held, with the time at which it is carried out.
         self._held: dict[str, int] = {}
+        #: Entries that name no backend, with what is wrong with them.
+        self._unreadable: dict[str, str] = {}
         #: Newest revision of the store seen.
         self._revision = 0
         self._task = threading.Thread(target=self._run, name="follow-backends", daemon=True)
@@ -231,6 +235,11 @@
         """Tell whether the store does not answer."""
         return self._contact.is_lost
 
+    @property
+    def unreadable(self) -> int:
+        """Return the number of entries in the store that name no backend."""
+        return len(self._unreadable)
+
     def _look(self, revision: int) -> EndpointList | EndpointsSeen:
         if revision:
             return self._store.watch_endpoints(revision, self._wait_time())
@@ -285,13 +294,15 @@
 
     def _take_list(self, seen: EndpointList) -> None:
         listed = frozenset(endpoint.id for endpoint in seen.endpoints)
+        unreadable = {entry.id: entry.fault for entry in seen.unreadable}
         missing = self._roster.ids() - listed
         until = self._settling_until()
-        keep = missing if self._clock.now() < until else frozenset()
+        keep = missing - unreadable.keys() if self._clock.now() < until else frozenset()
         for endpoint_id in keep:
             self._hold(endpoint_id, until)
         for endpoint_id in listed & self._held.keys():
             del self._held[endpoint_id]
+        self._note_unreadable(unreadable)
         is_first = not self._roster.is_known
         for change in self._roster.merge_from_store(seen.endpoints, seen.revision, keep):
             if change.gone:
@@ -301,27 +312,51 @@
         _log.info("backends listed", count=len(listed), held=len(keep), revision=seen.revision)
 
     def _take_changes(self, seen: EndpointChanges) -> None:
-        until = self._settling_until()
-        for endpoint, gone in seen.changes:
-            if not gone:
-                self._held.pop(endpoint.id, None)
-                self._roster.put(endpoint)
-                self._on_news(BackendChange(endpoint, False, endpoint.revision))
-                _log.info(
-                    "backend changed",
-                    backend=endpoint.id,
-                    state=endpoint.state.name,
-                    service=endpoint.service,
-                    revision=seen.revision,
-                )
-            elif self._clock.now() < until:
-                self._hold(endpoint.id, until)
-            else:
-                self._roster.remove(endpoint.id, seen.revision)
-                self._on_news(BackendChange(endpoint, True, seen.revision))
-                _log.info("backend gone", backend=endpoint.id, revision=seen.revision)
+        for change in seen.changes:
+            match change:
+                case Endpoint():
+                    self._take_entry(change)
+                case EndpointGone(fault=""):
+                    self._take_removal(change)
+                case EndpointGone():
+                    self._note_unreadable({**self._unreadable, change.id: change.fault})
+                    self._forget(change)
         self._roster.knows_up_to(seen.revision)
 
+    def _take_entry(self, endpoint: Endpoint) -> None:
+        self._held.pop(endpoint.id, None)
+        self._unreadable.pop(endpoint.id, None)
+        self._roster.put(endpoint)
+        self._on_news(BackendChange(endpoint, False, endpoint.revision))
+        _log.info(
+            "backend changed",
+            backend=endpoint.id,
+            state=endpoint.state.name,
+            service=endpoint.service,
+            revision=endpoint.revision,
+        )
+
+    def _take_removal(self, gone: EndpointGone) -> None:
+        self._unreadable.pop(gone.id, None)
+        until = self._settling_until()
+        if self._clock.now() < until:
+            self._hold(gone.id, until)
+        else:
+            self._forget(gone)
+
+    def _forget(self, gone: EndpointGone) -> None:
+        self._held.pop(gone.id, None)
+        self._roster.remove(gone.id, gone.revision)
+        self._on_news(BackendChange.removal(gone.id, gone.revision))
+        _log.info("backend gone", backend=gone.id, revision=gone.revision)
+
+    def _note_unreadable(self, now: dict[str, str]) -> None:
+        """Take note of the entries that cannot be read now; each is logged once."""
+        for name, fault in now.items():
+            if self._unreadable.get(name) != fault:
+                _log.warning("entry names no backend", entry=name, cause=fault)
+        self._unreadable = now
+
     def _hold(self, endpoint_id: str, until: int) -> None:
         if endpoint_id not in self._held:
             self._held[endpoint_id] = until
--- a/src/canvasyoke/direct/_known_backends.py
+++ b/src/canvasyoke/direct/_known_backends.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field, replace
 from typing import Final
 
-from canvasyoke.state import Endpoint
+from canvasyoke.state import Endpoint, EndpointState
 
 #: Backends that are remembered after they have gone, so that old news of them is known
 #: as such.
@@ -28,6 +28,12 @@
     #: Whether the store's watch had left it out, so that it was found in a list.
     was_lost: bool = False
 
+    @classmethod
+    def removal(cls, endpoint_id: str, revision: int) -> BackendChange:
+        """Return the removal of a backend of which nothing else has to be known."""
+        gone = Endpoint(endpoint_id, "", "", "", 1, EndpointState.LEAVING, revision)
+        return cls(gone, True, revision)
+
 
 @dataclass(slots=True)
 class KnownBackends:
@@ -92,8 +98,10 @@
         return [BackendChange(endpoint, False, endpoint.revision)]
 
     def remove(self, endpoint_id: str, revision: int) -> list[BackendChange]:
-        """Forget one backend."""
+        """Forget one backend, unless it is known to have come back since."""
         known = self._endpoints.get(endpoint_id)
+        if known is not None and known.revision > revision:
+            return []
         self._forget(endpoint_id, revision)
         return [BackendChange(known, True, revision)] if known is not None else []
 
--- a/src/canvasyoke/direct/_process.py
+++ b/src/canvasyoke/direct/_process.py
@@ -236,6 +236,11 @@
             lambda: self._view.current.version,
         )
         gauge("canvasyoke_backends", "Backends known.", lambda: len(self._roster.ids()))
+        gauge(
+            "canvasyoke_entries_unreadable",
+            "Entries in the store that name no backend, as this entry watches them.",
+            lambda: self._endpoint_follower.unreadable,
+        )
         gauge(
             "canvasyoke_backends_age_ms",
             "Milliseconds since the list of backends was known to be in step with the store.",
--- /dev/null
+++ b/src/canvasyoke/platform/_endpoints.py
@@ -0,0 +1,161 @@
+"""Entries of backends in the platform's store, each read alone.
+
+Others may write there too. An entry that is not as a backend writes it names none; it must
+not hide the others: a list that was read whole or not at all left every process with the
+backends it had known, those that had left since among them.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+from collections.abc import Iterable
+from typing import Annotated, Final, Literal
+
+import msgspec
+
+from canvasyoke.state import (
+    Endpoint,
+    EndpointChanges,
+    EndpointGone,
+    EndpointList,
+    EndpointState,
+    Unusable,
+)
+
+#: Longest name or other text taken; what processes tell each other has the same limit.
+_LONGEST_TEXT: Final = 200
+_STATES: Final = {"ready": EndpointState.READY, "draining": EndpointState.LEAVING}
+
+_Text = Annotated[str, msgspec.Meta(min_length=1, max_length=_LONGEST_TEXT)]
+
+
+class Metadata(msgspec.Struct, frozen=True):
+    """What the store itself says of an object."""
+
+    name: _Text = msgspec.field(name="Name")
+    revision: Annotated[int, msgspec.Meta(ge=0)] = msgspec.field(name="Revision", default=0)
+
+
+class StoredObject(msgspec.Struct, frozen=True):
+    """An object of any kind; its body is read by whoever knows the kind."""
+
+    meta: Metadata = msgspec.field(name="Metadata")
+    spec: msgspec.Raw = msgspec.field(name="Spec", default=msgspec.Raw(b"null"))
+
+
+class _NamedObject(msgspec.Struct, frozen=True):
+    meta: Metadata = msgspec.field(name="Metadata")
+
+
+class _Event(msgspec.Struct, frozen=True):
+    object: msgspec.Raw
+    gone: bool = False
+
+
+class _Server(msgspec.Struct, frozen=True):
+    """All that a backend writes; it always writes all of it, but for its start."""
+
+    service: _Text = msgspec.field(name="Service")
+    address: _Text = msgspec.field(name="Address")
+    zone: _Text = msgspec.field(name="Zone")
+    version: str = msgspec.field(name="Version")
+    slots: Annotated[int, msgspec.Meta(ge=1)] = msgspec.field(name="Slots")
+    state: Literal["ready", "draining"] = msgspec.field(name="State")
+    cold_remaining: float = msgspec.field(name="ColdRemainingMs")
+    sequence: int = msgspec.field(name="Sequence")
+
+
+def read_object(data: bytes) -> StoredObject | EndpointGone | Unusable:
+    """Return the object in ``data``, or what it is called where only that can be read."""
+    try:
+        return msgspec.json.decode(data, type=StoredObject)
+    except msgspec.MsgspecError as exc:
+        fault = str(exc)
+    try:
+        # Bytes that are no text are replaced, so that at least the name can be told.
+        named = msgspec.json.decode(data.decode(errors="replace"), type=_NamedObject)
+    except msgspec.MsgspecError:
+        return Unusable(f"an object without a name that can be read: {fault}")
+    return EndpointGone(named.meta.name, named.meta.revision, fault)
+
+
+def read_list(items: Iterable[bytes], revision: int) -> EndpointList:
+    """Return the backends that a list names, and which entries name none."""
+    endpoints = []
+    unreadable = []
+    for item in items:
+        match _read_endpoint(item):
+            case Endpoint() as endpoint:
+                endpoints.append(endpoint)
+            case EndpointGone() as gone:
+                unreadable.append(gone)
+            case Unusable(detail):
+                unreadable.append(EndpointGone("", 0, detail))
+    return EndpointList(tuple(endpoints), revision, tuple(unreadable))
+
+
+def read_changes(events: Iterable[bytes], revision: int) -> EndpointChanges | Unusable:
+    """Return what a watch has brought, in order; unusable where a name cannot be read.
+
+    A removal has no revision of its own. It came to be before the event that follows it, so
+    that a backend which is back within the same batch is not taken for older than its
+    removal.
+    """
+    changes: list[Endpoint | EndpointGone] = []
+    newest = revision
+    for event in reversed([_read_event(data) for data in events]):
+        match event:
+            case Unusable():
+                return event
+            case Endpoint():
+                newest = min(newest, event.revision - 1)
+                changes.append(event)
+            case EndpointGone(name, own_revision, fault):
+                changes.append(EndpointGone(name, max(newest, own_revision), fault))
+    return EndpointChanges(tuple(reversed(changes)), revision)
+
+
+def _read_event(data: bytes) -> Endpoint | EndpointGone | Unusable:
+    try:
+        event = msgspec.json.decode(data, type=_Event)
+    except msgspec.MsgspecError as exc:
+        return Unusable(f"an event cannot be read: {exc}")
+    if not event.gone:
+        return _read_endpoint(bytes(event.object))
+    removed = read_object(bytes(event.object))
+    if isinstance(removed, StoredObject):
+        return EndpointGone(removed.meta.name, removed.meta.revision)
+    return removed
+
+
+def _read_endpoint(data: bytes) -> Endpoint | EndpointGone | Unusable:
+    found = read_object(data)
+    if not isinstance(found, StoredObject):
+        return found
+    name, revision = found.meta.name, found.meta.revision
+    try:
+        server = msgspec.json.decode(found.spec, type=_Server)
+    except msgspec.MsgspecError as exc:
+        return EndpointGone(name, revision, str(exc))
+    if not _is_address(server.address):
+        return EndpointGone(name, revision, f"no address: {server.address}")
+    return Endpoint(
+        id=name,
+        service=server.service,
+        address=server.address,
+        domain=server.zone,
+        slots=server.slots,
+        state=_STATES[server.state],
+        revision=revision,
+    )
+
+
+def _is_address(text: str) -> bool:
+    """Tell whether a text is ``IP:PORT``."""
+    host, _, port = text.rpartition(":")
+    try:
+        address = ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    is_port = port.isascii() and port.isdigit() and 0 < int(port) <= 0xFFFF
+    return is_port and not address.is_unspecified
--- a/src/canvasyoke/platform/_store.py
+++ b/src/canvasyoke/platform/_store.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Any, Final
 from urllib.parse import quote, urlencode
 
@@ -13,13 +14,12 @@
 
 from canvasyoke._clock import SECOND
 from canvasyoke.platform._config import decode_table
+from canvasyoke.platform._endpoints import StoredObject, read_changes, read_list, read_object
 from canvasyoke.state import (
     FLEET_STORES,
-    Endpoint,
-    EndpointChanges,
+    EndpointGone,
     EndpointList,
     EndpointsSeen,
-    EndpointState,
     FleetStore,
     HistoryGone,
     Note,
@@ -48,38 +48,20 @@
 _CONFIG_NAME: Final = "main"
 
 
-class _Metadata(msgspec.Struct, frozen=True):
-    name: str = msgspec.field(name="Name")
-    revision: int = msgspec.field(name="Revision", default=0)
-
-
-class _Object(msgspec.Struct, frozen=True):
-    meta: _Metadata = msgspec.field(name="Metadata")
-    spec: msgspec.Raw = msgspec.field(name="Spec", default=msgspec.Raw(b"null"))
-
-
 class _Page(msgspec.Struct, frozen=True):
-    items: list[_Object] = msgspec.field(name="Items")
+    items: list[msgspec.Raw] = msgspec.field(name="Items")
     revision: int = msgspec.field(name="at")
     more: bool | str = False
 
 
-class _Event(msgspec.Struct, frozen=True):
-    object: _Object
-    gone: bool = False
-
-
 class _Events(msgspec.Struct, frozen=True):
-    events: list[_Event]
+    events: list[msgspec.Raw]
     revision: int = msgspec.field(name="at")
 
 
-class _Server(msgspec.Struct, frozen=True):
-    service: str = msgspec.field(name="Service", default="")
-    address: str = msgspec.field(name="Address", default="")
-    zone: str = msgspec.field(name="Zone", default="")
-    slots: int = msgspec.field(name="Slots", default=1)
-    state: str = msgspec.field(name="State", default="ready")
+class _TableEvent(msgspec.Struct, frozen=True):
+    object: StoredObject
+    gone: bool = False
 
 
 class _NoteOut(msgspec.Struct, frozen=True):
@@ -103,24 +85,14 @@
         if isinstance(listed, Unavailable | Unusable):
             return listed
         items, revision = listed
-        endpoints = [_endpoint(item) for item in items]
-        fault = next((e for e in endpoints if isinstance(e, Unusable)), None)
-        if fault is not None:
-            return fault
-        return EndpointList(tuple(e for e in endpoints if isinstance(e, Endpoint)), revision)
+        return read_list(items, revision)
 
     def watch_endpoints(self, after: int, wait: int) -> EndpointsSeen:
         """Wait for changes of backends."""
         seen = self._watch(_ENDPOINTS, after, wait)
         if not isinstance(seen, _Events):
             return seen
-        changes: list[tuple[Endpoint, bool]] = []
-        for event in seen.events:
-            endpoint = _endpoint(event.object)
-            if isinstance(endpoint, Unusable):
-                return endpoint
-            changes.append((endpoint, event.gone))
-        return EndpointChanges(tuple(changes), seen.revision)
+        return read_changes(seen.events, seen.revision)
 
     def table(self) -> TableSeen:
         """Return the configuration in the store."""
@@ -128,14 +100,18 @@
         if isinstance(listed, Unavailable | Unusable):
             return listed
         items, revision = listed
-        return _table_in(items, revision)
+        return _table_in([read_object(item) for item in items], revision)
 
     def watch_table(self, after: int, wait: int) -> TableSeen:
         """Wait for another configuration."""
         seen = self._watch(_CONFIG, after, wait)
         if not isinstance(seen, _Events):
             return seen
-        return _table_in([e.object for e in seen.events if not e.gone], seen.revision)
+        try:
+            events = [msgspec.json.decode(event, type=_TableEvent) for event in seen.events]
+        except msgspec.MsgspecError as exc:
+            return Unusable(f"a change of the configuration cannot be read: {exc}")
+        return _table_in([e.object for e in events if not e.gone], seen.revision)
 
     def parse_table(self, document: bytes) -> RoutingTable | Unusable:
         """Return the table in ``document``."""
@@ -146,7 +122,7 @@
         listed = self._list(kind, may_be_old)
         if isinstance(listed, Unavailable | Unusable):
             return listed
-        return [_note(item) for item in listed[0]]
+        return [note for item in listed[0] if (note := _listed_note(item)) is not None]
 
     def create_note(self, kind: str, name: str, body: bytes) -> Note | Unavailable | Unusable:
         """Create an object, or return the one that is there."""
@@ -174,12 +150,12 @@
 
     def _list(
         self, kind: str, may_be_old: bool = False
-    ) -> tuple[list[_Object], int] | Unavailable | Unusable:
-        """Return all objects of ``kind`` and the revision of the first page.
+    ) -> tuple[list[bytes], int] | Unavailable | Unusable:
+        """Return all objects of ``kind``, each as it was written, and the first page's revision.
 
         A watch from that revision repeats what changed while later pages were read.
         """
-        items: list[_Object] = []
+        items: list[bytes] = []
         revision = 0
         after = ""
         while True:
@@ -197,11 +173,14 @@
                 page = msgspec.json.decode(answer.data, type=_Page)
             except msgspec.MsgspecError as exc:
                 return Unusable(f"a list of {kind} cannot be read: {exc}")
-            items.extend(page.items)
+            items.extend(bytes(item) for item in page.items)
             revision = revision or page.revision
             if not page.more or not page.items:
                 return items, revision
-            after = page.items[-1].meta.name
+            last = _name_of(items[-1])
+            if last <= after:
+                return Unusable(f"a list of {kind} does not go on after {after}")
+            after = last
 
     def _watch(
         self, kind: str, after: int, wait: int
@@ -233,38 +212,51 @@
             return Unavailable(f"{type(exc).__name__}: {exc}", ambiguous=method != "GET")
 
 
-def _table_in(items: list[_Object], revision: int) -> TableSeen:
-    """Return the newest configuration among ``items``."""
-    documents = [bytes(item.spec) for item in items if item.meta.name == _CONFIG_NAME]
-    if not documents:
-        return NothingNew(revision)
-    table = decode_table(documents[-1])
-    return table if isinstance(table, Unusable) else TableRead(table, revision, documents[-1])
+def _table_in(
+    objects: Iterable[StoredObject | EndpointGone | Unusable], revision: int
+) -> TableSeen:
+    """Return the newest configuration among ``objects``."""
+    found: TableSeen = NothingNew(revision)
+    for item in objects:
+        match item:
+            case StoredObject(meta, spec) if meta.name == _CONFIG_NAME:
+                found = _read_table(bytes(spec), revision)
+            case EndpointGone(name, _, fault) if name == _CONFIG_NAME:
+                found = Unusable(f"the configuration cannot be read: {fault}")
+    return found
 
 
-def _endpoint(item: _Object) -> Endpoint | Unusable:
-    try:
-        server = msgspec.json.decode(item.spec, type=_Server)
-    except msgspec.MsgspecError as exc:
-        return Unusable(f"the entry of backend {item.meta.name} cannot be read: {exc}")
-    leaving = server.state != "ready"
-    return Endpoint(
-        id=item.meta.name,
-        service=server.service,
-        address=server.address,
-        domain=server.zone,
-        slots=max(1, server.slots),
-        state=EndpointState.LEAVING if leaving else EndpointState.READY,
-        revision=item.meta.revision,
-    )
-
-
-def _note(item: _Object) -> Note:
+def _read_table(document: bytes, revision: int) -> TableRead | Unusable:
+    table = decode_table(document)
+    return table if isinstance(table, Unusable) else TableRead(table, revision, document)
+
+
+def _name_of(data: bytes) -> str:
+    """Return an object's name; empty when not even that can be read."""
+    match read_object(data):
+        case StoredObject(meta):
+            return meta.name
+        case EndpointGone(name):
+            return name
+    return ""
+
+
+def _note(item: StoredObject) -> Note:
     return Note(item.meta.name, item.meta.revision, bytes(item.spec))
 
 
+def _listed_note(data: bytes) -> Note | None:
+    """Return a note; one of which only the name can be read has a body that cannot be."""
+    match read_object(data):
+        case StoredObject() as item:
+            return _note(item)
+        case EndpointGone(name, revision):
+            return Note(name, revision, data)
+    return None
+
+
 def _decode_note(data: bytes) -> Note | Unusable:
     try:
-        return _note(msgspec.json.decode(data, type=_Object))
+        return _note(msgspec.json.decode(data, type=StoredObject))
     except msgspec.MsgspecError as exc:
         return Unusable(f"an object cannot be read: {exc}")
--- /dev/null
+++ b/src/canvasyoke/platform/tests/test_endpoints.py
@@ -0,0 +1,185 @@
+"""Entries of the store as others may write them: what cannot be read hides nothing else."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+from hypothesis import example, given
+from hypothesis import strategies as st
+
+from canvasyoke.platform._endpoints import read_changes, read_list
+from canvasyoke.state import Endpoint, EndpointChanges, EndpointGone, EndpointState, Unusable
+
+SOUND: dict[str, Any] = {
+    "Service": "shelf",
+    "Address": "10.0.0.1:8080",
+    "Zone": "nbo-a",
+    "Version": "v1",
+    "Slots": 6,
+    "State": "ready",
+    "ColdRemainingMs": 0,
+    "Sequence": 4,
+}
+
+
+def stored(name: Any, spec: Any, revision: Any = 7) -> bytes:
+    """Return an object as the store holds it."""
+    meta = {"Name": name, "Revision": revision, "made": 1}
+    return json.dumps({"Metadata": meta, "Spec": spec, "Status": None}).encode()
+
+
+def event(item: bytes, gone: bool = False) -> bytes:
+    """Return one event of a watch."""
+    return b'{"object":' + item + b',"gone":' + json.dumps(gone).encode() + b"}"
+
+
+def test_a_sound_entry_names_a_backend() -> None:
+    (endpoint,) = read_list([stored("a", SOUND)], 9).endpoints
+    assert endpoint == Endpoint(
+        "a", "shelf", "10.0.0.1:8080", "nbo-a", 6, EndpointState.READY, revision=7
+    )
+
+
+def test_a_field_that_nobody_named_does_no_harm() -> None:
+    listed = read_list([stored("a", SOUND | {"Models": [{"Name": "m"}], "Stage": "dual"})], 9)
+    assert [endpoint.id for endpoint in listed.endpoints] == ["a"]
+
+
+WRONG_FIELDS = [
+    ("Service", [None, 7, "", [], "x" * 201]),
+    ("Address", [None, 7, "", "10.0.0.1", "10.0.0.1:", ":80", "10.0.0.1:0", "10.0.0.1:65536"]),
+    ("Address", ["host:80", "10.0.0:80", "10.0.0.1:8x", "0.0.0.0:80", "10.0.0.1:٣", "[::1]:80"]),
+    ("Zone", [None, 7, "", {}]),
+    ("Version", [None, 7]),
+    ("Slots", [None, "6", 0, -1, 1.5, True, []]),
+    ("State", [None, "warming", "Ready", "", 1, True]),
+    ("ColdRemainingMs", [None, "0", []]),
+    ("Sequence", [None, "4", 0.5]),
+]
+
+
+@pytest.mark.parametrize(
+    ("field", "value"), [(field, value) for field, values in WRONG_FIELDS for value in values]
+)
+def test_a_field_of_another_kind_names_no_backend(field: str, value: Any) -> None:
+    listed = read_list([stored("odd", SOUND | {field: value}), stored("a", SOUND)], 9)
+    assert [endpoint.id for endpoint in listed.endpoints] == ["a"]
+    assert [entry.id for entry in listed.unreadable] == ["odd"]
+    assert listed.unreadable[0].fault
+
+
+@pytest.mark.parametrize("field", SOUND)
+def test_a_field_that_is_missing_names_no_backend(field: str) -> None:
+    spec = {name: value for name, value in SOUND.items() if name != field}
+    listed = read_list([stored("odd", spec), stored("a", SOUND)], 9)
+    assert [endpoint.id for endpoint in listed.endpoints] == ["a"]
+    assert [entry.id for entry in listed.unreadable] == ["odd"]
+
+
+UNREADABLE_OBJECTS = [
+    (b'{"Metadata":{"Name":"odd","Revision":3},"Spec":{"Service":"\xff\xfe"}}', "odd"),
+    (b'{"Metadata":{"Name":"odd","Revision":3}}', "odd"),
+    (b'{"Metadata":{"Name":"odd","Revision":"3"},"Spec":null}', ""),
+    (b'{"Metadata":{"Name":"","Revision":3},"Spec":null}', ""),
+    (b'{"Metadata":7}', ""),
+    (b"null", ""),
+    (b"7", ""),
+]
+
+
+@pytest.mark.parametrize(("item", "name"), UNREADABLE_OBJECTS)
+def test_an_object_that_cannot_be_read_hides_no_other(item: bytes, name: str) -> None:
+    listed = read_list([item, stored("a", SOUND), item], 9)
+    assert [endpoint.id for endpoint in listed.endpoints] == ["a"]
+    assert [entry.id for entry in listed.unreadable] == [name, name]
+
+
+def test_an_unreadable_entry_in_a_watch_is_told_by_its_name() -> None:
+    odd = stored("odd", SOUND | {"Slots": "six"}, revision=8)
+    changes = read_changes([event(odd), event(stored("a", SOUND, revision=9))], 9)
+    assert isinstance(changes, EndpointChanges)
+    gone, changed = changes.changes
+    assert isinstance(gone, EndpointGone)
+    assert isinstance(changed, Endpoint)
+    assert (gone.id, gone.revision, changed.id) == ("odd", 8, "a")
+    assert gone.fault
+
+
+def test_an_event_without_a_name_asks_for_a_new_list() -> None:
+    assert isinstance(read_changes([event(b'{"Metadata":7}')], 9), Unusable)
+
+
+@pytest.mark.parametrize("spec", [None, 7, "text", {"Service": 1}])
+def test_a_removal_needs_no_more_than_the_name(spec: Any) -> None:
+    changes = read_changes([event(stored("a", spec, revision=3), gone=True)], 9)
+    assert changes == EndpointChanges((EndpointGone("a", 9),), 9)
+
+
+#: Events of one batch up to revision 15, and the revision that the removal of ``a`` gets.
+REMOVALS: list[tuple[list[tuple[str, int, bool]], int]] = [
+    ([("a", 3, True)], 15),
+    ([("a", 3, True), ("b", 15, False)], 14),
+    ([("a", 3, True), ("a", 12, False), ("b", 15, False)], 11),
+    ([("b", 9, False), ("a", 3, True), ("b", 4, True), ("c", 13, False)], 12),
+    # The store's own revision of the object counts where it is the later one.
+    ([("a", 14, True), ("b", 12, False)], 14),
+]
+
+
+@pytest.mark.parametrize(("batch", "revision"), REMOVALS)
+def test_a_removal_is_older_than_what_follows_it(
+    batch: list[tuple[str, int, bool]], revision: int
+) -> None:
+    events = [event(stored(name, SOUND, at), gone) for name, at, gone in batch]
+    changes = read_changes(events, 15)
+    assert isinstance(changes, EndpointChanges)
+    assert EndpointGone("a", revision) in changes.changes
+    assert [c.id for c in changes.changes] == [name for name, _, _ in batch]
+
+
+_JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(), inner, max_size=3),
+    max_leaves=6,
+)
+
+
+@given(
+    odd=st.lists(
+        st.builds(lambda f, v: {**SOUND, f: v}, st.sampled_from(list(SOUND)), _JSON) | _JSON,
+        max_size=4,
+    ),
+    at=st.integers(0, 4),
+)
+@example(odd=[{**SOUND, "Slots": 1 << 70}], at=0)
+def test_whatever_stands_beside_it_a_sound_entry_is_seen(odd: list[Any], at: int) -> None:
+    items = [stored(f"odd-{n}", spec) for n, spec in enumerate(odd)]
+    items.insert(min(at, len(items)), stored("a", SOUND))
+    listed = read_list(items, 9)
+    assert "a" in {endpoint.id for endpoint in listed.endpoints}
+    assert len(listed.endpoints) + len(listed.unreadable) == len(items)
+    for endpoint in listed.endpoints:
+        assert endpoint.slots >= 1
+        assert endpoint.service
+        assert endpoint.domain
+    changes = read_changes([event(item) for item in items], 9)
+    assert isinstance(changes, EndpointChanges)
+    assert [change.id for change in changes.changes if isinstance(change, Endpoint)] == [
+        endpoint.id for endpoint in listed.endpoints
+    ]
+
+
+@given(st.binary(max_size=60))
+def test_bytes_that_are_no_object_raise_nothing(data: bytes) -> None:
+    listed = read_list([data, stored("a", SOUND)], 9)
+    assert listed.endpoints[-1].id == "a"
+    read_changes([data], 9)
+
+
+def test_what_is_read_can_be_told_to_other_processes() -> None:
+    long = "x" * 200
+    (endpoint,) = read_list([stored(long, SOUND | {"Service": long})], 9).endpoints
+    assert len(endpoint.id) == len(endpoint.service) == 200
+    assert not read_list([stored(long + "x", SOUND)], 9).endpoints
--- a/src/canvasyoke/state/_fleet_store.py
+++ b/src/canvasyoke/state/_fleet_store.py
@@ -42,20 +42,34 @@
     revision: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointGone:
+    """An entry that names no backend: it was removed, or it cannot be read."""
+
+    #: Name of the entry; empty when not even that can be read.
+    id: str
+    #: Revision of the store at which this came to be, or a later one before which nothing
+    #: else is known of the entry.
+    revision: int
+    #: Why the entry that stands there cannot be read; empty when it was removed.
+    fault: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointList:
     """All backends in the store at one revision."""
 
     endpoints: tuple[Endpoint, ...]
     revision: int
+    #: Entries that name no backend, since others wrote them.
+    unreadable: tuple[EndpointGone, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class EndpointChanges:
     """What happened to backends between two revisions, in order."""
 
-    #: Pairs of a backend and whether its entry was removed.
-    changes: tuple[tuple[Endpoint, bool], ...]
+    changes: tuple[Endpoint | EndpointGone, ...]
     revision: int
 
 
--- a/tests/test_leaving_backends.py
+++ b/tests/test_leaving_backends.py
@@ -140,6 +140,17 @@
         followed.wait_chosen({"b-3"}, f"only b-3 is chosen beside {case}")
 
 
+def test_an_entry_that_cannot_be_read_hides_no_sound_backend(
+    make_followed: Callable[[], FollowedStore],
+) -> None:
+    for case, odd in UNREADABLE.items():
+        followed = make_followed()
+        followed.store.put("servers", "a-odd", odd)
+        followed.start()
+        sound = {"b-1", "b-2", "b-3"}
+        followed.wait_chosen(sound, f"the sound are chosen beside {case}")
+
+
 def test_a_silent_connection_to_the_store_hides_a_leaving_no_longer_than_is_granted(
     followed: FollowedStore,
 ) -> None:
