An item that is no JSON is left out, and the page around it read

The reader of a page stops at the first item that is no JSON: half a surrogate pair, NaN, lists nested 5,000 deep. Ruled out: repairing the text with the standard library's reader; it would take such an entry for a sound one with null in it. Changed: where a page cannot be read at once it is split by strings and brackets, and each item is read or left out by itself.

--- a/src/canvasyoke/platform/_endpoints.py
+++ b/src/canvasyoke/platform/_endpoints.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from canvasyoke.platform._json_parts import PartsError, object_parts
 from canvasyoke.state import (
     Endpoint,
     EndpointChanges,
@@ -22,6 +23,8 @@
     Unusable,
 )
 
+#: What reading what others wrote may raise; nested lists without end are the last.
+UNREADABLE: Final = (msgspec.MsgspecError, PartsError, RecursionError)
 #: Longest name or other text taken; what processes tell each other has the same limit.
 _LONGEST_TEXT: Final = 200
 _STATES: Final = {"ready": EndpointState.READY, "draining": EndpointState.LEAVING}
@@ -43,15 +46,6 @@
     spec: msgspec.Raw = msgspec.field(name="Spec", default=msgspec.Raw(b"null"))
 
 
-class _NamedObject(msgspec.Struct, frozen=True):
-    meta: Metadata = msgspec.field(name="Metadata")
-
-
-class _Event(msgspec.Struct, frozen=True):
-    object: msgspec.Raw
-    gone: bool = False
-
-
 class _Server(msgspec.Struct, frozen=True):
     """All that a backend writes; it always writes all of it, but for its start."""
 
@@ -69,14 +63,13 @@
     """Return the object in ``data``, or what it is called where only that can be read."""
     try:
         return msgspec.json.decode(data, type=StoredObject)
-    except msgspec.MsgspecError as exc:
+    except UNREADABLE as exc:
         fault = str(exc)
     try:
-        # Bytes that are no text are replaced, so that at least the name can be told.
-        named = msgspec.json.decode(data.decode(errors="replace"), type=_NamedObject)
-    except msgspec.MsgspecError:
+        meta = msgspec.json.decode(object_parts(data)["Metadata"], type=Metadata)
+    except (*UNREADABLE, KeyError):
         return Unusable(f"an object without a name that can be read: {fault}")
-    return EndpointGone(named.meta.name, named.meta.revision, fault)
+    return EndpointGone(meta.name, meta.revision, fault)
 
 
 def read_list(items: Iterable[bytes], revision: int) -> EndpointList:
@@ -117,12 +110,13 @@
 
 def _read_event(data: bytes) -> Endpoint | EndpointGone | Unusable:
     try:
-        event = msgspec.json.decode(data, type=_Event)
-    except msgspec.MsgspecError as exc:
+        parts = object_parts(data)
+        item, is_gone = parts["object"], msgspec.json.decode(parts.get("gone", b"false"), type=bool)
+    except (*UNREADABLE, KeyError) as exc:
         return Unusable(f"an event cannot be read: {exc}")
-    if not event.gone:
-        return _read_endpoint(bytes(event.object))
-    removed = read_object(bytes(event.object))
+    if not is_gone:
+        return _read_endpoint(item)
+    removed = read_object(item)
     if isinstance(removed, StoredObject):
         return EndpointGone(removed.meta.name, removed.meta.revision)
     return removed
@@ -135,7 +129,7 @@
     name, revision = found.meta.name, found.meta.revision
     try:
         server = msgspec.json.decode(found.spec, type=_Server)
-    except msgspec.MsgspecError as exc:
+    except UNREADABLE as exc:
         return EndpointGone(name, revision, str(exc))
     if not _is_address(server.address):
         return EndpointGone(name, revision, f"no address: {server.address}")
--- a/src/canvasyoke/platform/_store.py
+++ b/src/canvasyoke/platform/_store.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from typing import Any, Final
+from typing import Any, Final, TypeVar
 from urllib.parse import quote, urlencode
 
 import msgspec
@@ -14,7 +14,14 @@
 
 from canvasyoke._clock import SECOND
 from canvasyoke.platform._config import decode_table
-from canvasyoke.platform._endpoints import StoredObject, read_changes, read_list, read_object
+from canvasyoke.platform._endpoints import (
+    UNREADABLE,
+    StoredObject,
+    read_changes,
+    read_list,
+    read_object,
+)
+from canvasyoke.platform._json_parts import list_parts, object_parts
 from canvasyoke.state import (
     FLEET_STORES,
     EndpointGone,
@@ -48,15 +55,19 @@
 _CONFIG_NAME: Final = "main"
 
 
-class _Page(msgspec.Struct, frozen=True):
-    items: list[msgspec.Raw] = msgspec.field(name="Items")
+class _Rest(msgspec.Struct, frozen=True):
+    """What an answer with several items says beside them."""
+
     revision: int = msgspec.field(name="at")
     more: bool | str = False
 
 
-class _Events(msgspec.Struct, frozen=True):
-    events: list[msgspec.Raw]
-    revision: int = msgspec.field(name="at")
+class _Page(_Rest, frozen=True, kw_only=True):
+    items: list[msgspec.Raw] = msgspec.field(name="Items")
+
+
+class _Events(_Rest, frozen=True, kw_only=True):
+    items: list[msgspec.Raw] = msgspec.field(name="events")
 
 
 class _TableEvent(msgspec.Struct, frozen=True):
@@ -92,7 +103,7 @@
         seen = self._watch(_ENDPOINTS, after, wait)
         if not isinstance(seen, _Events):
             return seen
-        return read_changes(seen.events, seen.revision)
+        return read_changes([bytes(event) for event in seen.items], seen.revision)
 
     def table(self) -> TableSeen:
         """Return the configuration in the store."""
@@ -108,8 +119,8 @@
         if not isinstance(seen, _Events):
             return seen
         try:
-            events = [msgspec.json.decode(event, type=_TableEvent) for event in seen.events]
-        except msgspec.MsgspecError as exc:
+            events = [msgspec.json.decode(event, type=_TableEvent) for event in seen.items]
+        except UNREADABLE as exc:
             return Unusable(f"a change of the configuration cannot be read: {exc}")
         return _table_in([e.object for e in events if not e.gone], seen.revision)
 
@@ -169,10 +180,9 @@
                 return items, revision
             if answer.status != _OK:
                 return Unavailable(f"status {answer.status}")
-            try:
-                page = msgspec.json.decode(answer.data, type=_Page)
-            except msgspec.MsgspecError as exc:
-                return Unusable(f"a list of {kind} cannot be read: {exc}")
+            page = _read_parts(answer.data, _Page, "Items")
+            if isinstance(page, Unusable):
+                return Unusable(f"a list of {kind} cannot be read: {page.detail}")
             items.extend(bytes(item) for item in page.items)
             revision = revision or page.revision
             if not page.more or not page.items:
@@ -193,11 +203,10 @@
             return HistoryGone()
         if answer.status != _OK:
             return Unavailable(f"status {answer.status}")
-        try:
-            seen = msgspec.json.decode(answer.data, type=_Events)
-        except msgspec.MsgspecError as exc:
-            return Unusable(f"a watch of {kind} cannot be read: {exc}")
-        return seen if seen.events else NothingNew(seen.revision)
+        seen = _read_parts(answer.data, _Events, "events")
+        if isinstance(seen, Unusable):
+            return Unusable(f"a watch of {kind} cannot be read: {seen.detail}")
+        return seen if seen.items else NothingNew(seen.revision)
 
     def _call(
         self, method: str, path: str, body: bytes | None = None, timeout: int = _CALL_TIMEOUT
@@ -212,6 +221,33 @@
             return Unavailable(f"{type(exc).__name__}: {exc}", ambiguous=method != "GET")
 
 
+PartsT = TypeVar("PartsT", _Page, _Events)
+
+
+def _read_parts(data: bytes, kind: type[PartsT], items_name: str) -> PartsT | Unusable:
+    """Return an answer with several items, which are left as they stand.
+
+    An item that is no JSON does not keep the others from being read.
+    """
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except UNREADABLE as exc:
+        fault = str(exc)
+    try:
+        parts = object_parts(data)
+        rest = msgspec.json.decode(_without(parts, items_name), type=_Rest)
+        items = [msgspec.Raw(item) for item in list_parts(parts[items_name])]
+    except (*UNREADABLE, KeyError):
+        return Unusable(fault)
+    return kind(rest.revision, rest.more, items=items)
+
+
+def _without(parts: dict[str, bytes], left_out: str) -> bytes:
+    """Return an object without one of its values."""
+    kept = {name: msgspec.Raw(value) for name, value in parts.items() if name != left_out}
+    return msgspec.json.encode(kept)
+
+
 def _table_in(
     objects: Iterable[StoredObject | EndpointGone | Unusable], revision: int
 ) -> TableSeen:
--- a/src/canvasyoke/platform/tests/test_endpoints.py
+++ b/src/canvasyoke/platform/tests/test_endpoints.py
@@ -10,7 +10,15 @@
 from hypothesis import strategies as st
 
 from canvasyoke.platform._endpoints import read_changes, read_list
-from canvasyoke.state import Endpoint, EndpointChanges, EndpointGone, EndpointState, Unusable
+from canvasyoke.platform._store import ObjectsFleetStore
+from canvasyoke.state import (
+    Endpoint,
+    EndpointChanges,
+    EndpointGone,
+    EndpointList,
+    EndpointState,
+    Unusable,
+)
 
 SOUND: dict[str, Any] = {
     "Service": "shelf",
@@ -47,7 +55,7 @@
     assert [endpoint.id for endpoint in listed.endpoints] == ["a"]
 
 
-WRONG_FIELDS = [
+WRONG_FIELDS: list[tuple[str, list[Any]]] = [
     ("Service", [None, 7, "", [], "x" * 201]),
     ("Address", [None, 7, "", "10.0.0.1", "10.0.0.1:", ":80", "10.0.0.1:0", "10.0.0.1:65536"]),
     ("Address", ["host:80", "10.0.0:80", "10.0.0.1:8x", "0.0.0.0:80", "10.0.0.1:٣", "[::1]:80"]),
@@ -79,6 +87,10 @@
 
 
 UNREADABLE_OBJECTS = [
+    (b'{"Metadata":{"Name":"odd"},"Spec":{"Slots":NaN}}', "odd"),
+    (b'{"Metadata":{"Name":"odd"},"Spec":{"Slots":1e999}}', "odd"),
+    (b'{"Metadata":{"Name":"odd"},"Spec":{"Zone":"\\ud800"}}', "odd"),
+    (b'{"Metadata":{"Name":"odd"},"Spec":' + b"[" * 5_000 + b"]" * 5_000 + b"}", "odd"),
     (b'{"Metadata":{"Name":"odd","Revision":3},"Spec":{"Service":"\xff\xfe"}}', "odd"),
     (b'{"Metadata":{"Name":"odd","Revision":3}}', "odd"),
     (b'{"Metadata":{"Name":"odd","Revision":"3"},"Spec":null}', ""),
@@ -96,6 +108,38 @@
     assert [entry.id for entry in listed.unreadable] == [name, name]
 
 
+class _OneAnswer:
+    """A pool whose only answer is given."""
+
+    status = 200
+
+    def __init__(self, data: bytes) -> None:
+        self.data = data
+
+    def urlopen(self, *_args: Any, **_kwargs: Any) -> _OneAnswer:
+        return self
+
+
+@pytest.mark.parametrize(("item", "name"), UNREADABLE_OBJECTS)
+def test_a_page_or_a_watch_with_such_an_object_is_read(item: bytes, name: str) -> None:
+    store = ObjectsFleetStore("127.0.0.1:1")
+    sound = stored("a", SOUND)
+    page = b'{"Items":[' + item + b"," + sound + b'],"more":false,"at":9}'
+    store._pool = _OneAnswer(page)  # type: ignore[assignment]
+    listed = store.endpoints()
+    assert isinstance(listed, EndpointList)
+    assert [endpoint.id for endpoint in listed.endpoints] == ["a"]
+    assert [entry.id for entry in listed.unreadable] == [name]
+    watch = b'{"events":[' + event(item) + b"," + event(sound) + b'],"at":9}'
+    store._pool = _OneAnswer(watch)  # type: ignore[assignment]
+    seen = store.watch_endpoints(5, 10)
+    if name:
+        assert isinstance(seen, EndpointChanges)
+        assert [change.id for change in seen.changes] == [name, "a"]
+    else:
+        assert isinstance(seen, Unusable)
+
+
 def test_an_unreadable_entry_in_a_watch_is_told_by_its_name() -> None:
     odd = stored("odd", SOUND | {"Slots": "six"}, revision=8)
     changes = read_changes([event(odd), event(stored("a", SOUND, revision=9))], 9)
