A silent connection to the store is believed for 2.5 s, not for 7 s

A watch waited 5 s and was given up 2 s after that. All entries begin their watches together, since the same news ends them, so connections that fall silent together leave all of them without news for the same 7 s; the operator grants 3 s, and 2 s from a leaving. Class: silence is taken for calm for longer than is granted. Ruled out: keep-alive of the connection (a store that has lost an answer goes on acknowledging what arrives); watches of different lengths (a fleet of one). Before 7,000 ms, after 2,500 ms from the silence to the leaving being known, in simulated time on the real client, follower and roster.

--- a/src/canvasyoke/direct/_follower.py
+++ b/src/canvasyoke/direct/_follower.py
@@ -36,8 +36,10 @@
 
 _log = part_logger("store")
 #: Milliseconds that a watch waits. Each watch is a call that the store counts; a longer
-#: one would be noticed later when the store has gone silent.
-_WATCH: Final = 5 * SECOND
+#: one leaves a connection that has gone silent believed for longer. All entries begin
+#: their watches together, since the same news ends them, so none can tell the others: at
+#: 5 s, given up after 2 s more, a leaving stayed unknown to all of them for 7 s.
+_WATCH: Final = 1_800
 #: Milliseconds between looks of an entry that does not watch at whether it is to.
 _IDLE: Final = 100
 #: Milliseconds between calls that fail, doubled from the first to the second.
--- a/src/canvasyoke/platform/_store.py
+++ b/src/canvasyoke/platform/_store.py
@@ -42,6 +42,11 @@
 #: store answers in 4 ms; fifty times that when it is slow.
 _CONNECT_TIMEOUT: Final = 1 * SECOND
 _CALL_TIMEOUT: Final = 2 * SECOND
+#: Milliseconds after its end that a watch without an answer is believed to go on. The
+#: store answers within 240 ms when it is slow. A connection can fall silent for good
+#: without a reset; with the time that a watch waits this comes to 2.5 s, less than the 3 s
+#: after which the tightest operator holds an entry to what the store has told since.
+_WATCH_GRACE: Final = 700
 #: Connections kept: two watches and one call.
 _CONNECTIONS: Final = 3
 _OK: Final = 200
@@ -196,7 +201,7 @@
         self, kind: str, after: int, wait: int
     ) -> _Events | NothingNew | HistoryGone | Unavailable | Unusable:
         path = f"/objects/{kind}?watch={after}&WaitMs={wait}"
-        answer = self._call("GET", path, timeout=wait + _CALL_TIMEOUT)
+        answer = self._call("GET", path, timeout=wait + _WATCH_GRACE)
         if isinstance(answer, Unavailable):
             return answer
         if answer.status == _GONE:
