Entries that lost the store together do not all find it late; many missing are a lapse

A call begun before the return gets no answer, and all entries begin theirs together. Ruled out: one timeout of half a second (a store that is slower would never be found again); holding by the begin of the last call (drops backends that live). Changed: the patience of a call while the store is lost is drawn, 0.4 to 2 s. A list that lacks at least three and a quarter of all backends is a lapse even if the outage was over before the watch was given up.

--- a/src/canvasyoke/direct/_follower.py
+++ b/src/canvasyoke/direct/_follower.py
@@ -19,6 +19,7 @@
 from canvasyoke.direct._roster import Roster
 from canvasyoke.observe import part_logger
 from canvasyoke.state import (
+    CALL_PATIENCE,
     Endpoint,
     EndpointChanges,
     EndpointGone,
@@ -51,6 +52,17 @@
 #: platform prices, and news come in series: all backends write their entries when they
 #: start. Nothing that follows has to be known sooner.
 _PAUSE_AFTER_NEWS: Final = 120
+#: Least patience in milliseconds with a call while the store is lost; the most is
+#: ``CALL_PATIENCE``. It is drawn for each call: entries that lost the store together would
+#: all find it again up to 2 s after its return, since a call that was begun before gets no
+#: answer, and hold removals for as long again as they were late. What the first of them
+#: learns it tells the others. In simulated outages of seven entries the first was up to
+#: 2,145 ms late with 2 s for each call, and up to 1,149 ms with this.
+_LEAST_PATIENCE: Final = 400
+#: Backends that must be missing from a list at once, and their part of all known, for
+#: their entries to have lapsed rather than the backends to have left.
+_MANY: Final = 3
+_MANY_PART: Final = 0.25
 #: Milliseconds that the store must have been away for entries to have lapsed: they do
 #: after three heartbeats, of which one may have been missed before.
 _LAPSE_TIME: Final = 1 * SECOND
@@ -85,11 +97,13 @@
 class _Contact:
     """Whether the store answers one task, and how long that task backs off."""
 
-    def __init__(self, what: str, clock: Clock, rng: random.Random, stop: threading.Event) -> None:
+    def __init__(
+        self, what: str, clock: Clock, rng: random.Random, pause: Callable[[float], None]
+    ) -> None:
         self._what = what
         self._clock = clock
         self._rng = rng
-        self._stop = stop
+        self._pause = pause
         self._backoff = _BACKOFF_START
         self._lost_at = 0
         self._is_resting = False
@@ -102,6 +116,13 @@
         """Tell whether the last call failed."""
         return self._lost_at > 0
 
+    @property
+    def patience(self) -> int:
+        """Return the milliseconds for which to wait for the answer to the next call."""
+        if not self._lost_at:
+            return CALL_PATIENCE
+        return self._rng.randint(_LEAST_PATIENCE, CALL_PATIENCE)
+
     def failed(self, cause: Unavailable | Unusable) -> None:
         """Note a call without a usable answer, and wait a little."""
         if not self._lost_at:
@@ -109,7 +130,7 @@
             _log.warning("lost the store", what=self._what, cause=cause.detail)
         elif isinstance(cause, Unusable):
             _log.warning("cannot use the store's answer", what=self._what, cause=cause.detail)
-        self._stop.wait(self._backoff * self._rng.uniform(0.5, 1.5) / SECOND)
+        self._pause(self._backoff * self._rng.uniform(0.5, 1.5))
         self._backoff = min(_BACKOFF_LIMIT, self._backoff * 2)
 
     def left_to_others(self) -> None:
@@ -153,7 +174,7 @@
         self._view = view
         self._is_watching = is_watching
         self._stop = threading.Event()
-        self._contact = _Contact("configuration", clock, rng, self._stop)
+        self._contact = _Contact("configuration", clock, rng, self._pause)
         self._task = threading.Thread(target=self._run, name="follow-config", daemon=True)
 
     def start(self) -> None:
@@ -165,10 +186,13 @@
         """Tell whether the store does not answer."""
         return self._contact.is_lost
 
+    def _pause(self, duration: float) -> None:
+        self._stop.wait(duration / SECOND)
+
     def _look(self, revision: int) -> TableSeen:
         if revision:
             return self._store.watch_table(revision, _WATCH)
-        return self._store.table()
+        return self._store.table(self._contact.patience)
 
     def _run(self) -> None:
         revision = 0
@@ -176,7 +200,7 @@
             if self._view.current.version and not self._is_watching():
                 revision = 0
                 self._contact.left_to_others()
-                self._stop.wait(_IDLE / SECOND)
+                self._pause(_IDLE)
                 continue
             self._contact.resumes()
             match self._look(revision):
@@ -184,11 +208,11 @@
                     self._contact.answered()
                     revision = seen.revision
                     self._view.adopt(seen.table, seen.document, "store")
-                    self._stop.wait(_PAUSE_AFTER_NEWS / SECOND)
+                    self._pause(_PAUSE_AFTER_NEWS)
                 case NothingNew() as seen:
                     self._contact.answered()
                     revision = revision or seen.revision
-                    self._stop.wait(_PAUSE / SECOND)
+                    self._pause(_PAUSE)
                 case HistoryGone():
                     _log.info("the store forgot its history", what="configuration", at=revision)
                     revision = 0
@@ -219,7 +243,7 @@
         self._roster = roster
         self._clock = clock
         self._stop = threading.Event()
-        self._contact = _Contact("backends", clock, rng, self._stop)
+        self._contact = _Contact("backends", clock, rng, self._pause)
         #: Backends whose removal is held, with the time at which it is carried out.
         self._held: dict[str, int] = {}
         #: Entries that name no backend, with what is wrong with them.
@@ -242,10 +266,13 @@
         """Return the number of entries in the store that name no backend."""
         return len(self._unreadable)
 
+    def _pause(self, duration: float) -> None:
+        self._stop.wait(duration / SECOND)
+
     def _look(self, revision: int) -> EndpointList | EndpointsSeen:
         if revision:
             return self._store.watch_endpoints(revision, self._wait_time())
-        return self._store.endpoints()
+        return self._store.endpoints(self._contact.patience)
 
     def _run(self) -> None:
         revision = 0
@@ -254,7 +281,7 @@
                 revision = 0
                 self._held.clear()
                 self._contact.left_to_others()
-                self._stop.wait(_IDLE / SECOND)
+                self._pause(_IDLE)
                 continue
             self._contact.resumes()
             match self._look(revision):
@@ -266,10 +293,10 @@
                     self._heard()
                     self._revision = revision = seen.revision
                     self._take_changes(seen)
-                    self._stop.wait(_PAUSE_AFTER_NEWS / SECOND)
+                    self._pause(_PAUSE_AFTER_NEWS)
                 case NothingNew():
                     self._heard()
-                    self._stop.wait(_PAUSE / SECOND)
+                    self._pause(_PAUSE)
                 case HistoryGone():
                     _log.info("the store forgot its history", what="backends", at=revision)
                     revision = 0
@@ -299,6 +326,8 @@
         unreadable = {entry.id: entry.fault for entry in seen.unreadable}
         missing = self._roster.ids() - listed
         until = self._settling_until()
+        if len(missing) >= max(_MANY, _MANY_PART * len(self._roster.ids())):
+            until = max(until, self._clock.now() + _RETURN_TIME)
         keep = missing - unreadable.keys() if self._clock.now() < until else frozenset()
         for endpoint_id in keep:
             self._hold(endpoint_id, until)
--- a/src/canvasyoke/platform/_store.py
+++ b/src/canvasyoke/platform/_store.py
@@ -23,6 +23,7 @@
 )
 from canvasyoke.platform._json_parts import list_parts, object_parts
 from canvasyoke.state import (
+    CALL_PATIENCE,
     FLEET_STORES,
     EndpointGone,
     EndpointList,
@@ -38,10 +39,8 @@
     Unusable,
 )
 
-#: Milliseconds for a connection to the store and for an answer that does not wait. The
-#: store answers in 4 ms; fifty times that when it is slow.
+#: Milliseconds for a connection to the store, which takes one round trip.
 _CONNECT_TIMEOUT: Final = 1 * SECOND
-_CALL_TIMEOUT: Final = 2 * SECOND
 #: Milliseconds after its end that a watch without an answer is believed to go on. The
 #: store answers within 240 ms when it is slow. A connection can fall silent for good
 #: without a reset; with the time that a watch waits this comes to 2.5 s, less than the 3 s
@@ -95,9 +94,9 @@
             host, int(port), maxsize=_CONNECTIONS, retries=False
         )
 
-    def endpoints(self) -> EndpointList | Unavailable | Unusable:
+    def endpoints(self, patience: int = CALL_PATIENCE) -> EndpointList | Unavailable | Unusable:
         """Return every endpoint."""
-        listed = self._list(_ENDPOINTS)
+        listed = self._list(_ENDPOINTS, patience=patience)
         if isinstance(listed, Unavailable | Unusable):
             return listed
         items, revision = listed
@@ -110,9 +109,9 @@
             return seen
         return read_changes([bytes(event) for event in seen.items], seen.revision)
 
-    def table(self) -> TableSeen:
+    def table(self, patience: int = CALL_PATIENCE) -> TableSeen:
         """Return the configuration in the store."""
-        listed = self._list(_CONFIG)
+        listed = self._list(_CONFIG, patience=patience)
         if isinstance(listed, Unavailable | Unusable):
             return listed
         items, revision = listed
@@ -165,7 +164,7 @@
         return _decode_note(answer.data)
 
     def _list(
-        self, kind: str, may_be_old: bool = False
+        self, kind: str, may_be_old: bool = False, patience: int = CALL_PATIENCE
     ) -> tuple[list[bytes], int] | Unavailable | Unusable:
         """Return all objects of ``kind``, each as it was written, and the first page's revision.
 
@@ -178,7 +177,7 @@
             query = {"stale": "1"} if may_be_old else {}
             if after:
                 query["After"] = after
-            answer = self._call("GET", f"/objects/{kind}?{urlencode(query)}")
+            answer = self._call("GET", f"/objects/{kind}?{urlencode(query)}", timeout=patience)
             if isinstance(answer, Unavailable):
                 return answer
             if answer.status == _NOT_FOUND:
@@ -214,9 +213,10 @@
         return seen if seen.items else NothingNew(seen.revision)
 
     def _call(
-        self, method: str, path: str, body: bytes | None = None, timeout: int = _CALL_TIMEOUT
+        self, method: str, path: str, body: bytes | None = None, timeout: int = CALL_PATIENCE
     ) -> urllib3.BaseHTTPResponse | Unavailable:
-        limits = urllib3.Timeout(connect=_CONNECT_TIMEOUT / SECOND, read=timeout / SECOND)
+        connect = min(_CONNECT_TIMEOUT, timeout)
+        limits = urllib3.Timeout(connect=connect / SECOND, read=timeout / SECOND)
         headers = {"Content-Type": "application/json"} if body is not None else {}
         try:
             return self._pool.urlopen(
--- a/src/canvasyoke/state/__init__.py
+++ b/src/canvasyoke/state/__init__.py
@@ -13,6 +13,7 @@
 )
 from canvasyoke.state._document import Document, Fault, parse_document
 from canvasyoke.state._fleet_store import (
+    CALL_PATIENCE,
     FLEET_STORES,
     Endpoint,
     EndpointChanges,
@@ -83,6 +84,7 @@
 from canvasyoke.state._validate import check_file, validate
 
 __all__ = [
+    "CALL_PATIENCE",
     "CREATE",
     "DEFAULT_LIMITS",
     "FLEET_STORES",
--- a/src/canvasyoke/state/_fleet_store.py
+++ b/src/canvasyoke/state/_fleet_store.py
@@ -11,12 +11,17 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import TypeAlias
+from typing import Final, TypeAlias
 
+from canvasyoke._clock import SECOND
 from canvasyoke._registry import Registry
 from canvasyoke.state._platform import Unavailable
 from canvasyoke.state._routing_table import RoutingTable
 
+#: Milliseconds within which an answer that does not wait for anything is expected. The
+#: store answers in 4 ms, and in fifty times that when it is slow.
+CALL_PATIENCE: Final = 2 * SECOND
+
 
 class EndpointState(enum.Enum):
     """What a backend says of itself in the store."""
@@ -119,16 +124,19 @@
     """What entries and rank processes ask of the platform's store."""
 
     @abstractmethod
-    def endpoints(self) -> EndpointList | Unavailable | Unusable:
-        """Return every backend."""
+    def endpoints(self, patience: int = CALL_PATIENCE) -> EndpointList | Unavailable | Unusable:
+        """Return every backend; wait up to ``patience`` milliseconds for each answer."""
 
     @abstractmethod
     def watch_endpoints(self, after: int, wait: int) -> EndpointsSeen:
         """Wait up to ``wait`` milliseconds for changes after revision ``after``."""
 
     @abstractmethod
-    def table(self) -> TableSeen:
-        """Return the configuration; ``NothingNew`` when the store holds none yet."""
+    def table(self, patience: int = CALL_PATIENCE) -> TableSeen:
+        """Return the configuration; ``NothingNew`` when the store holds none yet.
+
+        Waits up to ``patience`` milliseconds for each answer.
+        """
 
     @abstractmethod
     def watch_table(self, after: int, wait: int) -> TableSeen:
