What is seen of a backend is kept by its start, not by its name

Cause: a backend may start again under its name and then knows nothing of before. Ejection, silence, pace, group and requests under way were filed by name: what had been seen of the start before was said of the new one, and requests that ended late took from the new one's count. Ruled out: passing over word of a start that began earlier by its own clock (clocks go back; the store's order of revisions decides). Changed: Endpoint.started, read at the border, told among entries; a run has a name of its own under which the roster, loads, groups, pace and attempts are kept; the list itself stays by the name of the entry. Without a start a run at another address counts as another.

--- a/src/canvasyoke/direct/_call.py
+++ b/src/canvasyoke/direct/_call.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from typing import TypeAlias
 
+from canvasyoke.direct._choice import Chosen
 from canvasyoke.state import TableRoute
 from canvasyoke.transport import ExchangeSlot
 
@@ -63,25 +64,23 @@
 class Tried:
     """One attempt, for the log."""
 
-    #: Id of the backend.
-    backend: str
+    chosen: Chosen
     #: What became of it.
     outcome: str
     #: Milliseconds that it took.
     took: int
-    #: Requests that the backend was thought to have.
-    load: int
-    #: Revision of the word of the backend that the choice was made on, for how many
-    #: milliseconds it had been known, and how long ago the list was in step.
-    revision: int = 0
-    heard_ago: int = 0
-    list_age: int = 0
+
+    @property
+    def run(self) -> str:
+        """Return the run of the backend."""
+        return self.chosen.endpoint.run
 
     def __str__(self) -> str:
         """Return what the line of its request says of it."""
+        chosen = self.chosen
         return (
-            f"{self.backend} load={self.load} revision={self.revision} "
-            f"heard={self.heard_ago}ms list={self.list_age}ms {self.took}ms {self.outcome}"
+            f"{self.run} load={chosen.load} revision={chosen.endpoint.revision} "
+            f"heard={chosen.heard_ago}ms list={chosen.list_age}ms {self.took}ms {self.outcome}"
         )
 
 
@@ -131,7 +130,7 @@
     #: Whether the retry that follows has been taken from the budget already.
     retry_paid: bool = False
     tried: list[Tried] = field(default_factory=list)
-    #: Ids of the backends that the request was sent to.
+    #: Runs of the backends that the request was sent to.
     sent_to: set[str] = field(default_factory=set)
     #: Time on the clock of the first piece of the answer and of the last; 0 before them.
     first_piece_at: int = 0
@@ -140,7 +139,7 @@
     longest_gap: int = 0
     #: The exchange under way; lets the watch over callers end it.
     slot: ExchangeSlot | None = None
-    #: Backend that the exchange is with, and when it began.
+    #: Run of the backend that the exchange is with, and when it began.
     backend: str = ""
     sent_at: int = 0
     #: Whether the exchange has brought anything.
--- a/src/canvasyoke/direct/_forwarder.py
+++ b/src/canvasyoke/direct/_forwarder.py
@@ -118,7 +118,7 @@
         return self._roster.choose(
             Wanted(
                 service=call.service,
-                tried=frozenset(tried.backend for tried in call.tried),
+                tried=frozenset(tried.run for tried in call.tried),
                 patience=_patience(call),
             )
         )
@@ -131,23 +131,23 @@
         endpoint = chosen.endpoint
         call.slot = ExchangeSlot()
         call.retry_paid = False
-        call.backend, call.sent_at = endpoint.id, began
+        call.backend, call.sent_at = endpoint.run, began
         call.has_begun = call.is_unanswered = call.is_moved = False
         if call.gone():
             call.slot.shut()
         sent = self._port.send(endpoint, self._outbound(call), _CONNECT_TIMEOUT, call.slot)
         self._note_reach(call, endpoint, sent)
         if not isinstance(sent, NotRun) or sent.cause is not NotRunCause.UNREACHABLE:
-            call.sent_to.add(endpoint.id)
+            call.sent_to.add(endpoint.run)
         failure: NotRun | MayHaveRun | None
         if isinstance(sent, NotRun | MayHaveRun):
             failure = sent
         else:
             if sent.load is not None:
-                self._roster.load_seen(endpoint.id, sent.load)
+                self._roster.load_seen(endpoint.run, sent.load)
             call.may_have_run = True
             try:
-                failure = yield from self._relay(call, sent, endpoint.id)
+                failure = yield from self._relay(call, sent, endpoint.run)
             finally:
                 sent.close()
         self._note(call, chosen, failure, self._clock.now() - began)
@@ -183,7 +183,7 @@
         self, call: DirectCall, chosen: Chosen, failure: NotRun | MayHaveRun | None, took: int
     ) -> None:
         """Tell the roster and the log what became of an attempt."""
-        backend = chosen.endpoint.id
+        backend = chosen.endpoint.run
         if isinstance(failure, NotRun) and failure.cause is not NotRunCause.UNREACHABLE:
             if failure.cause is NotRunCause.MOVED:
                 self._roster.moved(backend)
@@ -193,24 +193,14 @@
             self._roster.cancelled(backend)
         else:
             self._roster.finished(backend, took, failed=failure is not None)
-        if isinstance(failure, NotRun) and failure.at_fault not in ("", backend):
+        if isinstance(failure, NotRun) and failure.at_fault not in ("", chosen.endpoint.id):
             self._roster.group_broke(backend)
         if isinstance(failure, MayHaveRun):
             call.may_have_run = True
             if call.route.is_stream and not (call.gone() or call.is_moved or call.is_unanswered):
                 self._roster.group_broke(backend)
         outcome = "answered" if failure is None else failure.detail
-        call.tried.append(
-            Tried(
-                backend,
-                outcome,
-                took,
-                chosen.load,
-                chosen.endpoint.revision,
-                chosen.heard_ago,
-                chosen.list_age,
-            )
-        )
+        call.tried.append(Tried(chosen, outcome, took))
 
     def _may_go_on(self, call: DirectCall, failure: NotRun | MayHaveRun) -> bool:
         if isinstance(failure, MayHaveRun) and not call.route.repeatable:
@@ -392,7 +382,7 @@
     """
     if not isinstance(cause, NotRun):
         return False
-    lacks_rank = cause.at_fault not in ("", call.tried[-1].backend)
+    lacks_rank = cause.at_fault not in ("", call.tried[-1].chosen.endpoint.id)
     return lacks_rank or cause.cause is NotRunCause.MOVED
 
 
--- a/src/canvasyoke/direct/_group_learner.py
+++ b/src/canvasyoke/direct/_group_learner.py
@@ -60,17 +60,17 @@
             grouped = frozenset(s.name for s in services if s.geometry is not None)
             for endpoint in self._due(self._roster.without_group(grouped)):
                 group = self._port.group_of(endpoint)
-                if group is not None and self._roster.learn_group(endpoint.id, group):
-                    self._on_learned(endpoint.id, group)
-                    _log.info("group learned", backend=endpoint.id, group=group)
+                if group is not None and self._roster.learn_group(endpoint.run, group):
+                    self._on_learned(endpoint.run, group)
+                    _log.info("group learned", backend=endpoint.run, group=group)
 
     def _due(self, missing: list[Endpoint]) -> list[Endpoint]:
         """Return the backends that this entry asks now."""
         now = self._clock.now()
         since = self._missing_since
-        self._missing_since = {e.id: since.get(e.id, now) for e in missing}
+        self._missing_since = {e.run: since.get(e.run, now) for e in missing}
         mine = self._roster.domain if self._is_watching() else ""
-        overdue = [e for e in missing if now - self._missing_since[e.id] >= _PATIENCE]
+        overdue = [e for e in missing if now - self._missing_since[e.run] >= _PATIENCE]
         for endpoint in overdue:
-            self._missing_since[endpoint.id] = now
+            self._missing_since[endpoint.run] = now
         return [e for e in missing if e.domain == mine or e in overdue]
--- a/src/canvasyoke/direct/_pace_watch.py
+++ b/src/canvasyoke/direct/_pace_watch.py
@@ -60,13 +60,13 @@
         for service, longest in self._limits():
             for endpoint in self._roster.in_slow_groups(service, longest):
                 pace = self._port.pace_of(endpoint)
-                was_slow = self._roster.is_slow(endpoint.id)
+                was_slow = self._roster.is_slow(endpoint.run)
                 if pace is None or (pace < _SLOW and not was_slow):
                     continue
                 told = pace if pace >= _SLOW else 1.0
-                if self._roster.learn_pace(endpoint.id, told):
-                    self._on_learned(endpoint.id, told)
-                    _log.info("pace learned", backend=endpoint.id, pace=told)
+                if self._roster.learn_pace(endpoint.run, told):
+                    self._on_learned(endpoint.run, told)
+                    _log.info("pace learned", backend=endpoint.run, pace=told)
 
     def _limits(self) -> Iterator[tuple[str, int]]:
         """Yield the services of groups with the longest pause that their routes allow."""
--- a/src/canvasyoke/direct/_peers.py
+++ b/src/canvasyoke/direct/_peers.py
@@ -397,6 +397,7 @@
         gone=change.gone,
         revision=change.revision,
         was_lost=change.was_lost,
+        started=endpoint.started,
     )
 
 
@@ -409,4 +410,5 @@
         slots=news.slots,
         state=EndpointState.LEAVING if news.leaving else EndpointState.READY,
         revision=news.revision,
+        started=news.started,
     )
--- a/src/canvasyoke/direct/_roster.py
+++ b/src/canvasyoke/direct/_roster.py
@@ -102,7 +102,9 @@
     _is_isolated: bool = False
     _lock: threading.Lock = field(default_factory=threading.Lock)
     _known: KnownBackends = field(default_factory=KnownBackends)
+    #: By run, and the run by the name of the entry.
     _members: dict[str, _Member] = field(default_factory=dict)
+    _runs: dict[str, str] = field(default_factory=dict)
     _peers: PeerLoads = field(default_factory=PeerLoads)
     #: Time on the clock at which the list was last known to be in step with the store;
     #: before any list the time at which this was made.
@@ -186,20 +188,39 @@
         """Begin and end to keep what is seen of backends."""
         for change in changes:
             endpoint = change.endpoint
-            member = self._members.get(endpoint.id)
+            if change.gone or not self._is_same_run(endpoint):
+                self._forget(endpoint.id)
             if change.gone:
-                self._members.pop(endpoint.id, None)
-                self._groups.forget(endpoint.id)
-                self._health.forget(endpoint.id)
-            elif member is None:
-                now = self.clock.now()
-                self._members[endpoint.id] = _Member(endpoint, Ejection(self.clock), now)
+                continue
+            now = self.clock.now()
+            member = self._members.get(endpoint.run)
+            if member is None:
+                self._runs[endpoint.id] = endpoint.run
+                self._members[endpoint.run] = _Member(endpoint, Ejection(self.clock), now)
             else:
-                member.endpoint, member.heard_at = endpoint, self.clock.now()
+                member.endpoint, member.heard_at = endpoint, now
         if changes:
             self._deal()
         return changes
 
+    def _is_same_run(self, endpoint: Endpoint) -> bool:
+        """Tell whether what was seen of a backend is of this run of it.
+
+        A run that does not say when it started is another one at another address.
+        """
+        known = self._members.get(self._runs.get(endpoint.id, ""))
+        return known is not None and (known.endpoint.run, known.endpoint.address) == (
+            endpoint.run,
+            endpoint.address,
+        )
+
+    def _forget(self, endpoint_id: str) -> None:
+        run = self._runs.pop(endpoint_id, None)
+        if run is not None:
+            del self._members[run]
+            self._groups.forget(run)
+            self._health.forget(run)
+
     def set_fleet(self, fleet: FleetView) -> None:
         """Take note of which entries choose among the same backends."""
         with self._lock:
@@ -233,7 +254,7 @@
     def ids(self) -> frozenset[str]:
         """Return the ids of all backends known."""
         with self._lock:
-            return frozenset(self._members)
+            return frozenset(self._runs)
 
     def endpoints(self) -> list[Endpoint]:
         """Return all backends known."""
@@ -282,7 +303,7 @@
         return member.own + self._others(member)
 
     def _others(self, member: _Member) -> int:
-        told = self._peers.of(member.endpoint.id)
+        told = self._peers.of(member.endpoint.run)
         if self._fleet.hears_all and self._peers.entries:
             return told
         # Entries of other domains do not tell their load here.
@@ -293,7 +314,7 @@
         now = self.clock.now()
         endpoint = member.endpoint
         return Candidate(
-            instance=endpoint.id,
+            instance=endpoint.run,
             domain=endpoint.domain,
             service=endpoint.service,
             connected=True,
@@ -302,8 +323,8 @@
             ejected=(
                 member.ejection.ejected
                 or now < member.paused_until
-                or self._health.is_silent(endpoint.id)
-                or self._groups.stands_still(endpoint.id)
+                or self._health.is_silent(endpoint.run)
+                or self._groups.stands_still(endpoint.run)
                 or self._domains.is_cut(endpoint.domain)
             ),
             slots=endpoint.slots,
@@ -314,20 +335,20 @@
             own_reported=member.own,
             own=member.own,
             duration=round(member.duration),
-            pace=self._groups.pace(endpoint.id, fastest) * self._health.pace(endpoint.id),
-            is_home=endpoint.id in self._home,
+            pace=self._groups.pace(endpoint.run, fastest) * self._health.pace(endpoint.run),
+            is_home=endpoint.run in self._home,
         )
 
     def is_away(self, service: str) -> bool:
         """Tell whether every group of a service stands still."""
         with self._lock:
             ready = [m for m in self._members.values() if m.endpoint.service == service]
-            return bool(ready) and all(self._groups.stands_still(m.endpoint.id) for m in ready)
+            return bool(ready) and all(self._groups.stands_still(m.endpoint.run) for m in ready)
 
     def domain_missed(self, endpoint: Endpoint) -> None:
         """Take note that no connection was made to a backend."""
         with self._lock:
-            if self._domains.missed(endpoint.domain, endpoint.id):
+            if self._domains.missed(endpoint.domain, endpoint.run):
                 _log.warning("domain out of reach", domain=endpoint.domain, own=self.domain)
 
     def domain_reached(self, domain: str) -> None:
@@ -364,14 +385,14 @@
 
     def _answers(self, endpoint: Endpoint) -> bool:
         is_cut = self._domains.is_cut(endpoint.domain)
-        return not is_cut and not self._groups.stands_still(endpoint.id)
+        return not is_cut and not self._groups.stands_still(endpoint.run)
 
     def has_other(self, service: str, tried: frozenset[str]) -> bool:
         """Tell whether a service has a backend besides those tried."""
         with self._lock:
             return any(
                 m.endpoint.service == service
-                and m.endpoint.id not in tried
+                and m.endpoint.run not in tried
                 and m.endpoint.state is EndpointState.READY
                 for m in self._members.values()
             )
@@ -382,15 +403,15 @@
             return [
                 m.endpoint
                 for m in self._members.values()
-                if m.endpoint.service in services and not self._groups.is_learned(m.endpoint.id)
+                if m.endpoint.service in services and not self._groups.is_learned(m.endpoint.run)
             ]
 
-    def learn_group(self, endpoint_id: str, group: str) -> bool:
+    def learn_group(self, run: str, group: str) -> bool:
         """Take note of a backend's group, empty when it is in none; false if known."""
         with self._lock:
-            if endpoint_id not in self._members or self._groups.is_learned(endpoint_id):
+            if run not in self._members or self._groups.is_learned(run):
                 return False
-            self._groups.learn(endpoint_id, group)
+            self._groups.learn(run, group)
             return True
 
     def groups(self) -> dict[str, str]:
@@ -398,25 +419,25 @@
         with self._lock:
             return self._groups.learned()
 
-    def group_broke(self, endpoint_id: str) -> None:
+    def group_broke(self, run: str) -> None:
         """Take note that the group of a backend has lost a rank."""
         with self._lock:
-            self._groups.broke(endpoint_id)
+            self._groups.broke(run)
 
-    def learn_pace(self, endpoint_id: str, pace: float) -> bool:
+    def learn_pace(self, run: str, pace: float) -> bool:
         """Take note of how long a backend takes for its work; false if that is no news."""
         with self._lock:
-            return endpoint_id in self._members and self._health.learn_pace(endpoint_id, pace)
+            return run in self._members and self._health.learn_pace(run, pace)
 
-    def is_slow(self, endpoint_id: str) -> bool:
+    def is_slow(self, run: str) -> bool:
         """Tell whether a backend is known to take longer than it should."""
         with self._lock:
-            return self._health.pace(endpoint_id) > 1.0
+            return self._health.pace(run) > 1.0
 
-    def crawls(self, endpoint_id: str) -> bool:
+    def crawls(self, run: str) -> bool:
         """Tell whether a backend is so slow that its streams had better go on elsewhere."""
         with self._lock:
-            return self._health.crawls(endpoint_id)
+            return self._health.crawls(run)
 
     def in_slow_groups(self, service: str, longest_pause: int) -> list[Endpoint]:
         """Return the backends of this domain whose groups pause for longer than they may.
@@ -432,15 +453,15 @@
             return [
                 e
                 for e in near
-                if self._groups.pause(e.id) > longest_pause or self._health.pace(e.id) > 1.0
+                if self._groups.pause(e.run) > longest_pause or self._health.pace(e.run) > 1.0
             ]
 
-    def fell_silent(self, endpoint_id: str) -> bool:
+    def fell_silent(self, run: str) -> bool:
         """Take note that a backend says nothing; false if that is known."""
         with self._lock:
-            return endpoint_id in self._members and self._health.fell_silent(endpoint_id)
+            return run in self._members and self._health.fell_silent(run)
 
-    def is_overdue(self, endpoint_id: str, waited: int) -> bool:
+    def is_overdue(self, run: str, waited: int) -> bool:
         """Tell whether a stream has waited for its first event for too long.
 
         That says nothing while the group stands still: then no backend of it answers. Nor
@@ -448,47 +469,47 @@
         group were passed over, and the rest crowded more.
         """
         with self._lock:
-            member = self._members.get(endpoint_id)
-            if member is None or not self._groups.makes_steps(endpoint_id):
+            member = self._members.get(run)
+            if member is None or not self._groups.makes_steps(run):
                 return False
             if self._load(member) > member.endpoint.slots:
                 return False
-            return self._health.is_overdue(endpoint_id, member.endpoint.service, waited)
+            return self._health.is_overdue(run, member.endpoint.service, waited)
 
-    def stream_began(self, endpoint_id: str, waited: int) -> None:
+    def stream_began(self, run: str, waited: int) -> None:
         """Take note of the first event of a stream, after a wait for it."""
         with self._lock:
-            self._groups.stream_began(endpoint_id)
-            member = self._members.get(endpoint_id)
+            self._groups.stream_began(run)
+            member = self._members.get(run)
             if member is not None:
-                self._health.began(endpoint_id, member.endpoint.service, waited)
+                self._health.began(run, member.endpoint.service, waited)
 
-    def stream_heard(self, endpoint_id: str, pause: int) -> None:
+    def stream_heard(self, run: str, pause: int) -> None:
         """Take note of a further event, ``pause`` milliseconds after the one before."""
         with self._lock:
-            self._groups.heard(endpoint_id, pause)
-            if endpoint_id in self._members:
-                self._health.heard(endpoint_id)
+            self._groups.heard(run, pause)
+            if run in self._members:
+                self._health.heard(run)
 
-    def stream_ended(self, endpoint_id: str) -> None:
+    def stream_ended(self, run: str) -> None:
         """Take note that a stream has ended or broken off."""
         with self._lock:
-            self._groups.stream_ended(endpoint_id)
+            self._groups.stream_ended(run)
 
-    def load_seen(self, endpoint_id: str, load: ReportedLoad) -> None:
+    def load_seen(self, run: str, load: ReportedLoad) -> None:
         """Take note of the load that a backend told on an answer."""
         with self._lock:
-            member = self._members.get(endpoint_id)
+            member = self._members.get(run)
             if member is None:
                 return
             # The request that the answer belongs to may or may not be counted in it.
             member.others = max(0, load.running + load.waiting - member.own)
             member.reported_at = self.clock.now()
 
-    def finished(self, endpoint_id: str, duration: int, failed: bool) -> None:
+    def finished(self, run: str, duration: int, failed: bool) -> None:
         """Take note that a request is no longer under way there."""
         with self._lock:
-            member = self._members.get(endpoint_id)
+            member = self._members.get(run)
             if member is None:
                 return
             member.own = max(0, member.own - 1)
@@ -501,28 +522,28 @@
             mean = self._durations.get(service, float(duration))
             self._durations[service] = mean + _DURATION_WEIGHT * (duration - mean)
 
-    def cancelled(self, endpoint_id: str) -> None:
+    def cancelled(self, run: str) -> None:
         """Take note that the caller of a request there has left.
 
         That says nothing of the backend, and how long the request took nothing of others.
         """
         with self._lock:
-            member = self._members.get(endpoint_id)
+            member = self._members.get(run)
             if member is not None:
                 member.own = max(0, member.own - 1)
 
-    def moved(self, endpoint_id: str) -> None:
+    def moved(self, run: str) -> None:
         """Take note that another run has the address of this one."""
         with self._lock:
-            member = self._members.get(endpoint_id)
+            member = self._members.get(run)
             if member is not None:
                 member.own = max(0, member.own - 1)
                 member.paused_until = self.clock.now() + _MOVED_PAUSE
 
-    def refused(self, endpoint_id: str, pause: int) -> None:
+    def refused(self, run: str, pause: int) -> None:
         """Take note that a backend turned a request away unrun; pass it over for a while."""
         with self._lock:
-            member = self._members.get(endpoint_id)
+            member = self._members.get(run)
             if member is not None:
                 member.own = max(0, member.own - 1)
                 member.paused_until = self.clock.now() + pause
--- a/src/canvasyoke/direct/tests/fleet_model.py
+++ b/src/canvasyoke/direct/tests/fleet_model.py
@@ -234,16 +234,25 @@
         place = next(p for p in self.places if p.name == name)
         self.entries[name] = SimEntry(place, self.store, self.clock)
 
-    def change(self, backend: str, state: EndpointState | None) -> None:
-        """Change a backend in the store."""
+    def change(self, backend: str, state: EndpointState | None, starts_again: bool = False) -> None:
+        """Change a backend in the store; it may have started again under its name."""
         self.revision += 1
+        known = self.truth.get(backend)
+        started = known.started if known is not None else 0
         if state is None:
             gone = self.truth.pop(backend, None)
             if gone is not None:
                 self.history.append(BackendChange(gone, True, self.revision))
             return
         endpoint = Endpoint(
-            backend, "ink", f"10.9.0.1:{backend}", "domain-0", 3, state, self.revision
+            backend,
+            "ink",
+            f"10.9.0.1:{backend}",
+            "domain-0",
+            3,
+            state,
+            self.revision,
+            self.revision if starts_again else started,
         )
         self.truth[backend] = endpoint
         self.history.append(BackendChange(endpoint, False, self.revision))
--- a/src/canvasyoke/direct/tests/test_forwarder.py
+++ b/src/canvasyoke/direct/tests/test_forwarder.py
@@ -127,7 +127,7 @@
         CannedPort(lambda: answers.pop(0)), roster, budget, clock, random.Random(1)
     )
     pieces = [piece for piece in forwarder.run(call) if isinstance(piece, bytes)]
-    return pieces, [tried.backend for tried in call.tried]
+    return pieces, [tried.run for tried in call.tried]
 
 
 def test_a_stream_goes_on_elsewhere_when_its_backend_crawls(roster: Roster) -> None:
--- a/src/canvasyoke/direct/tests/test_roster.py
+++ b/src/canvasyoke/direct/tests/test_roster.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 
 import pytest
@@ -33,6 +34,11 @@
     return roster
 
 
+def again(name: str, revision: int, started: int) -> Endpoint:
+    """Return the entry of a backend that tells its start."""
+    return dataclasses.replace(endpoint(name), revision=revision, started=started)
+
+
 def choose(roster: Roster, *tried: str) -> str:
     chosen = roster.choose(Wanted("ink", frozenset(tried)))
     return chosen.endpoint.id if isinstance(chosen, Chosen) else ""
@@ -275,3 +281,84 @@
     assert roster.is_isolated()
     roster.domain_reached("nbo-b")
     assert not roster.is_isolated()
+
+
+def used(roster: Roster) -> set[str]:
+    """Return the backends that requests go to while none of them ends."""
+    return {choose(roster) for _ in range(6)}
+
+
+def fail_often(roster: Roster, run: str) -> None:
+    for _ in range(20):
+        roster.finished(run, 10, failed=True)
+
+
+@pytest.mark.parametrize("way", ["put", "list", "news", "gone and back"])
+def test_nothing_that_was_seen_of_one_start_is_said_of_the_next(roster: Roster, way: str) -> None:
+    """The new start has no group, no failures, no silence and no requests under way."""
+    roster.put(again("a", 6, started=100))
+    roster.learn_group("a@100", "g-1")
+    fail_often(roster, "a@100")
+    assert roster.fell_silent("a@100")
+    assert used(roster) == {"b"}
+    new = again("a", 8, started=50)
+    match way:
+        case "put":
+            roster.put(new)
+        case "list":
+            roster.merge_from_store([new, endpoint("b")], 9)
+        case "news":
+            assert roster.hear(BackendChange(new, False, 8))
+        case _:
+            roster.remove("a", 7)
+            roster.put(new)
+    assert "a" in used(roster)
+    assert roster.ids() == {"a", "b"}
+    assert {e.run for e in roster.without_group(frozenset({"ink"}))} == {"a@50", "b"}
+
+
+def test_late_word_of_the_start_before_does_not_touch_the_new_one(roster: Roster) -> None:
+    roster.put(again("a", 6, started=100))
+    roster.remove("b", 7)
+    assert [choose(roster) for _ in range(3)] == ["a"] * 3
+    roster.put(again("a", 8, started=200))
+    assert [choose(roster) for _ in range(2)] == ["a"] * 2
+    for _ in range(3):
+        roster.finished("a@100", 10, failed=True)
+    fail_often(roster, "a@100")
+    assert not roster.fell_silent("a@100")
+    assert not roster.learn_group("a@100", "g-1")
+    assert not roster.learn_pace("a@100", 9.0)
+    assert roster.own_load() == {"a@200": 2}
+    assert choose(roster) == "a"
+
+
+def test_another_start_may_be_tried_where_nothing_has_run(roster: Roster) -> None:
+    roster.put(again("a", 6, started=100))
+    roster.remove("b", 7)
+    assert choose(roster, "a@100") == ""
+    roster.put(again("a", 8, started=200))
+    assert choose(roster, "a@100") == "a"
+
+
+def test_one_that_does_not_tell_its_start_is_another_at_another_address(roster: Roster) -> None:
+    fail_often(roster, "a")
+    assert used(roster) == {"b"}
+    roster.put(dataclasses.replace(endpoint("a"), revision=7))
+    assert used(roster) == {"b"}
+    roster.put(dataclasses.replace(endpoint("a"), revision=8, address="127.0.0.1:99"))
+    assert "a" in used(roster)
+
+
+def test_a_change_of_state_keeps_what_was_seen(roster: Roster) -> None:
+    roster.put(again("a", 6, started=100))
+    assert roster.learn_group("a@100", "g-1")
+    roster.put(again("a", 7, started=100))
+    assert roster.groups() == {"a@100": "g-1"}
+
+
+def test_a_removal_that_is_older_than_what_is_known_is_no_news(roster: Roster) -> None:
+    """A held removal is carried out as of what its own watch has seen; others may know more."""
+    roster.put(endpoint("a", 9))
+    assert roster.remove("a", 8) == []
+    assert "a" in roster.ids()
--- a/src/canvasyoke/direct/tests/test_spread.py
+++ b/src/canvasyoke/direct/tests/test_spread.py
@@ -214,9 +214,10 @@
     @rule(
         backend=st.integers(0, 7),
         state=st.sampled_from([EndpointState.READY, EndpointState.LEAVING, None]),
+        starts_again=st.booleans(),
     )
-    def change(self, backend: int, state: EndpointState | None) -> None:
-        self.fleet.change(f"b-{backend}", state)
+    def change(self, backend: int, state: EndpointState | None, starts_again: bool) -> None:
+        self.fleet.change(f"b-{backend}", state, starts_again)
 
     @rule(turns=st.integers(1, 6))
     def wait(self, turns: int) -> None:
@@ -254,6 +255,8 @@
             known = {backend: state for backend, (_, state) in entry.knows().items()}
             true = {e.id: e.state.name for e in self.fleet.truth.values()}
             assert known == true, name
+            runs = {e.run for e in entry.roster.endpoints()}
+            assert runs == {e.run for e in self.fleet.truth.values()}, name
 
     @invariant()
     def nothing_goes_back(self) -> None:
--- a/src/canvasyoke/platform/_endpoints.py
+++ b/src/canvasyoke/platform/_endpoints.py
@@ -57,6 +57,7 @@
     state: Literal["ready", "draining"] = msgspec.field(name="State")
     cold_remaining: float = msgspec.field(name="ColdRemainingMs")
     sequence: int = msgspec.field(name="Sequence")
+    started: Annotated[int, msgspec.Meta(ge=0)] = msgspec.field(name="born", default=0)
 
 
 def read_object(data: bytes) -> StoredObject | EndpointGone | Unusable:
@@ -141,6 +142,7 @@
         slots=server.slots,
         state=_STATES[server.state],
         revision=revision,
+        started=server.started,
     )
 
 
--- a/src/canvasyoke/platform/tests/test_endpoints.py
+++ b/src/canvasyoke/platform/tests/test_endpoints.py
@@ -50,6 +50,11 @@
     )
 
 
+def test_a_start_is_told_where_it_stands() -> None:
+    (endpoint,) = read_list([stored("a", SOUND | {"born": 1_764_720_000_000})], 9).endpoints
+    assert (endpoint.started, endpoint.run) == (1_764_720_000_000, "a@1764720000000")
+
+
 def test_a_field_that_nobody_named_does_no_harm() -> None:
     listed = read_list([stored("a", SOUND | {"Models": [{"Name": "m"}], "Stage": "dual"})], 9)
     assert [endpoint.id for endpoint in listed.endpoints] == ["a"]
@@ -65,6 +70,7 @@
     ("State", [None, "warming", "Ready", "", 1, True]),
     ("ColdRemainingMs", [None, "0", []]),
     ("Sequence", [None, "4", 0.5]),
+    ("born", [None, "1764720000000", 0.5, -1, True]),
 ]
 
 
--- a/src/canvasyoke/protocol/_messages.py
+++ b/src/canvasyoke/protocol/_messages.py
@@ -398,6 +398,8 @@
     revision: Count
     #: Whether the store's watch had left it out, so that it was found in a list.
     was_lost: bool = False
+    #: Its start by its own clock; 0 if it does not say.
+    started: Count = 0
 
 
 class BackendList(msgspec.Struct, frozen=True, tag="backend_list"):
--- a/src/canvasyoke/state/_fleet_store.py
+++ b/src/canvasyoke/state/_fleet_store.py
@@ -34,7 +34,7 @@
 class Endpoint:
     """One run of an engine or of a plain service's server."""
 
-    #: Name of this run; a restart has another.
+    #: Name of its entry. A restart may have the same.
     id: str
     service: str
     #: ``IP:PORT``; after the end of this run another service's server may get it.
@@ -45,6 +45,18 @@
     state: EndpointState
     #: Revision of the store at which this came to be.
     revision: int = 0
+    #: Its start by its own clock, in milliseconds since 1970-01-01 UTC; 0 if it does not
+    #: say. Only whether two are the same counts: clocks go back.
+    started: int = 0
+
+    @property
+    def run(self) -> str:
+        """Return the name under which all that is seen of this run is kept.
+
+        A restart under the same name knows nothing of before, and nothing that was seen
+        before says anything of it.
+        """
+        return f"{self.id}@{self.started}" if self.started else self.id
 
 
 @dataclass(frozen=True, slots=True)
