A note that cannot be read is passed over and named

Notes of entries and of ranks were read without a guard: one broken note ended the task with which an entry finds the others, and kept an owner from reading where its ranks are. Looked through for the same: the configuration (a document that cannot be read leaves the one in force, by test), the link key (empty until it can be read), owners (only the revision counts), answers of engines (each alone).

--- a/src/canvasyoke/direct/_entry_notes.py
+++ b/src/canvasyoke/direct/_entry_notes.py
@@ -9,7 +9,14 @@
 from canvasyoke._clock import SECOND, Clock
 from canvasyoke.membership import Place
 from canvasyoke.observe import part_logger
-from canvasyoke.state import FleetStore, Note, read_link_key
+from canvasyoke.state import (
+    FleetStore,
+    Note,
+    NotedAddress,
+    Unusable,
+    read_link_key,
+    read_note,
+)
 
 _log = part_logger("peers")
 #: Milliseconds between looks into the store while there is something to find there.
@@ -23,7 +30,7 @@
 class _EntryNote(msgspec.Struct, frozen=True):
     """Where an entry listens for the others."""
 
-    peer: str
+    peer: NotedAddress
     #: Failure domain of the entry; empty in notes of older ones.
     domain: str = ""
 
@@ -37,6 +44,7 @@
         self._clock = clock
         self._is_noted = False
         self._looked_at = -_LOOK_EVERY
+        self._unreadable: set[Note] = set()
         #: The key that entries prove to each other that they are of one fleet; empty
         #: while the store has not given it.
         self.link_key = b""
@@ -64,9 +72,15 @@
         if not isinstance(notes, list):
             _log.warning("entries not listed", cause=notes.detail)
             return None
-        return [_place(note) for note in notes if note.name != self._own.name]
+        places = [self._place(note) for note in notes if note.name != self._own.name]
+        return [place for place in places if place is not None]
 
-
-def _place(note: Note) -> Place:
-    told = msgspec.json.decode(note.body, type=_EntryNote)
-    return Place(note.name, told.peer, told.domain)
+    def _place(self, note: Note) -> Place | None:
+        """Return where an entry is; a note that cannot be read is logged once."""
+        told = read_note(note, _EntryNote)
+        if not isinstance(told, Unusable):
+            return Place(note.name, told.peer, told.domain)
+        if note not in self._unreadable:
+            self._unreadable.add(note)
+            _log.warning("note of an entry passed over", cause=told.detail)
+        return None
--- a/src/canvasyoke/experts/_owner_link.py
+++ b/src/canvasyoke/experts/_owner_link.py
@@ -18,6 +18,7 @@
 from canvasyoke.experts._standby import STANDBY_RANK
 from canvasyoke.observe import part_logger
 from canvasyoke.protocol import Message, RankOrder, RankOrders
+from canvasyoke.state import NotedAddress
 from canvasyoke.transport import LinkClient, Session
 
 _log = part_logger("ranks")
@@ -33,8 +34,8 @@
 class RankNote(msgspec.Struct, frozen=True):
     """Where the process beside a rank listens, and where its engine does."""
 
-    peer: str
-    engine: str
+    peer: NotedAddress
+    engine: NotedAddress
     #: Failure domain; empty in notes of older processes.
     domain: str = ""
 
--- a/src/canvasyoke/experts/_process.py
+++ b/src/canvasyoke/experts/_process.py
@@ -37,9 +37,11 @@
     RankGeometry,
     RanksSettings,
     TableRead,
+    Unusable,
     WatchedFile,
     load_settings,
     read_link_key,
+    read_note,
 )
 from canvasyoke.transport import HttpServer, LinkServer, Session
 
@@ -202,8 +204,13 @@
             return self._notes
         for note in notes:
             name, _, rank = note.name.rpartition(".")
-            if name == group and rank.isdigit():
-                self._notes[int(rank)] = msgspec.json.decode(note.body, type=RankNote)
+            if name != group or not (rank.isascii() and rank.isdigit()):
+                continue
+            told = read_note(note, RankNote)
+            if isinstance(told, Unusable):
+                _log.warning("note of a rank passed over", cause=told.detail)
+            else:
+                self._notes[int(rank)] = told
         return self._notes
 
     def _make_relay(self) -> Relay:
--- a/src/canvasyoke/state/__init__.py
+++ b/src/canvasyoke/state/__init__.py
@@ -32,6 +32,7 @@
 from canvasyoke.state._keeper import ConfigKeeper, ConfigView, Snapshot
 from canvasyoke.state._link_key import read_link_key
 from canvasyoke.state._models import FileModel
+from canvasyoke.state._notes import NotedAddress, read_note
 from canvasyoke.state._platform import (
     CREATE,
     PLATFORMS,
@@ -123,6 +124,7 @@
     "InstanceState",
     "LogSettings",
     "Note",
+    "NotedAddress",
     "NothingNew",
     "Organisation",
     "Platform",
@@ -158,6 +160,7 @@
     "load_snapshot",
     "parse_document",
     "read_link_key",
+    "read_note",
     "read_root",
     "submit",
     "validate",
