What a list brings is logged as what a watch brings; two tests as real processes

Cause: a new test (all connections to the store silent, a leaving meanwhile) saw no line of the leaving: what a list changes was logged only where a backend had gone, so on call could not have seen when a leaving found by a list was known. Added: the line for each change, with its source; the stand-in store can leave its open connections silent; the two causes of the incident against real entries.

--- a/fakes/object_store.py
+++ b/fakes/object_store.py
@@ -38,9 +38,16 @@
     def __init__(self, store: ObjectStore) -> None:
         self.faults = StoreFaults()
         self.calls = 0
+        #: Connections that were opened before the last hush say nothing any more.
+        self._hushes = 0
+        self._closed = threading.Event()
         door = self
 
         class _Handler(Handler):
+            def setup(self) -> None:
+                super().setup()
+                self._opened_after = door._hushes
+
             def handle_request(
                 self, method: str, path: str, query: dict[str, str], body: bytes
             ) -> None:
@@ -53,6 +60,9 @@
                     self.reply(200, faults.garbage)
                     return
                 status, value = store.answer(method, path, query, body)
+                if self._opened_after < door._hushes:
+                    door._closed.wait()
+                    return
                 if (status, value) == _CUT or (faults.lose_writes and method != "GET"):
                     self.break_off()
                 else:
@@ -62,8 +72,13 @@
         self.address = f"127.0.0.1:{self._server.server_address[1]}"
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
 
+    def hush(self) -> None:
+        """Let the connections that are open fall silent for good, without a reset."""
+        self._hushes += 1
+
     def close(self) -> None:
         """Stop serving."""
+        self._closed.set()
         self._server.shutdown()
         self._server.server_close()
 
--- a/src/canvasyoke/direct/_follower.py
+++ b/src/canvasyoke/direct/_follower.py
@@ -336,10 +336,13 @@
         self._note_unreadable(unreadable)
         is_first = not self._roster.is_known
         for change in self._roster.merge_from_store(seen.endpoints, seen.revision, keep):
+            if is_first:
+                continue
+            self._on_news(change)
             if change.gone:
                 _log.info("backend gone", backend=change.endpoint.id, source="list")
-            if not is_first:
-                self._on_news(change)
+            else:
+                _log_changed(change.endpoint, source="list")
         _log.info("backends listed", count=len(listed), held=len(keep), revision=seen.revision)
 
     def _take_changes(self, seen: EndpointChanges) -> None:
@@ -359,13 +362,7 @@
         self._unreadable.pop(endpoint.id, None)
         self._roster.put(endpoint)
         self._on_news(BackendChange(endpoint, False, endpoint.revision))
-        _log.info(
-            "backend changed",
-            backend=endpoint.id,
-            state=endpoint.state.name,
-            service=endpoint.service,
-            revision=endpoint.revision,
-        )
+        _log_changed(endpoint, source="watch")
 
     def _take_removal(self, gone: EndpointGone) -> None:
         self._unreadable.pop(gone.id, None)
@@ -403,3 +400,14 @@
                 for change in self._roster.remove(endpoint_id, self._revision):
                     self._on_news(change)
                 _log.info("backend gone", backend=endpoint_id, source="did not come back")
+
+
+def _log_changed(endpoint: Endpoint, source: str) -> None:
+    _log.info(
+        "backend changed",
+        backend=endpoint.run,
+        state=endpoint.state.name,
+        service=endpoint.service,
+        revision=endpoint.revision,
+        source=source,
+    )
--- a/tests/test_direct_fleet.py
+++ b/tests/test_direct_fleet.py
@@ -136,6 +136,48 @@
     assert leaving.arrivals == []
 
 
+def test_a_leaving_is_learned_beside_entries_that_cannot_be_read(fleet: DirectFleet) -> None:
+    fleet.fill_store()
+    fleet.store.put("servers", "a-odd", None)
+    entry = fleet.add_entry()
+    entry.wait_ready()
+    fleet.store.put("servers", "z-odd", {"Service": "shelf", "Address": 7})
+    leaving = fleet.shelf[0]
+    fleet.store.put("servers", leaving.id, leaving.entry("shelf", "draining"))
+    wait_until(lambda: "LEAVING" in entry.logged(), "the leaving is told")
+    assert entry.metric("canvasyoke_entries_unreadable") == 2
+    assert entry.logged().count("entry names no backend") == 2
+    leaving.arrivals.clear()
+    for _ in range(10):
+        assert entry.call("/save/1").status == 200
+    assert leaving.arrivals == []
+    fleet.store.remove("servers", "a-odd")
+    wait_until(lambda: entry.metric("canvasyoke_entries_unreadable") == 1, "one is gone")
+
+
+def test_a_leaving_is_learned_though_all_connections_to_the_store_are_silent(
+    fleet: DirectFleet,
+) -> None:
+    fleet.fill_store()
+    entries = [fleet.add_entry(), fleet.add_entry()]
+    for entry in entries:
+        entry.wait_ready()
+    wait_until(lambda: fleet.store.watching["servers"] == 2, "both watch")
+    fleet.door.hush()
+    leaving = fleet.shelf[0]
+    fleet.store.put("servers", leaving.id, leaving.entry("shelf", "draining"))
+    for entry in entries:
+        wait_until(
+            lambda e=entry: "LEAVING" in e.logged() or '"leaving":true' in e.logged(),  # type: ignore[misc]
+            "the leaving is known",
+        )
+    leaving.arrivals.clear()
+    for entry in entries:
+        for _ in range(5):
+            assert entry.call("/save/1").status == 200
+    assert leaving.arrivals == []
+
+
 def test_a_group_that_lost_a_rank_is_passed_over_as_a_whole(fleet: DirectFleet) -> None:
     """Its ranks look idle and refuse at once; the second attempt goes to another group."""
     fleet.fill_store()
