A list goes on after a page that ends with an entry that cannot be read

Ruled out: trusting the order of names (a store may sort otherwise). Changed: the last name of the page that can be read, however long; a list that does not go on is unusable instead of read for ever. An object of which only the name can be read has a type of its own.

--- a/src/canvasyoke/direct/_follower.py
+++ b/src/canvasyoke/direct/_follower.py
@@ -280,6 +280,7 @@
             if self._roster.is_known and not self._is_watching():
                 revision = 0
                 self._held.clear()
+                self._unreadable = {}
                 self._contact.left_to_others()
                 self._pause(_IDLE)
                 continue
--- a/src/canvasyoke/platform/_endpoints.py
+++ b/src/canvasyoke/platform/_endpoints.py
@@ -9,6 +9,7 @@
 
 import ipaddress
 from collections.abc import Iterable
+from dataclasses import dataclass
 from typing import Annotated, Final, Literal
 
 import msgspec
@@ -46,6 +47,16 @@
     spec: msgspec.Raw = msgspec.field(name="Spec", default=msgspec.Raw(b"null"))
 
 
+@dataclass(frozen=True, slots=True)
+class UnreadableObject:
+    """An object of which only the store's own word can be read."""
+
+    name: str
+    revision: int
+    #: What is wrong with the rest.
+    fault: str
+
+
 class _Server(msgspec.Struct, frozen=True):
     """All that a backend writes; it always writes all of it, but for its start."""
 
@@ -60,7 +71,7 @@
     started: Annotated[int, msgspec.Meta(ge=0)] = msgspec.field(name="born", default=0)
 
 
-def read_object(data: bytes) -> StoredObject | EndpointGone | Unusable:
+def read_object(data: bytes) -> StoredObject | UnreadableObject | Unusable:
     """Return the object in ``data``, or what it is called where only that can be read."""
     try:
         return msgspec.json.decode(data, type=StoredObject)
@@ -70,7 +81,15 @@
         meta = msgspec.json.decode(object_parts(data)["Metadata"], type=Metadata)
     except (*UNREADABLE, KeyError):
         return Unusable(f"an object without a name that can be read: {fault}")
-    return EndpointGone(meta.name, meta.revision, fault)
+    return UnreadableObject(meta.name, meta.revision, fault)
+
+
+def read_name(data: bytes) -> str:
+    """Return an object's name, however long; empty when not even that can be read."""
+    try:
+        return msgspec.json.decode(object_parts(object_parts(data)["Metadata"])["Name"], type=str)
+    except (*UNREADABLE, KeyError):
+        return ""
 
 
 def read_list(items: Iterable[bytes], revision: int) -> EndpointList:
@@ -117,15 +136,20 @@
         return Unusable(f"an event cannot be read: {exc}")
     if not is_gone:
         return _read_endpoint(item)
-    removed = read_object(item)
-    if isinstance(removed, StoredObject):
-        return EndpointGone(removed.meta.name, removed.meta.revision)
-    return removed
+    match read_object(item):
+        case StoredObject(meta):
+            return EndpointGone(meta.name, meta.revision)
+        case UnreadableObject(name, revision):
+            return EndpointGone(name, revision)
+        case fault:
+            return fault
 
 
 def _read_endpoint(data: bytes) -> Endpoint | EndpointGone | Unusable:
     found = read_object(data)
-    if not isinstance(found, StoredObject):
+    if isinstance(found, UnreadableObject):
+        return EndpointGone(found.name, found.revision, found.fault)
+    if isinstance(found, Unusable):
         return found
     name, revision = found.meta.name, found.meta.revision
     try:
--- a/src/canvasyoke/platform/_store.py
+++ b/src/canvasyoke/platform/_store.py
@@ -17,15 +17,16 @@
 from canvasyoke.platform._endpoints import (
     UNREADABLE,
     StoredObject,
+    UnreadableObject,
     read_changes,
     read_list,
+    read_name,
     read_object,
 )
 from canvasyoke.platform._json_parts import list_parts, object_parts
 from canvasyoke.state import (
     CALL_PATIENCE,
     FLEET_STORES,
-    EndpointGone,
     EndpointList,
     EndpointsSeen,
     FleetStore,
@@ -191,8 +192,9 @@
             revision = revision or page.revision
             if not page.more or not page.items:
                 return items, revision
-            last = _name_of(items[-1])
-            if last <= after:
+            names = (read_name(bytes(item)) for item in reversed(page.items))
+            last = next((name for name in names if name not in ("", after)), "")
+            if not last:
                 return Unusable(f"a list of {kind} does not go on after {after}")
             after = last
 
@@ -254,7 +256,7 @@
 
 
 def _table_in(
-    objects: Iterable[StoredObject | EndpointGone | Unusable], revision: int
+    objects: Iterable[StoredObject | UnreadableObject | Unusable], revision: int
 ) -> TableSeen:
     """Return the newest configuration among ``objects``."""
     found: TableSeen = NothingNew(revision)
@@ -262,7 +264,7 @@
         match item:
             case StoredObject(meta, spec) if meta.name == _CONFIG_NAME:
                 found = _read_table(bytes(spec), revision)
-            case EndpointGone(name, _, fault) if name == _CONFIG_NAME:
+            case UnreadableObject(name, _, fault) if name == _CONFIG_NAME:
                 found = Unusable(f"the configuration cannot be read: {fault}")
     return found
 
@@ -272,16 +274,6 @@
     return table if isinstance(table, Unusable) else TableRead(table, revision, document)
 
 
-def _name_of(data: bytes) -> str:
-    """Return an object's name; empty when not even that can be read."""
-    match read_object(data):
-        case StoredObject(meta):
-            return meta.name
-        case EndpointGone(name):
-            return name
-    return ""
-
-
 def _note(item: StoredObject) -> Note:
     return Note(item.meta.name, item.meta.revision, bytes(item.spec))
 
@@ -291,7 +283,7 @@
     match read_object(data):
         case StoredObject() as item:
             return _note(item)
-        case EndpointGone(name, revision):
+        case UnreadableObject(name, revision):
             return Note(name, revision, data)
     return None
 
--- a/src/canvasyoke/platform/tests/test_endpoints.py
+++ b/src/canvasyoke/platform/tests/test_endpoints.py
@@ -146,6 +146,49 @@
         assert isinstance(seen, Unusable)
 
 
+class _Pages:
+    """A pool that answers with one page after another, and keeps what it was asked."""
+
+    def __init__(self, *pages: list[bytes]) -> None:
+        self.pages = list(pages)
+        self.asked: list[str] = []
+
+    def urlopen(self, _method: str, path: str, **_kwargs: Any) -> _OneAnswer:
+        self.asked.append(path)
+        items = b",".join(self.pages.pop(0))
+        more = json.dumps(bool(self.pages)).encode()
+        return _OneAnswer(b'{"Items":[' + items + b'],"more":' + more + b',"at":9}')
+
+
+#: What a first page of two ends with, and the name after which the second is asked for.
+ENDS = [
+    (stored("b", None), "b"),
+    (stored("x" * 201, SOUND), "x" * 201),
+    (b'{"Metadata":{"Name":"odd"},"Spec":NaN}', "odd"),
+    (b'{"Metadata":7}', "a"),
+    (b"null", "a"),
+]
+
+
+@pytest.mark.parametrize(("end", "after"), ENDS)
+def test_a_list_goes_on_after_a_page_that_ends_with_an_unreadable_entry(
+    end: bytes, after: str
+) -> None:
+    store = ObjectsFleetStore("127.0.0.1:1")
+    pool = _Pages([stored("a", SOUND), end], [stored("z", SOUND)])
+    store._pool = pool  # type: ignore[assignment]
+    listed = store.endpoints()
+    assert isinstance(listed, EndpointList)
+    assert [endpoint.id for endpoint in listed.endpoints] == ["a", "z"]
+    assert pool.asked[1].endswith(f"After={after}")
+
+
+def test_a_list_that_does_not_go_on_is_unusable_and_ends() -> None:
+    store = ObjectsFleetStore("127.0.0.1:1")
+    store._pool = _Pages([b"null"], [b"null"])  # type: ignore[assignment]
+    assert isinstance(store.endpoints(), Unusable)
+
+
 def test_an_unreadable_entry_in_a_watch_is_told_by_its_name() -> None:
     odd = stored("odd", SOUND | {"Slots": "six"}, revision=8)
     changes = read_changes([event(odd), event(stored("a", SOUND, revision=9))], 9)
--- a/tests/test_leaving_backends.py
+++ b/tests/test_leaving_backends.py
@@ -160,6 +160,17 @@
     assert followed.follower.unreadable == 1
 
 
+def test_an_unreadable_entry_is_not_taken_for_one_that_lapsed() -> None:
+    """A backend missing after an outage may come back; one whose entry was overwritten not."""
+    followed = FollowedStore()
+    followed.silence(1_000, 5_000)
+    followed.at(4_000, lambda: followed.store.put("servers", "b-1", {"Slots": 6}))
+    followed.at(4_000, lambda: followed.store.remove("servers", "b-2"))
+    followed.run_until(12_000)
+    assert followed.chosen() == {"b-3"}
+    assert followed.dropped_at["b-1"] + RETURN_BOUND < followed.dropped_at["b-2"]
+
+
 @pytest.mark.parametrize("begin", range(1_000, 3_000, 190))
 @pytest.mark.parametrize("state", ["draining", ""])
 def test_a_silent_connection_to_the_store_hides_a_leaving_no_longer_than_is_granted(
