Reading a change and choosing a backend do again what they need, and no more

Cause: found on reading the change again. Each event of a watch was split with a scanner meant for what cannot be read, and each choice built the name of a run several times for every backend; the two followers of the store had their task, pause and state of contact written twice. Ruled out: keeping the name of a run in the roster as well (state twice).

--- a/src/canvasyoke/direct/_follower.py
+++ b/src/canvasyoke/direct/_follower.py
@@ -11,6 +11,7 @@
 
 import random
 import threading
+from abc import ABC, abstractmethod
 from collections.abc import Callable
 from typing import Final
 
@@ -159,23 +160,14 @@
             self._lost_at = 0
 
 
-class TableFollower:
-    """Follows the configuration."""
+class _Follower(ABC):
+    """A task that follows one kind of object."""
 
-    def __init__(
-        self,
-        store: FleetStore,
-        view: TableView,
-        is_watching: Callable[[], bool],
-        clock: Clock,
-        rng: random.Random,
-    ) -> None:
-        self._store = store
-        self._view = view
-        self._is_watching = is_watching
+    def __init__(self, what: str, clock: Clock, rng: random.Random) -> None:
+        self._clock = clock
         self._stop = threading.Event()
-        self._contact = _Contact("configuration", clock, rng, self._pause)
-        self._task = threading.Thread(target=self._run, name="follow-config", daemon=True)
+        self._contact = _Contact(what, clock, rng, self._pause)
+        self._task = threading.Thread(target=self._run, name=f"follow-{what}", daemon=True)
 
     def start(self) -> None:
         """Start following."""
@@ -189,6 +181,27 @@
     def _pause(self, duration: float) -> None:
         self._stop.wait(duration / SECOND)
 
+    @abstractmethod
+    def _run(self) -> None:
+        """Follow until stopped."""
+
+
+class TableFollower(_Follower):
+    """Follows the configuration."""
+
+    def __init__(
+        self,
+        store: FleetStore,
+        view: TableView,
+        is_watching: Callable[[], bool],
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        super().__init__("configuration", clock, rng)
+        self._store = store
+        self._view = view
+        self._is_watching = is_watching
+
     def _look(self, revision: int) -> TableSeen:
         if revision:
             return self._store.watch_table(revision, _WATCH)
@@ -221,7 +234,7 @@
                     self._contact.failed(seen)
 
 
-class EndpointFollower:
+class EndpointFollower(_Follower):
     """Follows the list of backends.
 
     While the store is away the entries of living backends lapse. A removal seen within
@@ -237,38 +250,23 @@
         clock: Clock,
         rng: random.Random,
     ) -> None:
+        super().__init__("backends", clock, rng)
         self._on_news = on_news
         self._is_watching = is_watching
         self._store = store
         self._roster = roster
-        self._clock = clock
-        self._stop = threading.Event()
-        self._contact = _Contact("backends", clock, rng, self._pause)
         #: Backends whose removal is held, with the time at which it is carried out.
         self._held: dict[str, int] = {}
         #: Entries that name no backend, with what is wrong with them.
         self._unreadable: dict[str, str] = {}
         #: Newest revision of the store seen.
         self._revision = 0
-        self._task = threading.Thread(target=self._run, name="follow-backends", daemon=True)
-
-    def start(self) -> None:
-        """Start following."""
-        self._task.start()
-
-    @property
-    def is_lost(self) -> bool:
-        """Tell whether the store does not answer."""
-        return self._contact.is_lost
 
     @property
     def unreadable(self) -> int:
         """Return the number of entries in the store that name no backend."""
         return len(self._unreadable)
 
-    def _pause(self, duration: float) -> None:
-        self._stop.wait(duration / SECOND)
-
     def _look(self, revision: int) -> EndpointList | EndpointsSeen:
         if revision:
             return self._store.watch_endpoints(revision, self._wait_time())
--- a/src/canvasyoke/platform/_endpoints.py
+++ b/src/canvasyoke/platform/_endpoints.py
@@ -57,6 +57,11 @@
     fault: str
 
 
+class _Event(msgspec.Struct, frozen=True):
+    object: msgspec.Raw
+    gone: bool = False
+
+
 class _Server(msgspec.Struct, frozen=True):
     """All that a backend writes; it always writes all of it, but for its start."""
 
@@ -129,12 +134,11 @@
 
 
 def _read_event(data: bytes) -> Endpoint | EndpointGone | Unusable:
-    try:
-        parts = object_parts(data)
-        item, is_gone = parts["object"], msgspec.json.decode(parts.get("gone", b"false"), type=bool)
-    except (*UNREADABLE, KeyError) as exc:
-        return Unusable(f"an event cannot be read: {exc}")
-    if not is_gone:
+    event = _split_event(data)
+    if isinstance(event, Unusable):
+        return event
+    item = bytes(event.object)
+    if not event.gone:
         return _read_endpoint(item)
     match read_object(item):
         case StoredObject(meta):
@@ -145,6 +149,20 @@
             return fault
 
 
+def _split_event(data: bytes) -> _Event | Unusable:
+    """Return an event with its object as it stands, which need not be JSON."""
+    try:
+        return msgspec.json.decode(data, type=_Event)
+    except UNREADABLE:
+        pass  # what is wrong may be in the object alone
+    try:
+        parts = object_parts(data)
+        is_gone = msgspec.json.decode(parts.get("gone", b"false"), type=bool)
+        return _Event(msgspec.Raw(parts["object"]), is_gone)
+    except (*UNREADABLE, KeyError) as exc:
+        return Unusable(f"an event cannot be read: {exc}")
+
+
 def _read_endpoint(data: bytes) -> Endpoint | EndpointGone | Unusable:
     found = read_object(data)
     if isinstance(found, UnreadableObject):
--- a/src/canvasyoke/state/_fleet_store.py
+++ b/src/canvasyoke/state/_fleet_store.py
@@ -10,7 +10,7 @@
 import enum
 from abc import ABC, abstractmethod
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final, TypeAlias
 
 from canvasyoke._clock import SECOND
@@ -48,15 +48,14 @@
     #: Its start by its own clock, in milliseconds since 1970-01-01 UTC; 0 if it does not
     #: say. Only whether two are the same counts: clocks go back.
     started: int = 0
-
-    @property
-    def run(self) -> str:
-        """Return the name under which all that is seen of this run is kept.
-
-        A restart under the same name knows nothing of before, and nothing that was seen
-        before says anything of it.
-        """
-        return f"{self.id}@{self.started}" if self.started else self.id
+    #: Name under which all that is seen of this run is kept. A restart under the same name
+    #: knows nothing of before, and nothing that was seen before says anything of it. Worked
+    #: out once: each choice among backends asks for it several times a backend.
+    run: str = field(init=False, compare=False, default="")
+
+    def __post_init__(self) -> None:
+        run = f"{self.id}@{self.started}" if self.started else self.id
+        object.__setattr__(self, "run", run)
 
 
 @dataclass(frozen=True, slots=True)
