The log tells whether calls are one request, and whether its backend ended

Cause: no line joined calls with different ids, and an engine's end looked like any reset. Logged as 'exchange broke', counted by what became of the backend. A time-out, an exchange that was ended from here and an answer that is none say nothing and are not tried. Decisions are as before.

--- a/src/canvasyoke/backend/_direct.py
+++ b/src/canvasyoke/backend/_direct.py
@@ -44,6 +44,9 @@
     """The request may have run, and there is no answer."""
 
     detail: str
+    #: Whether the connection ended before a whole answer had come; not when time ran out
+    #: or what came cannot be the answer.
+    is_broken: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/canvasyoke/direct/_call.py
+++ b/src/canvasyoke/direct/_call.py
@@ -8,6 +8,7 @@
 from typing import TypeAlias
 
 from canvasyoke.direct._choice import Chosen
+from canvasyoke.direct._fingerprint import fingerprint
 from canvasyoke.state import TableRoute
 from canvasyoke.transport import ExchangeSlot
 
@@ -148,6 +149,15 @@
     is_unanswered: bool = False
     #: Whether it was ended because the backend is too slow.
     is_moved: bool = False
+    #: Digest of what it asks for; empty until it was asked for.
+    _fingerprint: str = ""
+
+    @property
+    def fingerprint(self) -> str:
+        """Return what it has in common with others that a backend cannot tell from it."""
+        if not self._fingerprint:
+            self._fingerprint = fingerprint(self.method, self.target, self.organisation, self.body)
+        return self._fingerprint
 
     @property
     def lateness(self) -> Lateness:
--- a/src/canvasyoke/direct/_forwarder.py
+++ b/src/canvasyoke/direct/_forwarder.py
@@ -22,6 +22,7 @@
     Sending,
 )
 from canvasyoke.direct._admission import NO_LIMIT
+from canvasyoke.direct._break_examiner import BreakExaminer
 from canvasyoke.direct._budget import FleetRetryBudget
 from canvasyoke.direct._call import (
     AnswerEnd,
@@ -84,12 +85,14 @@
         port: DirectBackendPort,
         roster: Roster,
         budget: FleetRetryBudget,
+        breaks: BreakExaminer,
         clock: Clock,
         rng: random.Random,
     ) -> None:
         self._port = port
         self._roster = roster
         self._budget = budget
+        self._breaks = breaks
         self._clock = clock
         self._rng = rng
 
@@ -151,6 +154,8 @@
             finally:
                 sent.close()
         self._note(call, chosen, failure, self._clock.now() - began)
+        if isinstance(failure, MayHaveRun) and failure.is_broken and not _was_ended(call):
+            self._breaks.examine(call, endpoint, failure.detail)
         return failure
 
     def _note_reach(self, call: DirectCall, endpoint: Endpoint, sent: Sending) -> None:
@@ -197,7 +202,7 @@
             self._roster.group_broke(backend)
         if isinstance(failure, MayHaveRun):
             call.may_have_run = True
-            if call.route.is_stream and not (call.gone() or call.is_moved or call.is_unanswered):
+            if call.route.is_stream and not _was_ended(call):
                 self._roster.group_broke(backend)
         outcome = "answered" if failure is None else failure.detail
         call.tried.append(Tried(chosen, outcome, took))
@@ -274,7 +279,7 @@
                     return MayHaveRun("the answer is too long to collect")
                 answer.wait_at_most(self._time_left(call))
         except ExchangeError as exc:
-            return MayHaveRun(f"the answer broke off: {exc}")
+            return MayHaveRun(f"the answer broke off: {exc}", is_broken=not exc.is_late)
         head = AnswerHead(answer.status, answer.headers, len(body))
         if answer.status >= _SERVER_ERROR and self._worth_repeating(call):
             call.kept = KeptAnswer(head, bytes(body))
@@ -331,12 +336,12 @@
                     return MayHaveRun("the backend is too slow for the stream")
                 answer.wait_at_most(self._time_left(call))
         except ExchangeError as exc:
-            return MayHaveRun(f"the stream broke off: {exc}")
+            return MayHaveRun(f"the stream broke off: {exc}", is_broken=not exc.is_late)
         finally:
             if heard_at:
                 self._roster.stream_ended(backend)
         if cutter.has_rest:
-            return MayHaveRun("the stream ended within an event")
+            return MayHaveRun("the stream ended within an event", is_broken=True)
         if not call.delivered:
             yield AnswerHead(answer.status, answer.headers, None)
         return None
@@ -372,6 +377,11 @@
         return call.deadline - self._clock.now() + _BACKEND_GRACE
 
 
+def _was_ended(call: DirectCall) -> bool:
+    """Tell whether the last exchange was ended from here, which says nothing of the backend."""
+    return call.is_moved or call.is_unanswered or call.gone()
+
+
 def _is_lasting(call: DirectCall, cause: NotRun | MayHaveRun | NoneAble) -> bool:
     """Tell whether what kept a request from running takes seconds to mend.
 
--- a/src/canvasyoke/direct/_metrics.py
+++ b/src/canvasyoke/direct/_metrics.py
@@ -23,6 +23,16 @@
             "canvasyoke_late_total", "Whole answers that were late, by cause.", "cause"
         )
 
+        self._breaks = self.all.counter(
+            "canvasyoke_broken_exchanges_total",
+            "Exchanges that ended before their answer, by what became of the backend.",
+            "backend",
+        )
+
+    def broke(self, fate: str) -> None:
+        """Count an exchange that broke off, by what became of its backend."""
+        self._breaks.add(fate)
+
     def piece(self, call: DirectCall, now: int) -> None:
         """Time the first piece of an answer, and the pauses after it."""
         if not call.first_piece_at:
--- a/src/canvasyoke/direct/_process.py
+++ b/src/canvasyoke/direct/_process.py
@@ -11,6 +11,7 @@
 
 from canvasyoke._clock import SECOND, Clock, SystemClock
 from canvasyoke.backend import DIRECT_BACKENDS
+from canvasyoke.direct._break_examiner import BreakExaminer
 from canvasyoke.direct._budget import FleetRetryBudget, RetryAllowance
 from canvasyoke.direct._caller_port import CALLER_PORTS
 from canvasyoke.direct._callers import MAX_HELD, DirectCallers
@@ -101,7 +102,8 @@
             rng,
         )
         port = DIRECT_BACKENDS.get(settings.adapter)()
-        forwarder = Forwarder(port, self._roster, self._budget, self._clock, rng)
+        breaks = BreakExaminer(self._roster, self._metrics)
+        forwarder = Forwarder(port, self._roster, self._budget, breaks, self._clock, rng)
         self._groups = GroupLearner(
             port,
             self._roster,
--- a/src/canvasyoke/direct/_roster.py
+++ b/src/canvasyoke/direct/_roster.py
@@ -256,6 +256,12 @@
         with self._lock:
             return frozenset(self._runs)
 
+    def is_ready(self, run: str) -> bool:
+        """Tell whether a run is listed and has not said that it leaves."""
+        with self._lock:
+            member = self._members.get(run)
+            return member is not None and member.endpoint.state is EndpointState.READY
+
     def endpoints(self) -> list[Endpoint]:
         """Return all backends known."""
         with self._lock:
--- a/src/canvasyoke/direct/tests/calls.py
+++ b/src/canvasyoke/direct/tests/calls.py
@@ -2,12 +2,19 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable
 
+from canvasyoke._clock import Clock
 from canvasyoke.backend import DirectBackendPort, OutboundRequest, Sending
+from canvasyoke.direct._break_examiner import BreakExaminer
+from canvasyoke.direct._budget import FleetRetryBudget
 from canvasyoke.direct._call import DirectCall
+from canvasyoke.direct._forwarder import Forwarder
+from canvasyoke.direct._metrics import DirectMetrics
+from canvasyoke.direct._roster import Roster
 from canvasyoke.state import Endpoint, Repeatability, ServiceShare, TableRoute
-from canvasyoke.transport import ExchangeSlot
+from canvasyoke.transport import ExchangeSlot, Reach
 
 ROUTE = TableRoute(
     name="r",
@@ -41,6 +48,18 @@
         return ""
 
 
+def make_forwarder(
+    port: DirectBackendPort,
+    roster: Roster,
+    budget: FleetRetryBudget,
+    clock: Clock,
+    reach: Reach = Reach.LISTENING,
+) -> Forwarder:
+    """Return a forwarder that finds each backend whose exchange broke as ``reach`` says."""
+    breaks = BreakExaminer(roster, DirectMetrics(), lambda _address, _timeout: reach)
+    return Forwarder(port, roster, budget, breaks, clock, random.Random(1))
+
+
 def make_call(route: TableRoute = ROUTE, time_left: int = 8_000) -> DirectCall:
     return DirectCall(
         request_id="q",
--- /dev/null
+++ b/src/canvasyoke/direct/tests/test_break_examiner.py
@@ -0,0 +1,70 @@
+"""What an exchange that broke says of its backend."""
+
+from __future__ import annotations
+
+import random
+import socket
+
+import pytest
+
+from canvasyoke._clock import ManualClock
+from canvasyoke.direct._break_examiner import BackendFate, BreakExaminer
+from canvasyoke.direct._fingerprint import fingerprint
+from canvasyoke.direct._metrics import DirectMetrics
+from canvasyoke.direct._roster import Roster
+from canvasyoke.direct.tests.calls import make_call
+from canvasyoke.state import Endpoint, EndpointState
+from canvasyoke.transport import Reach, reach
+
+READY = Endpoint("b-1", "ink", "10.0.0.1:1", "nbo-a", 6, EndpointState.READY, 1)
+LEAVING = Endpoint("b-2", "ink", "10.0.0.2:1", "nbo-a", 6, EndpointState.LEAVING, 1)
+UNLISTED = Endpoint("b-3", "ink", "10.0.0.3:1", "nbo-a", 6, EndpointState.READY, 1)
+
+#: The backend, what a try to connect shows, and what has become of it.
+FATES = [
+    ("its end", READY, Reach.REFUSED, BackendFate.ENDED),
+    ("a reset, or a group that lost another rank", READY, Reach.LISTENING, BackendFate.LISTENS),
+    ("a cut, or a lost packet", READY, Reach.SILENT, BackendFate.UNKNOWN),
+    ("a planned end", LEAVING, Reach.REFUSED, BackendFate.LEAVING),
+    ("an end that had no word", UNLISTED, Reach.REFUSED, BackendFate.LEAVING),
+]
+
+
+@pytest.mark.parametrize(
+    ("backend", "shown", "expected"), [f[1:] for f in FATES], ids=[f[0] for f in FATES]
+)
+def test_only_an_unplanned_end_counts_as_one(
+    backend: Endpoint, shown: Reach, expected: BackendFate
+) -> None:
+    roster = Roster("nbo-a", ManualClock(start=10_000), random.Random(1))
+    roster.merge([READY, LEAVING], 1)
+    metrics = DirectMetrics()
+    examiner = BreakExaminer(roster, metrics, lambda _address, _timeout: shown)
+    assert examiner.examine(make_call(), backend, "broke off") is expected
+    assert f'broken_exchanges_total{{backend="{expected}"}} 1' in metrics.all.render()
+
+
+def test_a_port_where_nothing_listens_refuses() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        address = f"127.0.0.1:{server.getsockname()[1]}"
+        assert reach(address, 1_000) is Reach.LISTENING
+    assert reach(address, 1_000) is Reach.REFUSED
+
+
+BASE = ("POST", "/a/1?x=2", "kibanda", b"body")
+OTHERS = [
+    ("method", ("PUT", "/a/1?x=2", "kibanda", b"body")),
+    ("path", ("POST", "/a/2?x=2", "kibanda", b"body")),
+    ("query", ("POST", "/a/1?x=3", "kibanda", b"body")),
+    ("organisation", ("POST", "/a/1?x=2", "mpya", b"body")),
+    ("body", ("POST", "/a/1?x=2", "kibanda", b"bodies")),
+    ("where a part ends", ("POST", "/a/1?x=2", "kibandabody", b"")),
+]
+
+
+@pytest.mark.parametrize("other", [o[1] for o in OTHERS], ids=[o[0] for o in OTHERS])
+def test_requests_that_differ_in_any_part_have_different_fingerprints(
+    other: tuple[str, str, str, bytes],
+) -> None:
+    assert fingerprint(*BASE) == fingerprint(*BASE)
+    assert fingerprint(*BASE) != fingerprint(*other)
--- a/src/canvasyoke/platform/_engine.py
+++ b/src/canvasyoke/platform/_engine.py
@@ -103,7 +103,7 @@
         if isinstance(sent, NotConnected):
             return NotRun(NotRunCause.UNREACHABLE, sent.detail)
         if isinstance(sent, Sent):
-            return MayHaveRun(sent.detail)
+            return MayHaveRun(sent.detail, is_broken=not sent.is_late)
         return _classify(sent, request.request_id)
 
     def pace_of(self, endpoint: Endpoint) -> float | None:
--- a/src/canvasyoke/transport/__init__.py
+++ b/src/canvasyoke/transport/__init__.py
@@ -6,9 +6,11 @@
     ExchangeError,
     ExchangeSlot,
     NotConnected,
+    Reach,
     Sent,
     can_connect,
     exchange,
+    reach,
 )
 from canvasyoke.transport._http_client import BackendPool, CallFailed, HttpFailure, HttpReply
 from canvasyoke.transport._http_server import HttpServer
@@ -29,9 +31,11 @@
     "LinkClient",
     "LinkServer",
     "NotConnected",
+    "Reach",
     "Sent",
     "ServerLimits",
     "Session",
     "can_connect",
     "exchange",
+    "reach",
 ]
--- a/src/canvasyoke/transport/_exchange.py
+++ b/src/canvasyoke/transport/_exchange.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import contextlib
+import enum
 import http.client
 import socket
 import threading
@@ -44,6 +45,11 @@
 class ExchangeError(OSError):
     """An answer broke off, is malformed or did not come in time."""
 
+    def __init__(self, detail: str, *, is_late: bool = False) -> None:
+        super().__init__(detail)
+        #: Whether it did not come in time, so that nothing is known of the peer.
+        self.is_late = is_late
+
 
 @dataclass(frozen=True, slots=True)
 class NotConnected:
@@ -57,6 +63,8 @@
     """The request may have been read by the peer, and there is no answer."""
 
     detail: str
+    #: Whether the answer did not come in time, so that nothing is known of the peer.
+    is_late: bool = False
 
 
 class Exchange:
@@ -87,7 +95,7 @@
         except ExchangeError:
             raise
         except (urllib3.exceptions.HTTPError, http.client.HTTPException, OSError) as exc:
-            raise ExchangeError(f"{type(exc).__name__}: {exc}") from exc
+            raise ExchangeError(f"{type(exc).__name__}: {exc}", is_late=_is_late(exc)) from exc
         except (AttributeError, ValueError) as exc:
             # A socket that another task shut down while it was being read.
             raise ExchangeError(f"the connection was closed: {exc}") from exc
@@ -131,14 +139,31 @@
                 self._sock.shutdown(socket.SHUT_RDWR)
 
 
-def can_connect(address: str, timeout: int) -> bool:
-    """Tell whether a connection to ``address`` is made within ``timeout`` milliseconds."""
+class Reach(enum.Enum):
+    """What a try to connect to an address has shown."""
+
+    LISTENING = enum.auto()
+    #: Its machine answers, and nothing listens at the port.
+    REFUSED = enum.auto()
+    #: Nothing came back: the machine is off, cut off or slow, or a packet was lost.
+    SILENT = enum.auto()
+
+
+def reach(address: str, timeout: int) -> Reach:
+    """Try to connect to ``address`` within ``timeout`` milliseconds."""
     host, port = address.rsplit(":", 1)
     try:
         socket.create_connection((host, int(port)), timeout / SECOND).close()
+    except ConnectionRefusedError:
+        return Reach.REFUSED
     except OSError:
-        return False
-    return True
+        return Reach.SILENT
+    return Reach.LISTENING
+
+
+def can_connect(address: str, timeout: int) -> bool:
+    """Tell whether a connection to ``address`` is made within ``timeout`` milliseconds."""
+    return reach(address, timeout) is Reach.LISTENING
 
 
 def exchange(
@@ -183,7 +208,13 @@
         return Exchange(connection, connection.getresponse())
     except (urllib3.exceptions.HTTPError, http.client.HTTPException, OSError, ValueError) as exc:
         connection.close()
-        return Sent(f"{type(exc).__name__}: {exc}")
+        return Sent(f"{type(exc).__name__}: {exc}", _is_late(exc))
+
+
+def _is_late(exc: Exception) -> bool:
+    """Tell whether an exchange failed for want of time, the system's limits among them."""
+    causes = (exc, exc.__cause__, *exc.args)
+    return any(isinstance(each, TimeoutError | urllib3.exceptions.TimeoutError) for each in causes)
 
 
 def _with_defaults(headers: Sequence[tuple[str, str]]) -> dict[str, str]:
