Operators see requests that are kept from backends, and release them

Cause: nobody could see or end a quarantine. Measured: tests with real processes: listed at both entries, released at both by one command, and what is to blame is known to an entry that starts after all others have ended.

--- a/src/canvasyoke/cli/_operator.py
+++ b/src/canvasyoke/cli/_operator.py
@@ -1,4 +1,4 @@
-"""The operators' commands: ``check``, ``apply``, ``status``, ``audit``, ``version``."""
+"""The operators' commands: ``check``, ``apply``, ``status``, ``quarantine``, ``audit``, ..."""
 
 from __future__ import annotations
 
@@ -8,6 +8,7 @@
 import sys
 import uuid
 from collections.abc import Mapping, Sequence
+from http import HTTPStatus
 from typing import Final
 
 import msgspec
@@ -16,7 +17,7 @@
 from canvasyoke._clock import SystemClock
 from canvasyoke._version import PROTOCOL_VERSION, VERSION
 from canvasyoke.cli._registry import COMMANDS, DONE, REFUSED, USAGE
-from canvasyoke.cli._render import render_audit, render_status
+from canvasyoke.cli._render import render_audit, render_quarantine, render_status
 from canvasyoke.state import (
     PLATFORMS,
     Accepted,
@@ -209,6 +210,35 @@
     return DONE
 
 
+@COMMANDS.register("quarantine")
+def quarantine(*, entry: str, release: str = "", output: str = "text") -> int:
+    """Show requests that are kept from all backends since backends end under them.
+
+    --entry IP:PORT        metrics address of any direct entry
+    --release FINGERPRINT  let this one run again, at all entries
+    --output text|json     for people or for programs
+    """
+    if output not in _OUTPUTS:
+        return _usage_error(f"--output takes text or json, not {output!r}")
+    path = f"/quarantine/{release}" if release else "/quarantine"
+    try:
+        response = urllib3.PoolManager().request(
+            "DELETE" if release else "GET",
+            f"http://{entry}{path}",
+            timeout=_STATUS_TIMEOUT,
+            retries=False,
+        )
+    except (urllib3.exceptions.HTTPError, OSError) as exc:
+        print(f"canvasyoke: the entry does not answer: {exc}", file=sys.stderr)
+        return REFUSED
+    if response.status != HTTPStatus.OK:
+        print(f"canvasyoke: {response.data.decode().strip()}", file=sys.stderr)
+        return REFUSED
+    as_it_is = release or output == "json"
+    print(response.data.decode().strip() if as_it_is else render_quarantine(response.data))
+    return DONE
+
+
 @COMMANDS.register("audit")
 def audit(
     *,
--- a/src/canvasyoke/cli/_render.py
+++ b/src/canvasyoke/cli/_render.py
@@ -1,4 +1,4 @@
-"""Status and audit trail as text for people."""
+"""Status, quarantine and audit trail as text for people."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from canvasyoke.protocol import Status, TargetStatus
+from canvasyoke.protocol import QuarantinedRequest, Status, TargetStatus
 from canvasyoke.state import AuditEntry
 
 
@@ -51,6 +51,17 @@
     return "ejected" if target.ejected else "up"
 
 
+def render_quarantine(data: bytes) -> str:
+    """Return the JSON of the requests under which backends have ended as text."""
+    listed = msgspec.json.decode(data, type=list[QuarantinedRequest])
+    lines = [
+        f"{req.fingerprint} {'kept from backends' if req.is_blamed else 'suspected'}: "
+        f"{len(req.runs)} ended ({', '.join(req.runs)})"
+        for req in sorted(listed, key=lambda req: (not req.is_blamed, -len(req.runs)))
+    ]
+    return "\n".join(lines) or "no backend has ended under a request"
+
+
 def render_audit(entries: Sequence[AuditEntry]) -> str:
     """Return the audit trail as text, oldest first."""
     lines = []
--- /dev/null
+++ b/src/canvasyoke/direct/_admin.py
@@ -0,0 +1,68 @@
+"""The admin side of a direct entry: readiness, metrics, and requests in quarantine.
+
+Only the balancer and operators call it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Any, Final
+
+import msgspec
+
+from canvasyoke.direct._quarantine import Quarantine
+from canvasyoke.observe import Metrics
+from canvasyoke.protocol import QuarantinedRequest
+
+_METRICS: Final = "/metrics"
+#: Lists the requests that are kept from backends; ``DELETE`` of one of them releases it.
+_QUARANTINE: Final = "/quarantine"
+
+StartResponse = Callable[..., Any]
+
+
+class EntryAdmin:
+    """The WSGI application for the balancer and operators."""
+
+    def __init__(
+        self, metrics: Metrics, quarantine: Quarantine, not_ready: Callable[[], str]
+    ) -> None:
+        self._metrics = metrics
+        self._quarantine = quarantine
+        #: Returns why callers should not come, or nothing.
+        self._not_ready = not_ready
+
+    def __call__(self, environ: dict[str, Any], start: StartResponse) -> Iterable[bytes]:
+        """Answer one request."""
+        path = environ["PATH_INFO"]
+        if path == _METRICS:
+            return _reply(start, "200 OK", self._metrics.render().encode())
+        if path == _QUARANTINE:
+            body = msgspec.json.encode(self._listed())
+            return _reply(start, "200 OK", body, "application/json")
+        if path.startswith(_QUARANTINE + "/"):
+            return self._release(environ["REQUEST_METHOD"], path.rsplit("/", 1)[1], start)
+        fault = self._not_ready()
+        status = "503 Service Unavailable" if fault else "200 OK"
+        return _reply(start, status, f"{fault or 'ready'}\n".encode())
+
+    def _listed(self) -> list[QuarantinedRequest]:
+        return [
+            QuarantinedRequest(name, case.is_blamed, sorted(case.runs), case.cleared)
+            for name, case in sorted(self._quarantine.cases().items())
+            if case.runs
+        ]
+
+    def _release(self, method: str, fingerprint: str, start: StartResponse) -> Iterable[bytes]:
+        if method != "DELETE":
+            return _reply(start, "405 Method Not Allowed", b"only DELETE\n")
+        if not self._quarantine.release(fingerprint):
+            return _reply(start, "404 Not Found", b"nothing is held against it\n")
+        return _reply(start, "200 OK", b"released\n")
+
+
+def _reply(
+    start: StartResponse, status: str, body: bytes, content_type: str = "text/plain"
+) -> list[bytes]:
+    start(status, [("Content-Type", content_type), ("Content-Length", str(len(body)))])
+    return [body]
--- a/src/canvasyoke/direct/_process.py
+++ b/src/canvasyoke/direct/_process.py
@@ -6,11 +6,11 @@
 import secrets
 import signal
 import threading
-from collections.abc import Callable, Iterable
-from typing import Any, Final
+from typing import Final
 
 from canvasyoke._clock import SECOND, Clock, SystemClock
 from canvasyoke.backend import DIRECT_BACKENDS
+from canvasyoke.direct._admin import EntryAdmin
 from canvasyoke.direct._break_examiner import BreakExaminer
 from canvasyoke.direct._budget import FleetRetryBudget, RetryAllowance
 from canvasyoke.direct._caller_port import CALLER_PORTS
@@ -144,11 +144,12 @@
             self._clock,
             _server_limits(self._view.current.limits),
         )
+        admin = EntryAdmin(self._metrics.all, self._quarantine, self._not_ready)
         self._ready = CallerServer(
-            self._answer_admin, settings.ready, _ADMIN_THREADS, self._clock, _ADMIN_LIMITS
+            admin, settings.ready, _ADMIN_THREADS, self._clock, _ADMIN_LIMITS
         )
         self._admin = CallerServer(
-            self._answer_admin, settings.metrics, _ADMIN_THREADS, self._clock, _ADMIN_LIMITS
+            admin, settings.metrics, _ADMIN_THREADS, self._clock, _ADMIN_LIMITS
         )
 
     def run(self) -> int:
@@ -283,17 +284,6 @@
             lambda: int(self._table_follower.is_lost or self._endpoint_follower.is_lost),
         )
 
-    def _answer_admin(self, environ: dict[str, Any], start: Callable[..., Any]) -> Iterable[bytes]:
-        if environ["PATH_INFO"] == "/metrics":
-            body = self._metrics.all.render().encode()
-            status = "200 OK"
-        else:
-            fault = self._not_ready()
-            body = f"{fault or 'ready'}\n".encode()
-            status = "503 Service Unavailable" if fault else "200 OK"
-        start(status, [("Content-Type", "text/plain"), ("Content-Length", str(len(body)))])
-        return [body]
-
 
 def _allowance(settings: DirectSettings) -> RetryAllowance:
     window = round(settings.retry_window_s * SECOND)
--- a/src/canvasyoke/protocol/__init__.py
+++ b/src/canvasyoke/protocol/__init__.py
@@ -69,7 +69,13 @@
     accept_welcome,
     make_hello,
 )
-from canvasyoke.protocol._status import EntryStatus, GroupStatus, Status, TargetStatus
+from canvasyoke.protocol._status import (
+    EntryStatus,
+    GroupStatus,
+    QuarantinedRequest,
+    Status,
+    TargetStatus,
+)
 
 __all__ = [
     "DEADLINE_HEADER",
@@ -112,6 +118,7 @@
     "Opener",
     "Outcome",
     "PaceNews",
+    "QuarantinedRequest",
     "Queued",
     "RankLost",
     "RankOrder",
--- a/src/canvasyoke/protocol/_status.py
+++ b/src/canvasyoke/protocol/_status.py
@@ -57,3 +57,15 @@
     groups: list[GroupStatus]
     #: What is wrong and what to do, most urgent first.
     findings: list[str]
+
+
+class QuarantinedRequest(msgspec.Struct, frozen=True):
+    """A request under which backends have ended, as a direct entry shows it."""
+
+    fingerprint: str
+    #: Whether it is kept from backends.
+    is_blamed: bool
+    #: Runs of backends that have ended under it since it was last cleared.
+    runs: list[str]
+    #: How often it was cleared.
+    cleared: int
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -17,10 +17,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import pytest
 
+from canvasyoke.cli import main
 from fakes.platform_engine import PlatformEngine
 from tests.direct import DirectEntry, DirectFleet, wait_until
 
@@ -95,3 +96,45 @@
     assert fleet.ended <= ENDED_UNKNOWN + GRANTED_AFTER
     for entry in entries:
         assert entry.call("/safe/1", body=b"another", request_id="sound").status == 200
+
+
+def test_an_operator_sees_what_is_kept_from_backends_and_releases_it(
+    fleet: DeadlyFleet, capsys: pytest.CaptureFixture[str]
+) -> None:
+    entries = fleet.add_linked(2)
+    for number in range(2):
+        entries[number].call("/safe/1", body=DEADLY, request_id=f"deadly-{number}")
+        fleet.replace_ended()
+    for entry in entries:
+        wait_until(_quarantines(entry, 1), f"{entry.name} keeps it from backends")
+    assert main(["quarantine", "--entry", entries[0].metrics]) == 0
+    shown = capsys.readouterr().out.splitlines()[0]
+    assert "kept from backends: 3 ended (shelf-" in shown
+    release = ["quarantine", "--entry", entries[0].metrics, "--release", shown.split()[0]]
+    assert main(release) == 0
+    for entry in entries:
+        wait_until(_quarantines(entry, 0), f"{entry.name} lets it run again")
+    assert main(release) == 1
+    assert "nothing is held against it" in capsys.readouterr().err
+
+
+def test_what_is_to_blame_outlives_all_entries(fleet: DeadlyFleet) -> None:
+    (entry,) = fleet.add_linked(1)
+    for number in range(2):
+        entry.call("/safe/1", body=DEADLY, request_id=f"deadly-{number}")
+        fleet.replace_ended()
+    wait_until(lambda: fleet.store.get("quarantine"), "it stands in the store")
+    entry.process.kill()
+    entry.process.wait()
+    again = fleet.add_entry()
+    again.wait_ready()
+    wait_until(_quarantines(again, 1), "the new entry knows it")
+    arrivals = fleet.arrivals()
+    reply = again.call("/safe/1", body=DEADLY, request_id="deadly-2")
+    assert (reply.status, fleet.arrivals()) == (502, arrivals)
+    assert b"quarantined as " in reply.body
+    assert "Retry-After" not in reply.headers
+
+
+def _quarantines(entry: DirectEntry, count: int) -> Callable[[], bool]:
+    return lambda: entry.metric("canvasyoke_requests_quarantined") == count
