Word of a suspect costs next to nothing while nobody can be to blame

Cause: each case that was heard judged all of them anew; a list of thousands over a new link would have cost its square. Change: judged when a case has three ends or a verdict changes; old cases are dropped at a turn, the lightest 512 together when there are too many.

--- a/src/canvasyoke/direct/_quarantine.py
+++ b/src/canvasyoke/direct/_quarantine.py
@@ -15,7 +15,7 @@
 from typing import Final
 
 from canvasyoke._clock import SECOND, Clock
-from canvasyoke.direct._crash_cases import CrashCase, find_culprits
+from canvasyoke.direct._crash_cases import ENDS_TO_BLAME, CrashCase, find_culprits
 from canvasyoke.observe import part_logger
 
 _log = part_logger("quarantine")
@@ -32,6 +32,7 @@
 #: Cases kept. Those with the fewest ends go first, the oldest of them before the others, so
 #: nobody can push a culprit out without ending as many backends as it has.
 _CASE_LIMIT: Final = 4_096
+_DROPPED_AT_ONCE: Final = 512
 
 #: Takes what is new of a case: the request's fingerprint, and all that is known.
 Tell = Callable[[str, CrashCase], None]
@@ -123,9 +124,11 @@
     def look(self) -> None:
         """Judge anew what waited for an answer; to be called several times a second."""
         with self._lock:
-            if not self._cases:
+            if not self._ended_at:
                 return
-            self._judge()
+            self._drop_old()
+            if any(len(case.runs) >= ENDS_TO_BLAME for case in self._cases.values()):
+                self._judge()
             news = self._take_news()
         self._tell_all(news)
 
@@ -162,8 +165,12 @@
         for run in merged.runs:
             self._ended_at.setdefault(run, now)
         self._change(fingerprint, merged)
-        self._judge()
-        self._drop_old()
+        # Word of one more request that nobody can be blamed for yet changes no verdict, and
+        # a list of all cases over a new link brings thousands of them.
+        if len(merged.runs) >= ENDS_TO_BLAME or fingerprint in self._culprits:
+            self._judge()
+        if len(self._cases) > _CASE_LIMIT:
+            self._drop_lightest()
 
     def _judge(self) -> None:
         for name in find_culprits(self._cases, self._ended_at, self._clock.now()):
@@ -190,12 +197,14 @@
         for name in [n for n, at in self._heard_at.items() if at < oldest]:
             if name not in self._culprits:
                 self._drop(name)
-        while len(self._cases) > _CASE_LIMIT:
-            self._drop(min(self._cases, key=self._weight))
         for run in [run for run, at in self._ended_at.items() if at < oldest]:
             if not any(run in case.runs for case in self._cases.values()):
                 del self._ended_at[run]
 
+    def _drop_lightest(self) -> None:
+        for name in sorted(self._cases, key=self._weight)[:_DROPPED_AT_ONCE]:
+            self._drop(name)
+
     def _weight(self, name: str) -> tuple[bool, int, int]:
         return name in self._culprits, len(self._cases[name].runs), self._heard_at[name]
 
