--- a/tests/direct.py
+++ b/tests/direct.py
@@ -154,7 +154,11 @@
 
     def wait_ready(self) -> None:
         """Wait until the balancer would send callers here."""
-        wait_until(lambda: self.ready_status() == 200, f"{self.name} is ready")
+        try:
+            wait_until(lambda: self.ready_status() == 200, f"{self.name} is ready")
+        except AssertionError as exc:
+            exc.add_note(f"its process: {self.process.poll()}; its log: {self.logged()[-2_000:]}")
+            raise
 
     def ready_status(self) -> int:
         """Return what the balancer gets; 0 without an answer."""
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -17,13 +17,16 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable, Iterator
 
 import pytest
 
 from canvasyoke.cli import main
+from fakes import platform_engine
+from fakes.http_base import Handler
 from fakes.platform_engine import PlatformEngine
-from tests.direct import DirectEntry, DirectFleet, wait_until
+from tests.direct import DirectEntry, DirectFleet, read_reply, wait_until
 
 DEADLY = b"ends whoever begins to run it"
 #: Backends that a request may end before it must be known for what it is, and times that
@@ -80,6 +83,10 @@
     wait_until(lambda: f'"{engine.id}"' in entry.logged(), f"{entry.name} knows {engine.id}")
 
 
+def _wait_for_arrivals(fleet: DeadlyFleet, count: int) -> None:
+    wait_until(lambda: fleet.arrivals() >= count, "all have arrived")
+
+
 @pytest.fixture
 def fleet() -> Iterator[DeadlyFleet]:
     fleet = DeadlyFleet()
@@ -98,6 +105,31 @@
         assert entry.call("/safe/1", body=b"another", request_id="sound").status == 200
 
 
+def _slow(handler: Handler, engine: PlatformEngine) -> None:
+    """Answer after all that is sent at the same time has begun."""
+    time.sleep(0.3)
+    platform_engine.answer(handler, engine)
+
+
+def test_requests_beside_it_are_answered(fleet: DeadlyFleet) -> None:
+    entries = fleet.add_linked(3)
+    for number in range(TIMES):
+        fleet.behave(fleet.shelf, _slow)
+        begun = fleet.arrivals() + BACKENDS
+        beside = [
+            entries[n % 3].send("/safe/1", body=b"sound %d" % n, request_id=f"sound-{number}-{n}")
+            for n in range(BACKENDS)
+        ]
+        _wait_for_arrivals(fleet, begun)
+        entries[number % 3].call("/save/1", body=DEADLY, request_id=f"deadly-{number}")
+        assert [read_reply(conn).status for conn in beside] == [200] * BACKENDS
+        fleet.replace_ended()
+        for engine in fleet.shelf:
+            engine.behaviours.clear()
+    for entry in entries:
+        assert entry.metric("canvasyoke_requests_quarantined") == 1
+
+
 def test_an_operator_sees_what_is_kept_from_backends_and_releases_it(
     fleet: DeadlyFleet, capsys: pytest.CaptureFixture[str]
 ) -> None:
