Tests take ports that the system does not give to outgoing connections

Its ports came from the range of outgoing connections and were taken between the choice and the start. Ruled out: the library of the links (no abort, faulthandler on); a test that does not wait. Change: the launcher's way, ports below that range, in a module of its own and in both places.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -27,7 +27,8 @@
 )
 from canvasyoke.state import FileModel, Snapshot
 from canvasyoke.state._submission import digest_of, encode_file
-from fakes.launcher import LINK_KEY, ROOT, Fleet, FleetSpec, free_address
+from fakes.launcher import LINK_KEY, ROOT, Fleet, FleetSpec
+from fakes.ports import free_address
 
 _IDLE_SECONDS: Final = 6.0
 _LINKS: Final = (1, 16, 48, 96)
--- a/fakes/launcher.py
+++ b/fakes/launcher.py
@@ -6,17 +6,15 @@
 
 from __future__ import annotations
 
-import itertools
 import json
 import os
-import random
 import signal
 import socket
 import subprocess
 import sys
 import tempfile
 import time
-from collections.abc import Callable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from types import TracebackType
@@ -25,10 +23,11 @@
 import urllib3
 import yaml
 
+from fakes.ports import free_address
+
 LINK_KEY = "5f" * 32
 ROOT = Path(__file__).resolve().parent.parent
 _STOP_SECONDS = 30.0
-_PORTS = range(12_000, 32_000)
 
 
 class FleetError(RuntimeError):
@@ -81,31 +80,6 @@
     ranks: dict[str, str] = field(default_factory=dict)
 
 
-def _candidate_ports() -> Iterator[int]:
-    """Yield ports below those that the kernel gives to outgoing connections.
-
-    Each process begins somewhere else, so that two test runs side by side hardly
-    ever meet.
-    """
-    start = random.SystemRandom().randrange(_PORTS.start, _PORTS.stop)
-    return itertools.cycle([*range(start, _PORTS.stop), *range(_PORTS.start, start)])
-
-
-_ports = _candidate_ports()
-
-
-def free_address(kind: int = socket.SOCK_STREAM) -> str:
-    """Return a loopback address whose port is free and is not handed out again soon."""
-    for port in _ports:
-        with socket.socket(socket.AF_INET, kind) as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        return f"127.0.0.1:{port}"
-    raise FleetError("no port is free")
-
-
 def wait_until(condition: Callable[[], bool], what: str, seconds: float = 30.0) -> None:
     """Return once ``condition`` holds; raise :class:`FleetError` if it does not in time."""
     end = time.monotonic() + seconds
--- a/fakes/tests/test_rank.py
+++ b/fakes/tests/test_rank.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from fakes.launcher import free_address, wait_until
+from fakes.launcher import wait_until
+from fakes.ports import free_address
 from fakes.rank import Popularity, Rank, steps_on_two_maps
 
 RANKS = 3
--- a/src/canvasyoke/backend/tests/test_engine.py
+++ b/src/canvasyoke/backend/tests/test_engine.py
@@ -10,7 +10,7 @@
 from canvasyoke.protocol import ExpertReplica, Outcome, Reason, Run
 from fakes.engine import EngineSettings, make_tokens, serve
 from fakes.http_base import Handler, Server
-from fakes.launcher import free_address
+from fakes.ports import free_address
 
 
 class Sink(AnswerSink):
--- a/src/canvasyoke/state/tests/test_platform_http.py
+++ b/src/canvasyoke/state/tests/test_platform_http.py
@@ -20,8 +20,8 @@
     Unchanged,
     Written,
 )
-from fakes.launcher import free_address
 from fakes.platform import Store, serve
+from fakes.ports import free_address
 
 
 @dataclass
--- a/src/canvasyoke/transport/tests/test_links.py
+++ b/src/canvasyoke/transport/tests/test_links.py
@@ -12,7 +12,8 @@
 from canvasyoke import SystemClock
 from canvasyoke.protocol import Chunk, Forget, Message, make_hello
 from canvasyoke.transport import LinkClient, LinkServer, Session
-from fakes.launcher import free_address, wait_until
+from fakes.launcher import wait_until
+from fakes.ports import free_address
 
 KEY = b"k" * 32
 
--- a/tests/direct.py
+++ b/tests/direct.py
@@ -5,7 +5,6 @@
 import http.client
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -19,6 +18,7 @@
 
 from fakes.object_store import ObjectStore, StoreDoor
 from fakes.platform_engine import PlatformEngine
+from fakes.ports import free_address
 
 ROOT = Path(__file__).resolve().parent.parent
 KEY = "key-of-kibanda"
@@ -84,12 +84,6 @@
     }
 
 
-def free_port() -> int:
-    """Return a port that is free now."""
-    with socket.create_server(("127.0.0.1", 0)) as probe:
-        return int(probe.getsockname()[1])
-
-
 def wait_until(happened: Callable[[], Any], what: str, patience: float = PATIENCE) -> Any:
     """Return what ``happened`` gives once it is true."""
     deadline = time.monotonic() + patience
@@ -122,9 +116,7 @@
     extra: dict[str, Any] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
-        self.http, self.ready, self.peer, self.metrics = (
-            f"127.0.0.1:{free_port()}" for _ in range(4)
-        )
+        self.http, self.ready, self.peer, self.metrics = (free_address() for _ in range(4))
         self.settings = self.folder / f"{self.name}.yaml"
         self.write_settings({})
         self.log = (self.folder / f"{self.name}.log").open("w+")
--- a/tests/test_tutorial.py
+++ b/tests/test_tutorial.py
@@ -11,7 +11,8 @@
 import pytest
 import urllib3
 
-from fakes.launcher import ROOT, answers, free_address, wait_until
+from fakes.launcher import ROOT, answers, wait_until
+from fakes.ports import free_address
 
 TUTORIAL = (ROOT / "docs" / "TUTORIAL.md").read_text()
 
