--- a/src/canvasyoke/cli/_main.py
+++ b/src/canvasyoke/cli/_main.py
@@ -106,7 +106,7 @@
     lines = ["canvasyoke: a load balancer for expert-parallel model groups", "", "Commands:"]
     for name in COMMANDS.names():
         summary = (COMMANDS.get(name).__doc__ or "").strip().splitlines()[0]
-        lines.append(f"  {name:<9}{summary}")
+        lines.append(f"  {name:<12}{summary}")
     lines += ["", "canvasyoke COMMAND --help tells more. Exit codes: 0 done, 1 refused, 2 usage."]
     return "\n".join(lines)
 
