A backend's own failure is passed on also when its request is then quarantined

Cause, found by reading: an answer that a backend had made and that was kept while another one was tried gave way to the 502 of the quarantine. Change: both ways of giving up end alike. Test red before, green after.

--- a/src/canvasyoke/direct/_forwarder.py
+++ b/src/canvasyoke/direct/_forwarder.py
@@ -105,11 +105,12 @@
         self._budget.saw_request(call.service)
         while True:
             if self._is_quarantined(call):
-                yield self._refuse_quarantined(call)
+                yield from self._end(call, self._refuse_quarantined(call))
                 return
             chosen = self._choose(call)
             if isinstance(chosen, NoneAble):
-                yield from self._end(call, f"no backend can take it: {chosen.reason}", chosen)
+                detail = f"no backend can take it: {chosen.reason}"
+                yield from self._end(call, self._give_up(call, detail, chosen))
                 return
             failure = yield from self._attempt(call, chosen)
             if failure is None:
@@ -119,7 +120,7 @@
                 yield CallerLeft()
                 return
             if not self._may_go_on(call, failure):
-                yield from self._end(call, failure.detail, failure)
+                yield from self._end(call, self._give_up(call, failure.detail, failure))
                 return
 
     def _is_quarantined(self, call: DirectCall) -> bool:
@@ -260,12 +261,10 @@
             return True  # nothing arrived anywhere, so nothing is spent
         return self._pay(call)
 
-    def _end(
-        self, call: DirectCall, detail: str, cause: NotRun | MayHaveRun | NoneAble
-    ) -> Iterator[Piece]:
+    def _end(self, call: DirectCall, last: GaveUp | BrokeOff) -> Iterator[Piece]:
         """Pass on what a backend has answered, if any has, or give up."""
         if call.kept is None or call.delivered:
-            yield self._give_up(call, detail, cause)
+            yield last
             return
         yield call.kept.head
         yield call.kept.body
--- a/src/canvasyoke/direct/tests/test_quarantine.py
+++ b/src/canvasyoke/direct/tests/test_quarantine.py
@@ -15,7 +15,7 @@
 from canvasyoke.backend import BackendAnswer, MayHaveRun, Sending
 from canvasyoke.direct import _quarantine
 from canvasyoke.direct._budget import FleetRetryBudget, RetryAllowance
-from canvasyoke.direct._call import AnswerEnd, DirectCall, GaveUp, Piece
+from canvasyoke.direct._call import AnswerEnd, AnswerHead, DirectCall, GaveUp, Piece
 from canvasyoke.direct._crash_cases import CrashCase, find_culprits
 from canvasyoke.direct._quarantine import Quarantine
 from canvasyoke.direct._quarantine_notes import QuarantineNotes
@@ -218,11 +218,11 @@
         self.sent += 1
         return self.answer()
 
-    def run(self, body: bytes = b"", gone: bool = False) -> list[Piece]:
-        return list(self.forwarder.run(self._call(body, gone)))
+    def run(self, body: bytes = b"", gone: bool = False, attempts: int = 2) -> list[Piece]:
+        return list(self.forwarder.run(self._call(body, gone, attempts)))
 
-    def _call(self, body: bytes, gone: bool) -> DirectCall:
-        call = make_call(SAFE)
+    def _call(self, body: bytes, gone: bool, attempts: int) -> DirectCall:
+        call = make_call(dataclasses.replace(SAFE, max_attempts=attempts))
         call.body, call.began, call.deadline = body, 100_000, 108_000
         if gone:
             call.gone = lambda: True
@@ -242,6 +242,18 @@
     assert (last.status, last.retry_after) == (502, 0)
 
 
+def test_a_failure_that_a_backend_answered_is_passed_on_all_the_same(told: Told) -> None:
+    entry = Entry(told)
+    for _ in range(2):
+        entry.run(b"deadly", attempts=1)
+        told.clock.advance(200)
+    answers: list[Sending] = [_Answer(500), BROKEN]
+    entry.answer = lambda: answers.pop(0)
+    pieces = entry.run(b"deadly", attempts=3)
+    assert told.quarantine.culprits
+    assert [type(piece) for piece in pieces] == [AnswerHead, bytes, AnswerEnd]
+
+
 def test_others_that_were_there_are_answered_as_before(told: Told) -> None:
     entry = Entry(told)
     answers: list[Sending] = [BROKEN, _Answer()]
