Sight: how long slots have no holder, and how long a request waited for one

Now 'slots given back' with the epoch, 'slots changed' with it, and 'waited for a target' from 500 ms on with what was missing.

--- a/src/canvasyoke/entry/_dispatch.py
+++ b/src/canvasyoke/entry/_dispatch.py
@@ -16,6 +16,7 @@
 from canvasyoke.entry._lines import Lines
 from canvasyoke.entry._peer import Attempt, Event, Events, Lost, Peer
 from canvasyoke.entry._peers import Peers
+from canvasyoke.observe import part_logger
 from canvasyoke.protocol import (
     Chunk,
     End,
@@ -30,6 +31,7 @@
     Started,
 )
 
+_log = part_logger("dispatch")
 #: Milliseconds a target gets past the deadline to say what became of a request.
 _CONFIRM: Final = 300
 #: Milliseconds a broken link gets to come back before an attempt is given up:
@@ -45,6 +47,8 @@
 #: Milliseconds a request waits for a target to appear.
 _WAIT_FOR_TARGET: Final = 3 * SECOND
 _RETRY_AFTER: Final = 1 * SECOND
+#: Milliseconds of waiting for a target from which on it is logged: what a caller notices.
+_LONG_WAIT: Final = 500
 #: Refusals for which the target is to blame.
 _BLAMED: Final = frozenset({Reason.LINK_LOST, Reason.BACKEND_FAILED, Reason.BACKEND_UNREACHABLE})
 
@@ -161,13 +165,18 @@
 
     def _find_peer(self, call: Call) -> Peer | Refusal | CallerGone:
         """Return a target, waiting a little for one to appear."""
-        patience = min(call.deadline, self._clock.now() + _WAIT_FOR_TARGET)
+        began = self._clock.now()
+        patience = min(call.deadline, began + _WAIT_FOR_TARGET)
+        missing = Reason.NO_TARGET
         while True:
             found = self._choose(call)
             if isinstance(found, Peer):
+                self._note_wait(call, began, missing, found.instance)
                 return found
+            missing = found
             if found is Reason.OVERLOADED or self._clock.now() >= patience:
                 detail = "no target can take the request now"
+                self._note_wait(call, began, found, "")
                 return Refusal(Outcome.NOT_RUN, found, detail, _RETRY_AFTER)
             if call.gone():
                 return CallerGone()
@@ -176,6 +185,18 @@
                 call.tried.clear()
             time.sleep(_PAUSE / SECOND)
 
+    def _note_wait(self, call: Call, began: int, missing: Reason, target: str) -> None:
+        waited = self._clock.now() - began
+        if waited >= _LONG_WAIT:
+            _log.info(
+                "waited for a target",
+                request_id=call.run.request_id,
+                service=call.run.service,
+                waited=waited,
+                missing=missing.value,
+                target=target,
+            )
+
     def _choose(self, call: Call) -> Peer | Reason:
         req = RouteRequest(call.run.service, self._domain, frozenset(call.tried))
         if call.run.repeatable:
--- a/src/canvasyoke/target/_homes.py
+++ b/src/canvasyoke/target/_homes.py
@@ -235,6 +235,8 @@
         kept = {i: s for i, s in held.slots.items() if i not in lost}
         self._holding = Holding(held.epoch, kept, held.count)
         surrendered = self._user.surrender(self._holding, lost)
+        # From here to the next holder's line "slots changed", keys of these slots wait.
+        _log.info("slots given back", service=self._service, slots=len(lost), epoch=epoch)
         result = list(wanted)
         for index, slot in sorted(lost.items()):
             keys = surrendered.keys.get(index, [])
@@ -277,6 +279,11 @@
         if holding == self._holding:
             return
         if set(holding.slots) != set(self._holding.slots):
-            _log.info("slots changed", service=self._service, held=len(holding.slots))
+            _log.info(
+                "slots changed",
+                service=self._service,
+                held=len(holding.slots),
+                epoch=holding.epoch,
+            )
         self._holding = holding
         self._user.hold(holding, ())
