--- a/fakes/http_base.py
+++ b/fakes/http_base.py
@@ -60,9 +60,12 @@
         if self.command != "HEAD":
             self.wfile.write(body)
 
-    def reply_json(self, value: Any, status: int = 200) -> None:
+    def reply_json(
+        self, value: Any, status: int = 200, headers: dict[str, str] | None = None
+    ) -> None:
         """Write ``value`` as JSON."""
-        self.reply(status, json.dumps(value).encode(), {"Content-Type": "application/json"})
+        kind = {"Content-Type": "application/json"}
+        self.reply(status, json.dumps(value).encode(), kind | (headers or {}))
 
     def begin_chunked(self, content_type: str) -> None:
         """Begin an answer of unknown length."""
--- a/fakes/object_store.py
+++ b/fakes/object_store.py
@@ -6,10 +6,12 @@
 
 from __future__ import annotations
 
+import copy
 import json
 import threading
 import time
 from collections import Counter
+from contextlib import AbstractContextManager
 from dataclasses import dataclass
 from typing import Any
 
@@ -32,6 +34,15 @@
     lose_writes: bool = False
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """All that the store held at one moment."""
+
+    revision: int
+    objects: dict[tuple[str, str], dict[str, Any]]
+    history: list[tuple[int, str, dict[str, Any], bool]]
+
+
 class StoreDoor:
     """An address at which the store is reached, with faults of its own."""
 
@@ -53,11 +64,12 @@
             ) -> None:
                 door.calls += 1
                 faults = door.faults
+                headers = store.headers()
                 if faults.status:
-                    self.reply(faults.status)
+                    self.reply(faults.status, headers=headers)
                     return
                 if faults.garbage:
-                    self.reply(200, faults.garbage)
+                    self.reply(200, faults.garbage, headers)
                     return
                 status, value = store.answer(method, path, query, body)
                 if self._opened_after < door._hushes:
@@ -66,7 +78,8 @@
                 if (status, value) == _CUT or (faults.lose_writes and method != "GET"):
                     self.break_off()
                 else:
-                    self.reply_json(value, status)
+                    # As of the answer: a watch may have waited through a return.
+                    self.reply_json(value, status, store.headers())
 
         self._server = Server(("127.0.0.1", 0), _Handler)
         self.address = f"127.0.0.1:{self._server.server_address[1]}"
@@ -96,6 +109,8 @@
         #: Watches hear nothing of what changes, and end as if nothing had.
         self._mute = False
         self._cuts = 0
+        #: Times that the store has come back from a copy.
+        self._era = 0
         #: Watches that wait now, by kind of object.
         self.watching: Counter[str] = Counter()
 
@@ -113,6 +128,29 @@
             self._history.clear()
             self._changed.notify_all()
 
+    def headers(self) -> dict[str, str]:
+        """Return what every answer says of the store."""
+        return {"Store-Era": str(self._era)}
+
+    def held(self) -> AbstractContextManager[object]:
+        """Keep all calls waiting meanwhile."""
+        return self._changed
+
+    def copy(self) -> StoreCopy:
+        """Return a copy to come back from."""
+        with self._changed:
+            return StoreCopy(self._revision, copy.deepcopy(self._objects), list(self._history))
+
+    def return_from(self, older: StoreCopy) -> None:
+        """Forget all that came after a copy; revisions are given out again from there."""
+        with self._changed:
+            self._era += 1
+            self._cuts += 1
+            self._revision = older.revision
+            self._objects = copy.deepcopy(older.objects)
+            self._history = list(older.history)
+            self._changed.notify_all()
+
     def put(self, kind: str, name: str, spec: Any) -> int:
         """Create or replace an object as the operator or an engine does."""
         with self._changed:
@@ -187,6 +225,8 @@
         while True:
             if cuts != self._cuts:
                 return _CUT
+            if after > self._revision:
+                return 410, {}  # another era's
             if after < self._forgotten and any(of == kind for _, of, _, _ in self._history):
                 return 410, {}  # told only with the next event of the kind
             events = [
--- a/fakes/store_pool.py
+++ b/fakes/store_pool.py
@@ -48,6 +48,7 @@
 
     status: int
     data: bytes
+    headers: dict[str, str]
 
 
 @dataclass
@@ -85,7 +86,7 @@
                 raise urllib3.exceptions.ReadTimeoutError(pool, path, "no answer")
             waited = self.clock.now() - began
             if "watch" not in query or status != 200 or value["events"] or waited >= wait:
-                return StoreAnswer(status, json.dumps(value).encode())
+                return StoreAnswer(status, json.dumps(value).encode(), self.store.headers())
             self.clock.advance(min(_LOOK_EVERY, wait - waited))
 
     def _was_silent(self, began: int) -> bool:
