Order rests on a place in the store's history, era first

Callers would see: after the store is back from an older copy, requests at backends that leave or have ended and none at new ones, until its count of changes has passed where it was.

Cause: what is newer was told by that count alone, which goes back with the copy and is given out again; and a watch whose count had been passed went on as if nothing were lost.

Mended: a position is era and revision in one number that orders by the era (StorePosition); lists, changes, removals, what entries tell each other, notes and the fences of a map's owner rest on it. A watch that is answered in another era begins with a list.

--- a/src/canvasyoke/direct/_follower.py
+++ b/src/canvasyoke/direct/_follower.py
@@ -18,6 +18,7 @@
 from canvasyoke._clock import SECOND, Clock
 from canvasyoke.direct._known_backends import BackendChange
 from canvasyoke.direct._roster import Roster
+from canvasyoke.direct._store_return import RETURN_TIME
 from canvasyoke.observe import part_logger
 from canvasyoke.state import (
     CALL_PATIENCE,
@@ -30,10 +31,13 @@
     HistoryGone,
     NothingNew,
     RoutingTable,
+    StorePosition,
     TableRead,
     TableSeen,
     Unavailable,
     Unusable,
+    era_of,
+    revision_of,
 )
 
 _log = part_logger("store")
@@ -67,9 +71,6 @@
 #: Milliseconds that the store must have been away for entries to have lapsed: they do
 #: after three heartbeats, of which one may have been missed before.
 _LAPSE_TIME: Final = 1 * SECOND
-#: Milliseconds after the store is back within which backends whose entries lapsed while
-#: it was away have written them again (the users' letter says about two seconds).
-_RETURN_TIME: Final = 2_300
 
 
 class TableView:
@@ -202,7 +203,7 @@
         self._view = view
         self._is_watching = is_watching
 
-    def _look(self, revision: int) -> TableSeen:
+    def _look(self, revision: StorePosition) -> TableSeen:
         if revision:
             return self._store.watch_table(revision, _WATCH)
         return self._store.table(self._contact.patience)
@@ -259,21 +260,21 @@
         self._held: dict[str, int] = {}
         #: Entries that name no backend, with what is wrong with them.
         self._unreadable: dict[str, str] = {}
-        #: Newest revision of the store seen.
-        self._revision = 0
+        #: Newest position in the store's history seen.
+        self._revision: StorePosition = 0
 
     @property
     def unreadable(self) -> int:
         """Return the number of entries in the store that name no backend."""
         return len(self._unreadable)
 
-    def _look(self, revision: int) -> EndpointList | EndpointsSeen:
+    def _look(self, revision: StorePosition) -> EndpointList | EndpointsSeen:
         if revision:
             return self._store.watch_endpoints(revision, self._wait_time())
         return self._store.endpoints(self._contact.patience)
 
     def _run(self) -> None:
-        revision = 0
+        revision: StorePosition = 0
         while not self._stop.is_set():
             if self._roster.is_known and not self._is_watching():
                 revision = 0
@@ -283,6 +284,8 @@
                 self._pause(_IDLE)
                 continue
             self._contact.resumes()
+            if self._roster.wants_list and self._roster.doubted:
+                revision = 0
             match self._look(revision):
                 case EndpointList() as seen:
                     self._heard()
@@ -318,15 +321,24 @@
     def _settling_until(self) -> int:
         """Return the time on the clock until which a missing entry may come back."""
         regained = self._contact.regained_at
-        return regained + _RETURN_TIME if regained else 0
+        return regained + RETURN_TIME if regained else 0
 
     def _take_list(self, seen: EndpointList) -> None:
         listed = frozenset(endpoint.id for endpoint in seen.endpoints)
         unreadable = {entry.id: entry.fault for entry in seen.unreadable}
         missing = self._roster.ids() - listed
         until = self._settling_until()
+        if self._roster.is_known and era_of(seen.revision) > self._roster.era:
+            # Backends that the copy lacks live as a rule, and write themselves again.
+            until = max(until, self._clock.now() + RETURN_TIME)
+            _log.warning(
+                "the store came back from an older copy",
+                era=era_of(seen.revision),
+                revision=revision_of(seen.revision),
+                lacks=len(missing),
+            )
         if len(missing) >= max(_MANY, _MANY_PART * len(self._roster.ids())):
-            until = max(until, self._clock.now() + _RETURN_TIME)
+            until = max(until, self._clock.now() + RETURN_TIME)
         keep = missing - unreadable.keys() if self._clock.now() < until else frozenset()
         for endpoint_id in keep:
             self._hold(endpoint_id, until)
@@ -342,7 +354,13 @@
                 _log.info("backend gone", backend=change.endpoint.id, source="list")
             else:
                 _log_changed(change.endpoint, source="list")
-        _log.info("backends listed", count=len(listed), held=len(keep), revision=seen.revision)
+        _log.info(
+            "backends listed",
+            count=len(listed),
+            held=len(keep),
+            doubted=self._roster.doubted,
+            revision=seen.revision,
+        )
 
     def _take_changes(self, seen: EndpointChanges) -> None:
         for change in seen.changes:
@@ -359,9 +377,10 @@
     def _take_entry(self, endpoint: Endpoint) -> None:
         self._held.pop(endpoint.id, None)
         self._unreadable.pop(endpoint.id, None)
-        self._roster.put(endpoint)
-        self._on_news(BackendChange(endpoint, False, endpoint.revision))
-        _log_changed(endpoint, source="watch")
+        for change in self._roster.put(endpoint):
+            self._on_news(change)
+            if not change.gone:
+                _log_changed(change.endpoint, source="watch")
 
     def _take_removal(self, gone: EndpointGone) -> None:
         self._unreadable.pop(gone.id, None)
--- a/src/canvasyoke/direct/_peers.py
+++ b/src/canvasyoke/direct/_peers.py
@@ -264,7 +264,7 @@
     def _heard_up_to(self, revision: int, age: int, session: Session) -> None:
         """Take note of the revision up to which another entry knows all backends."""
         now = self._clock.now()
-        if session in self._caught_up:
+        if session in self._caught_up and not self._roster.wants_list:
             self._roster.knows_up_to(revision)
             self._roster.confirmed(age)
         elif revision and now - self._listed_at >= _LIST_AGAIN:
--- a/src/canvasyoke/direct/_roster.py
+++ b/src/canvasyoke/direct/_roster.py
@@ -29,9 +29,10 @@
 from canvasyoke.direct._home_share import deal_home_share
 from canvasyoke.direct._known_backends import BackendChange, KnownBackends
 from canvasyoke.direct._peer_loads import PeerLoads, ToldLoad
+from canvasyoke.direct._store_return import StoreReturn
 from canvasyoke.observe import part_logger
 from canvasyoke.protocol import Reason
-from canvasyoke.state import Endpoint, EndpointState
+from canvasyoke.state import Endpoint, EndpointState, StorePosition
 
 #: Milliseconds over which a report of load fades to nothing: requests of others that it
 #: counted have ended by then, and new ones have come that it does not know.
@@ -101,7 +102,7 @@
     #: Whether the entry has found itself cut off from all that could serve its callers.
     _is_isolated: bool = False
     _lock: threading.Lock = field(default_factory=threading.Lock)
-    _known: KnownBackends = field(default_factory=KnownBackends)
+    _known: KnownBackends = field(init=False)
     #: By run, and the run by the name of the entry.
     _members: dict[str, _Member] = field(default_factory=dict)
     _runs: dict[str, str] = field(default_factory=dict)
@@ -113,6 +114,7 @@
     _durations: dict[str, float] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
+        self._known = KnownBackends(StoreReturn(self.clock))
         self._groups = RankGroups(self.clock)
         self._health = BackendHealth(self.clock)
         self._ranker = RANKERS.get(_RANKER)(self.rng)
@@ -124,28 +126,48 @@
         return self._known.is_known
 
     @property
-    def revision(self) -> int:
-        """Return the store's revision up to which all is known; 0 before any list."""
+    def revision(self) -> StorePosition:
+        """Return the position up to which all is known; 0 before any list."""
         return self._known.revision
 
-    def merge(self, endpoints: Iterable[Endpoint], revision: int) -> list[BackendChange]:
-        """Take another entry's list of a revision, and return what it changes."""
+    @property
+    def era(self) -> int:
+        """Return how many times the store is known to have come back from a copy."""
+        return self._known.store_return.era
+
+    @property
+    def wants_list(self) -> bool:
+        """Tell whether a list is due that settles what was doubted after a return."""
+        with self._lock:
+            return self._known.store_return.wants_list
+
+    @property
+    def doubted(self) -> int:
+        """Return the number of backends of which the store's word is not believed."""
+        with self._lock:
+            return len(self._known.store_return.doubted)
+
+    def merge(self, endpoints: Iterable[Endpoint], revision: StorePosition) -> list[BackendChange]:
+        """Take another entry's list of a position, and return what it changes."""
         with self._lock:
             return self._follow(self._known.merge(endpoints, revision))
 
     def merge_from_store(
-        self, endpoints: Iterable[Endpoint], revision: int, keep: frozenset[str] = frozenset()
+        self,
+        endpoints: Iterable[Endpoint],
+        revision: StorePosition,
+        keep: frozenset[str] = frozenset(),
     ) -> list[BackendChange]:
-        """Take the store's list of a revision; those in ``keep`` stay although it lacks them."""
+        """Take the store's list of a position; those in ``keep`` stay although it lacks them."""
         with self._lock:
             return self._follow(self._known.merge_from_store(endpoints, revision, keep))
 
-    def put(self, endpoint: Endpoint) -> None:
-        """Add or change one backend."""
+    def put(self, endpoint: Endpoint) -> list[BackendChange]:
+        """Add or change one backend, and return what that changes."""
         with self._lock:
-            self._follow(self._known.put(endpoint))
+            return self._follow(self._known.put(endpoint))
 
-    def remove(self, endpoint_id: str, revision: int) -> list[BackendChange]:
+    def remove(self, endpoint_id: str, revision: StorePosition) -> list[BackendChange]:
         """Forget one backend; requests under way there go on."""
         with self._lock:
             return self._follow(self._known.remove(endpoint_id, revision))
@@ -163,8 +185,8 @@
         with self._lock:
             return self._known.refute(news)
 
-    def knows_up_to(self, revision: int) -> None:
-        """Take note that all changes up to a revision of the store have come."""
+    def knows_up_to(self, revision: StorePosition) -> None:
+        """Take note that all changes up to a position have come."""
         with self._lock:
             self._known.knows_up_to(revision)
 
--- a/src/canvasyoke/experts/_fences.py
+++ b/src/canvasyoke/experts/_fences.py
@@ -2,7 +2,8 @@
 
 Ranks turn away an order whose fence is below the highest that they have seen. Each time
 that a process takes a group on it writes the group's object anew; the revision of that
-write is above those of all writes before it, so its fences are too.
+write is above those of all writes before it, so its fences are too. A store that is back
+from an older copy gives revisions out again; its era, which rises, goes before them.
 """
 
 from __future__ import annotations
@@ -13,12 +14,16 @@
 
 import msgspec
 
-from canvasyoke.state import FleetStore, Note, Unavailable, Unusable
+from canvasyoke.state import FleetStore, Note, Unavailable, Unusable, era_of, revision_of
 
 #: Kind of the objects that number the owners of a group.
 _OWNERS: Final = "map-owners"
 #: Orders and maps that one owner can number before it would reach the next one's.
 _FENCES_PER_OWNER: Final = 100_000
+#: Revisions that one era of the store can number before it would reach the next one's: at
+#: 50 writes a second 31 days. With 671 eras fences stay below 2 to the 53rd, up to which
+#: any reader of JSON takes whole numbers.
+_REVISIONS_PER_ERA: Final = 1 << 27
 _NONCE_BYTES: Final = 8
 
 
@@ -54,4 +59,5 @@
     written = store.put_note(_OWNERS, group, msgspec.json.encode(note))
     if not isinstance(written, Note):
         return written
-    return Fences(written.revision * _FENCES_PER_OWNER)
+    owners = era_of(written.revision) * _REVISIONS_PER_ERA + revision_of(written.revision)
+    return Fences(owners * _FENCES_PER_OWNER)
--- a/src/canvasyoke/platform/_endpoints.py
+++ b/src/canvasyoke/platform/_endpoints.py
@@ -21,7 +21,10 @@
     EndpointGone,
     EndpointList,
     EndpointState,
+    StorePosition,
     Unusable,
+    era_of,
+    store_position,
 )
 
 #: What reading what others wrote may raise; nested lists without end are the last.
@@ -97,22 +100,25 @@
         return ""
 
 
-def read_list(items: Iterable[bytes], revision: int) -> EndpointList:
+def read_list(items: Iterable[bytes], position: StorePosition) -> EndpointList:
     """Return the backends that a list names, and which entries name none."""
+    era = era_of(position)
     endpoints = []
     unreadable = []
     for item in items:
-        match _read_endpoint(item):
+        match _read_endpoint(item, era):
             case Endpoint() as endpoint:
                 endpoints.append(endpoint)
             case EndpointGone() as gone:
                 unreadable.append(gone)
             case Unusable(detail):
                 unreadable.append(EndpointGone("", 0, detail))
-    return EndpointList(tuple(endpoints), revision, tuple(unreadable))
+    return EndpointList(tuple(endpoints), position, tuple(unreadable))
 
 
-def read_changes(events: Iterable[bytes], revision: int) -> EndpointChanges | Unusable:
+def read_changes(
+    events: Iterable[bytes], position: StorePosition, era: int = 0
+) -> EndpointChanges | Unusable:
     """Return what a watch has brought, in order; unusable where a name cannot be read.
 
     A removal has no revision of its own. It came to be before the event that follows it, so
@@ -120,8 +126,8 @@
     removal.
     """
     changes: list[Endpoint | EndpointGone] = []
-    newest = revision
-    for event in reversed([_read_event(data) for data in events]):
+    newest = position
+    for event in reversed([_read_event(data, era) for data in events]):
         match event:
             case Unusable():
                 return event
@@ -130,21 +136,21 @@
                 changes.append(event)
             case EndpointGone(name, own_revision, fault):
                 changes.append(EndpointGone(name, max(newest, own_revision), fault))
-    return EndpointChanges(tuple(reversed(changes)), revision)
+    return EndpointChanges(tuple(reversed(changes)), position)
 
 
-def _read_event(data: bytes) -> Endpoint | EndpointGone | Unusable:
+def _read_event(data: bytes, era: int) -> Endpoint | EndpointGone | Unusable:
     event = _split_event(data)
     if isinstance(event, Unusable):
         return event
     item = bytes(event.object)
     if not event.gone:
-        return _read_endpoint(item)
+        return _read_endpoint(item, era)
     match read_object(item):
         case StoredObject(meta):
-            return EndpointGone(meta.name, meta.revision)
+            return EndpointGone(meta.name, store_position(era, meta.revision))
         case UnreadableObject(name, revision):
-            return EndpointGone(name, revision)
+            return EndpointGone(name, store_position(era, revision))
         case fault:
             return fault
 
@@ -163,13 +169,13 @@
         return Unusable(f"an event cannot be read: {exc}")
 
 
-def _read_endpoint(data: bytes) -> Endpoint | EndpointGone | Unusable:
+def _read_endpoint(data: bytes, era: int) -> Endpoint | EndpointGone | Unusable:
     found = read_object(data)
     if isinstance(found, UnreadableObject):
-        return EndpointGone(found.name, found.revision, found.fault)
+        return EndpointGone(found.name, store_position(era, found.revision), found.fault)
     if isinstance(found, Unusable):
         return found
-    name, revision = found.meta.name, found.meta.revision
+    name, revision = found.meta.name, store_position(era, found.meta.revision)
     try:
         server = msgspec.json.decode(found.spec, type=_Server)
     except UNREADABLE as exc:
--- a/src/canvasyoke/platform/_store.py
+++ b/src/canvasyoke/platform/_store.py
@@ -34,10 +34,14 @@
     Note,
     NothingNew,
     RoutingTable,
+    StorePosition,
     TableRead,
     TableSeen,
     Unavailable,
     Unusable,
+    era_of,
+    revision_of,
+    store_position,
 )
 
 #: Milliseconds for a connection to the store, which takes one round trip.
@@ -55,6 +59,8 @@
 _CONFLICT: Final = 409
 _GONE: Final = 410
 
+#: How many times the store has come back from an older copy; in all its answers.
+_ERA: Final = "Store-Era"
 _ENDPOINTS: Final = "servers"
 _CONFIG: Final = "config"
 _CONFIG_NAME: Final = "main"
@@ -100,25 +106,27 @@
         listed = self._list(_ENDPOINTS, patience=patience)
         if isinstance(listed, Unavailable | Unusable):
             return listed
-        items, revision = listed
-        return read_list(items, revision)
+        items, position = listed
+        return read_list(items, position)
 
-    def watch_endpoints(self, after: int, wait: int) -> EndpointsSeen:
+    def watch_endpoints(self, after: StorePosition, wait: int) -> EndpointsSeen:
         """Wait for changes of backends."""
         seen = self._watch(_ENDPOINTS, after, wait)
         if not isinstance(seen, _Events):
             return seen
-        return read_changes([bytes(event) for event in seen.items], seen.revision)
+        era = era_of(after)
+        events = [bytes(event) for event in seen.items]
+        return read_changes(events, store_position(era, seen.revision), era)
 
     def table(self, patience: int = CALL_PATIENCE) -> TableSeen:
         """Return the configuration in the store."""
         listed = self._list(_CONFIG, patience=patience)
         if isinstance(listed, Unavailable | Unusable):
             return listed
-        items, revision = listed
-        return _table_in([read_object(item) for item in items], revision)
+        items, position = listed
+        return _table_in([read_object(item) for item in items], position)
 
-    def watch_table(self, after: int, wait: int) -> TableSeen:
+    def watch_table(self, after: StorePosition, wait: int) -> TableSeen:
         """Wait for another configuration."""
         seen = self._watch(_CONFIG, after, wait)
         if not isinstance(seen, _Events):
@@ -127,7 +135,8 @@
             events = [msgspec.json.decode(event, type=_TableEvent) for event in seen.items]
         except UNREADABLE as exc:
             return Unusable(f"a change of the configuration cannot be read: {exc}")
-        return _table_in([e.object for e in events if not e.gone], seen.revision)
+        position = store_position(era_of(after), seen.revision)
+        return _table_in([e.object for e in events if not e.gone], position)
 
     def parse_table(self, document: bytes) -> RoutingTable | Unusable:
         """Return the table in ``document``."""
@@ -138,7 +147,9 @@
         listed = self._list(kind, may_be_old)
         if isinstance(listed, Unavailable | Unusable):
             return listed
-        return [note for item in listed[0] if (note := _listed_note(item)) is not None]
+        items, position = listed
+        read = (_listed_note(item, era_of(position)) for item in items)
+        return [note for note in read if note is not None]
 
     def create_note(self, kind: str, name: str, body: bytes) -> Note | Unavailable | Unusable:
         """Create an object, or return the one that is there."""
@@ -148,31 +159,31 @@
             return answer
         if answer.status not in (_OK, _CREATED, _CONFLICT):
             return Unavailable(f"status {answer.status}", ambiguous=True)
-        return _decode_note(answer.data)
+        return _decode_note(answer)
 
     def put_note(self, kind: str, name: str, body: bytes) -> Note | Unavailable | Unusable:
         """Create or replace an object."""
         made = self.create_note(kind, name, body)
         if not isinstance(made, Note) or made.body == body:
             return made
-        out = _NoteOut({"Name": name, "Revision": made.revision}, msgspec.Raw(body))
+        out = _NoteOut({"Name": name, "Revision": revision_of(made.revision)}, msgspec.Raw(body))
         path = f"/objects/{kind}/{quote(name, safe='')}"
         answer = self._call("PUT", path, msgspec.json.encode(out))
         if isinstance(answer, Unavailable):
             return answer
         if answer.status != _OK:
             return Unavailable(f"status {answer.status}", ambiguous=True)
-        return _decode_note(answer.data)
+        return _decode_note(answer)
 
     def _list(
         self, kind: str, may_be_old: bool = False, patience: int = CALL_PATIENCE
-    ) -> tuple[list[bytes], int] | Unavailable | Unusable:
-        """Return all objects of ``kind``, each as it was written, and the first page's revision.
+    ) -> tuple[list[bytes], StorePosition] | Unavailable | Unusable:
+        """Return all objects of ``kind``, each as it was written, and the first page's position.
 
-        A watch from that revision repeats what changed while later pages were read.
+        A watch from that position repeats what changed while later pages were read.
         """
         items: list[bytes] = []
-        revision = 0
+        position: StorePosition = 0
         after = ""
         while True:
             query = {"stale": "1"} if may_be_old else {}
@@ -181,17 +192,20 @@
             answer = self._call("GET", f"/objects/{kind}?{urlencode(query)}", timeout=patience)
             if isinstance(answer, Unavailable):
                 return answer
+            era = _era(answer)
+            if items and era != era_of(position):
+                return Unavailable("the store came back from a copy between two pages")
             if answer.status == _NOT_FOUND:
-                return items, revision
+                return items, position or store_position(era, 0)
             if answer.status != _OK:
                 return Unavailable(f"status {answer.status}")
             page = _read_parts(answer.data, _Page, "Items")
             if isinstance(page, Unusable):
                 return Unusable(f"a list of {kind} cannot be read: {page.detail}")
             items.extend(bytes(item) for item in page.items)
-            revision = revision or page.revision
+            position = position or store_position(era, page.revision)
             if not page.more or not page.items:
-                return items, revision
+                return items, position
             names = (read_name(bytes(item)) for item in reversed(page.items))
             last = next((name for name in names if name not in ("", after)), "")
             if not last:
@@ -199,20 +213,24 @@
             after = last
 
     def _watch(
-        self, kind: str, after: int, wait: int
+        self, kind: str, after: StorePosition, wait: int
     ) -> _Events | NothingNew | HistoryGone | Unavailable | Unusable:
-        path = f"/objects/{kind}?watch={after}&WaitMs={wait}"
+        path = f"/objects/{kind}?watch={revision_of(after)}&WaitMs={wait}"
         answer = self._call("GET", path, timeout=wait + _WATCH_GRACE)
         if isinstance(answer, Unavailable):
             return answer
-        if answer.status == _GONE:
+        # A count that has passed ``after`` since the store's return would be taken for the
+        # same history, and what was lost and changed before it never be heard of.
+        if answer.status == _GONE or _era(answer) != era_of(after):
             return HistoryGone()
         if answer.status != _OK:
             return Unavailable(f"status {answer.status}")
         seen = _read_parts(answer.data, _Events, "events")
         if isinstance(seen, Unusable):
             return Unusable(f"a watch of {kind} cannot be read: {seen.detail}")
-        return seen if seen.items else NothingNew(seen.revision)
+        if seen.items:
+            return seen
+        return NothingNew(store_position(era_of(after), seen.revision))
 
     def _call(
         self, method: str, path: str, body: bytes | None = None, timeout: int = CALL_PATIENCE
@@ -256,40 +274,46 @@
 
 
 def _table_in(
-    objects: Iterable[StoredObject | UnreadableObject | Unusable], revision: int
+    objects: Iterable[StoredObject | UnreadableObject | Unusable], position: StorePosition
 ) -> TableSeen:
     """Return the newest configuration among ``objects``."""
-    found: TableSeen = NothingNew(revision)
+    found: TableSeen = NothingNew(position)
     for item in objects:
         match item:
             case StoredObject(meta, spec) if meta.name == _CONFIG_NAME:
-                found = _read_table(bytes(spec), revision)
+                found = _read_table(bytes(spec), position)
             case UnreadableObject(name, _, fault) if name == _CONFIG_NAME:
                 found = Unusable(f"the configuration cannot be read: {fault}")
     return found
 
 
-def _read_table(document: bytes, revision: int) -> TableRead | Unusable:
+def _read_table(document: bytes, position: StorePosition) -> TableRead | Unusable:
     table = decode_table(document)
-    return table if isinstance(table, Unusable) else TableRead(table, revision, document)
+    return table if isinstance(table, Unusable) else TableRead(table, position, document)
+
+
+def _era(answer: urllib3.BaseHTTPResponse) -> int:
+    """Return the store's era as an answer tells it; 0 of a store that has none."""
+    text = answer.headers.get(_ERA, "")
+    return int(text) if text.isascii() and text.isdigit() else 0
 
 
-def _note(item: StoredObject) -> Note:
-    return Note(item.meta.name, item.meta.revision, bytes(item.spec))
+def _note(item: StoredObject, era: int) -> Note:
+    return Note(item.meta.name, store_position(era, item.meta.revision), bytes(item.spec))
 
 
-def _listed_note(data: bytes) -> Note | None:
+def _listed_note(data: bytes, era: int) -> Note | None:
     """Return a note; one of which only the name can be read has a body that cannot be."""
     match read_object(data):
         case StoredObject() as item:
-            return _note(item)
+            return _note(item, era)
         case UnreadableObject(name, revision):
-            return Note(name, revision, data)
+            return Note(name, store_position(era, revision), data)
     return None
 
 
-def _decode_note(data: bytes) -> Note | Unusable:
+def _decode_note(answer: urllib3.BaseHTTPResponse) -> Note | Unusable:
     try:
-        return _note(msgspec.json.decode(data, type=StoredObject))
+        return _note(msgspec.json.decode(answer.data, type=StoredObject), _era(answer))
     except msgspec.MsgspecError as exc:
         return Unusable(f"an object cannot be read: {exc}")
--- a/src/canvasyoke/platform/tests/test_endpoints.py
+++ b/src/canvasyoke/platform/tests/test_endpoints.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from typing import Any
+from typing import Any, ClassVar
 
 import pytest
 from hypothesis import example, given
@@ -118,6 +118,7 @@
     """A pool whose only answer is given."""
 
     status = 200
+    headers: ClassVar[dict[str, str]] = {}
 
     def __init__(self, data: bytes) -> None:
         self.data = data
--- /dev/null
+++ b/src/canvasyoke/platform/tests/test_store_eras.py
@@ -0,0 +1,130 @@
+"""What the store says in one era is not taken for another's; fences rise over eras."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+
+from canvasyoke.experts._fences import Fences, take_fences
+from canvasyoke.platform._store import ObjectsFleetStore
+from canvasyoke.state import (
+    EndpointChanges,
+    EndpointList,
+    HistoryGone,
+    Note,
+    NothingNew,
+    TableRead,
+    era_of,
+    revision_of,
+)
+from fakes.object_store import ObjectStore, StoreDoor
+from tests.direct import configuration
+
+#: The most that any reader of JSON takes as a whole number.
+LARGEST_NUMBER = 1 << 53
+
+
+def spec(number: int) -> dict[str, object]:
+    return {
+        "Service": "shelf",
+        "Address": f"10.0.0.{number}:8080",
+        "Zone": "nbo-a",
+        "Version": "v1",
+        "Slots": 6,
+        "State": "ready",
+        "ColdRemainingMs": 0,
+        "Sequence": 1,
+    }
+
+
+@pytest.fixture
+def store() -> ObjectStore:
+    made = ObjectStore()
+    for number in range(5):  # two pages
+        made.put("servers", f"b-{number}", spec(number))
+    made.put("config", "main", configuration(3))
+    return made
+
+
+@pytest.fixture
+def client(store: ObjectStore) -> Iterator[ObjectsFleetStore]:
+    door = StoreDoor(store)
+    yield ObjectsFleetStore(door.address)
+    door.close()
+
+
+def listed(client: ObjectsFleetStore) -> EndpointList:
+    found = client.endpoints()
+    assert isinstance(found, EndpointList)
+    return found
+
+
+def test_all_that_a_list_says_is_of_its_era(store: ObjectStore, client: ObjectsFleetStore) -> None:
+    before = listed(client)
+    store.return_from(store.copy())
+    after = listed(client)
+    assert {era_of(e.revision) for e in before.endpoints} == {0}
+    assert {era_of(e.revision) for e in after.endpoints} == {era_of(after.revision)} == {1}
+    assert [revision_of(e.revision) for e in after.endpoints] == [
+        e.revision for e in before.endpoints
+    ]
+    table = client.table()
+    assert isinstance(table, TableRead)
+    assert era_of(table.revision) == 1
+
+
+@pytest.mark.parametrize("changes", [0, 50], ids=["its count is lower", "its count is above"])
+def test_a_watch_of_the_era_before_goes_on_with_a_list(
+    store: ObjectStore, client: ObjectsFleetStore, changes: int
+) -> None:
+    older = store.copy()
+    store.put("servers", "b-9", spec(9))
+    position = listed(client).revision
+    store.return_from(older)
+    for number in range(changes):
+        store.put("servers", f"more-{number}", spec(number))
+    assert isinstance(client.watch_endpoints(position, 10), HistoryGone)
+    assert isinstance(client.watch_table(position, 10), HistoryGone)
+
+
+def test_a_watch_within_an_era_tells_of_it(store: ObjectStore, client: ObjectsFleetStore) -> None:
+    store.return_from(store.copy())
+    position = listed(client).revision
+    nothing = client.watch_endpoints(position, 1)
+    assert nothing == NothingNew(position)
+    store.put("servers", "b-9", spec(9))
+    store.remove("servers", "b-1")
+    seen = client.watch_endpoints(position, 10)
+    assert isinstance(seen, EndpointChanges)
+    assert {era_of(change.revision) for change in seen.changes} == {1}
+    assert seen.revision > position
+
+
+def test_a_conditional_write_names_the_revision_alone(
+    store: ObjectStore, client: ObjectsFleetStore
+) -> None:
+    store.return_from(store.copy())
+    assert isinstance(client.put_note("entries", "a", b'"one"'), Note)
+    written = client.put_note("entries", "a", b'"two"')
+    assert isinstance(written, Note)
+    assert era_of(written.revision) == 1
+    assert store.get("entries") == {"a": "two"}
+
+
+def test_an_owner_s_fences_are_above_those_of_every_era_before(
+    store: ObjectStore, client: ObjectsFleetStore
+) -> None:
+    """Fences went below those that engines had seen, and all orders were turned away."""
+    older = store.copy()
+    bases = []
+    for era in range(4):
+        for number in range(30 - era * 10):
+            store.put("config", f"other-{number}", [era, number])
+        for incarnation in ("a", "b"):
+            taken = take_fences(client, "g-1", incarnation, 1)
+            assert isinstance(taken, Fences)
+            bases.append(taken.base)
+        store.return_from(older)
+    assert bases == sorted(set(bases))
+    assert bases[-1] < LARGEST_NUMBER
--- a/src/canvasyoke/state/__init__.py
+++ b/src/canvasyoke/state/__init__.py
@@ -71,6 +71,7 @@
     WatchedFile,
     load_settings,
 )
+from canvasyoke.state._store_position import StorePosition, era_of, revision_of, store_position
 from canvasyoke.state._submission import (
     ROOT_KEY,
     Accepted,
@@ -140,6 +141,7 @@
     "Service",
     "ServiceShare",
     "Snapshot",
+    "StorePosition",
     "Submission",
     "SubmitResult",
     "TableOrganisation",
@@ -155,6 +157,7 @@
     "Written",
     "build_config",
     "check_file",
+    "era_of",
     "index_routes",
     "load_settings",
     "load_snapshot",
@@ -162,6 +165,8 @@
     "read_link_key",
     "read_note",
     "read_root",
+    "revision_of",
+    "store_position",
     "submit",
     "validate",
 ]
--- a/src/canvasyoke/state/_fleet_store.py
+++ b/src/canvasyoke/state/_fleet_store.py
@@ -1,8 +1,8 @@
 """The store of a platform that lists backends and configuration as objects.
 
 Adapters register under a name. All calls return values; an adapter raises nothing.
-Revisions are those of the store as a whole, so a watch of one kind can be continued
-from the revision at which a list of that kind was taken.
+Positions are those of the store as a whole, so a watch of one kind can be continued
+from the position at which a list of that kind was taken.
 """
 
 from __future__ import annotations
@@ -17,6 +17,7 @@
 from canvasyoke._registry import Registry
 from canvasyoke.state._platform import Unavailable
 from canvasyoke.state._routing_table import RoutingTable
+from canvasyoke.state._store_position import StorePosition
 
 #: Milliseconds within which an answer that does not wait for anything is expected. The
 #: store answers in 4 ms, and in fifty times that when it is slow.
@@ -43,8 +44,8 @@
     #: Requests that it works on at once.
     slots: int
     state: EndpointState
-    #: Revision of the store at which this came to be.
-    revision: int = 0
+    #: Position in the store's history at which this came to be.
+    revision: StorePosition = 0
     #: Its start by its own clock, in milliseconds since 1970-01-01 UTC; 0 if it does not
     #: say. Only whether two are the same counts: clocks go back.
     started: int = 0
@@ -64,9 +65,9 @@
 
     #: Name of the entry; empty when not even that can be read.
     id: str
-    #: Revision of the store at which this came to be, or a later one before which nothing
-    #: else is known of the entry.
-    revision: int
+    #: Position in the store's history at which this came to be, or a later one before which
+    #: nothing else is known of the entry.
+    revision: StorePosition
     #: Why the entry that stands there cannot be read; empty when it was removed.
     fault: str = ""
 
@@ -76,7 +77,7 @@
     """All backends in the store at one revision."""
 
     endpoints: tuple[Endpoint, ...]
-    revision: int
+    revision: StorePosition
     #: Entries that name no backend, since others wrote them.
     unreadable: tuple[EndpointGone, ...] = ()
 
@@ -86,7 +87,7 @@
     """What happened to backends between two revisions, in order."""
 
     changes: tuple[Endpoint | EndpointGone, ...]
-    revision: int
+    revision: StorePosition
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,7 +95,7 @@
     """The configuration at one revision of the store."""
 
     table: RoutingTable
-    revision: int
+    revision: StorePosition
     #: The document that the table was built from, to pass on to other processes.
     document: bytes
 
@@ -103,12 +104,15 @@
 class NothingNew:
     """A watch ended without a change."""
 
-    revision: int
+    revision: StorePosition
 
 
 @dataclass(frozen=True, slots=True)
 class HistoryGone:
-    """The store has forgotten what came after the revision asked for: list again."""
+    """The store does not have what came after the position asked for: list again.
+
+    It forgot its history, or it has come back from a copy since.
+    """
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,7 +131,7 @@
     """An object of the system's own in the store."""
 
     name: str
-    revision: int
+    revision: StorePosition
     body: bytes
 
 
@@ -139,8 +143,8 @@
         """Return every backend; wait up to ``patience`` milliseconds for each answer."""
 
     @abstractmethod
-    def watch_endpoints(self, after: int, wait: int) -> EndpointsSeen:
-        """Wait up to ``wait`` milliseconds for changes after revision ``after``."""
+    def watch_endpoints(self, after: StorePosition, wait: int) -> EndpointsSeen:
+        """Wait up to ``wait`` milliseconds for changes after position ``after``."""
 
     @abstractmethod
     def table(self, patience: int = CALL_PATIENCE) -> TableSeen:
@@ -150,8 +154,8 @@
         """
 
     @abstractmethod
-    def watch_table(self, after: int, wait: int) -> TableSeen:
-        """Wait up to ``wait`` milliseconds for a configuration after revision ``after``."""
+    def watch_table(self, after: StorePosition, wait: int) -> TableSeen:
+        """Wait up to ``wait`` milliseconds for a configuration after position ``after``."""
 
     @abstractmethod
     def parse_table(self, document: bytes) -> RoutingTable | Unusable:
@@ -166,7 +170,7 @@
 
     @abstractmethod
     def put_note(self, kind: str, name: str, body: bytes) -> Note | Unavailable | Unusable:
-        """Create or replace an object; the answer's revision is above all earlier ones."""
+        """Create or replace an object; its position is above all earlier ones."""
 
     @abstractmethod
     def create_note(self, kind: str, name: str, body: bytes) -> Note | Unavailable | Unusable:
--- /dev/null
+++ b/src/canvasyoke/state/tests/test_store_position.py
@@ -0,0 +1,25 @@
+"""Positions order by the era first, and are the revisions themselves without eras."""
+
+from __future__ import annotations
+
+import pytest
+
+from canvasyoke.state import era_of, revision_of, store_position
+
+#: Era and revision, in order.
+IN_ORDER = [(0, 0), (0, 122), (0, 1 << 39), (1, 0), (1, 6), (1, 122), (2, 1), (900, 0)]
+
+
+def test_the_era_goes_first() -> None:
+    positions = [store_position(era, revision) for era, revision in IN_ORDER]
+    assert positions == sorted(positions)
+    assert [(era_of(p), revision_of(p)) for p in positions] == IN_ORDER
+
+
+@pytest.mark.parametrize("revision", [0, 7, 1_000_000])
+def test_a_store_without_eras_gives_revisions(revision: int) -> None:
+    assert store_position(0, revision) == revision
+
+
+def test_a_position_fits_a_signed_number_of_64_bits() -> None:
+    assert store_position((1 << 23) - 1, (1 << 40) - 1) < 1 << 63
