--- a/src/canvasyoke/direct/_forwarder.py
+++ b/src/canvasyoke/direct/_forwarder.py
@@ -38,6 +38,7 @@
 from canvasyoke.direct._choice import Chosen, NoneAble, Wanted
 from canvasyoke.direct._events import EventCutter, event_id, is_after
 from canvasyoke.direct._quarantine import Quarantine
+from canvasyoke.direct._refusals import LEAST_TIME, Refusals
 from canvasyoke.direct._roster import Roster
 from canvasyoke.protocol import Reason
 from canvasyoke.state import Endpoint
@@ -49,20 +50,8 @@
 _CONNECT_TIMEOUT: Final = 100
 #: Milliseconds past the deadline for the backend's own word that time ran out.
 _BACKEND_GRACE: Final = 40
-#: Least time left, in milliseconds, with which an attempt is still begun.
-_LEAST_TIME: Final = 20
 #: Milliseconds for which a full backend is passed over: about two of its passes.
 _FULL_PAUSE: Final = 150
-#: Milliseconds that a caller is asked to wait, drawn between the two so that callers
-#: who were refused together do not come back together. A backend that is full has room
-#: again after a step or two; where all wait in line, a burst must pass; a group without
-#: one of its ranks is away for seconds, and callers ask again only once.
-_RETRY_FULL: Final = (150, 400)
-_RETRY_CROWDED: Final = (800, 2_400)
-_RETRY_AWAY: Final = (2_400, 2_600)
-#: Part of its time left that a caller is asked to wait at the most; callers wait for up
-#: to a third of it.
-_RETRY_PART: Final = 0.32
 #: Parts of the route's objective for which a request may wait for a slot: where it waits
 #: longer its answer comes late. A stream of which a part was delivered goes first, but not
 #: by much: at 3.0 such requests filled the queues and every answer was late.
@@ -73,9 +62,6 @@
 _SUCCESS: Final = range(200, 300)
 _SERVER_ERROR: Final = 500
 _BAD_GATEWAY: Final = 502
-_UNAVAILABLE: Final = 503
-_GATEWAY_TIMEOUT: Final = 504
-_BAD_REQUEST: Final = 400
 _STREAM_TYPE: Final = "text/event-stream"
 
 
@@ -98,7 +84,7 @@
         self._breaks = breaks
         self._quarantine = quarantine
         self._clock = clock
-        self._rng = rng
+        self._refusals = Refusals(roster, clock, rng)
 
     def run(self, call: DirectCall) -> Iterator[Piece]:
         """Yield the pieces of the answer; the last one tells how it ended."""
@@ -110,7 +96,7 @@
             chosen = self._choose(call)
             if isinstance(chosen, NoneAble):
                 detail = f"no backend can take it: {chosen.reason}"
-                yield from self._end(call, self._give_up(call, detail, chosen))
+                yield from self._end(call, self._refusals.give_up(call, detail, chosen))
                 return
             failure = yield from self._attempt(call, chosen)
             if failure is None:
@@ -120,7 +106,7 @@
                 yield CallerLeft()
                 return
             if not self._may_go_on(call, failure):
-                yield from self._end(call, self._give_up(call, failure.detail, failure))
+                yield from self._end(call, self._refusals.give_up(call, failure.detail, failure))
                 return
 
     def _is_quarantined(self, call: DirectCall) -> bool:
@@ -141,7 +127,7 @@
         return BrokeOff(detail) if call.delivered else GaveUp(_BAD_GATEWAY, detail)
 
     def _choose(self, call: DirectCall) -> Chosen | NoneAble:
-        if call.deadline - self._clock.now() < _LEAST_TIME:
+        if call.deadline - self._clock.now() < LEAST_TIME:
             return NoneAble(Reason.DEADLINE)
         return self._roster.choose(
             Wanted(
@@ -255,7 +241,7 @@
             return False
         if len(call.sent_to) >= call.route.max_attempts:
             return False
-        if call.deadline - self._clock.now() < _LEAST_TIME:
+        if call.deadline - self._clock.now() < LEAST_TIME:
             return False
         if isinstance(failure, NotRun) and failure.cause is NotRunCause.UNREACHABLE:
             return True  # nothing arrived anywhere, so nothing is spent
@@ -270,28 +256,6 @@
         yield call.kept.body
         yield AnswerEnd()
 
-    def _give_up(
-        self, call: DirectCall, detail: str, cause: NotRun | MayHaveRun | NoneAble
-    ) -> GaveUp | BrokeOff:
-        if call.delivered:
-            return BrokeOff(detail)
-        out_of_time = call.deadline - self._clock.now() < _LEAST_TIME
-        if call.may_have_run:
-            return GaveUp(_GATEWAY_TIMEOUT if out_of_time else _BAD_GATEWAY, detail)
-        if isinstance(cause, NotRun) and cause.cause is NotRunCause.REJECTED:
-            return GaveUp(_BAD_REQUEST, detail)
-        return GaveUp(_UNAVAILABLE, detail, retry_after=self._retry_after(call, cause))
-
-    def _retry_after(self, call: DirectCall, cause: NotRun | MayHaveRun | NoneAble) -> int:
-        """Return when the caller should come back, by what kept the request from running."""
-        bounds = _RETRY_FULL
-        if self._roster.is_away(call.service) or _is_lasting(call, cause):
-            bounds = _RETRY_AWAY
-        elif isinstance(cause, NoneAble) and cause.reason is Reason.OVERLOADED:
-            bounds = _RETRY_CROWDED
-        longest = round((call.deadline - self._clock.now()) * _RETRY_PART)
-        return max(1, min(self._rng.randint(*bounds), longest))
-
     def _relay(
         self, call: DirectCall, answer: BackendAnswer, backend: str
     ) -> Generator[Piece, None, MayHaveRun | None]:
@@ -421,20 +385,6 @@
     return call.is_moved or call.is_unanswered or call.gone()
 
 
-def _is_lasting(call: DirectCall, cause: NotRun | MayHaveRun | NoneAble) -> bool:
-    """Tell whether what kept a request from running takes seconds to mend.
-
-    So it does where a rank of the backend's group is missing, and where the list of
-    backends is older than their last start: it catches up within some two seconds. An
-    entry that has just started may know nothing of groups yet. Told 150 to 400 ms after
-    all machines had been restarted, two of three callers came back too early.
-    """
-    if not isinstance(cause, NotRun):
-        return False
-    lacks_rank = cause.at_fault not in ("", call.tried[-1].chosen.endpoint.id)
-    return lacks_rank or cause.cause is NotRunCause.MOVED
-
-
 def _patience(call: DirectCall) -> int:
     """Return the longest wait for a slot, in milliseconds, that makes sense."""
     if not call.route.objective:
--- a/src/canvasyoke/direct/_peers.py
+++ b/src/canvasyoke/direct/_peers.py
@@ -8,9 +8,6 @@
 A link loses nothing while it stands and keeps the order. So an entry that hears over a
 link that the other one knows all changes up to a revision has heard of them itself,
 unless they are older than the link; then it asks for the whole list.
-
-A configuration is large, and mostly all entries have it at the same moment. So only its
-version is told, and an entry that lacks it asks for it.
 """
 
 from __future__ import annotations
@@ -22,16 +19,17 @@
 from typing import Final
 
 from canvasyoke._clock import SECOND, Clock
+from canvasyoke.direct._backend_news import to_crash_news, to_endpoint, to_news
 from canvasyoke.direct._budget import FleetRetryBudget
 from canvasyoke.direct._crash_cases import CrashCase
 from canvasyoke.direct._entry_notes import EntryNotes
-from canvasyoke.direct._follower import TableView
 from canvasyoke.direct._known_backends import BackendChange
-from canvasyoke.direct._packed_document import DocumentError, pack_document, unpack_document
 from canvasyoke.direct._peer_loads import ToldLoad
 from canvasyoke.direct._quarantine import Quarantine
 from canvasyoke.direct._quarantine_notes import QuarantineNotes
 from canvasyoke.direct._roster import FleetView, Roster
+from canvasyoke.direct._table_exchange import TableExchange
+from canvasyoke.direct._table_follower import TableView
 from canvasyoke.direct._telling import AT_LEAST, TELL_EVERY, Telling
 from canvasyoke.membership import OverlayLinks, Place, StoreContact, WatchRota
 from canvasyoke.observe import part_logger
@@ -53,18 +51,11 @@
 )
 from canvasyoke.state import (
     DirectSettings,
-    Endpoint,
-    EndpointState,
     FleetStore,
-    Unusable,
 )
 from canvasyoke.transport import Session
 
 _log = part_logger("peers")
-#: Milliseconds that an entry which watches the store waits for it after another one told
-#: of a newer configuration, and until any entry asks a second one for it.
-_STORE_FIRST: Final = 150
-_ASK_AGAIN: Final = 500
 #: Milliseconds between questions for all backends, one for each link that is new.
 _LIST_AGAIN: Final = 200
 #: Milliseconds between tellings in an overlay even if nothing is new: word of who watches
@@ -91,9 +82,6 @@
     ) -> None:
         self._own = Place(settings.instance, settings.peer, settings.domain)
         self._store = store
-        #: The newest configuration that another entry told of, by whom, and when.
-        self._newer: tuple[int, Session, int] | None = None
-        self._asked_at = -_ASK_AGAIN
         self._listed_at = -_LIST_AGAIN
         self._view = view
         self._roster = roster
@@ -115,6 +103,7 @@
         )
         #: Whether this entry watches the store for its domain.
         self.rota = WatchRota(settings.instance, clock, in_contact)
+        self._tables = TableExchange(store, view, lambda: self.rota.is_watching, clock)
         #: Where the other entries are, until the task that keeps the links takes it.
         self._found: list[Place] | None = None
         self._finder = threading.Thread(target=self._find_all, name="find-entries", daemon=True)
@@ -140,7 +129,7 @@
 
     def tell_backend(self, change: BackendChange) -> None:
         """Pass on what the store said of a backend."""
-        self._tell_all(_news(change))
+        self._tell_all(to_news(change))
 
     def tell_group(self, backend: str, group: str) -> None:
         """Pass on which group a backend belongs to."""
@@ -156,7 +145,7 @@
 
     def tell_case(self, fingerprint: str, case: CrashCase) -> None:
         """Pass on what is known against a request under which backends have ended."""
-        self._tell_all(_crash_news(fingerprint, case))
+        self._tell_all(to_crash_news(fingerprint, case))
 
     def _find_all(self) -> None:
         """Look for the other entries, apart from all that must not wait for the store.
@@ -179,7 +168,7 @@
             self._look()
             self._decide_to_watch()
             self._tell_load()
-            self._ask_for_table()
+            self._tables.ask()
             self._quarantine.look()
 
     def _look(self) -> None:
@@ -208,7 +197,7 @@
         session.send(self._load(is_near=session.peer in self._near, relayed=[]))
         cases = self._quarantine.cases()
         if cases:
-            session.send(CrashList([_crash_news(name, case) for name, case in cases.items()]))
+            session.send(CrashList([to_crash_news(name, case) for name, case in cases.items()]))
 
     def _closed(self, session: Session) -> None:
         self._caught_up.discard(session)
@@ -221,11 +210,11 @@
             case EntryLoad():
                 self._took_load(session, message)
             case TableWanted():
-                self._send_table(session, message.version)
+                self._tables.send(session, message.version)
             case BackendsWanted():
                 session.send(self._backend_list())
             case TableDocument():
-                self._adopt(session, message)
+                self._tables.adopt(session, message)
             case BackendNews():
                 self._take_news(session, message)
             case BackendList():
@@ -259,7 +248,7 @@
                 told = ToldLoad(relayed.told_at, relayed.under_way)
                 self._roster.peer_load(relayed.entry, told)
         self.rota.hear([StoreContact(w.name, w.age, w.is_lost) for w in load.watchers])
-        self._heard_of(load.config_version, session)
+        self._tables.heard_of(load.config_version, session)
         self._heard_up_to(load.backends_revision, load.backends_age, session)
 
     def _heard_up_to(self, revision: int, age: int, session: Session) -> None:
@@ -275,13 +264,15 @@
     def _backend_list(self) -> BackendList:
         revision = self._roster.revision
         changes = [BackendChange(e, False, e.revision) for e in self._roster.endpoints()]
-        backends = [_news(change) for change in changes]
+        backends = [to_news(change) for change in changes]
         return BackendList(revision, backends, self._roster.groups())
 
     def _take_list(self, session: Session, listed: BackendList) -> None:
         """Take all backends from another entry, and pass on what was new."""
         self._caught_up.add(session)
-        changes = self._roster.merge([_endpoint(news) for news in listed.backends], listed.revision)
+        changes = self._roster.merge(
+            [to_endpoint(news) for news in listed.backends], listed.revision
+        )
         _log.info(
             "backends heard",
             count=len(listed.backends),
@@ -290,32 +281,18 @@
             peer=session.peer,
         )
         for change in changes:
-            self._tell_all(_news(change), but=session)
+            self._tell_all(to_news(change), but=session)
         for backend, group in listed.groups.items():
             if self._roster.learn_group(backend, group):
                 self._tell_all(GroupNews(backend, group), but=session)
         self._tell_now()
 
-    def _adopt(self, session: Session, message: TableDocument) -> None:
-        if message.version <= self._view.current.version:
-            return
-        try:
-            document = unpack_document(message.document)
-        except DocumentError as exc:
-            _log.warning("configuration cannot be read", peer=session.peer, cause=exc)
-            return
-        table = self._store.parse_table(document)
-        if isinstance(table, Unusable):
-            _log.warning("configuration not taken", peer=session.peer, cause=table.detail)
-            return
-        self._view.adopt(table, document, f"peer {session.peer}")
-
     def _take_news(self, session: Session, news: BackendNews) -> None:
-        change = BackendChange(_endpoint(news), news.gone, news.revision, news.was_lost)
+        change = BackendChange(to_endpoint(news), news.gone, news.revision, news.was_lost)
         if not self._roster.hear(change):
             answer = self._roster.refute(change)
             if answer is not None:
-                session.send(_news(answer))
+                session.send(to_news(answer))
             return
         self._tell_all(news, but=session)
         _log.info(
@@ -327,37 +304,6 @@
             peer=session.peer,
         )
 
-    def _heard_of(self, version: int, session: Session) -> None:
-        """Take note of the version that another entry follows."""
-        if version <= self._view.current.version:
-            return
-        newer = self._newer
-        if newer is None or newer[0] < version:
-            self._newer = (version, session, self._clock.now())
-            self._ask_for_table()
-        elif newer[1].closed or self._asked_at >= newer[2]:
-            self._newer = (version, session, newer[2])  # ask this one next
-
-    def _ask_for_table(self) -> None:
-        """Ask for a newer configuration that the store has not brought."""
-        newer, now = self._newer, self._clock.now()
-        if newer is None:
-            return
-        version, session, heard_at = newer
-        current = self._view.current.version
-        if version <= current:
-            self._newer = None
-            return
-        store_first = _STORE_FIRST if current and self.rota.is_watching else 0
-        if now - heard_at >= store_first and now - self._asked_at >= _ASK_AGAIN:
-            self._asked_at = now
-            session.send(TableWanted(current))
-
-    def _send_table(self, session: Session, version: int) -> None:
-        table, document = self._view.current, self._view.document
-        if document and table.version > version:
-            session.send(TableDocument(table.version, pack_document(document)))
-
     def _load(self, is_near: bool, relayed: list[RelayedLoad]) -> EntryLoad:
         """Return what to tell an entry of the own domain, or of another one."""
         tells_load = is_near or self._links.is_mesh
@@ -410,36 +356,3 @@
         for session in self._links.sessions():
             if session is not but:
                 session.send(message)
-
-
-def _crash_news(fingerprint: str, case: CrashCase) -> CrashNews:
-    return CrashNews(fingerprint, case.cleared, sorted(case.runs), case.is_blamed)
-
-
-def _news(change: BackendChange) -> BackendNews:
-    endpoint = change.endpoint
-    return BackendNews(
-        id=endpoint.id,
-        service=endpoint.service,
-        address=endpoint.address,
-        domain=endpoint.domain,
-        slots=endpoint.slots,
-        leaving=endpoint.state is EndpointState.LEAVING,
-        gone=change.gone,
-        revision=change.revision,
-        was_lost=change.was_lost,
-        started=endpoint.started,
-    )
-
-
-def _endpoint(news: BackendNews) -> Endpoint:
-    return Endpoint(
-        id=news.id,
-        service=news.service,
-        address=news.address,
-        domain=news.domain,
-        slots=news.slots,
-        state=EndpointState.LEAVING if news.leaving else EndpointState.READY,
-        revision=news.revision,
-        started=news.started,
-    )
--- a/src/canvasyoke/direct/_process.py
+++ b/src/canvasyoke/direct/_process.py
@@ -16,7 +16,7 @@
 from canvasyoke.direct._caller_port import CALLER_PORTS
 from canvasyoke.direct._callers import MAX_HELD, DirectCallers
 from canvasyoke.direct._domains import DomainProber
-from canvasyoke.direct._follower import EndpointFollower, TableFollower, TableView
+from canvasyoke.direct._endpoint_follower import EndpointFollower
 from canvasyoke.direct._forwarder import Forwarder
 from canvasyoke.direct._group_learner import GroupLearner
 from canvasyoke.direct._metrics import DirectMetrics
@@ -24,6 +24,7 @@
 from canvasyoke.direct._peers import EntryPeers
 from canvasyoke.direct._quarantine import Quarantine
 from canvasyoke.direct._roster import Roster
+from canvasyoke.direct._table_follower import TableFollower, TableView
 from canvasyoke.observe import LineWriter, part_logger
 from canvasyoke.state import (
     FLEET_STORES,
--- /dev/null
+++ b/src/canvasyoke/direct/_table_follower.py
@@ -0,0 +1,93 @@
+"""Keeps an entry's configuration up to date from the store."""
+
+from __future__ import annotations
+
+import random
+import threading
+from collections.abc import Callable
+
+from canvasyoke._clock import Clock
+from canvasyoke.direct._store_follower import IDLE, PAUSE, PAUSE_AFTER_NEWS, WATCH, StoreFollower
+from canvasyoke.observe import part_logger
+from canvasyoke.state import (
+    FleetStore,
+    HistoryGone,
+    NothingNew,
+    RoutingTable,
+    StorePosition,
+    TableRead,
+    TableSeen,
+)
+
+_log = part_logger("store")
+
+
+class TableView:
+    """The configuration in force; versions only go up, whoever brings them."""
+
+    def __init__(self, on_change: Callable[[RoutingTable], None]) -> None:
+        self._lock = threading.Lock()
+        self._on_change = on_change
+        #: What is in force now; version 0 before any is known.
+        self.current = RoutingTable()
+        #: The document it was built from, to pass on.
+        self.document = b""
+
+    def adopt(self, table: RoutingTable, document: bytes, source: str) -> bool:
+        """Put ``table`` in force if it is newer."""
+        with self._lock:
+            if table.version <= self.current.version:
+                return False
+            before = self.current.version
+            self.current, self.document = table, document
+        _log.info("configuration in force", version=table.version, before=before, source=source)
+        self._on_change(table)
+        return True
+
+
+class TableFollower(StoreFollower):
+    """Follows the configuration."""
+
+    def __init__(
+        self,
+        store: FleetStore,
+        view: TableView,
+        is_watching: Callable[[], bool],
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        super().__init__("configuration", clock, rng)
+        self._store = store
+        self._view = view
+        self._is_watching = is_watching
+
+    def _look(self, revision: StorePosition) -> TableSeen:
+        if revision:
+            return self._store.watch_table(revision, WATCH)
+        return self._store.table(self._contact.patience)
+
+    def _run(self) -> None:
+        revision: StorePosition = 0
+        while not self._stop.is_set():
+            if self._view.current.version and not self._is_watching():
+                revision = 0
+                self._contact.left_to_others()
+                self._pause(IDLE)
+                continue
+            self._contact.resumes()
+            match self._look(revision):
+                case TableRead() as seen:
+                    self._contact.answered()
+                    revision = seen.revision
+                    self._view.adopt(seen.table, seen.document, "store")
+                    self._pause(PAUSE_AFTER_NEWS)
+                case NothingNew() as seen:
+                    self._contact.answered()
+                    revision = revision or seen.revision
+                    self._pause(PAUSE)
+                case HistoryGone():
+                    _log.info("the store forgot its history", what="configuration", at=revision)
+                    revision = 0
+                case seen:
+                    revision = 0
+                    self._contact.failed(seen)
--- a/src/canvasyoke/direct/tests/fleet_model.py
+++ b/src/canvasyoke/direct/tests/fleet_model.py
@@ -11,11 +11,11 @@
 
 from canvasyoke._clock import SECOND, ManualClock
 from canvasyoke.direct._budget import FleetRetryBudget, RetryAllowance
-from canvasyoke.direct._follower import TableView
 from canvasyoke.direct._known_backends import BackendChange
 from canvasyoke.direct._peers import EntryPeers
 from canvasyoke.direct._quarantine import Quarantine
 from canvasyoke.direct._roster import Roster
+from canvasyoke.direct._table_follower import TableView
 from canvasyoke.membership import Place, choose_dials, is_mesh
 from canvasyoke.protocol import Message, decode_batch, encode_batch
 from canvasyoke.state import DirectSettings, Endpoint, EndpointState, FleetStore, Note
--- a/tests/test_leaving_backends.py
+++ b/tests/test_leaving_backends.py
@@ -23,7 +23,7 @@
 import pytest
 
 from canvasyoke.direct._choice import Chosen, Wanted
-from canvasyoke.direct._follower import EndpointFollower
+from canvasyoke.direct._endpoint_follower import EndpointFollower
 from canvasyoke.direct._known_backends import BackendChange
 from canvasyoke.direct._roster import Roster
 from canvasyoke.platform._store import ObjectsFleetStore
