--- a/fakes/platform_engine.py
+++ b/fakes/platform_engine.py
@@ -44,7 +44,11 @@
     port: int = 0
     #: Body of the requests that end it as soon as it begins to run them; empty for none.
     deadly: bytes = b""
-    #: Set when it has ended under such a request.
+    #: Seconds for which its port is still there after its connections have ended under such
+    #: a request: a front that outlives its worker, or a slow exit.
+    port_outlives: float = 0.0
+    #: Set when its connections end under such a request, and when it has ended.
+    broke: threading.Event = field(default_factory=threading.Event)
     ended: threading.Event = field(default_factory=threading.Event)
     behaviours: deque[Callable[[Handler, PlatformEngine], None]] = field(default_factory=deque)
     arrivals: list[Arrival] = field(default_factory=list)
@@ -68,6 +72,9 @@
             def handle_request(
                 self, method: str, path: str, query: dict[str, str], body: bytes
             ) -> None:
+                if engine.broke.is_set():
+                    self.close_connection = True
+                    return
                 if path == "/report":
                     engine.report(self)
                     return
@@ -92,10 +99,19 @@
 
     def crash(self) -> None:
         """End as a process does: nothing listens any more, and all connections end."""
-        self.close()
+        self.broke.set()
+        if self.port_outlives:
+            threading.Timer(self.port_outlives, self._end).start()
+        else:
+            self.close()
         for connection in list(self._connections):
             with contextlib.suppress(OSError):
                 connection.shutdown(socket.SHUT_RDWR)
+        if not self.port_outlives:
+            self.ended.set()
+
+    def _end(self) -> None:
+        self.close()
         self.ended.set()
 
     def report(self, handler: Handler) -> None:
