Positions are called so, and logs show them as era and revision

No behaviour changes but for the text of log lines: with an era a position is a number of thirteen digits, which nobody reads; now 1.18, and the revision alone without eras. Fields that order rests on are called position; the store's own count and the messages' fields keep their names, so that earlier releases read them.

--- a/src/canvasyoke/direct/_backend_news.py
+++ b/src/canvasyoke/direct/_backend_news.py
@@ -24,7 +24,7 @@
         slots=endpoint.slots,
         leaving=endpoint.state is EndpointState.LEAVING,
         gone=change.gone,
-        revision=change.revision,
+        revision=change.position,
         was_lost=change.was_lost,
         started=endpoint.started,
     )
@@ -39,6 +39,6 @@
         domain=news.domain,
         slots=news.slots,
         state=EndpointState.LEAVING if news.leaving else EndpointState.READY,
-        revision=news.revision,
+        position=news.revision,
         started=news.started,
     )
--- a/src/canvasyoke/direct/_backend_records.py
+++ b/src/canvasyoke/direct/_backend_records.py
@@ -104,9 +104,9 @@
         return self._known.is_known
 
     @property
-    def revision(self) -> StorePosition:
+    def position(self) -> StorePosition:
         """Return the position up to which all is known; 0 before any list."""
-        return self._known.revision
+        return self._known.position
 
     @property
     def era(self) -> int:
@@ -125,30 +125,30 @@
         with self._lock:
             return len(self._known.store_return.doubted)
 
-    def merge(self, endpoints: Iterable[Endpoint], revision: StorePosition) -> list[BackendChange]:
+    def merge(self, endpoints: Iterable[Endpoint], position: StorePosition) -> list[BackendChange]:
         """Take another entry's list of a position, and return what it changes."""
         with self._lock:
-            return self._follow(self._known.merge(endpoints, revision))
+            return self._follow(self._known.merge(endpoints, position))
 
     def merge_from_store(
         self,
         endpoints: Iterable[Endpoint],
-        revision: StorePosition,
+        position: StorePosition,
         keep: frozenset[str] = frozenset(),
     ) -> list[BackendChange]:
         """Take the store's list of a position; those in ``keep`` stay although it lacks them."""
         with self._lock:
-            return self._follow(self._known.merge_from_store(endpoints, revision, keep))
+            return self._follow(self._known.merge_from_store(endpoints, position, keep))
 
     def put(self, endpoint: Endpoint) -> list[BackendChange]:
         """Add or change one backend, and return what that changes."""
         with self._lock:
             return self._follow(self._known.put(endpoint))
 
-    def remove(self, endpoint_id: str, revision: StorePosition) -> list[BackendChange]:
+    def remove(self, endpoint_id: str, position: StorePosition) -> list[BackendChange]:
         """Forget one backend; requests under way there go on."""
         with self._lock:
-            return self._follow(self._known.remove(endpoint_id, revision))
+            return self._follow(self._known.remove(endpoint_id, position))
 
     def hear(self, news: BackendChange) -> bool:
         """Take what another entry learned from the store; false when it is old."""
@@ -163,10 +163,10 @@
         with self._lock:
             return self._known.refute(news)
 
-    def knows_up_to(self, revision: StorePosition) -> None:
+    def knows_up_to(self, position: StorePosition) -> None:
         """Take note that all changes up to a position have come."""
         with self._lock:
-            self._known.knows_up_to(revision)
+            self._known.knows_up_to(position)
 
     def confirmed(self, age: int = 0) -> None:
         """Take note that the list was in step with the store ``age`` milliseconds ago."""
--- a/src/canvasyoke/direct/_call.py
+++ b/src/canvasyoke/direct/_call.py
@@ -9,7 +9,7 @@
 
 from canvasyoke.direct._choice import Chosen
 from canvasyoke.direct._fingerprint import fingerprint
-from canvasyoke.state import TableRoute
+from canvasyoke.state import TableRoute, format_position
 from canvasyoke.transport import ExchangeSlot
 
 
@@ -80,7 +80,7 @@
         """Return what the line of its request says of it."""
         chosen = self.chosen
         return (
-            f"{self.run} load={chosen.load} revision={chosen.endpoint.revision} "
+            f"{self.run} load={chosen.load} revision={format_position(chosen.endpoint.position)} "
             f"heard={chosen.heard_ago}ms list={chosen.list_age}ms {self.took}ms {self.outcome}"
         )
 
--- a/src/canvasyoke/direct/_endpoint_follower.py
+++ b/src/canvasyoke/direct/_endpoint_follower.py
@@ -23,6 +23,7 @@
     NothingNew,
     StorePosition,
     era_of,
+    format_position,
     revision_of,
 )
 
@@ -59,23 +60,23 @@
         #: Entries that name no backend, with what is wrong with them.
         self._unreadable: dict[str, str] = {}
         #: Newest position in the store's history seen.
-        self._revision: StorePosition = 0
+        self._position: StorePosition = 0
 
     @property
     def unreadable(self) -> int:
         """Return the number of entries in the store that name no backend."""
         return len(self._unreadable)
 
-    def _look(self, revision: StorePosition) -> EndpointList | EndpointsSeen:
-        if revision:
-            return self._store.watch_endpoints(revision, self._wait_time())
+    def _look(self, position: StorePosition) -> EndpointList | EndpointsSeen:
+        if position:
+            return self._store.watch_endpoints(position, self._wait_time())
         return self._store.endpoints(self._contact.patience)
 
     def _run(self) -> None:
-        revision: StorePosition = 0
+        position: StorePosition = 0
         while not self._stop.is_set():
             if self._roster.is_known and not self._is_watching():
-                revision = 0
+                position = 0
                 self._held.clear()
                 self._unreadable = {}
                 self._contact.left_to_others()
@@ -83,25 +84,29 @@
                 continue
             self._contact.resumes()
             if self._roster.wants_list and self._roster.doubted:
-                revision = 0
-            match self._look(revision):
+                position = 0
+            match self._look(position):
                 case EndpointList() as seen:
                     self._heard()
-                    self._revision = revision = seen.revision
+                    self._position = position = seen.position
                     self._take_list(seen)
                 case EndpointChanges() as seen:
                     self._heard()
-                    self._revision = revision = seen.revision
+                    self._position = position = seen.position
                     self._take_changes(seen)
                     self._pause(PAUSE_AFTER_NEWS)
                 case NothingNew():
                     self._heard()
                     self._pause(PAUSE)
                 case HistoryGone():
-                    _log.info("the store forgot its history", what="backends", at=revision)
-                    revision = 0
+                    _log.info(
+                        "the store forgot its history",
+                        what="backends",
+                        at=format_position(position),
+                    )
+                    position = 0
                 case seen:
-                    revision = 0
+                    position = 0
                     self._contact.failed(seen)
             self._carry_out_held()
 
@@ -126,13 +131,13 @@
         unreadable = {entry.id: entry.fault for entry in seen.unreadable}
         missing = self._roster.ids() - listed
         until = self._settling_until()
-        if self._roster.is_known and era_of(seen.revision) > self._roster.era:
+        if self._roster.is_known and era_of(seen.position) > self._roster.era:
             # Backends that the copy lacks live as a rule, and write themselves again.
             until = max(until, self._clock.now() + RETURN_TIME)
             _log.warning(
                 "the store came back from an older copy",
-                era=era_of(seen.revision),
-                revision=revision_of(seen.revision),
+                era=era_of(seen.position),
+                revision=revision_of(seen.position),
                 lacks=len(missing),
             )
         if len(missing) >= max(_MANY, _MANY_PART * len(self._roster.ids())):
@@ -144,7 +149,7 @@
             del self._held[endpoint_id]
         self._note_unreadable(unreadable)
         is_first = not self._roster.is_known
-        for change in self._roster.merge_from_store(seen.endpoints, seen.revision, keep):
+        for change in self._roster.merge_from_store(seen.endpoints, seen.position, keep):
             if is_first:
                 continue
             self._on_news(change)
@@ -157,7 +162,7 @@
             count=len(listed),
             held=len(keep),
             doubted=self._roster.doubted,
-            revision=seen.revision,
+            revision=format_position(seen.position),
         )
 
     def _take_changes(self, seen: EndpointChanges) -> None:
@@ -170,7 +175,7 @@
                 case EndpointGone():
                     self._note_unreadable({**self._unreadable, change.id: change.fault})
                     self._forget(change)
-        self._roster.knows_up_to(seen.revision)
+        self._roster.knows_up_to(seen.position)
 
     def _take_entry(self, endpoint: Endpoint) -> None:
         self._held.pop(endpoint.id, None)
@@ -190,9 +195,9 @@
 
     def _forget(self, gone: EndpointGone) -> None:
         self._held.pop(gone.id, None)
-        self._roster.remove(gone.id, gone.revision)
-        self._on_news(BackendChange.removal(gone.id, gone.revision))
-        _log.info("backend gone", backend=gone.id, revision=gone.revision)
+        self._roster.remove(gone.id, gone.position)
+        self._on_news(BackendChange.removal(gone.id, gone.position))
+        _log.info("backend gone", backend=gone.id, revision=format_position(gone.position))
 
     def _note_unreadable(self, now: dict[str, str]) -> None:
         """Take note of the entries that cannot be read now; each is logged once."""
@@ -213,7 +218,7 @@
         for endpoint_id, until in list(self._held.items()):
             if now >= until:
                 del self._held[endpoint_id]
-                for change in self._roster.remove(endpoint_id, self._revision):
+                for change in self._roster.remove(endpoint_id, self._position):
                     self._on_news(change)
                 _log.info("backend gone", backend=endpoint_id, source="did not come back")
 
@@ -224,6 +229,6 @@
         backend=endpoint.run,
         state=endpoint.state.name,
         service=endpoint.service,
-        revision=endpoint.revision,
+        revision=format_position(endpoint.position),
         source=source,
     )
--- a/src/canvasyoke/direct/_known_backends.py
+++ b/src/canvasyoke/direct/_known_backends.py
@@ -27,16 +27,16 @@
     #: Whether its entry was removed.
     gone: bool
     #: Position in the store's history at which this came to be.
-    revision: StorePosition
+    position: StorePosition
     #: Whether the store's watch had left it out, so that it was found in a list, or the store
     #: is back from a copy that lacks it.
     was_lost: bool = False
 
     @classmethod
-    def removal(cls, endpoint_id: str, revision: StorePosition) -> BackendChange:
+    def removal(cls, endpoint_id: str, position: StorePosition) -> BackendChange:
         """Return the removal of a backend of which nothing else has to be known."""
-        gone = Endpoint(endpoint_id, "", "", "", 1, EndpointState.LEAVING, revision)
-        return cls(gone, True, revision)
+        gone = Endpoint(endpoint_id, "", "", "", 1, EndpointState.LEAVING, position)
+        return cls(gone, True, position)
 
 
 @dataclass(slots=True)
@@ -47,7 +47,7 @@
     #: Whether a list has been read.
     is_known: bool = False
     #: Position up to which all changes are known; 0 before any list.
-    revision: StorePosition = 0
+    position: StorePosition = 0
     _endpoints: dict[str, Endpoint] = field(default_factory=dict)
     #: Backends that are gone, with the position of their removal.
     _gone: dict[str, StorePosition] = field(default_factory=dict)
@@ -55,30 +55,30 @@
     def merge(
         self,
         endpoints: Iterable[Endpoint],
-        revision: StorePosition,
+        position: StorePosition,
         keep: frozenset[str] = frozenset(),
     ) -> list[BackendChange]:
         """Take a whole list of a position.
 
         Those in ``keep`` stay although it lacks them, and so does what is newer.
         """
-        self._heard_of(revision)
+        self._heard_of(position)
         listed = {endpoint.id: endpoint for endpoint in endpoints}
         changes = [
-            BackendChange(endpoint, True, revision)
+            BackendChange(endpoint, True, position)
             for endpoint in self._endpoints.values()
             if endpoint.id not in listed
             and endpoint.id not in keep
-            and endpoint.revision <= revision
+            and endpoint.position <= position
             and not self._may_be_unwritten(endpoint)
         ]
         for change in changes:
-            self._forget(change.endpoint.id, revision)
+            self._forget(change.endpoint.id, position)
         for endpoint in listed.values():
-            is_outdated = revision < self.revision and self._is_old(endpoint)
+            is_outdated = position < self.position and self._is_old(endpoint)
             if not is_outdated:
                 changes += self.put(endpoint)
-        self.revision = max(self.revision, revision)
+        self.position = max(self.position, position)
         self.is_known = True
         self.store_return.listed()
         return changes
@@ -86,20 +86,20 @@
     def merge_from_store(
         self,
         endpoints: Iterable[Endpoint],
-        revision: StorePosition,
+        position: StorePosition,
         keep: frozenset[str] = frozenset(),
     ) -> list[BackendChange]:
         """As ``merge``, for a list that the store has just given.
 
         The store can lose events. What it lists is then older than what is known here and
-        at other entries, and yet right; it is taken as of the list's own revision, so that
+        at other entries, and yet right; it is taken as of the list's own position, so that
         it counts as new everywhere.
         """
-        self._heard_of(revision)
+        self._heard_of(position)
         listed = list(endpoints)
         lost = {endpoint.id for endpoint in listed if self._was_lost(endpoint)}
-        as_of_now = [replace(e, revision=revision) if e.id in lost else e for e in listed]
-        changes = self.merge(as_of_now, revision, keep)
+        as_of_now = [replace(e, position=position) if e.id in lost else e for e in listed]
+        changes = self.merge(as_of_now, position, keep)
         return [
             replace(change, was_lost=change.was_lost or change.endpoint.id in lost)
             for change in changes
@@ -107,9 +107,9 @@
 
     def put(self, endpoint: Endpoint) -> list[BackendChange]:
         """Add or change one backend."""
-        self._heard_of(endpoint.revision)
+        self._heard_of(endpoint.position)
         known = self._endpoints.get(endpoint.id)
-        if endpoint.revision < self._gone.get(endpoint.id, 0):
+        if endpoint.position < self._gone.get(endpoint.id, 0):
             return []
         better = self._known_better(endpoint)
         if better is None and endpoint.state is EndpointState.LEAVING:
@@ -117,7 +117,7 @@
         if better is not None:
             self.store_return.doubted.add(endpoint.id)
             if better.gone:
-                self._forget(endpoint.id, better.revision)
+                self._forget(endpoint.id, better.position)
                 return [better]
             endpoint = better.endpoint
         if known is not None and (endpoint == known or self._loses(endpoint, known)):
@@ -127,16 +127,16 @@
             return [better]
         if known is not None and _is_as_before(endpoint, known):
             return []
-        return [BackendChange(endpoint, False, endpoint.revision)]
+        return [BackendChange(endpoint, False, endpoint.position)]
 
-    def remove(self, endpoint_id: str, revision: StorePosition) -> list[BackendChange]:
+    def remove(self, endpoint_id: str, position: StorePosition) -> list[BackendChange]:
         """Forget one backend, unless it is known to have come back since."""
         known = self._endpoints.get(endpoint_id)
-        if known is not None and known.revision > revision:
+        if known is not None and known.position > position:
             return []
         self.store_return.doubted.discard(endpoint_id)
-        self._forget(endpoint_id, revision)
-        return [BackendChange(known, True, revision)] if known is not None else []
+        self._forget(endpoint_id, position)
+        return [BackendChange(known, True, position)] if known is not None else []
 
     def hear(self, news: BackendChange) -> bool:
         """Take what another entry learned from the store; false when it is old.
@@ -144,18 +144,18 @@
         An event that the store had lost is told as of the list in which it was found: it
         is no older than what is known here, although all up to there has been heard.
         """
-        self._heard_of(news.revision)
-        told = self._as_of_return(replace(news.endpoint, revision=news.revision), news.gone)
+        self._heard_of(news.position)
+        told = self._as_of_return(replace(news.endpoint, position=news.position), news.gone)
         is_found = (
             news.was_lost
             and told.id not in self._endpoints
-            and told.revision >= self.revision
-            and told.revision > self._gone.get(told.id, 0)
+            and told.position >= self.position
+            and told.position > self._gone.get(told.id, 0)
         )
         if self._is_old(told, news) and not is_found:
             return False
         if news.gone:
-            self._forget(told.id, told.revision)
+            self._forget(told.id, told.position)
             return True
         if self._known_better(told) is not None:
             self.put(told)
@@ -175,27 +175,27 @@
         is_of_copy = not news.gone and news.endpoint.state is EndpointState.READY
         if is_of_copy and news.endpoint.id in self.store_return.doubted:
             return self._correction(news)
-        if era_of(news.revision) < self.store_return.era:
+        if era_of(news.position) < self.store_return.era:
             return None
-        is_past = self.is_known and news.revision <= self.revision
+        is_past = self.is_known and news.position <= self.position
         if news.gone or not is_past or news.endpoint.id in self._endpoints:
             return None
         # Just after a return the position may be the very one at which the copy has it.
         is_of_return = self.store_return.is_settling
-        return BackendChange(news.endpoint, True, self.revision, was_lost=is_of_return)
+        return BackendChange(news.endpoint, True, self.position, was_lost=is_of_return)
 
-    def knows_up_to(self, revision: StorePosition) -> None:
+    def knows_up_to(self, position: StorePosition) -> None:
         """Take note that all changes up to a position have come."""
-        self._heard_of(revision)
+        self._heard_of(position)
         if self.is_known:
-            self.revision = max(self.revision, revision)
+            self.position = max(self.position, position)
 
     def _heard_of(self, position: StorePosition) -> None:
         self.store_return.heard_of(position, self.is_known)
 
     def _may_be_unwritten(self, endpoint: Endpoint) -> bool:
         """Tell whether a backend that a list lacks may live and write its entry again."""
-        is_of_before = era_of(endpoint.revision) < self.store_return.era
+        is_of_before = era_of(endpoint.position) < self.store_return.era
         return is_of_before and self.store_return.lacks_backends
 
     def _known_better(self, told: Endpoint) -> BackendChange | None:
@@ -203,17 +203,17 @@
         known = self._endpoints.get(told.id)
         if known is None:
             gone = self._gone.get(told.id, 0)
-            if gone and self.store_return.is_doubtful(told.id, gone, told.revision):
-                return BackendChange(told, True, told.revision, was_lost=True)
+            if gone and self.store_return.is_doubtful(told.id, gone, told.position):
+                return BackendChange(told, True, told.position, was_lost=True)
             return None
         says_more = known.state is EndpointState.LEAVING and told.state is EndpointState.READY
         is_same_run = (known.run, known.address) == (told.run, told.address)
         if not (says_more and is_same_run):
             return None
-        if not self.store_return.is_doubtful(told.id, known.revision, told.revision):
+        if not self.store_return.is_doubtful(told.id, known.position, told.position):
             return None
         leaving = replace(told, state=EndpointState.LEAVING)
-        return BackendChange(leaving, False, told.revision, was_lost=True)
+        return BackendChange(leaving, False, told.position, was_lost=True)
 
     def _as_of_return(self, told: Endpoint, gone: bool) -> Endpoint:
         """Return late word of an end as of what the copy says of the same run.
@@ -222,13 +222,13 @@
         """
         known = self._endpoints.get(told.id)
         is_end = gone or told.state is EndpointState.LEAVING
-        is_late = known is not None and era_of(told.revision) < era_of(known.revision)
+        is_late = known is not None and era_of(told.position) < era_of(known.position)
         if known is None or not (is_end and is_late and self.store_return.is_settling):
             return told
         if known.run != told.run and not gone:
             return told
         self.store_return.doubted.add(told.id)
-        return replace(told, revision=known.revision)
+        return replace(told, position=known.position)
 
     def _correction(self, news: BackendChange) -> BackendChange | None:
         """Return what is known of a backend in place of what the store's copy says."""
@@ -236,18 +236,18 @@
         if known is not None and known.state is EndpointState.READY:
             return None
         if known is None:
-            position = max(news.revision, self.revision)
+            position = max(news.position, self.position)
             return BackendChange(news.endpoint, True, position, was_lost=True)
-        position = max(news.revision, known.revision)
-        return BackendChange(replace(known, revision=position), False, position, was_lost=True)
+        position = max(news.position, known.position)
+        return BackendChange(replace(known, position=position), False, position, was_lost=True)
 
     def _loses(self, told: Endpoint, known: Endpoint) -> bool:
         """Tell whether word of a backend does not change what is known.
 
         Of two words of one position the one that it leaves counts: the other is the copy's.
         """
-        if told.revision != known.revision:
-            return told.revision < known.revision
+        if told.position != known.position:
+            return told.position < known.position
         is_settled = told.id in self.store_return.doubted and not self.store_return.is_settling
         return known.state is EndpointState.LEAVING and not is_settled
 
@@ -258,24 +258,24 @@
         known = self._endpoints.get(endpoint.id)
         if known is not None and _is_as_before(endpoint, known):
             return False
-        is_unheard = known is None or known.revision < endpoint.revision
-        return is_unheard and endpoint.revision <= self.revision
+        is_unheard = known is None or known.position < endpoint.position
+        return is_unheard and endpoint.position <= self.position
 
     def _is_old(self, endpoint: Endpoint, news: BackendChange | None = None) -> bool:
         """Tell whether what others say of a backend is no news here."""
         known = self._endpoints.get(endpoint.id)
-        newest = known.revision if known is not None else self.revision
+        newest = known.position if known is not None else self.position
         newest = max(newest, self._gone.get(endpoint.id, 0))
-        if known is None or endpoint.revision != newest or news is None:
-            return endpoint.revision <= newest
+        if known is None or endpoint.position != newest or news is None:
+            return endpoint.position <= newest
         # Of two words of one position the copy's is the one that knows of no end.
         is_of_return = news.was_lost or self.store_return.is_settling
         is_end = news.gone or endpoint.state is EndpointState.LEAVING
         return not (is_of_return and is_end and known.state is EndpointState.READY)
 
-    def _forget(self, endpoint_id: str, revision: StorePosition) -> None:
+    def _forget(self, endpoint_id: str, position: StorePosition) -> None:
         self._endpoints.pop(endpoint_id, None)
-        self._gone[endpoint_id] = max(revision, self._gone.get(endpoint_id, 0))
+        self._gone[endpoint_id] = max(position, self._gone.get(endpoint_id, 0))
         while len(self._gone) > _GONE_LIMIT:
             del self._gone[next(iter(self._gone))]
 
@@ -285,5 +285,5 @@
 
     All are, and need not be told of to everybody.
     """
-    is_of_before = era_of(known.revision) < era_of(told.revision)
-    return is_of_before and replace(known, revision=told.revision) == told
+    is_of_before = era_of(known.position) < era_of(told.position)
+    return is_of_before and replace(known, position=told.position) == told
--- a/src/canvasyoke/direct/_peers.py
+++ b/src/canvasyoke/direct/_peers.py
@@ -6,7 +6,7 @@
 reaches all that are in touch although each has few links.
 
 A link loses nothing while it stands and keeps the order. So an entry that hears over a
-link that the other one knows all changes up to a revision has heard of them itself,
+link that the other one knows all changes up to a position has heard of them itself,
 unless they are older than the link; then it asks for the whole list.
 """
 
@@ -52,6 +52,7 @@
 from canvasyoke.state import (
     DirectSettings,
     FleetStore,
+    format_position,
 )
 from canvasyoke.transport import Session
 
@@ -251,21 +252,21 @@
         self._tables.heard_of(load.config_version, session)
         self._heard_up_to(load.backends_revision, load.backends_age, session)
 
-    def _heard_up_to(self, revision: int, age: int, session: Session) -> None:
-        """Take note of the revision up to which another entry knows all backends."""
+    def _heard_up_to(self, position: int, age: int, session: Session) -> None:
+        """Take note of the position up to which another entry knows all backends."""
         now = self._clock.now()
         if session in self._caught_up and not self._roster.wants_list:
-            self._roster.knows_up_to(revision)
+            self._roster.knows_up_to(position)
             self._roster.confirmed(age)
-        elif revision and now - self._listed_at >= _LIST_AGAIN:
+        elif position and now - self._listed_at >= _LIST_AGAIN:
             self._listed_at = now
             session.send(BackendsWanted())
 
     def _backend_list(self) -> BackendList:
-        revision = self._roster.revision
-        changes = [BackendChange(e, False, e.revision) for e in self._roster.endpoints()]
+        position = self._roster.position
+        changes = [BackendChange(e, False, e.position) for e in self._roster.endpoints()]
         backends = [to_news(change) for change in changes]
-        return BackendList(revision, backends, self._roster.groups())
+        return BackendList(position, backends, self._roster.groups())
 
     def _take_list(self, session: Session, listed: BackendList) -> None:
         """Take all backends from another entry, and pass on what was new."""
@@ -277,7 +278,7 @@
             "backends heard",
             count=len(listed.backends),
             changes=len(changes),
-            revision=listed.revision,
+            revision=format_position(listed.revision),
             peer=session.peer,
         )
         for change in changes:
@@ -300,7 +301,7 @@
             backend=news.id,
             gone=news.gone,
             leaving=news.leaving,
-            revision=news.revision,
+            revision=format_position(news.revision),
             peer=session.peer,
         )
 
@@ -314,7 +315,7 @@
             config_version=self._view.current.version,
             under_way=self._roster.own_load() if tells_load else {},
             told_at=self._clock.now(),
-            backends_revision=self._roster.revision,
+            backends_revision=self._roster.position,
             backends_age=self._roster.list_age,
             watchers=watchers,
             relayed=relayed,
@@ -344,7 +345,7 @@
 
     def _what_is_new(self, with_load: bool) -> tuple[int, int, tuple[tuple[str, int], ...]]:
         under_way = tuple(sorted(self._roster.own_load().items())) if with_load else ()
-        return self._view.current.version, self._roster.revision, under_way
+        return self._view.current.version, self._roster.position, under_way
 
     def _unrelayed(self) -> list[RelayedLoad]:
         return [
--- a/src/canvasyoke/direct/_store_return.py
+++ b/src/canvasyoke/direct/_store_return.py
@@ -10,7 +10,7 @@
 
 from typing import Final
 
-from canvasyoke._clock import SECOND, Clock
+from canvasyoke._clock import Clock
 from canvasyoke.state import StorePosition, era_of
 
 #: Milliseconds within which backends that live have written their entries again (the users'
@@ -28,7 +28,8 @@
         self._clock = clock
         #: Newest era heard of.
         self.era = 0
-        self._returned_at = -SECOND * 3_600
+        #: Time on the clock at which the last return became known; ``None`` before any.
+        self._returned_at: int | None = None
         self._is_pending = False
         #: Backends of which something else is believed than the store's word.
         self.doubted: set[str] = set()
@@ -46,12 +47,16 @@
     @property
     def is_settling(self) -> bool:
         """Tell whether the store may still list backends that have left or ended."""
-        return self._clock.now() - self._returned_at < _SILENCE_TIME
+        return self._is_within(_SILENCE_TIME)
 
     @property
     def lacks_backends(self) -> bool:
         """Tell whether the store may still lack backends that live."""
-        return self._clock.now() - self._returned_at < RETURN_TIME
+        return self._is_within(RETURN_TIME)
+
+    def _is_within(self, duration: int) -> bool:
+        at = self._returned_at
+        return at is not None and self._clock.now() - at < duration
 
     @property
     def wants_list(self) -> bool:
--- a/src/canvasyoke/direct/_table_follower.py
+++ b/src/canvasyoke/direct/_table_follower.py
@@ -17,6 +17,7 @@
     StorePosition,
     TableRead,
     TableSeen,
+    format_position,
 )
 
 _log = part_logger("store")
@@ -61,33 +62,37 @@
         self._view = view
         self._is_watching = is_watching
 
-    def _look(self, revision: StorePosition) -> TableSeen:
-        if revision:
-            return self._store.watch_table(revision, WATCH)
+    def _look(self, position: StorePosition) -> TableSeen:
+        if position:
+            return self._store.watch_table(position, WATCH)
         return self._store.table(self._contact.patience)
 
     def _run(self) -> None:
-        revision: StorePosition = 0
+        position: StorePosition = 0
         while not self._stop.is_set():
             if self._view.current.version and not self._is_watching():
-                revision = 0
+                position = 0
                 self._contact.left_to_others()
                 self._pause(IDLE)
                 continue
             self._contact.resumes()
-            match self._look(revision):
+            match self._look(position):
                 case TableRead() as seen:
                     self._contact.answered()
-                    revision = seen.revision
+                    position = seen.position
                     self._view.adopt(seen.table, seen.document, "store")
                     self._pause(PAUSE_AFTER_NEWS)
                 case NothingNew() as seen:
                     self._contact.answered()
-                    revision = revision or seen.revision
+                    position = position or seen.position
                     self._pause(PAUSE)
                 case HistoryGone():
-                    _log.info("the store forgot its history", what="configuration", at=revision)
-                    revision = 0
+                    _log.info(
+                        "the store forgot its history",
+                        what="configuration",
+                        at=format_position(position),
+                    )
+                    position = 0
                 case seen:
-                    revision = 0
+                    position = 0
                     self._contact.failed(seen)
--- a/src/canvasyoke/direct/tests/fleet_model.py
+++ b/src/canvasyoke/direct/tests/fleet_model.py
@@ -143,7 +143,7 @@
         self.quarantine.look()
 
     def knows(self) -> dict[str, tuple[int, str]]:
-        return {e.id: (e.revision, e.state.name) for e in self.roster.endpoints()}
+        return {e.id: (e.position, e.state.name) for e in self.roster.endpoints()}
 
 
 class SimFleet:
@@ -269,11 +269,11 @@
             return
         for change in self.history[entry.watched :]:
             if change.gone:
-                entry.roster.remove(change.endpoint.id, change.revision)
+                entry.roster.remove(change.endpoint.id, change.position)
             else:
                 entry.roster.put(change.endpoint)
             entry.peers.tell_backend(change)
-            entry.roster.knows_up_to(change.revision)
+            entry.roster.knows_up_to(change.position)
         entry.watched = len(self.history)
 
     def list_at(self, name: str) -> None:
@@ -286,7 +286,7 @@
                 entry.peers.tell_backend(change)
 
     def expected(self) -> dict[str, tuple[int, str]]:
-        return {e.id: (e.revision, e.state.name) for e in self.truth.values()}
+        return {e.id: (e.position, e.state.name) for e in self.truth.values()}
 
 
 SETTLE_TURNS = 4 * SECOND // TURN
--- a/src/canvasyoke/direct/tests/load_model.py
+++ b/src/canvasyoke/direct/tests/load_model.py
@@ -108,7 +108,7 @@
 
     def _roster(self, domain: int, n: int) -> Roster:
         roster = Roster(f"d-{domain}", self.clock, random.Random(f"{self.day.seed}/{domain}/{n}"))
-        roster.merge([engine.endpoint for engine in self.engines.values()], revision=5)
+        roster.merge([engine.endpoint for engine in self.engines.values()], position=5)
         near = frozenset(f"f-{domain}-{i}" for i in range(self.day.entries[domain]) if i != n)
         roster.set_fleet(
             FleetView(sum(self.day.entries), f"f-{domain}-{n}", near, self.day.hears_all)
--- a/src/canvasyoke/direct/tests/returning_fleet.py
+++ b/src/canvasyoke/direct/tests/returning_fleet.py
@@ -51,14 +51,14 @@
         written = self.truth.get(backend)
         if written is not None:
             self.said[backend] = self.truth[backend] = self._in_era(written)
-        if self.history and self.history[-1].revision == self.revision:
+        if self.history and self.history[-1].position == self.revision:
             last = self.history[-1]
             at = store_position(self.era, self.revision)
-            self.history[-1] = replace(last, revision=at, endpoint=self._in_era(last.endpoint))
+            self.history[-1] = replace(last, position=at, endpoint=self._in_era(last.endpoint))
 
     def _in_era(self, endpoint: Endpoint) -> Endpoint:
-        revision = revision_of(endpoint.revision)
-        return replace(endpoint, revision=store_position(self.era, revision))
+        revision = revision_of(endpoint.position)
+        return replace(endpoint, position=store_position(self.era, revision))
 
     @property
     def at(self) -> int:
@@ -112,12 +112,12 @@
             return
         for change in self.history[entry.watched :]:
             if change.gone:
-                changes = entry.roster.remove(change.endpoint.id, change.revision)
+                changes = entry.roster.remove(change.endpoint.id, change.position)
             else:
                 changes = entry.roster.put(change.endpoint)
             for told in changes:
                 entry.peers.tell_backend(told)
-            entry.roster.knows_up_to(change.revision)
+            entry.roster.knows_up_to(change.position)
         entry.watched = len(self.history)
         entry.roster.knows_up_to(self.at)
 
@@ -133,7 +133,7 @@
                 self._silent_at = 0
                 for name in self.truth.keys() - self.said.keys():
                     super().change(name, None)
-                    self.history[-1] = replace(self.history[-1], revision=self.at)
+                    self.history[-1] = replace(self.history[-1], position=self.at)
                 self.watch_all()
             for name in self.watchers():
                 roster = self.entries[name].roster
@@ -143,7 +143,7 @@
     def _write_again(self) -> None:
         for name, endpoint in list(self.said.items()):
             listed = self.truth.get(name)
-            if listed is None or replace(listed, revision=endpoint.revision) != endpoint:
+            if listed is None or replace(listed, position=endpoint.position) != endpoint:
                 self.change(name, endpoint.state)
         self.watch_all()
 
--- a/src/canvasyoke/direct/tests/test_known_backends.py
+++ b/src/canvasyoke/direct/tests/test_known_backends.py
@@ -14,8 +14,8 @@
 SETTLED, RETURNED = 5_000, 100
 
 
-def at(era: int, revision: int) -> int:
-    return store_position(era, revision)
+def at(era: int, position: int) -> int:
+    return store_position(era, position)
 
 
 def backend(position: int, state: EndpointState = READY, started: int = 0) -> Endpoint:
@@ -23,7 +23,7 @@
 
 
 class Known:
-    """One entry's list, through a return from revision 122 to 6."""
+    """One entry's list, through a return from position 122 to 6."""
 
     def __init__(self, before: Endpoint | None, later: int = RETURNED) -> None:
         self.clock = ManualClock(start=100_000)
--- a/src/canvasyoke/direct/tests/test_list_age.py
+++ b/src/canvasyoke/direct/tests/test_list_age.py
@@ -18,14 +18,14 @@
     clock = ManualClock(start=10_000)
     roster = Roster("nbo-a", clock, random.Random(1))
     ready = Endpoint("a", "ink", "127.0.0.1:1", "nbo-a", 6, EndpointState.READY, 4)
-    roster.merge([ready], revision=5)
+    roster.merge([ready], position=5)
     roster.confirmed()
     clock.advance(700)
     roster.confirmed(age=200)
     clock.advance(50)
     chosen = roster.choose(Wanted("ink"))
     assert isinstance(chosen, Chosen)
-    assert (chosen.endpoint.revision, chosen.heard_ago, chosen.list_age) == (4, 750, 250)
+    assert (chosen.endpoint.position, chosen.heard_ago, chosen.list_age) == (4, 750, 250)
 
 
 def test_another_entry_confirms_the_list_of_one_without_the_store(
--- a/src/canvasyoke/direct/tests/test_roster.py
+++ b/src/canvasyoke/direct/tests/test_roster.py
@@ -17,9 +17,9 @@
 from canvasyoke.state import Endpoint, EndpointState
 
 
-def endpoint(name: str, revision: int = 1, leaving: bool = False) -> Endpoint:
+def endpoint(name: str, position: int = 1, leaving: bool = False) -> Endpoint:
     state = EndpointState.LEAVING if leaving else EndpointState.READY
-    return Endpoint(name, "ink", f"127.0.0.1:{revision}", "nbo-a", 6, state, revision)
+    return Endpoint(name, "ink", f"127.0.0.1:{position}", "nbo-a", 6, state, position)
 
 
 @pytest.fixture
@@ -30,13 +30,13 @@
 @pytest.fixture
 def roster(clock: ManualClock) -> Roster:
     roster = Roster("nbo-a", clock, random.Random(1))
-    roster.merge([endpoint("a"), endpoint("b")], revision=5)
+    roster.merge([endpoint("a"), endpoint("b")], position=5)
     return roster
 
 
-def again(name: str, revision: int, started: int) -> Endpoint:
+def again(name: str, position: int, started: int) -> Endpoint:
     """Return the entry of a backend that tells its start."""
-    return dataclasses.replace(endpoint(name), revision=revision, started=started)
+    return dataclasses.replace(endpoint(name), position=position, started=started)
 
 
 def choose(roster: Roster, *tried: str) -> str:
@@ -78,12 +78,12 @@
 
 @pytest.mark.parametrize(("news", "gone", "taken"), [case[1:] for case in NEWS])
 def test_news_from_others(roster: Roster, news: Endpoint, gone: bool, taken: bool) -> None:
-    assert roster.hear(BackendChange(news, gone, news.revision)) is taken
+    assert roster.hear(BackendChange(news, gone, news.position)) is taken
 
 
 def test_a_removed_backend_does_not_come_back_by_old_news(roster: Roster) -> None:
-    roster.remove("a", revision=9)
-    assert not roster.hear(BackendChange(endpoint("a", 8), gone=False, revision=8))
+    roster.remove("a", position=9)
+    assert not roster.hear(BackendChange(endpoint("a", 8), gone=False, position=8))
     assert roster.ids() == {"b"}
 
 
@@ -220,7 +220,7 @@
         for domain in domains
         for n in (1, 2)
     ]
-    roster.merge(listed, revision=7)
+    roster.merge(listed, position=7)
     for each in listed:
         roster.learn_group(each.id, f"g-{each.domain}")
 
@@ -344,9 +344,9 @@
 def test_one_that_does_not_tell_its_start_is_another_at_another_address(roster: Roster) -> None:
     fail_often(roster, "a")
     assert used(roster) == {"b"}
-    roster.put(dataclasses.replace(endpoint("a"), revision=7))
+    roster.put(dataclasses.replace(endpoint("a"), position=7))
     assert used(roster) == {"b"}
-    roster.put(dataclasses.replace(endpoint("a"), revision=8, address="127.0.0.1:99"))
+    roster.put(dataclasses.replace(endpoint("a"), position=8, address="127.0.0.1:99"))
     assert "a" in used(roster)
 
 
--- a/src/canvasyoke/direct/tests/test_spread.py
+++ b/src/canvasyoke/direct/tests/test_spread.py
@@ -261,10 +261,10 @@
     @invariant()
     def nothing_goes_back(self) -> None:
         for name, entry in self.fleet.entries.items():
-            for backend, (revision, _) in entry.knows().items():
+            for backend, (position, _) in entry.knows().items():
                 key = (name, id(entry), backend)
-                assert revision >= self.seen.get(key, 0)
-                self.seen[key] = revision
+                assert position >= self.seen.get(key, 0)
+                self.seen[key] = position
 
 
 SpreadMachine.TestCase.settings = settings(max_examples=25, stateful_step_count=25, deadline=None)
--- a/src/canvasyoke/experts/_fences.py
+++ b/src/canvasyoke/experts/_fences.py
@@ -59,5 +59,5 @@
     written = store.put_note(_OWNERS, group, msgspec.json.encode(note))
     if not isinstance(written, Note):
         return written
-    owners = era_of(written.revision) * _REVISIONS_PER_ERA + revision_of(written.revision)
+    owners = era_of(written.position) * _REVISIONS_PER_ERA + revision_of(written.position)
     return Fences(owners * _FENCES_PER_OWNER)
--- a/src/canvasyoke/platform/_endpoints.py
+++ b/src/canvasyoke/platform/_endpoints.py
@@ -132,10 +132,10 @@
             case Unusable():
                 return event
             case Endpoint():
-                newest = min(newest, event.revision - 1)
+                newest = min(newest, event.position - 1)
                 changes.append(event)
-            case EndpointGone(name, own_revision, fault):
-                changes.append(EndpointGone(name, max(newest, own_revision), fault))
+            case EndpointGone(name, own_position, fault):
+                changes.append(EndpointGone(name, max(newest, own_position), fault))
     return EndpointChanges(tuple(reversed(changes)), position)
 
 
@@ -175,13 +175,13 @@
         return EndpointGone(found.name, store_position(era, found.revision), found.fault)
     if isinstance(found, Unusable):
         return found
-    name, revision = found.meta.name, store_position(era, found.meta.revision)
+    name, position = found.meta.name, store_position(era, found.meta.revision)
     try:
         server = msgspec.json.decode(found.spec, type=_Server)
     except UNREADABLE as exc:
-        return EndpointGone(name, revision, str(exc))
+        return EndpointGone(name, position, str(exc))
     if not _is_address(server.address):
-        return EndpointGone(name, revision, f"no address: {server.address}")
+        return EndpointGone(name, position, f"no address: {server.address}")
     return Endpoint(
         id=name,
         service=server.service,
@@ -189,7 +189,7 @@
         domain=server.zone,
         slots=server.slots,
         state=_STATES[server.state],
-        revision=revision,
+        position=position,
         started=server.started,
     )
 
--- a/src/canvasyoke/platform/_store.py
+++ b/src/canvasyoke/platform/_store.py
@@ -180,7 +180,7 @@
         made = self.create_note(kind, name, body)
         if not isinstance(made, Note) or made.body == body:
             return made
-        out = _NoteOut({"Name": name, "Revision": revision_of(made.revision)}, msgspec.Raw(body))
+        out = _NoteOut({"Name": name, "Revision": revision_of(made.position)}, msgspec.Raw(body))
         path = f"/objects/{kind}/{quote(name, safe='')}"
         answer = self._call("PUT", path, msgspec.json.encode(out))
         if isinstance(answer, Unavailable):
--- a/src/canvasyoke/platform/tests/test_endpoints.py
+++ b/src/canvasyoke/platform/tests/test_endpoints.py
@@ -46,7 +46,7 @@
 def test_a_sound_entry_names_a_backend() -> None:
     (endpoint,) = read_list([stored("a", SOUND)], 9).endpoints
     assert endpoint == Endpoint(
-        "a", "shelf", "10.0.0.1:8080", "nbo-a", 6, EndpointState.READY, revision=7
+        "a", "shelf", "10.0.0.1:8080", "nbo-a", 6, EndpointState.READY, position=7
     )
 
 
@@ -197,7 +197,7 @@
     gone, changed = changes.changes
     assert isinstance(gone, EndpointGone)
     assert isinstance(changed, Endpoint)
-    assert (gone.id, gone.revision, changed.id) == ("odd", 8, "a")
+    assert (gone.id, gone.position, changed.id) == ("odd", 8, "a")
     assert gone.fault
 
 
--- a/src/canvasyoke/platform/tests/test_store_eras.py
+++ b/src/canvasyoke/platform/tests/test_store_eras.py
@@ -66,14 +66,14 @@
     before = listed(client)
     store.return_from(store.copy())
     after = listed(client)
-    assert {era_of(e.revision) for e in before.endpoints} == {0}
-    assert {era_of(e.revision) for e in after.endpoints} == {era_of(after.revision)} == {1}
-    assert [revision_of(e.revision) for e in after.endpoints] == [
-        e.revision for e in before.endpoints
+    assert {era_of(e.position) for e in before.endpoints} == {0}
+    assert {era_of(e.position) for e in after.endpoints} == {era_of(after.position)} == {1}
+    assert [revision_of(e.position) for e in after.endpoints] == [
+        e.position for e in before.endpoints
     ]
     table = client.table()
     assert isinstance(table, TableRead)
-    assert era_of(table.revision) == 1
+    assert era_of(table.position) == 1
 
 
 def test_pages_of_two_eras_are_no_list(
@@ -100,7 +100,7 @@
 ) -> None:
     older = store.copy()
     store.put("servers", "b-9", spec(9))
-    position = listed(client).revision
+    position = listed(client).position
     store.return_from(older)
     for number in range(changes):
         store.put("servers", f"more-{number}", spec(number))
@@ -110,15 +110,15 @@
 
 def test_a_watch_within_an_era_tells_of_it(store: ObjectStore, client: ObjectsFleetStore) -> None:
     store.return_from(store.copy())
-    position = listed(client).revision
+    position = listed(client).position
     nothing = client.watch_endpoints(position, 1)
     assert nothing == NothingNew(position)
     store.put("servers", "b-9", spec(9))
     store.remove("servers", "b-1")
     seen = client.watch_endpoints(position, 10)
     assert isinstance(seen, EndpointChanges)
-    assert {era_of(change.revision) for change in seen.changes} == {1}
-    assert seen.revision > position
+    assert {era_of(change.position) for change in seen.changes} == {1}
+    assert seen.position > position
 
 
 def test_a_conditional_write_names_the_revision_alone(
@@ -128,7 +128,7 @@
     assert isinstance(client.put_note("entries", "a", b'"one"'), Note)
     written = client.put_note("entries", "a", b'"two"')
     assert isinstance(written, Note)
-    assert era_of(written.revision) == 1
+    assert era_of(written.position) == 1
     assert store.get("entries") == {"a": "two"}
 
 
--- a/src/canvasyoke/protocol/_messages.py
+++ b/src/canvasyoke/protocol/_messages.py
@@ -355,7 +355,7 @@
     under_way: Annotated[dict[str, int], msgspec.Meta(max_length=20_000)] = {}
     #: Time on the entry's clock.
     told_at: Count = 0
-    #: Revision of the store up to which the entry knows all backends; 0 for none.
+    #: Position in the store's history up to which the entry knows all backends; 0 for none.
     backends_revision: Count = 0
     #: Milliseconds since that list was known to be in step with the store.
     backends_age: Count = 0
@@ -394,7 +394,7 @@
     leaving: bool
     #: Whether its entry was removed.
     gone: bool
-    #: Revision of the store at which this came to be.
+    #: Position in the store's history at which this came to be, era above revision.
     revision: Count
     #: Whether the store's watch had left it out, so that it was found in a list.
     was_lost: bool = False
--- a/src/canvasyoke/state/__init__.py
+++ b/src/canvasyoke/state/__init__.py
@@ -71,7 +71,13 @@
     WatchedFile,
     load_settings,
 )
-from canvasyoke.state._store_position import StorePosition, era_of, revision_of, store_position
+from canvasyoke.state._store_position import (
+    StorePosition,
+    era_of,
+    format_position,
+    revision_of,
+    store_position,
+)
 from canvasyoke.state._submission import (
     ROOT_KEY,
     Accepted,
@@ -158,6 +164,7 @@
     "build_config",
     "check_file",
     "era_of",
+    "format_position",
     "index_routes",
     "load_settings",
     "load_snapshot",
--- a/src/canvasyoke/state/_fleet_store.py
+++ b/src/canvasyoke/state/_fleet_store.py
@@ -45,7 +45,7 @@
     slots: int
     state: EndpointState
     #: Position in the store's history at which this came to be.
-    revision: StorePosition = 0
+    position: StorePosition = 0
     #: Its start by its own clock, in milliseconds since 1970-01-01 UTC; 0 if it does not
     #: say. Only whether two are the same counts: clocks go back.
     started: int = 0
@@ -67,7 +67,7 @@
     id: str
     #: Position in the store's history at which this came to be, or a later one before which
     #: nothing else is known of the entry.
-    revision: StorePosition
+    position: StorePosition
     #: Why the entry that stands there cannot be read; empty when it was removed.
     fault: str = ""
 
@@ -77,7 +77,7 @@
     """All backends in the store at one revision."""
 
     endpoints: tuple[Endpoint, ...]
-    revision: StorePosition
+    position: StorePosition
     #: Entries that name no backend, since others wrote them.
     unreadable: tuple[EndpointGone, ...] = ()
 
@@ -87,7 +87,7 @@
     """What happened to backends between two revisions, in order."""
 
     changes: tuple[Endpoint | EndpointGone, ...]
-    revision: StorePosition
+    position: StorePosition
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,7 +95,7 @@
     """The configuration at one revision of the store."""
 
     table: RoutingTable
-    revision: StorePosition
+    position: StorePosition
     #: The document that the table was built from, to pass on to other processes.
     document: bytes
 
@@ -104,7 +104,7 @@
 class NothingNew:
     """A watch ended without a change."""
 
-    revision: StorePosition
+    position: StorePosition
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,7 +131,7 @@
     """An object of the system's own in the store."""
 
     name: str
-    revision: StorePosition
+    position: StorePosition
     body: bytes
 
 
--- a/src/canvasyoke/state/_store_position.py
+++ b/src/canvasyoke/state/_store_position.py
@@ -33,3 +33,9 @@
 def revision_of(position: StorePosition) -> int:
     """Return the store's own count of changes within the era."""
     return position & ((1 << _REVISION_BITS) - 1)
+
+
+def format_position(position: StorePosition) -> str:
+    """Return a position as people read it: ``ERA.REVISION``, or the revision without eras."""
+    era, revision = era_of(position), revision_of(position)
+    return f"{era}.{revision}" if era else str(revision)
--- a/src/canvasyoke/state/tests/test_store_position.py
+++ b/src/canvasyoke/state/tests/test_store_position.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from canvasyoke.state import era_of, revision_of, store_position
+from canvasyoke.state import era_of, format_position, revision_of, store_position
 
 #: Era and revision, in order.
 IN_ORDER = [(0, 0), (0, 122), (0, 1 << 39), (1, 0), (1, 6), (1, 122), (2, 1), (900, 0)]
@@ -23,3 +23,8 @@
 
 def test_a_position_fits_a_signed_number_of_64_bits() -> None:
     assert store_position((1 << 23) - 1, (1 << 40) - 1) < 1 << 63
+
+
+@pytest.mark.parametrize(("era", "revision", "text"), [(0, 122, "122"), (3, 6, "3.6")])
+def test_people_read_both_parts(era: int, revision: int, text: str) -> None:
+    assert format_position(store_position(era, revision)) == text
