--- a/src/canvasyoke/direct/_known_backends.py
+++ b/src/canvasyoke/direct/_known_backends.py
@@ -139,7 +139,7 @@
         return [BackendChange(known, True, position)] if known is not None else []
 
     def hear(self, news: BackendChange) -> bool:
-        """Take what another entry learned from the store; false when it is old.
+        """Take what another entry learned from the store; false when it is old or doubted.
 
         An event that the store had lost is told as of the list in which it was found: it
         is no older than what is known here, although all up to there has been heard.
@@ -157,11 +157,9 @@
         if news.gone:
             self._forget(told.id, told.position)
             return True
-        if self._known_better(told) is not None:
-            self.put(told)
-            return False
+        is_doubted = self._known_better(told) is not None
         self.put(told)
-        return True
+        return not is_doubted
 
     def refute(self, news: BackendChange) -> BackendChange | None:
         """Return what to answer to old news of a backend that is gone; ``None`` for none.
--- a/src/canvasyoke/protocol/_messages.py
+++ b/src/canvasyoke/protocol/_messages.py
@@ -405,7 +405,7 @@
 class BackendList(msgspec.Struct, frozen=True, tag="backend_list"):
     """Direct entry to entry: all backends that it knows."""
 
-    #: Revision of the store up to which the list is complete.
+    #: Position in the store's history up to which the list is complete.
     revision: Count
     backends: Annotated[list[BackendNews], msgspec.Meta(max_length=20_000)] = []
     #: Rank groups learned so far by id of the backend; empty where it is in none.
