One task opens a link's socket, waits on it and closes it

Cause: a wait that begins while another task closes the socket is put into a queue that is closed and freed. It never ends (a debugger on a run that did not end: nng_recv waits, nothing of the socket is left); with a limit the library's timer cancels it there and ends the process.

Mended in the use: the sending task only says that the session has ended; the receiving one looks every 100 ms, waits for the sending one and closes. A server's socket is closed by its receiving task after the sessions' tasks.

--- a/src/canvasyoke/transport/_link_client.py
+++ b/src/canvasyoke/transport/_link_client.py
@@ -27,11 +27,11 @@
 _DIAL_TIMEOUT: Final = 500
 #: Milliseconds for each step of the handshake.
 _CONNECT_TIMEOUT: Final = 2 * SECOND
-#: No time limit on receiving. The session's own task closes the socket when the link is lost,
-#: silent or not wanted any more, and that wakes the receiving one. With a limit, a close that
-#: fell on its expiry ended the process: the library's timer cancelled the wait in a queue that
-#: the close had freed (nng 1.6.0, three of four runs of 50 s with limits and load).
-_RECEIVE_FOREVER: Final = -1
+#: Milliseconds between looks of the receiving task at whether the session has ended. Only it
+#: closes the socket, and only between two waits: a wait that began while another task closed
+#: the socket never ended, or ended the process when its limit expired in a queue that was
+#: freed (three and six of fourteen runs of 25 to 50 s, six clients under load).
+_LOOK: Final = 100
 #: Milliseconds between tries to connect, doubled from the first to the second. A process
 #: has fourteen links at the most; what the links carry is missed from the end of a cut on.
 _BACKOFF_START: Final = 50
@@ -118,7 +118,7 @@
                 session.close()
                 self._session = None
                 self._on_close(session)
-                # It may be sending, and closes the socket when it ends.
+                # It may be sending: the socket is closed after that.
                 session.join()
         return True
 
@@ -144,10 +144,7 @@
             put,
             self._clock,
             role="target",
-            on_end=socket.close,
         )
-        # A socket must not be closed in a callback of its own: nng would wait for
-        # itself. The session's sending task closes it, which wakes the receiving one.
         socket.add_post_pipe_remove_cb(lambda _pipe: session.close())
         return session
 
@@ -160,10 +157,13 @@
             raise pynng.Timeout(f"no connection within {_DIAL_TIMEOUT} ms", 0)
 
     def _receive_all(self, socket: Any, session: Session) -> None:
-        socket.recv_timeout = _RECEIVE_FOREVER
+        socket.recv_timeout = _LOOK
         while not session.closed:
             try:
                 data = socket.recv()
+            except pynng.Timeout:
+                self.last_fault = session.fault or self.last_fault
+                continue
             except pynng.NNGException as exc:
                 self.last_fault = session.fault or f"{type(exc).__name__}: {exc}"
                 return
--- a/src/canvasyoke/transport/_link_server.py
+++ b/src/canvasyoke/transport/_link_server.py
@@ -82,8 +82,8 @@
     def stop(self) -> None:
         """End all sessions and close the socket; returns when that is done.
 
-        The receiving task closes the socket, since its wait has a time limit: a close by
-        another task that falls on the limit's expiry ends the process.
+        The receiving task closes the socket, when nobody sends on it any more: a call that
+        begins while another task closes the socket may never end, or end the process.
         """
         self._stopping = True
         if self._task.is_alive() and self._task is not threading.current_thread():
@@ -106,8 +106,11 @@
                 break
             self._reap()
             self._receive(message.pipe, message.bytes)
+        sessions = list(self._sessions.values())
         for key in list(self._sessions):
             self._end(key)
+        for session in sessions:
+            session.join()
         self._socket.close()
 
     def _reap(self) -> None:
--- a/src/canvasyoke/transport/_session.py
+++ b/src/canvasyoke/transport/_session.py
@@ -50,7 +50,6 @@
         put: Callable[[bytes], None],
         clock: Clock,
         role: str,
-        on_end: Callable[[], None] = lambda: None,
         along: Callable[[], Message | None] = lambda: None,
     ) -> None:
         #: Role of the process at the other end.
@@ -63,7 +62,6 @@
         self._opener = opener
         self._put = put
         self._clock = clock
-        self._on_end = on_end
         self._along = along
         self._along_sent = -ALONG_EVERY
         self._changed = threading.Condition()
@@ -87,8 +85,9 @@
         self._task.start()
 
     def join(self) -> None:
-        """Wait until the sending task has ended, and with it ``on_end``."""
-        self._task.join()
+        """Wait until the sending task has ended, if it has begun."""
+        if self._task.ident is not None:
+            self._task.join()
 
     @property
     def closed(self) -> bool:
@@ -144,7 +143,6 @@
                 break
             last = self._clock.now()
         self.close()
-        self._on_end()
 
     def _next_batch(self, last: int) -> list[Message]:
         """Wait for something to send; an empty batch is an acknowledgement or heartbeat."""
