--- a/src/canvasyoke/transport/_link_client.py
+++ b/src/canvasyoke/transport/_link_client.py
@@ -30,7 +30,8 @@
 #: Milliseconds between looks of the receiving task at whether the session has ended. Only it
 #: closes the socket, and only between two waits: a wait that began while another task closed
 #: the socket never ended, or ended the process when its limit expired in a queue that was
-#: freed (three and six of fourteen runs of 25 to 50 s, six clients under load).
+#: freed (seven and ten of 23 runs of 25 to 50 s, six clients under load; none of five with
+#: this rule).
 _LOOK: Final = 100
 #: Milliseconds between tries to connect, doubled from the first to the second. A process
 #: has fourteen links at the most; what the links carry is missed from the end of a cut on.
