--- a/src/canvasyoke/direct/tests/fleet_model.py
+++ b/src/canvasyoke/direct/tests/fleet_model.py
@@ -168,6 +168,11 @@
         #: Messages carried, and those lost with a link.
         self.carried = 0
 
+    @property
+    def at(self) -> int:
+        """Return the store's position now."""
+        return self.revision
+
     def in_touch(self, one: Place, other: Place) -> bool:
         return one.domain == other.domain or not {one.domain, other.domain} & self.cut
 
@@ -281,7 +286,7 @@
         entry = self.entries[name]
         entry.watched = len(self.history)
         is_first = not entry.roster.is_known
-        for change in entry.roster.merge_from_store(list(self.truth.values()), self.revision):
+        for change in entry.roster.merge_from_store(list(self.truth.values()), self.at):
             if not is_first:
                 entry.peers.tell_backend(change)
 
--- a/src/canvasyoke/direct/tests/returning_fleet.py
+++ b/src/canvasyoke/direct/tests/returning_fleet.py
@@ -91,15 +91,6 @@
         for name in self.watchers():
             self.list_at(name)
 
-    def list_at(self, name: str) -> None:
-        """Have an entry read the whole list."""
-        entry = self.entries[name]
-        entry.watched = len(self.history)
-        is_first = not entry.roster.is_known
-        for change in entry.roster.merge_from_store(list(self.truth.values()), self.at):
-            if not is_first:
-                entry.peers.tell_backend(change)
-
     def watch_all(self) -> None:
         """Bring all that watch what the store has told of."""
         for name in self.watchers():
--- a/src/canvasyoke/transport/_link_client.py
+++ b/src/canvasyoke/transport/_link_client.py
@@ -112,8 +112,8 @@
             session.start()
             if self._stop.is_set():
                 session.close()
-            self._on_open(session)
             try:
+                self._on_open(session)
                 self._receive_all(socket, session)
             finally:
                 session.close()
