--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -16,6 +16,7 @@
 import bench.ablation
 import bench.expert_maps
 import bench.faults
+import bench.link_sockets
 import bench.losses
 import bench.overhead
 import bench.recovery
