The receiving task of a link waits on a descriptor, not by looks every 100 ms

Cause: since one task alone may close a socket, nobody could wake it from its wait in the library, so it looked every 100 ms.

Changed: the wait is the system's (poll) on the library's own descriptor and on an eventfd that others ring (transport/_receiver.py); the library's calls return at once and none has a limit but the first answer of a handshake.

Ruled out: a longer look (its end is then noticed later), a limit on the library's wait (what ended the process), a receiving task for each session (callbacks of one link on two tasks).

--- a/bench/_link_churn.py
+++ b/bench/_link_churn.py
@@ -5,23 +5,26 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
 import sys
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from functools import partial
 from typing import Any, Final
 
 import pynng
 
+from canvasyoke.transport._receiver import Receiver
 from fakes.ports import free_address
 
 _CLIENTS: Final = 6
 #: Milliseconds that calls wait at the most.
 _HANDSHAKE: Final = 300
 _WAIT: Final = 1_000
-_LOOK: Final = 100
-#: Seconds that a server, and a link, stands.
+#: Seconds for a connection to come about, and for which a server, and a link, stands.
+_CONNECT: Final = 0.1
 _SERVER_STANDS: Final = (0.02, 0.25)
 _LINK_STANDS: Final = 0.3
 
@@ -54,34 +57,16 @@
 
     def _serve(self) -> None:
         while self._goes_on():
-            limit = _LOOK if self._is_one_task else _WAIT
-            socket = pynng.Pair1(polyamorous=True, recv_timeout=limit)
+            socket = pynng.Pair1(polyamorous=True, recv_timeout=_WAIT)
             try:
                 socket.listen(self._address)
             except pynng.NNGException:
                 socket.close()
                 time.sleep(0.01)
                 continue
-            stopped = threading.Event()
-            task = threading.Thread(target=self._answer, args=(socket, stopped))
-            task.start()
-            time.sleep(self._rng.uniform(*_SERVER_STANDS))
-            stopped.set()
-            if not self._is_one_task:
-                socket.close()
-            task.join()
-
-    def _answer(self, socket: Any, stopped: threading.Event) -> None:
-        while not (stopped.is_set() and self._is_one_task):
-            try:
-                message = socket.recv_msg()
-                if message.pipe is not None:
-                    socket.send_msg(pynng.Message(b"welcome", message.pipe))
-            except pynng.Timeout:
-                continue
-            except pynng.NNGException:
-                break
-        socket.close()
+            stands = self._rng.uniform(*_SERVER_STANDS)
+            self._stand(socket, partial(time.sleep, stands), socket.recv_msg, _welcome)
+            socket.close()
 
     def _dial(self, rng: random.Random) -> None:
         while self._goes_on():
@@ -93,36 +78,62 @@
                 socket.add_post_pipe_connect_cb(_setter(connected))
                 socket.add_post_pipe_remove_cb(_setter(lost))
                 socket.dial(self._address, block=False)
-                if not connected.wait(_LOOK / 1_000):
+                if not connected.wait(_CONNECT):
                     continue
                 try:
                     socket.send(b"hello")
                     socket.recv()
                 except pynng.NNGException:
                     continue
-                self._receive(socket, lost, rng.uniform(0, _LINK_STANDS))
-
-    def _receive(self, socket: Any, lost: threading.Event, stands: float) -> None:
-        """Wait for messages until the link is lost or has stood for long enough."""
+                socket.recv_timeout = _WAIT
+                until = rng.uniform(0, _LINK_STANDS)
+                self._stand(socket, partial(lost.wait, until), socket.recv, lambda *_: None)
+
+    def _stand(
+        self,
+        socket: Any,
+        wait_for_end: Callable[[], object],
+        take: Callable[..., Any],
+        took: Callable[[Any, Any], None],
+    ) -> None:
+        """Take what comes until the end, of which another task hears first."""
         ended = threading.Event()
+        receiver = Receiver(socket, take) if self._is_one_task else None
 
         def end() -> None:
-            lost.wait(stands)
+            wait_for_end()
             ended.set()
-            if not self._is_one_task:
+            if receiver is None:
                 socket.close()
+            else:
+                receiver.wake()
 
         other = threading.Thread(target=end)
         other.start()
-        socket.recv_timeout = _LOOK if self._is_one_task else _WAIT
-        while not (ended.is_set() and self._is_one_task):
-            try:
-                socket.recv()
-            except pynng.Timeout:
-                continue
-            except pynng.NNGException:
-                break
+        try:
+            while not ended.is_set():
+                for arrival in _arrivals(receiver, take):
+                    took(socket, arrival)
+        except pynng.NNGException:
+            pass  # it was closed, as it is to be
         other.join()
+        if receiver is not None:
+            receiver.close()
+
+
+def _arrivals(receiver: Receiver[Any] | None, take: Callable[..., Any]) -> Iterator[Any]:
+    """Wait, and yield what has come."""
+    if receiver is not None:
+        receiver.wait()
+        yield from receiver.arrivals()
+        return
+    with contextlib.suppress(pynng.Timeout):
+        yield take()
+
+
+def _welcome(socket: Any, message: Any) -> None:
+    if message.pipe is not None:
+        socket.send_msg(pynng.Message(b"welcome", message.pipe))
 
 
 def _setter(event: threading.Event) -> Callable[[Any], None]:
--- a/bench/link_sockets.py
+++ b/bench/link_sockets.py
@@ -20,10 +20,13 @@
 _LIMIT: Final = _SECONDS + 20
 #: Processes side by side of each use; they are each other's load.
 _PROCESSES: Final = 4
+#: Processes beside them that only use up processors: the moment is some instructions long, and
+#: on an idle machine none of four processes met it.
+_BUSY: Final = 12
 #: Uses by name, as ``bench._link_churn`` knows them.
 _USES: Final = {
     "two tasks": "one task waits, another closes",
-    "one task": "one task waits and closes, as links do",
+    "one task": "one task waits and closes, woken by another, as links do",
 }
 
 
@@ -35,7 +38,8 @@
         name="link_sockets",
         method=(
             f"Six clients and a server that comes and goes, {_PROCESSES} processes of each use "
-            f"side by side for {_SECONDS} s. Ended: by a signal of the library's own."
+            f"side by side for {_SECONDS} s, {_BUSY} busy ones beside them. Ended: by a signal "
+            "of the library's own."
         ),
         seed=seed,
         tables=[Table("Processes by outcome", ["use", "sound", "ended", "stuck", "links"], rows)],
@@ -46,6 +50,8 @@
 def _outcomes(use: str, seed: int) -> list[Cell]:
     env = {**os.environ, "PYTHONPATH": f"{ROOT / 'src'}:{ROOT}"}
     words = [sys.executable, "-m", "bench._link_churn", use, str(_SECONDS)]
+    burn = f"import time\nend = time.monotonic() + {_LIMIT}\nwhile time.monotonic() < end: pass"
+    busy = [subprocess.Popen([sys.executable, "-c", burn]) for _ in range(_BUSY)]
     running = [
         subprocess.Popen(
             [*words, str(seed + number)],
@@ -57,7 +63,7 @@
         )
         for number in range(_PROCESSES)
     ]
-    sound = ended = stuck = links = 0
+    sound, ended, stuck, links = 0, 0, 0, 0
     until = time.monotonic() + _LIMIT
     for process in running:
         try:
@@ -72,4 +78,7 @@
         else:
             sound += 1
             links += int(output)
+    for burner in busy:
+        burner.kill()
+        burner.wait()
     return [sound, ended, stuck, links]
--- a/src/canvasyoke/transport/_link_client.py
+++ b/src/canvasyoke/transport/_link_client.py
@@ -5,6 +5,7 @@
 import random
 import threading
 from collections.abc import Callable
+from contextlib import closing
 from typing import Any, Final
 
 import pynng
@@ -19,6 +20,7 @@
     accept_welcome,
     make_hello,
 )
+from canvasyoke.transport._receiver import Receiver
 from canvasyoke.transport._session import Session
 
 #: Milliseconds for a connection to come about. The farthest peer answers within 0.2 s.
@@ -27,12 +29,6 @@
 _DIAL_TIMEOUT: Final = 500
 #: Milliseconds for each step of the handshake.
 _CONNECT_TIMEOUT: Final = 2 * SECOND
-#: Milliseconds between looks of the receiving task at whether the session has ended. Only it
-#: closes the socket, and only between two waits: a wait that began while another task closed
-#: the socket never ended, or ended the process when its limit expired in a queue that was
-#: freed (seven and ten of 23 runs of 25 to 50 s, six clients under load; none of five with
-#: this rule).
-_LOOK: Final = 100
 #: Milliseconds between tries to connect, doubled from the first to the second. A process
 #: has fourteen links at the most; what the links carry is missed from the end of a cut on.
 _BACKOFF_START: Final = 50
@@ -102,9 +98,12 @@
 
     def _serve_once(self) -> bool:
         """Connect and serve one session to its end; true when it had begun."""
-        with pynng.Pair1(polyamorous=True, recv_max_size=MAX_FRAME_BYTES) as socket:
+        with (
+            pynng.Pair1(polyamorous=True, recv_max_size=MAX_FRAME_BYTES) as socket,
+            closing(Receiver(socket, socket.recv)) as receiver,
+        ):
             try:
-                session = self._connect(socket)
+                session = self._connect(socket, receiver.wake)
             except (pynng.NNGException, HandshakeError) as exc:
                 self.last_fault = f"{type(exc).__name__}: {exc}"
                 return False
@@ -114,16 +113,17 @@
                 session.close()
             try:
                 self._on_open(session)
-                self._receive_all(socket, session)
+                self._receive_all(receiver, session)
             finally:
                 session.close()
                 self._session = None
+                self.last_fault = session.fault or self.last_fault
                 self._on_close(session)
                 # It may be sending: the socket is closed after that.
                 session.join()
         return True
 
-    def _connect(self, socket: Any) -> Session:
+    def _connect(self, socket: Any, on_end: Callable[[], None]) -> Session:
         socket.recv_timeout = _CONNECT_TIMEOUT
         socket.send_timeout = _CONNECT_TIMEOUT
         self._dial(socket)
@@ -145,6 +145,7 @@
             put,
             self._clock,
             role="target",
+            on_end=on_end,
         )
         socket.add_post_pipe_remove_cb(lambda _pipe: session.close())
         return session
@@ -157,21 +158,13 @@
         if not connected.wait(_DIAL_TIMEOUT / SECOND):
             raise pynng.Timeout(f"no connection within {_DIAL_TIMEOUT} ms", 0)
 
-    def _receive_all(self, socket: Any, session: Session) -> None:
-        socket.recv_timeout = _LOOK
+    def _receive_all(self, receiver: Receiver[bytes], session: Session) -> None:
         while not session.closed:
+            receiver.wait()
             try:
-                data = socket.recv()
-            except pynng.Timeout:
-                self.last_fault = session.fault or self.last_fault
-                continue
-            except pynng.NNGException as exc:
-                self.last_fault = session.fault or f"{type(exc).__name__}: {exc}"
-                return
-            try:
-                messages = session.receive(data)
-            except (SealError, CodecError) as exc:
+                for frame in receiver.arrivals():
+                    for message in session.receive(frame):
+                        self._on_message(session, message)
+            except (pynng.NNGException, SealError, CodecError) as exc:
                 self.last_fault = f"{type(exc).__name__}: {exc}"
                 return
-            for message in messages:
-                self._on_message(session, message)
--- a/src/canvasyoke/transport/_link_server.py
+++ b/src/canvasyoke/transport/_link_server.py
@@ -9,7 +9,7 @@
 
 import pynng
 
-from canvasyoke._clock import Clock
+from canvasyoke._clock import SECOND, Clock
 from canvasyoke.protocol import (
     MAX_FRAME_BYTES,
     CodecError,
@@ -18,11 +18,11 @@
     SealError,
     accept_hello,
 )
+from canvasyoke.transport._receiver import Receiver
 from canvasyoke.transport._session import Session
 
-#: Milliseconds between looks at whether a session has ended or the server is to stop, where
-#: nothing comes; messages of the links come more often.
-_RECEIVE_TIMEOUT: Final = 250
+#: Milliseconds between looks at whether a peer has fallen silent, where nothing comes.
+_LOOK_EVERY: Final = 1 * SECOND
 #: Frames of all peers together that wait to be received.
 _RECEIVE_BUFFER: Final = 256
 
@@ -66,7 +66,7 @@
         self.strangers = 0
         self._socket = pynng.Pair1(polyamorous=True, recv_max_size=MAX_FRAME_BYTES)
         self._socket.recv_buffer_size = _RECEIVE_BUFFER
-        self._socket.recv_timeout = _RECEIVE_TIMEOUT
+        self._receiver = Receiver(self._socket, self._socket.recv_msg)
         self._socket.add_post_pipe_remove_cb(self._pipe_removed)
         self._socket.listen(f"tcp://{address}")
         self._task = threading.Thread(target=self._run, name="link-server", daemon=True)
@@ -86,31 +86,34 @@
         begins while another task closes the socket may never end, or end the process.
         """
         self._stopping = True
-        if self._task.is_alive() and self._task is not threading.current_thread():
+        if self._task.ident is None:
+            self._close()
+        elif self._task is not threading.current_thread():
+            self._receiver.wake()
             self._task.join()
-        elif not self._task.is_alive():
-            self._socket.close()
 
     def _pipe_removed(self, pipe: Any) -> None:
         with self._removed_lock:
             self._removed.add(pipe.id)
+        self._receiver.wake()
 
     def _run(self) -> None:
-        while not self._stopping:
-            try:
-                message = self._socket.recv_msg()
-            except pynng.Timeout:
+        try:
+            while not self._stopping:
+                self._receiver.wait(_LOOK_EVERY)
                 self._reap()
-                continue
-            except pynng.NNGException:
-                break
-            self._reap()
-            self._receive(message.pipe, message.bytes)
-        sessions = list(self._sessions.values())
-        for key in list(self._sessions):
-            self._end(key)
-        for session in sessions:
-            session.join()
+                for message in self._receiver.arrivals():
+                    self._receive(message.pipe, message.bytes)
+        finally:
+            sessions = list(self._sessions.values())
+            for key in list(self._sessions):
+                self._end(key)
+            for session in sessions:
+                session.join()
+            self._close()
+
+    def _close(self) -> None:
+        self._receiver.close()
         self._socket.close()
 
     def _reap(self) -> None:
--- a/src/canvasyoke/transport/_session.py
+++ b/src/canvasyoke/transport/_session.py
@@ -50,6 +50,7 @@
         put: Callable[[bytes], None],
         clock: Clock,
         role: str,
+        on_end: Callable[[], None] = lambda: None,
         along: Callable[[], Message | None] = lambda: None,
     ) -> None:
         #: Role of the process at the other end.
@@ -62,6 +63,7 @@
         self._opener = opener
         self._put = put
         self._clock = clock
+        self._on_end = on_end
         self._along = along
         self._along_sent = -ALONG_EVERY
         self._changed = threading.Condition()
@@ -85,7 +87,7 @@
         self._task.start()
 
     def join(self) -> None:
-        """Wait until the sending task has ended, if it has begun."""
+        """Wait until the sending task has ended, if it has begun, and with it ``on_end``."""
         if self._task.ident is not None:
             self._task.join()
 
@@ -143,6 +145,7 @@
                 break
             last = self._clock.now()
         self.close()
+        self._on_end()
 
     def _next_batch(self, last: int) -> list[Message]:
         """Wait for something to send; an empty batch is an acknowledgement or heartbeat."""
