Every entry says that the store came back from a copy, and shows the era

Shown by tests/test_store_returns.py: one line and era 1 at all three entries. No decision depends on it.

--- a/src/canvasyoke/direct/_endpoint_follower.py
+++ b/src/canvasyoke/direct/_endpoint_follower.py
@@ -24,7 +24,6 @@
     StorePosition,
     era_of,
     format_position,
-    revision_of,
 )
 
 _log = part_logger("store")
@@ -134,12 +133,6 @@
         if self._roster.is_known and era_of(seen.position) > self._roster.era:
             # Backends that the copy lacks live as a rule, and write themselves again.
             until = max(until, self._clock.now() + RETURN_TIME)
-            _log.warning(
-                "the store came back from an older copy",
-                era=era_of(seen.position),
-                revision=revision_of(seen.position),
-                lacks=len(missing),
-            )
         if len(missing) >= max(_MANY, _MANY_PART * len(self._roster.ids())):
             until = max(until, self._clock.now() + RETURN_TIME)
         keep = missing - unreadable.keys() if self._clock.now() < until else frozenset()
--- a/src/canvasyoke/direct/_process.py
+++ b/src/canvasyoke/direct/_process.py
@@ -257,6 +257,16 @@
             "Milliseconds since the list of backends was known to be in step with the store.",
             lambda: self._roster.list_age,
         )
+        gauge(
+            "canvasyoke_store_era",
+            "How many times the store is known to have come back from an older copy.",
+            lambda: self._roster.era,
+        )
+        gauge(
+            "canvasyoke_backends_doubted",
+            "Backends of which the store's word is not believed just after its return.",
+            lambda: self._roster.doubted,
+        )
         gauge(
             "canvasyoke_requests_quarantined",
             "Requests that are kept from all backends because backends ended under them.",
--- a/src/canvasyoke/direct/_store_return.py
+++ b/src/canvasyoke/direct/_store_return.py
@@ -11,8 +11,10 @@
 from typing import Final
 
 from canvasyoke._clock import Clock
+from canvasyoke.observe import part_logger
 from canvasyoke.state import StorePosition, era_of
 
+_log = part_logger("store")
 #: Milliseconds within which backends that live have written their entries again (the users'
 #: letter says about two seconds).
 RETURN_TIME: Final = 2_300
@@ -43,6 +45,7 @@
         if is_known:
             self._returned_at = self._clock.now()
             self._is_pending = True
+            _log.warning("the store came back from an older copy", era=era)
 
     @property
     def is_settling(self) -> bool:
--- a/tests/test_store_returns.py
+++ b/tests/test_store_returns.py
@@ -139,6 +139,8 @@
     for entry in fleet.entries:
         wait_listed(entry, listed[entry.name])
         assert fleet.used(entry, "/save/1") == {new.id}
+        assert entry.logged().count("came back from an older copy") == 1
+        assert entry.metric("canvasyoke_store_era") == 1
     fleet.write_again()
     fleet.store.remove("servers", ended.id)  # the platform finds it silent
     for entry in fleet.entries:
