The line of a request says what each backend asked for, and why no retry was made

Cause: the record could not tell whether a backend that refused had asked for rest, nor why half of the refused requests made one attempt where two are allowed.

Added: what a backend says of itself (load, rest, leaving, limit) is read in one place of the adapter, from the head of any answer but one of another run, into one type; each try's part of the line shows it, and a refusal says why no further attempt was made. Words that cannot be read are kept apart and shown.

No decision looks at any of it yet; the load counts from answers alone, as before.

--- a/src/canvasyoke/backend/__init__.py
+++ b/src/canvasyoke/backend/__init__.py
@@ -8,10 +8,15 @@
     NotRun,
     NotRunCause,
     OutboundRequest,
-    ReportedLoad,
     Sending,
 )
 from canvasyoke.backend._engine import EngineBackend
+from canvasyoke.backend._notice import (
+    NO_NOTICE,
+    BackendNotice,
+    ReportedLoad,
+    UnreadableField,
+)
 from canvasyoke.backend._plain import PlainBackend
 from canvasyoke.backend._port import (
     BACKENDS,
@@ -31,9 +36,11 @@
 __all__ = [
     "BACKENDS",
     "DIRECT_BACKENDS",
+    "NO_NOTICE",
     "AnswerSink",
     "Backend",
     "BackendAnswer",
+    "BackendNotice",
     "CacheEvent",
     "DirectBackendPort",
     "Done",
@@ -52,4 +59,5 @@
     "RankPort",
     "ReportedLoad",
     "Sending",
+    "UnreadableField",
 ]
--- a/src/canvasyoke/backend/_direct.py
+++ b/src/canvasyoke/backend/_direct.py
@@ -13,6 +13,7 @@
 from typing import TypeAlias
 
 from canvasyoke._registry import Registry
+from canvasyoke.backend._notice import NO_NOTICE, BackendNotice
 from canvasyoke.state import Endpoint
 from canvasyoke.transport import ExchangeSlot
 
@@ -37,6 +38,8 @@
     detail: str
     #: Id of the backend at fault where that is another than the one called.
     at_fault: str = ""
+    #: What the backend said of itself with its refusal.
+    notice: BackendNotice = NO_NOTICE
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,15 +50,8 @@
     #: Whether the connection ended before a whole answer had come; not when time ran out
     #: or what came cannot be the answer.
     is_broken: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class ReportedLoad:
-    """What a backend said of its load on an answer."""
-
-    running: int
-    waiting: int
-    slots: int
+    #: What the backend said of itself in a head that came all the same.
+    notice: BackendNotice = NO_NOTICE
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,8 +82,8 @@
     status: int
     #: Headers for the caller.
     headers: list[tuple[str, str]]
-    #: What the backend said of its load, if anything.
-    load: ReportedLoad | None
+    #: What the backend said of itself.
+    notice: BackendNotice = NO_NOTICE
     #: Whether its end is told by a length or a last chunk. The end of one without is that
     #: of its connection, as it is when the backend has ended.
     is_framed: bool
--- a/src/canvasyoke/direct/_call.py
+++ b/src/canvasyoke/direct/_call.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from typing import TypeAlias
 
+from canvasyoke.backend import NO_NOTICE, BackendNotice
 from canvasyoke.direct._choice import Chosen
 from canvasyoke.direct._fingerprint import fingerprint
 from canvasyoke.state import TableRoute, format_position
@@ -70,6 +71,8 @@
     outcome: str
     #: Milliseconds that it took.
     took: int
+    #: What the backend said of itself.
+    notice: BackendNotice = NO_NOTICE
 
     @property
     def run(self) -> str:
@@ -82,6 +85,7 @@
         return (
             f"{self.run} load={chosen.load} revision={format_position(chosen.endpoint.position)} "
             f"heard={chosen.heard_ago}ms list={chosen.list_age}ms {self.took}ms {self.outcome}"
+            f"{f' ({self.notice})' if str(self.notice) else ''}"
         )
 
 
--- a/src/canvasyoke/direct/_forwarder.py
+++ b/src/canvasyoke/direct/_forwarder.py
@@ -105,8 +105,10 @@
             if call.gone():
                 yield CallerLeft()
                 return
-            if not self._may_go_on(call, failure):
-                yield from self._end(call, self._refusals.give_up(call, failure.detail, failure))
+            why_not = self._why_no_retry(call, failure)
+            if why_not:
+                detail = f"{failure.detail}; no retry: {why_not}"
+                yield from self._end(call, self._refusals.give_up(call, detail, failure))
                 return
 
     def _is_quarantined(self, call: DirectCall) -> bool:
@@ -157,14 +159,16 @@
         if isinstance(sent, NotRun | MayHaveRun):
             failure = sent
         else:
-            if sent.load is not None:
-                self._roster.load_seen(endpoint.run, sent.load)
+            if sent.notice.load is not None:
+                self._roster.load_seen(endpoint.run, sent.notice.load)
             call.may_have_run = True
             try:
                 failure = yield from self._relay(call, sent, endpoint.run)
             finally:
                 sent.close()
-        self._note(call, chosen, failure, self._clock.now() - began)
+        self._note(
+            call, Tried(chosen, _outcome(failure), self._clock.now() - began, sent.notice), failure
+        )
         self._examine(call, endpoint, sent, failure)
         return failure
 
@@ -211,11 +215,9 @@
             resume_after=call.last_event,
         )
 
-    def _note(
-        self, call: DirectCall, chosen: Chosen, failure: NotRun | MayHaveRun | None, took: int
-    ) -> None:
+    def _note(self, call: DirectCall, tried: Tried, failure: NotRun | MayHaveRun | None) -> None:
         """Tell the roster and the log what became of an attempt."""
-        backend = chosen.endpoint.run
+        backend = tried.run
         if isinstance(failure, NotRun) and failure.cause is not NotRunCause.UNREACHABLE:
             if failure.cause is NotRunCause.MOVED:
                 self._roster.moved(backend)
@@ -224,28 +226,28 @@
         elif call.is_moved or call.is_unanswered or (failure is not None and call.gone()):
             self._roster.cancelled(backend)
         else:
-            self._roster.finished(backend, took, failed=failure is not None)
-        if isinstance(failure, NotRun) and failure.at_fault not in ("", chosen.endpoint.id):
+            self._roster.finished(backend, tried.took, failed=failure is not None)
+        if isinstance(failure, NotRun) and failure.at_fault not in ("", tried.chosen.endpoint.id):
             self._roster.group_broke(backend)
         if isinstance(failure, MayHaveRun):
             call.may_have_run = True
             if call.route.is_stream and not _was_ended(call):
                 self._roster.group_broke(backend)
-        outcome = "answered" if failure is None else failure.detail
-        call.tried.append(Tried(chosen, outcome, took))
+        call.tried.append(tried)
 
-    def _may_go_on(self, call: DirectCall, failure: NotRun | MayHaveRun) -> bool:
+    def _why_no_retry(self, call: DirectCall, failure: NotRun | MayHaveRun) -> str:
+        """Return why another attempt may not be made; empty if it may, and is paid for."""
         if isinstance(failure, MayHaveRun) and not call.route.repeatable:
-            return False
+            return "it may have run"
         if isinstance(failure, NotRun) and failure.cause is NotRunCause.REJECTED:
-            return False
+            return "the request itself was rejected"
         if len(call.sent_to) >= call.route.max_attempts:
-            return False
+            return "the route's attempts are used up"
         if call.deadline - self._clock.now() < LEAST_TIME:
-            return False
+            return "no time is left"
         if isinstance(failure, NotRun) and failure.cause is NotRunCause.UNREACHABLE:
-            return True  # nothing arrived anywhere, so nothing is spent
-        return self._pay(call)
+            return ""  # nothing arrived anywhere, so nothing is spent
+        return "" if self._pay(call) else "the retry budget is used up"
 
     def _end(self, call: DirectCall, last: GaveUp | BrokeOff) -> Iterator[Piece]:
         """Pass on what a backend has answered, if any has, or give up."""
@@ -380,6 +382,10 @@
         return call.deadline - self._clock.now() + _BACKEND_GRACE
 
 
+def _outcome(failure: NotRun | MayHaveRun | None) -> str:
+    return "answered" if failure is None else failure.detail
+
+
 def _was_ended(call: DirectCall) -> bool:
     """Tell whether the last exchange was ended from here, which says nothing of the backend."""
     return call.is_moved or call.is_unanswered or call.gone()
--- a/src/canvasyoke/direct/tests/test_forwarder.py
+++ b/src/canvasyoke/direct/tests/test_forwarder.py
@@ -29,7 +29,6 @@
     def __init__(self, cut: Callable[[], None]) -> None:
         self.status = 200
         self.headers = [("Content-Type", "text/event-stream")]
-        self.load = None
         self.is_framed = True
         self._cut = cut
 
@@ -101,7 +100,6 @@
     def __init__(self, numbers: range, happens: Callable[[], None] = lambda: None) -> None:
         self.status = 200
         self.headers = [("Content-Type", "text/event-stream")]
-        self.load = None
         self.is_framed = True
         self.is_closed = False
         self._numbers = numbers
--- a/src/canvasyoke/direct/tests/test_kept_answers.py
+++ b/src/canvasyoke/direct/tests/test_kept_answers.py
@@ -25,7 +25,6 @@
     def __init__(self, status: int, body: bytes) -> None:
         self.status = status
         self.headers = [("Proof", "b-1")]
-        self.load = None
         self.is_framed = True
         self._body = body
 
--- a/src/canvasyoke/direct/tests/test_quarantine.py
+++ b/src/canvasyoke/direct/tests/test_quarantine.py
@@ -206,7 +206,6 @@
     def __init__(self, status: int = 200, is_framed: bool = True) -> None:
         self.status = status
         self.headers = []
-        self.load = None
         self.is_framed = is_framed
 
     def pieces(self) -> itertools.chain[bytes]:
--- a/src/canvasyoke/platform/_engine.py
+++ b/src/canvasyoke/platform/_engine.py
@@ -8,15 +8,16 @@
 from canvasyoke.backend import (
     DIRECT_BACKENDS,
     BackendAnswer,
+    BackendNotice,
     DirectBackendPort,
     MayHaveRun,
     NotRun,
     NotRunCause,
     OutboundRequest,
-    ReportedLoad,
     Sending,
 )
 from canvasyoke.experts import RankReport, RankUnreachable
+from canvasyoke.platform._notices import LEAVING_HEADER, LIMIT_HEADER, LOAD_HEADER, read_notice
 from canvasyoke.platform._ranks import ObjectsRankPort
 from canvasyoke.state import Endpoint
 from canvasyoke.transport import Exchange, ExchangeSlot, NotConnected, Sent, exchange
@@ -31,7 +32,6 @@
 _SEAL: Final = "Response-Seal"
 #: Present only when the request was not run.
 _NOT_RUN: Final = "Not-Executed"
-_LOAD: Final = "Server-Load"
 _AT_FAULT: Final = "At-Server"
 _MISDIRECTED: Final = 421
 _TOO_MANY: Final = 429
@@ -51,7 +51,9 @@
         "upgrade",
         "proxy-authenticate",
         "proxy-connection",
-        "server-load",
+        LOAD_HEADER.lower(),
+        LEAVING_HEADER.lower(),
+        LIMIT_HEADER.lower(),
         "instance-id",
         "at-server",
         "date",
@@ -63,10 +65,10 @@
 class _EngineAnswer(BackendAnswer):
     """An answer that bears the backend's seal or is a failure of its own."""
 
-    def __init__(self, exchange_: Exchange, load: ReportedLoad | None) -> None:
+    def __init__(self, exchange_: Exchange, notice: BackendNotice) -> None:
         self.status = exchange_.status
         self.headers = [h for h in exchange_.headers if h[0].lower() not in _NOT_PASSED_BACK]
-        self.load = load
+        self.notice = notice
         self.is_framed = exchange_.is_framed
         self._exchange = exchange_
 
@@ -137,27 +139,29 @@
 
 def _classify(answer: Exchange, request_id: str) -> Sending:
     """Tell an answer from a refusal and from bytes that belong to something else."""
-    refused = _refusal(answer)
+    notice = read_notice(answer.header, answer.status)
+    refused = _refusal(answer, notice)
     if refused is not None:
         answer.close()
         return refused
     fault = _fault(answer, request_id)
     if fault:
         answer.close()
-        return MayHaveRun(fault)
-    return _EngineAnswer(answer, _load(answer.header(_LOAD)))
+        return MayHaveRun(fault, notice=notice)
+    return _EngineAnswer(answer, notice)
 
 
-def _refusal(answer: Exchange) -> NotRun | None:
+def _refusal(answer: Exchange, notice: BackendNotice) -> NotRun | None:
     status = answer.status
     at_fault = answer.header(_AT_FAULT) or ""
     if status == _MISDIRECTED:
+        # What the other run says of itself is not said of the one that was called.
         return NotRun(NotRunCause.MOVED, "another run has the address", at_fault)
     if answer.header(_NOT_RUN) is None or status in _SUCCESS:
         return None
     full = status in (_TOO_MANY, _UNAVAILABLE)
     cause = NotRunCause.FULL if full else NotRunCause.REJECTED
-    return NotRun(cause, f"refused with status {status}", at_fault)
+    return NotRun(cause, f"refused with status {status}", at_fault, notice)
 
 
 def _fault(answer: Exchange, request_id: str) -> str:
@@ -172,11 +176,3 @@
     if answer.header("Content-Encoding") is not None:
         return "the body is encoded, so it is not the backend's"
     return ""
-
-
-def _load(text: str | None) -> ReportedLoad | None:
-    try:
-        running, waiting, slots = (int(part) for part in (text or "").split(","))
-    except ValueError:
-        return None
-    return ReportedLoad(running, waiting, slots)
--- a/src/canvasyoke/platform/tests/test_names.py
+++ b/src/canvasyoke/platform/tests/test_names.py
@@ -10,7 +10,8 @@
 #: objects and settings, and paths of calls.
 NAMES = (
     "Attempt-Id Request-Deadline Prompt-Prefix Last-Event-Id Response-Seal Expect-Instance "
-    "Expect-Version Server-Load Not-Executed Instance-Id Token-Usage At-Server Length-Hint "
+    "Expect-Version Server-Load Server-Leaving Server-Limit Not-Executed Instance-Id "
+    "Token-Usage At-Server Length-Hint "
     "TrafficSplit PathPrefix TargetLatencyMs TimeoutMs MaxAttempts AllowAnonymous "
     "SessionAffinity StreamResume ApiKeys HealthPath MaxConnections MaxHeaderBytes "
     "MaxBodyBytes HeaderTimeoutMs IdleTimeoutMs ColdRemainingMs NodeName MachineClass "
--- /dev/null
+++ b/src/canvasyoke/platform/tests/test_notices.py
@@ -0,0 +1,72 @@
+"""What is read of an engine's own word in the head of an answer."""
+
+from __future__ import annotations
+
+import pytest
+
+from canvasyoke.backend import BackendNotice, ReportedLoad, UnreadableField
+from canvasyoke.platform._notices import read_notice
+
+READABLE = [
+    ("nothing", 200, {}, BackendNotice()),
+    ("load", 200, {"Server-Load": "3,1,6"}, BackendNotice(load=ReportedLoad(3, 1, 6))),
+    ("rest in whole seconds", 503, {"Retry-After": "3"}, BackendNotice(rest=3_000)),
+    ("rest in fractions", 503, {"Retry-After": " 0.25 "}, BackendNotice(rest=250)),
+    ("rest with another refusal", 429, {"Retry-After": "1"}, BackendNotice(rest=1_000)),
+    ("a time that is meant for the caller", 200, {"Retry-After": "3"}, BackendNotice()),
+    ("no rest", 503, {"Retry-After": "0"}, BackendNotice()),
+    ("leaving", 200, {"Server-Leaving": "1"}, BackendNotice(is_leaving=True)),
+    ("not leaving", 200, {"Server-Leaving": "0"}, BackendNotice()),
+    ("limit", 200, {"Server-Limit": "2.5"}, BackendNotice(rate_limit=2.5)),
+    (
+        "all at once, with a refusal",
+        503,
+        {"Retry-After": "2", "Server-Leaving": "1", "Server-Limit": "6", "Server-Load": "0,0,6"},
+        BackendNotice(ReportedLoad(0, 0, 6), 2_000, True, 6.0),
+    ),
+]
+
+
+@pytest.mark.parametrize(("status", "headers", "notice"), [case[1:] for case in READABLE])
+def test_what_can_be_read(status: int, headers: dict[str, str], notice: BackendNotice) -> None:
+    assert read_notice(headers.get, status) == notice
+
+
+UNREADABLE = [
+    ("Retry-After", "rest", "soon"),
+    ("Retry-After", "rest", ""),
+    ("Retry-After", "rest", "-3"),
+    ("Retry-After", "rest", "3, 3"),
+    ("Retry-After", "rest", "1e3"),
+    ("Retry-After", "rest", "inf"),
+    ("Retry-After", "rest", "nan"),
+    ("Retry-After", "rest", "٣"),
+    ("Retry-After", "rest", "Fri, 31 Dec 2027 23:59:59 GMT"),
+    ("Retry-After", "rest", "9" * 400),
+    ("Server-Leaving", "is_leaving", "yes"),
+    ("Server-Leaving", "is_leaving", "1, 1"),
+    ("Server-Limit", "rate_limit", "-1"),
+    ("Server-Limit", "rate_limit", "many"),
+    ("Server-Load", "load", "1,2"),
+    ("Server-Load", "load", "idle"),
+]
+
+
+@pytest.mark.parametrize(("header", "name", "text"), UNREADABLE)
+def test_what_cannot_be_read_changes_nothing_and_is_kept(header: str, name: str, text: str) -> None:
+    notice = read_notice({header: text, "Server-Leaving": "1"}.get, 503)
+    if name == "is_leaving":
+        notice = read_notice({header: text}.get, 503)
+    assert notice.unreadable == (UnreadableField(name, text[:40]),)
+    assert (notice.load, notice.rest, notice.rate_limit) == (None, 0, None)
+
+
+def test_the_log_shows_all_but_the_load() -> None:
+    headers = {
+        "Retry-After": "2",
+        "Server-Leaving": "1",
+        "Server-Limit": "x",
+        "Server-Load": "0,0,6",
+    }
+    notice = read_notice(headers.get, 503)
+    assert str(notice) == "rest=2000ms leaving unreadable rate_limit='x'"
