A backend that asks for rest gets none of this entry's requests until the rest is over

What callers saw: two of five streams refused for ten seconds at a time while 11 of 16 backends were free; backends that had asked an entry for 3 s of rest got up to seven more requests from it.

Cause: nothing read the time. A backend that refused was passed over for 150 ms; then it looked idle (load 0), was the first choice, and refused again. Where all were passed over, that was a suspicion like silence or failures and was set aside. A shorter pause overwrote a longer one.

Changed: what a backend says of itself is taken from every answer (whole, refused, failed, broken off) but that of another run, and kept by run and address for as long as it holds; of several the latest end. Reasons to pass a backend over are in one registry, as facts (its own word, never set aside) and suspicions (set aside when nothing else is left). A connection that stands asks again before the request is written. All at rest: refused at once, nothing sent, with a return after the first end, spread over half of what is left of it. Rest of ten minutes at the most is believed from one answer; words that cannot be read are logged once, counted, and change nothing.

Ruled out: a 421 as a fact.

Why it holds: the fact is judged in the one choice that all attempts go through, and once more at the transport. Tables of what ends a rest, of facts and suspicions, and of each way to a backend without sockets.

--- a/src/canvasyoke/backend/_direct.py
+++ b/src/canvasyoke/backend/_direct.py
@@ -22,6 +22,8 @@
     """Why a backend certainly did not run a request."""
 
     UNREACHABLE = "unreachable"
+    #: It was not sent after all, although a connection was made.
+    WITHDRAWN = "withdrawn"
     #: All of its slots and its queue are taken, or its group stands still.
     FULL = "full"
     #: Another run has the address now.
--- a/src/canvasyoke/coordination/_routing.py
+++ b/src/canvasyoke/coordination/_routing.py
@@ -56,6 +56,8 @@
     pace: float = 1.0
     #: Whether it was dealt to this entry, so that others come there last.
     is_home: bool = False
+    #: Milliseconds for which it certainly takes no request of this entry; 0 if it does.
+    unavailable: int = 0
 
     @property
     def load(self) -> int:
@@ -105,19 +107,25 @@
     candidates: tuple[Candidate, ...]
     #: The least hopeless cause among the targets ruled out.
     reason: Reason = Reason.NO_TARGET
+    #: Milliseconds until the first of them takes requests again, where that is the cause.
+    wait: int = 0
 
 
 def filter_candidates(candidates: Sequence[Candidate], req: RouteRequest) -> Filtered:
     """Return the targets that may take ``req``.
 
     Ejection is evidence, not a rule: when all that is left is ejected, they are
-    allowed, since the last target must not be lost to a suspicion.
+    allowed, since the last target must not be lost to a suspicion. One that is unavailable
+    is never allowed, however few are left: it has said so itself.
     """
     able = [c for c in candidates if _is_able(c, req)]
+    available = [c for c in able if not c.unavailable]
+    if able and not available:
+        return Filtered((), Reason.RESTING, min(c.unavailable for c in able))
     if not able:
         leaving = any(c.leaving for c in candidates if c.service == req.service)
         return Filtered((), Reason.LEAVING if leaving else Reason.NO_TARGET)
-    sound = [c for c in able if not c.ejected] or able
+    sound = [c for c in available if not c.ejected] or available
     return Filtered(tuple(sound))
 
 
--- a/src/canvasyoke/direct/_backend_records.py
+++ b/src/canvasyoke/direct/_backend_records.py
@@ -14,13 +14,16 @@
 from canvasyoke._clock import SECOND, Clock
 from canvasyoke.coordination import RANKERS, Ejection, Ranker
 from canvasyoke.direct._backend_health import BackendHealth
+from canvasyoke.direct._backend_words import BackendWords
 from canvasyoke.direct._domains import DomainReach
 from canvasyoke.direct._groups import RankGroups
 from canvasyoke.direct._home_share import deal_home_share
 from canvasyoke.direct._known_backends import BackendChange, KnownBackends
+from canvasyoke.direct._member import Member
+from canvasyoke.direct._pass_over import Sources
 from canvasyoke.direct._peer_loads import PeerLoads, ToldLoad
 from canvasyoke.direct._store_return import StoreReturn
-from canvasyoke.state import Endpoint, EndpointState, StorePosition
+from canvasyoke.state import Endpoint, StorePosition
 
 #: Milliseconds over which a report of load fades to nothing: requests of others that it
 #: counted have ended by then, and new ones have come that it does not know.
@@ -47,22 +50,6 @@
     hears_all: bool = True
 
 
-@dataclass(slots=True)
-class Member:
-    endpoint: Endpoint
-    ejection: Ejection
-    #: Time on the clock at which the newest word of it came.
-    heard_at: int
-    #: Requests of this entry under way there.
-    own: int = 0
-    #: Requests of other entries, by the last report, and when that came.
-    others: int = 0
-    reported_at: int = 0
-    duration: float = 0.0
-    #: Time on the clock until which it is passed over.
-    paused_until: int = 0
-
-
 @dataclass(slots=True)
 class BackendRecords:
     """All backends known; thread-safe."""
@@ -75,6 +62,9 @@
     _home: frozenset[str] = frozenset()
     _groups: RankGroups = field(init=False)
     _health: BackendHealth = field(init=False)
+    _words: BackendWords = field(init=False)
+    #: What speaks for and against a backend.
+    _sources: Sources = field(init=False)
     _ranker: Ranker = field(init=False)
     _domains: DomainReach = field(default_factory=DomainReach)
     #: Whether the entry has found itself cut off from all that could serve its callers.
@@ -95,6 +85,8 @@
         self._known = KnownBackends(StoreReturn(self.clock))
         self._groups = RankGroups(self.clock)
         self._health = BackendHealth(self.clock)
+        self._words = BackendWords(self.clock)
+        self._sources = Sources(self.clock, self._words, self._health, self._groups, self._domains)
         self._ranker = RANKERS.get(_RANKER)(self.rng)
         self._confirmed_at = self.clock.now()
 
@@ -256,12 +248,6 @@
         with self._lock:
             return frozenset(self._runs)
 
-    def is_ready(self, run: str) -> bool:
-        """Tell whether a run is listed and has not said that it leaves."""
-        with self._lock:
-            member = self._members.get(run)
-            return member is not None and member.endpoint.state is EndpointState.READY
-
     def endpoints(self) -> list[Endpoint]:
         """Return all backends known."""
         with self._lock:
--- /dev/null
+++ b/src/canvasyoke/direct/_backend_standing.py
@@ -0,0 +1,81 @@
+"""Which backends take requests now, by their own word and by what was seen of them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from canvasyoke.backend import BackendNotice
+from canvasyoke.direct._backend_streams import BackendStreams
+from canvasyoke.direct._backend_words import WordChange
+from canvasyoke.direct._member import Member
+from canvasyoke.direct._pass_over import unavailable_for
+from canvasyoke.state import Endpoint, EndpointState
+
+
+@dataclass(slots=True)
+class BackendStanding(BackendStreams):
+    """Records of backends, with what they say of themselves."""
+
+    def took_notice(self, endpoint: Endpoint, notice: BackendNotice) -> WordChange:
+        """Take what a backend says of itself in an answer, whatever the answer is."""
+        with self._lock:
+            member = self._members.get(endpoint.run)
+            if member is not None and notice.load is not None:
+                # The request that the answer belongs to may or may not be counted in it.
+                total = notice.load.running + notice.load.waiting
+                member.others = max(0, total - member.own)
+                member.reported_at = self.clock.now()
+            return self._words.took(endpoint, notice)
+
+    def may_send(self, endpoint: Endpoint) -> bool:
+        """Tell whether a backend that was chosen may still get its request.
+
+        It may have asked for rest, left the list or started anew while the connection to it
+        was made.
+        """
+        with self._lock:
+            member = self._members.get(endpoint.run)
+            if member is None or member.endpoint.address != endpoint.address:
+                return False
+            return self._takes_requests(member)
+
+    def rest_left(self, service: str) -> int:
+        """Return the milliseconds until a backend of a service takes requests again.
+
+        0 if one does now, or if none is known that ever will.
+        """
+        with self._lock:
+            waits = [
+                unavailable_for(self._sources, member)
+                for member in self._members.values()
+                if member.endpoint.service == service and not self._is_leaving(member)
+            ]
+            return min(waits, default=0)
+
+    def has_other(self, service: str, tried: frozenset[str]) -> bool:
+        """Tell whether a service has a backend besides those tried that takes requests."""
+        with self._lock:
+            return any(
+                member.endpoint.service == service
+                and member.endpoint.run not in tried
+                and self._takes_requests(member)
+                for member in self._members.values()
+            )
+
+    def is_ready(self, run: str) -> bool:
+        """Tell whether a run is listed and has not said that it leaves."""
+        with self._lock:
+            member = self._members.get(run)
+            return member is not None and not self._is_leaving(member)
+
+    @property
+    def resting(self) -> int:
+        """Return how many backends want nothing from this entry now."""
+        with self._lock:
+            return self._words.resting(member.endpoint for member in self._members.values())
+
+    def _takes_requests(self, member: Member) -> bool:
+        return not self._is_leaving(member) and not unavailable_for(self._sources, member)
+
+    def _is_leaving(self, member: Member) -> bool:
+        return member.endpoint.state is EndpointState.LEAVING
--- /dev/null
+++ b/src/canvasyoke/direct/_backend_words.py
@@ -0,0 +1,101 @@
+"""What backends have said of themselves in their answers, for as long as it holds.
+
+A request for rest binds the entry that was asked, until the time that was named. That a run
+leaves holds until it has ended. Both are kept by run and address, not with the backend's place
+in the list: an entry of the store lapses while the store is away, and comes back.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Final, TypeAlias
+
+from canvasyoke._clock import SECOND, Clock
+from canvasyoke.backend import BackendNotice
+from canvasyoke.state import Endpoint
+
+#: Milliseconds of rest that one answer can ask for. A backend that named a time without an
+#: end by mistake is asked again after it.
+LONGEST_REST: Final = 600 * SECOND
+#: Runs of which words are kept; the oldest are dropped first.
+_LIMIT: Final = 10_000
+
+#: A run of a backend, and its address: a run that does not tell its start is another one at
+#: another address.
+_Key: TypeAlias = tuple[str, str]
+
+
+@dataclass(frozen=True, slots=True)
+class WordChange:
+    """What an answer's notice has changed."""
+
+    #: Milliseconds of rest that begin now; 0 where none begins.
+    rest: int = 0
+    #: Whether the backend was not known to leave.
+    leaves: bool = False
+
+
+_NO_CHANGE: Final = WordChange()
+
+
+@dataclass(slots=True)
+class _Word:
+    #: Time on the clock at which the latest of all rests ends.
+    rest_until: int = 0
+    is_leaving: bool = False
+
+
+@dataclass(slots=True)
+class BackendWords:
+    """Not thread-safe, the roster guards it."""
+
+    clock: Clock
+    _words: dict[_Key, _Word] = field(default_factory=dict)
+
+    def took(self, endpoint: Endpoint, notice: BackendNotice) -> WordChange:
+        """Take the notice in an answer of a backend, and return what it changes.
+
+        Of several rests the latest end holds: answers of before pass later ones on the way.
+        """
+        if not notice.rest and not notice.is_leaving:
+            return _NO_CHANGE
+        now = self.clock.now()
+        word = self._find(endpoint)
+        rest = min(notice.rest, LONGEST_REST)
+        change = WordChange(
+            rest=rest if now >= word.rest_until else 0,
+            leaves=notice.is_leaving and not word.is_leaving,
+        )
+        word.rest_until = max(word.rest_until, now + rest)
+        word.is_leaving = word.is_leaving or notice.is_leaving
+        return change
+
+    def rest_left(self, endpoint: Endpoint) -> int:
+        """Return the milliseconds for which a backend wants nothing from this entry."""
+        word = self._words.get(_key(endpoint))
+        return max(0, word.rest_until - self.clock.now()) if word is not None else 0
+
+    def is_leaving(self, endpoint: Endpoint) -> bool:
+        """Tell whether a run has said that it is about to end."""
+        word = self._words.get(_key(endpoint))
+        return word is not None and word.is_leaving
+
+    def resting(self, endpoints: Iterable[Endpoint]) -> int:
+        """Return how many of ``endpoints`` rest."""
+        return sum(1 for endpoint in endpoints if self.rest_left(endpoint))
+
+    def leaving(self, endpoints: Iterable[Endpoint]) -> int:
+        """Return how many of ``endpoints`` have said that they leave."""
+        return sum(1 for endpoint in endpoints if self.is_leaving(endpoint))
+
+    def _find(self, endpoint: Endpoint) -> _Word:
+        key = _key(endpoint)
+        word = self._words.setdefault(key, _Word())
+        while len(self._words) > _LIMIT:
+            del self._words[next(iter(self._words))]
+        return word
+
+
+def _key(endpoint: Endpoint) -> _Key:
+    return endpoint.run, endpoint.address
--- a/src/canvasyoke/direct/_choice.py
+++ b/src/canvasyoke/direct/_choice.py
@@ -38,3 +38,9 @@
     """No backend may take a request."""
 
     reason: Reason
+    #: Milliseconds until one takes requests again, where all that are left have said when.
+    wait: int = 0
+
+    def __str__(self) -> str:
+        """Return what decided, for the log and the caller."""
+        return f"{self.reason} for {self.wait} ms more" if self.wait else str(self.reason)
--- a/src/canvasyoke/direct/_forwarder.py
+++ b/src/canvasyoke/direct/_forwarder.py
@@ -40,6 +40,7 @@
 from canvasyoke.direct._quarantine import Quarantine
 from canvasyoke.direct._refusals import LEAST_TIME, Refusals
 from canvasyoke.direct._roster import Roster
+from canvasyoke.direct._word_keeper import WordKeeper
 from canvasyoke.protocol import Reason
 from canvasyoke.state import Endpoint
 from canvasyoke.transport import ExchangeError, ExchangeSlot
@@ -59,6 +60,8 @@
 _WAIT_PART_BEGUN: Final = 0.75
 #: Largest answer, other than a stream, that is collected before it is passed on.
 _WHOLE_LIMIT: Final = 8 << 20
+#: Causes with which nothing has arrived at a backend.
+_NOT_SENT: Final = frozenset({NotRunCause.UNREACHABLE, NotRunCause.WITHDRAWN})
 _SUCCESS: Final = range(200, 300)
 _SERVER_ERROR: Final = 500
 _BAD_GATEWAY: Final = 502
@@ -75,6 +78,7 @@
         budget: FleetRetryBudget,
         breaks: BreakExaminer,
         quarantine: Quarantine,
+        words: WordKeeper,
         clock: Clock,
         rng: random.Random,
     ) -> None:
@@ -83,6 +87,7 @@
         self._budget = budget
         self._breaks = breaks
         self._quarantine = quarantine
+        self._words = words
         self._clock = clock
         self._refusals = Refusals(roster, clock, rng)
 
@@ -95,7 +100,7 @@
                 return
             chosen = self._choose(call)
             if isinstance(chosen, NoneAble):
-                detail = f"no backend can take it: {chosen.reason}"
+                detail = f"no backend can take it: {chosen}"
                 yield from self._end(call, self._refusals.give_up(call, detail, chosen))
                 return
             failure = yield from self._attempt(call, chosen)
@@ -145,22 +150,23 @@
         """Make one attempt; return why it came to nothing, or ``None`` when all is said."""
         began = self._clock.now()
         endpoint = chosen.endpoint
-        call.slot = ExchangeSlot()
+        # What the backend has said to other requests while the connection to it is made
+        # counts for this one.
+        call.slot = ExchangeSlot(lambda: self._roster.may_send(endpoint))
         call.retry_paid = False
         call.backend, call.sent_at = endpoint.run, began
         call.has_begun = call.is_unanswered = call.is_moved = False
         if call.gone():
             call.slot.shut()
         sent = self._port.send(endpoint, self._outbound(call), _CONNECT_TIMEOUT, call.slot)
+        self._words.took(endpoint, sent.notice)
         self._note_reach(call, endpoint, sent)
-        if not isinstance(sent, NotRun) or sent.cause is not NotRunCause.UNREACHABLE:
+        if not isinstance(sent, NotRun) or sent.cause not in _NOT_SENT:
             call.sent_to.add(endpoint.run)
         failure: NotRun | MayHaveRun | None
         if isinstance(sent, NotRun | MayHaveRun):
             failure = sent
         else:
-            if sent.notice.load is not None:
-                self._roster.load_seen(endpoint.run, sent.notice.load)
             call.may_have_run = True
             try:
                 failure = yield from self._relay(call, sent, endpoint.run)
@@ -218,12 +224,17 @@
     def _note(self, call: DirectCall, tried: Tried, failure: NotRun | MayHaveRun | None) -> None:
         """Tell the roster and the log what became of an attempt."""
         backend = tried.run
-        if isinstance(failure, NotRun) and failure.cause is not NotRunCause.UNREACHABLE:
+        if isinstance(failure, NotRun) and failure.cause not in _NOT_SENT:
             if failure.cause is NotRunCause.MOVED:
                 self._roster.moved(backend)
             else:
                 self._roster.refused(backend, _FULL_PAUSE)
-        elif call.is_moved or call.is_unanswered or (failure is not None and call.gone()):
+        elif (
+            _was_withdrawn(failure)
+            or call.is_moved
+            or call.is_unanswered
+            or (failure is not None and call.gone())
+        ):
             self._roster.cancelled(backend)
         else:
             self._roster.finished(backend, tried.took, failed=failure is not None)
@@ -245,7 +256,7 @@
             return "the route's attempts are used up"
         if call.deadline - self._clock.now() < LEAST_TIME:
             return "no time is left"
-        if isinstance(failure, NotRun) and failure.cause is NotRunCause.UNREACHABLE:
+        if isinstance(failure, NotRun) and failure.cause in _NOT_SENT:
             return ""  # nothing arrived anywhere, so nothing is spent
         return "" if self._pay(call) else "the retry budget is used up"
 
@@ -386,6 +397,10 @@
     return "answered" if failure is None else failure.detail
 
 
+def _was_withdrawn(failure: NotRun | MayHaveRun | None) -> bool:
+    return isinstance(failure, NotRun) and failure.cause is NotRunCause.WITHDRAWN
+
+
 def _was_ended(call: DirectCall) -> bool:
     """Tell whether the last exchange was ended from here, which says nothing of the backend."""
     return call.is_moved or call.is_unanswered or call.gone()
--- a/src/canvasyoke/direct/_metrics.py
+++ b/src/canvasyoke/direct/_metrics.py
@@ -29,6 +29,16 @@
             "backend",
         )
 
+        self._unreadable = self.all.counter(
+            "canvasyoke_unreadable_words_total",
+            "What backends say of themselves and cannot be read, by what it is.",
+            "field",
+        )
+
+    def unreadable_word(self, field: str) -> None:
+        """Count something that a backend says of itself and that makes no sense."""
+        self._unreadable.add(field)
+
     def broke(self, fate: str) -> None:
         """Count an exchange that broke off, by what became of its backend."""
         self._breaks.add(fate)
--- a/src/canvasyoke/direct/_process.py
+++ b/src/canvasyoke/direct/_process.py
@@ -25,6 +25,7 @@
 from canvasyoke.direct._quarantine import Quarantine
 from canvasyoke.direct._roster import Roster
 from canvasyoke.direct._table_follower import TableFollower, TableView
+from canvasyoke.direct._word_keeper import WordKeeper
 from canvasyoke.observe import LineWriter, part_logger
 from canvasyoke.state import (
     FLEET_STORES,
@@ -109,8 +110,9 @@
         )
         port = DIRECT_BACKENDS.get(settings.adapter)()
         breaks = BreakExaminer(self._roster, self._metrics)
+        words = WordKeeper(self._roster, self._metrics)
         forwarder = Forwarder(
-            port, self._roster, self._budget, breaks, self._quarantine, self._clock, rng
+            port, self._roster, self._budget, breaks, self._quarantine, words, self._clock, rng
         )
         self._groups = GroupLearner(
             port,
@@ -247,6 +249,11 @@
             lambda: self._view.current.version,
         )
         gauge("canvasyoke_backends", "Backends known.", lambda: len(self._roster.ids()))
+        gauge(
+            "canvasyoke_backends_resting",
+            "Backends that have asked this entry to send them nothing for now.",
+            lambda: self._roster.resting,
+        )
         gauge(
             "canvasyoke_entries_unreadable",
             "Entries in the store that name no backend, as this entry watches them.",
--- a/src/canvasyoke/direct/_refusals.py
+++ b/src/canvasyoke/direct/_refusals.py
@@ -21,6 +21,10 @@
 _RETRY_FULL: Final = (150, 400)
 _RETRY_CROWDED: Final = (800, 2_400)
 _RETRY_AWAY: Final = (2_400, 2_600)
+#: What follows the end of a rest, as a part of its time left, and in milliseconds at the
+#: least: callers who were refused while backends rest come back over that time, not at once.
+_RETURN_PART: Final = 0.5
+_RETURN_LEAST: Final = 100
 #: Part of its time left that a caller is asked to wait at the most; callers wait for up
 #: to a third of it.
 _RETRY_PART: Final = 0.32
@@ -52,7 +56,14 @@
         return GaveUp(_UNAVAILABLE, detail, retry_after=self._retry_after(call, cause))
 
     def _retry_after(self, call: DirectCall, cause: NotRun | MayHaveRun | NoneAble) -> int:
-        """Return when the caller should come back, by what kept the request from running."""
+        """Return when the caller should come back, by what kept the request from running.
+
+        Where backends have said when they take requests again, the caller is told so, also
+        if it cannot wait so long: a shorter time would bring it back to be refused again.
+        """
+        rest = self._roster.rest_left(call.service)
+        if rest:
+            return rest + self._rng.randint(1, max(_RETURN_LEAST, round(rest * _RETURN_PART)))
         bounds = _RETRY_FULL
         if self._roster.is_away(call.service) or _is_lasting(call, cause):
             bounds = _RETRY_AWAY
--- a/src/canvasyoke/direct/_roster.py
+++ b/src/canvasyoke/direct/_roster.py
@@ -9,15 +9,16 @@
 from typing import Final
 
 from canvasyoke._clock import SECOND
-from canvasyoke.backend import ReportedLoad
 from canvasyoke.coordination import Candidate, RouteRequest, filter_candidates
 from canvasyoke.direct._admission import ADMISSIONS
-from canvasyoke.direct._backend_records import FleetView, Member
-from canvasyoke.direct._backend_streams import BackendStreams
+from canvasyoke.direct._backend_records import FleetView
+from canvasyoke.direct._backend_standing import BackendStanding
 from canvasyoke.direct._choice import Chosen, NoneAble, Wanted
+from canvasyoke.direct._member import Member
+from canvasyoke.direct._pass_over import is_suspect, unavailable_for
 from canvasyoke.observe import part_logger
 from canvasyoke.protocol import Reason
-from canvasyoke.state import Endpoint, EndpointState
+from canvasyoke.state import Endpoint
 
 __all__ = ["FleetView", "Roster"]
 
@@ -34,7 +35,7 @@
 
 
 @dataclass(slots=True)
-class Roster(BackendStreams):
+class Roster(BackendStanding):
     """All backends known, and the choice among them; thread-safe."""
 
     def choose(self, wanted: Wanted) -> Chosen | NoneAble:
@@ -58,7 +59,7 @@
                 req,
             )
             if not found.candidates:
-                return NoneAble(found.reason)
+                return NoneAble(found.reason, found.wait)
             best = self._ranker.choose(found.candidates, req)
             member = self._members[best.instance]
             duration = self._durations.get(wanted.service, _ASSUMED_DURATION)
@@ -70,22 +71,16 @@
             return Chosen(member.endpoint, best.load, heard_ago, self._list_age())
 
     def _candidate(self, member: Member, fastest: float) -> Candidate:
-        now = self.clock.now()
         endpoint = member.endpoint
         return Candidate(
             instance=endpoint.run,
             domain=endpoint.domain,
             service=endpoint.service,
             connected=True,
-            leaving=endpoint.state is EndpointState.LEAVING,
+            leaving=self._is_leaving(member),
             healthy=True,
-            ejected=(
-                member.ejection.ejected
-                or now < member.paused_until
-                or self._health.is_silent(endpoint.run)
-                or self._groups.stands_still(endpoint.run)
-                or self._domains.is_cut(endpoint.domain)
-            ),
+            ejected=is_suspect(self._sources, member),
+            unavailable=unavailable_for(self._sources, member),
             slots=endpoint.slots,
             queue=0,
             reported=self._load(member),
@@ -146,26 +141,6 @@
         is_cut = self._domains.is_cut(endpoint.domain)
         return not is_cut and not self._groups.stands_still(endpoint.run)
 
-    def has_other(self, service: str, tried: frozenset[str]) -> bool:
-        """Tell whether a service has a backend besides those tried."""
-        with self._lock:
-            return any(
-                m.endpoint.service == service
-                and m.endpoint.run not in tried
-                and m.endpoint.state is EndpointState.READY
-                for m in self._members.values()
-            )
-
-    def load_seen(self, run: str, load: ReportedLoad) -> None:
-        """Take note of the load that a backend told on an answer."""
-        with self._lock:
-            member = self._members.get(run)
-            if member is None:
-                return
-            # The request that the answer belongs to may or may not be counted in it.
-            member.others = max(0, load.running + load.waiting - member.own)
-            member.reported_at = self.clock.now()
-
     def finished(self, run: str, duration: int, failed: bool) -> None:
         """Take note that a request is no longer under way there."""
         with self._lock:
@@ -198,7 +173,7 @@
             member = self._members.get(run)
             if member is not None:
                 member.own = max(0, member.own - 1)
-                member.paused_until = self.clock.now() + _MOVED_PAUSE
+                member.moved_until = self.clock.now() + _MOVED_PAUSE
 
     def refused(self, run: str, pause: int) -> None:
         """Take note that a backend turned a request away unrun; pass it over for a while."""
@@ -206,4 +181,4 @@
             member = self._members.get(run)
             if member is not None:
                 member.own = max(0, member.own - 1)
-                member.paused_until = self.clock.now() + pause
+                member.full_until = self.clock.now() + pause
--- /dev/null
+++ b/src/canvasyoke/direct/_word_keeper.py
@@ -0,0 +1,51 @@
+"""Takes what backends say of themselves, and tells operators what it changes."""
+
+from __future__ import annotations
+
+import threading
+from typing import Final
+
+from canvasyoke._clock import SECOND
+from canvasyoke.backend import BackendNotice, UnreadableField
+from canvasyoke.direct._metrics import DirectMetrics
+from canvasyoke.direct._roster import Roster
+from canvasyoke.observe import part_logger
+from canvasyoke.state import Endpoint
+
+_log = part_logger("words")
+#: Unreadable words that are remembered, so that each is logged once.
+_UNREADABLE_LIMIT: Final = 1_000
+
+
+class WordKeeper:
+    """One for all attempts of an entry; thread-safe."""
+
+    def __init__(self, roster: Roster, metrics: DirectMetrics) -> None:
+        self._roster = roster
+        self._metrics = metrics
+        self._lock = threading.Lock()
+        #: Runs and fields of which an unreadable word was logged, in the order they came.
+        self._unreadable: dict[tuple[str, str], None] = {}
+
+    def took(self, endpoint: Endpoint, notice: BackendNotice) -> None:
+        """Take the notice in the head of any answer of a backend."""
+        for field in notice.unreadable:
+            self._found_unreadable(endpoint.run, field)
+        change = self._roster.took_notice(endpoint, notice)
+        if change.rest:
+            _log.info(
+                "backend asks for rest",
+                backend=endpoint.run,
+                service=endpoint.service,
+                seconds=change.rest / SECOND,
+            )
+
+    def _found_unreadable(self, run: str, field: UnreadableField) -> None:
+        self._metrics.unreadable_word(field.name)
+        with self._lock:
+            if (run, field.name) in self._unreadable:
+                return
+            self._unreadable[run, field.name] = None
+            if len(self._unreadable) > _UNREADABLE_LIMIT:
+                del self._unreadable[next(iter(self._unreadable))]
+        _log.warning("unreadable word", backend=run, field=field.name, text=field.text)
--- a/src/canvasyoke/direct/tests/calls.py
+++ b/src/canvasyoke/direct/tests/calls.py
@@ -14,6 +14,7 @@
 from canvasyoke.direct._metrics import DirectMetrics
 from canvasyoke.direct._quarantine import Quarantine
 from canvasyoke.direct._roster import Roster
+from canvasyoke.direct._word_keeper import WordKeeper
 from canvasyoke.state import Endpoint, Repeatability, ServiceShare, TableRoute
 from canvasyoke.transport import ExchangeSlot, Reach
 
@@ -59,8 +60,10 @@
 ) -> Forwarder:
     """Return a forwarder that finds each backend whose exchange broke as ``reach`` says."""
     quarantine = quarantine or Quarantine(clock, lambda _name, _case: None)
-    breaks = BreakExaminer(roster, DirectMetrics(), lambda _address, _timeout: reach)
-    return Forwarder(port, roster, budget, breaks, quarantine, clock, random.Random(1))
+    metrics = DirectMetrics()
+    breaks = BreakExaminer(roster, metrics, lambda _address, _timeout: reach)
+    words = WordKeeper(roster, metrics)
+    return Forwarder(port, roster, budget, breaks, quarantine, words, clock, random.Random(1))
 
 
 def make_call(route: TableRoute = ROUTE, time_left: int = 8_000) -> DirectCall:
--- a/src/canvasyoke/direct/tests/load_model.py
+++ b/src/canvasyoke/direct/tests/load_model.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, field
 
 from canvasyoke._clock import ManualClock
-from canvasyoke.backend import ReportedLoad
+from canvasyoke.backend import BackendNotice, ReportedLoad
 from canvasyoke.direct._choice import Chosen, Wanted
 from canvasyoke.direct._peer_loads import ToldLoad
 from canvasyoke.direct._roster import FleetView, Roster
@@ -183,7 +183,7 @@
         def start() -> None:
             engine.running += 1
             load = ReportedLoad(engine.running, len(engine.waiting), self.day.slots)
-            roster.load_seen(engine.endpoint.id, load)
+            roster.took_notice(engine.endpoint, BackendNotice(load))
             in_time = self.now + self.day.first - began <= self.day.objective
             self._count(began, "in_time" if in_time else "late")
             self._plan(service, lambda: self._end(engine, roster, service))
--- /dev/null
+++ b/src/canvasyoke/direct/tests/test_backend_words.py
@@ -0,0 +1,173 @@
+"""How long the word of a backend holds, and for whom."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from collections.abc import Callable
+
+import pytest
+
+from canvasyoke._clock import SECOND, ManualClock
+from canvasyoke.backend import BackendNotice
+from canvasyoke.direct._backend_words import LONGEST_REST
+from canvasyoke.direct._choice import Chosen, NoneAble, Wanted
+from canvasyoke.direct._roster import Roster
+from canvasyoke.protocol import Reason
+from canvasyoke.state import Endpoint, EndpointState
+
+REST = BackendNotice(rest=3_000)
+A = Endpoint("a", "ink", "10.0.0.1:1", "nbo-a", 6, EndpointState.READY, 1)
+B = dataclasses.replace(A, id="b", address="10.0.0.2:1")
+
+
+@pytest.fixture
+def clock() -> ManualClock:
+    return ManualClock(start=10_000)
+
+
+@pytest.fixture
+def roster(clock: ManualClock) -> Roster:
+    roster = Roster("nbo-a", clock, random.Random(1))
+    roster.merge([A, B], position=5)
+    return roster
+
+
+def chosen(roster: Roster) -> set[str]:
+    """Return the backends among which requests are spread now."""
+    found = [roster.choose(Wanted("ink")) for _ in range(8)]
+    for choice in found:
+        if isinstance(choice, Chosen):
+            roster.cancelled(choice.endpoint.run)
+    return {choice.endpoint.id for choice in found if isinstance(choice, Chosen)}
+
+
+def test_a_rest_holds_until_its_end(roster: Roster, clock: ManualClock) -> None:
+    roster.took_notice(A, REST)
+    assert chosen(roster) == {"b"}
+    clock.advance(2_999)
+    assert chosen(roster) == {"b"}
+    clock.advance(1)
+    assert chosen(roster) == {"a", "b"}
+
+
+def test_where_all_rest_nobody_is_chosen_and_the_first_end_is_told(
+    roster: Roster, clock: ManualClock
+) -> None:
+    roster.took_notice(A, REST)
+    clock.advance(1_000)
+    roster.took_notice(B, REST)
+    assert roster.choose(Wanted("ink")) == NoneAble(Reason.RESTING, 2_000)
+    assert roster.rest_left("ink") == 2_000
+    assert not roster.has_other("ink", frozenset())
+
+
+#: What comes after three seconds of rest were asked for, and what is left of them then.
+AFTERWARDS: list[tuple[str, Callable[[Roster], object], int]] = [
+    ("nothing", lambda _: None, 3_000),
+    ("a shorter rest", lambda r: r.took_notice(A, BackendNotice(rest=500)), 3_000),
+    ("a longer rest", lambda r: r.took_notice(A, BackendNotice(rest=4_000)), 4_000),
+    ("an answer without a word", lambda r: r.took_notice(A, BackendNotice()), 3_000),
+    ("an answer that is whole", lambda r: r.finished("a", 10, failed=False), 3_000),
+    ("a refusal without a time", lambda r: r.refused("a", 150), 3_000),
+    ("word that another run has its address", lambda r: r.moved("a"), 3_000),
+    ("a list that has it", lambda r: r.merge([A, B], 6), 3_000),
+    ("its entry is gone and back", lambda r: (r.remove("a", 6), r.put(at(A, 7))), 3_000),
+    ("the store's word that it leaves", lambda r: r.put(at(leaving(A), 7)), 3_000),
+    ("another start under its name", lambda r: r.put(started(at(A, 7), 9)), 0),
+    ("another address", lambda r: r.put(moved_to(at(A, 7), "10.0.0.3:1")), 0),
+]
+
+
+def at(endpoint: Endpoint, position: int) -> Endpoint:
+    return dataclasses.replace(endpoint, position=position)
+
+
+def leaving(endpoint: Endpoint) -> Endpoint:
+    return dataclasses.replace(endpoint, state=EndpointState.LEAVING)
+
+
+def started(endpoint: Endpoint, when: int) -> Endpoint:
+    return dataclasses.replace(endpoint, started=when)
+
+
+def moved_to(endpoint: Endpoint, address: str) -> Endpoint:
+    return dataclasses.replace(endpoint, address=address)
+
+
+@pytest.mark.parametrize(
+    ("happens", "left"), [case[1:] for case in AFTERWARDS], ids=[case[0] for case in AFTERWARDS]
+)
+def test_what_ends_a_rest(roster: Roster, happens: Callable[[Roster], object], left: int) -> None:
+    roster.took_notice(A, REST)
+    happens(roster)
+    now = next(endpoint for endpoint in roster.endpoints() if endpoint.id == "a")
+    assert roster._words.rest_left(now) == left
+    assert roster.may_send(now) is (left == 0)
+
+
+def test_a_rest_without_an_end_is_bounded(roster: Roster, clock: ManualClock) -> None:
+    roster.took_notice(A, BackendNotice(rest=10**15))
+    clock.advance(LONGEST_REST - 1)
+    assert chosen(roster) == {"b"}
+    clock.advance(1)
+    assert chosen(roster) == {"a", "b"}
+
+
+def test_the_time_of_a_suspended_machine_counts(roster: Roster, clock: ManualClock) -> None:
+    """The clock goes on while the machine does not: the rest is over when it wakes."""
+    roster.took_notice(A, REST)
+    clock.advance(60 * SECOND)
+    assert chosen(roster) == {"a", "b"}
+
+
+def _fail(roster: Roster, run: str) -> None:
+    for _ in range(2):
+        roster.finished(run, 1, failed=True)
+
+
+def _break_group(roster: Roster, run: str) -> None:
+    roster.learn_group(run, "g")
+    roster.group_broke(run)
+
+
+#: What speaks against a backend, and whether it is set aside when no other is left.
+REASONS: list[tuple[str, Callable[[Roster], object], bool]] = [
+    ("rest", lambda r: r.took_notice(A, REST), False),
+    ("the store says that it leaves", lambda r: r.put(at(leaving(A), 7)), False),
+    ("full", lambda r: r.refused("a", 150), True),
+    ("moved", lambda r: r.moved("a"), True),
+    ("failures", lambda r: _fail(r, "a"), True),
+    ("silence", lambda r: r.fell_silent("a"), True),
+    ("a group that stands still", lambda r: _break_group(r, "a"), True),
+]
+
+
+@pytest.mark.parametrize(
+    ("speaks", "is_set_aside"), [case[1:] for case in REASONS], ids=[case[0] for case in REASONS]
+)
+def test_facts_and_suspicions(
+    roster: Roster, speaks: Callable[[Roster], object], is_set_aside: bool
+) -> None:
+    speaks(roster)
+    assert chosen(roster) == {"b"}
+    roster.remove("b", 8)
+    assert chosen(roster) == ({"a"} if is_set_aside else set())
+
+
+def test_a_resting_backend_does_not_isolate_the_entry(roster: Roster) -> None:
+    """It answers: callers would not fare better at entries of other domains."""
+    far = dataclasses.replace(B, id="c", domain="nbo-b", address="10.0.0.4:1")
+    roster.put(at(far, 7))
+    for endpoint in (A, B, far):
+        roster.took_notice(endpoint, REST)
+    assert not roster.is_isolated()
+    assert not roster.is_away("ink")
+
+
+def test_a_suspicion_does_not_shorten_another(roster: Roster, clock: ManualClock) -> None:
+    """A refusal that was under way came after word that another run has the address."""
+    roster.moved("a")
+    roster.refused("a", 150)
+    clock.advance(4_999)
+    assert chosen(roster) == {"b"}
--- /dev/null
+++ b/src/canvasyoke/direct/tests/test_resting_backends.py
@@ -0,0 +1,206 @@
+"""No way leads to a backend that has asked for rest."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterator
+from dataclasses import replace
+
+import pytest
+
+from canvasyoke._clock import ManualClock
+from canvasyoke.backend import (
+    BackendAnswer,
+    BackendNotice,
+    DirectBackendPort,
+    NotRun,
+    NotRunCause,
+    OutboundRequest,
+    Sending,
+)
+from canvasyoke.direct._budget import FleetRetryBudget, RetryAllowance
+from canvasyoke.direct._call import DirectCall, GaveUp
+from canvasyoke.direct._roster import Roster
+from canvasyoke.direct.tests.calls import ROUTE, make_call, make_forwarder
+from canvasyoke.state import Endpoint, EndpointState, TableRoute
+from canvasyoke.transport import ExchangeError, ExchangeSlot
+
+RESUMABLE = replace(ROUTE, resumable=True, max_attempts=3)
+RESTS = NotRun(NotRunCause.FULL, "refused with status 503", notice=BackendNotice(rest=3_000))
+NAMES = ("b-1", "b-2", "b-3")
+
+
+class _Answer(BackendAnswer):
+    """An answer that may end early."""
+
+    def __init__(self, pieces: list[bytes], status: int = 200, notice: BackendNotice | None = None):
+        self.status = status
+        self.headers = [("Content-Type", "text/event-stream")]
+        self.is_framed = True
+        self.notice = notice or BackendNotice()
+        self._pieces = pieces
+
+    def pieces(self) -> Iterator[bytes]:
+        yield from self._pieces
+        if not self._pieces or not self._pieces[-1].endswith(b"last\n\n"):
+            raise ExchangeError("reset")
+
+    def wait_at_most(self, duration: int) -> None:
+        pass
+
+    def close(self) -> None:
+        pass
+
+
+WHOLE = [b"id: 9\ndata: last\n\n"]
+
+
+class _Port(DirectBackendPort):
+    """Answers as a test says; asks the slot as the transport does."""
+
+    def __init__(self, answer: Callable[[Endpoint], Sending]) -> None:
+        self._answer = answer
+        #: Backends that a request was written to.
+        self.reached: list[str] = []
+        #: Happens while the connection is made.
+        self.on_connect: Callable[[Endpoint], object] = lambda _: None
+
+    def send(
+        self, endpoint: Endpoint, request: OutboundRequest, connect_timeout: int, slot: ExchangeSlot
+    ) -> Sending:
+        self.on_connect(endpoint)
+        why_not = slot.hold(None)
+        if why_not:
+            return NotRun(NotRunCause.WITHDRAWN, why_not)
+        self.reached.append(endpoint.id)
+        return self._answer(endpoint)
+
+    def pace_of(self, endpoint: Endpoint) -> float | None:
+        return None
+
+    def group_of(self, endpoint: Endpoint) -> str | None:
+        return ""
+
+
+class _Entry:
+    """An entry's decisions over a port, without sockets."""
+
+    def __init__(self, answer: Callable[[Endpoint], Sending]) -> None:
+        self.clock = ManualClock(start=10_000)
+        self.roster = Roster("nbo-a", self.clock, random.Random(1))
+        self.roster.merge(
+            [Endpoint(n, "ink", f"{n}:1", "nbo-a", 6, EndpointState.READY, 1) for n in NAMES], 1
+        )
+        self.budget = FleetRetryBudget(RetryAllowance(0.0, 20, 10_000), self.clock)
+        self.port = _Port(answer)
+        self.forwarder = make_forwarder(self.port, self.roster, self.budget, self.clock)
+
+    def run(self, route: TableRoute = RESUMABLE) -> tuple[DirectCall, object]:
+        call = make_call(route)
+        call.began = self.clock.now()
+        call.deadline = self.clock.now() + 8_000
+        return call, list(self.forwarder.run(call))[-1]
+
+    def rest(self, *names: str, rest: int = 3_000) -> None:
+        for endpoint in self.roster.endpoints():
+            if endpoint.id in names:
+                self.roster.took_notice(endpoint, BackendNotice(rest=rest))
+
+    def retries_left(self) -> int:
+        count = 0
+        while self.budget.spend("ink"):
+            count += 1
+        return count
+
+
+@pytest.fixture
+def entry() -> _Entry:
+    return _Entry(lambda _: _Answer(WHOLE))
+
+
+def test_all_at_rest_are_left_alone_and_the_caller_is_told_when(entry: _Entry) -> None:
+    entry.rest(*NAMES)
+    entry.clock.advance(1_000)
+    call, last = entry.run()
+    assert entry.port.reached == []
+    assert isinstance(last, GaveUp)
+    assert last.status == 503
+    assert 2_000 < last.retry_after <= 3_000
+    assert last.detail == "no backend can take it: resting for 2000 ms more"
+    assert not call.may_have_run
+
+
+def test_a_caller_with_little_time_is_told_the_truth(entry: _Entry) -> None:
+    """A time within what it has left would bring it back to be refused again."""
+    entry.rest(*NAMES)
+    call = make_call(RESUMABLE, time_left=1_000)
+    last = list(entry.forwarder.run(call))[-1]
+    assert isinstance(last, GaveUp)
+    assert last.retry_after > 3_000
+
+
+def test_callers_who_are_refused_together_come_back_apart(entry: _Entry) -> None:
+    entry.rest(*NAMES)
+    ends = [end for _ in range(20) if isinstance(end := entry.run()[1], GaveUp)]
+    times = sorted(end.retry_after for end in ends)
+    assert times[0] > 3_000
+    assert len(set(times)) > 10
+    assert times[-1] - times[0] > 700
+
+
+def test_a_retry_leaves_resting_backends_alone() -> None:
+    def answer(endpoint: Endpoint) -> Sending:
+        return RESTS if endpoint.id != "b-3" else _Answer(WHOLE)
+
+    entry = _Entry(answer)
+    for _ in range(10):
+        entry.run()
+    assert all(entry.port.reached.count(name) <= 1 for name in ("b-1", "b-2"))
+    assert entry.port.reached.count("b-3") == 10
+
+
+def test_a_stream_is_not_taken_up_again_at_a_resting_backend() -> None:
+    """Its own backend broke off, with a head that asked for nothing; the others rest."""
+    entry = _Entry(lambda _: _Answer([b"id: 1\ndata: first\n\n"]))
+
+    def others_rest(endpoint: Endpoint) -> None:
+        entry.rest(*(name for name in NAMES if name != endpoint.id))
+
+    entry.port.on_connect = others_rest
+    entry.run()
+    assert len(entry.port.reached) == 1
+
+
+def test_a_backend_that_asks_while_it_is_connected_to_gets_nothing(entry: _Entry) -> None:
+    first: list[str] = []
+
+    def asks(endpoint: Endpoint) -> None:
+        if not first:
+            first.append(endpoint.id)
+            entry.rest(endpoint.id)
+
+    entry.port.on_connect = asks
+    call, _ = entry.run()
+    assert len(entry.port.reached) == 1
+    assert first[0] not in entry.port.reached
+    assert [tried.outcome for tried in call.tried][1:] == ["answered"]
+    assert len(call.sent_to) == 1
+
+
+#: Answers that say that the backend rests, whatever else is in them.
+ANSWERS: list[tuple[str, Sending]] = [
+    ("a refusal", RESTS),
+    ("a failure of its own", _Answer(WHOLE, 503, BackendNotice(rest=3_000))),
+    ("a stream that breaks off", _Answer([b"id: 1\n"], notice=BackendNotice(rest=3_000))),
+    ("a whole stream", _Answer(WHOLE, notice=BackendNotice(rest=3_000))),
+]
+
+
+@pytest.mark.parametrize("sending", [case[1] for case in ANSWERS], ids=[c[0] for c in ANSWERS])
+def test_each_answer_is_heard(sending: Sending) -> None:
+    entry = _Entry(lambda _: sending)
+    entry.run(replace(RESUMABLE, max_attempts=1))
+    resting = entry.port.reached[0]
+    for _ in range(4):
+        entry.run(replace(RESUMABLE, max_attempts=1))
+    assert entry.port.reached.count(resting) == 1
--- a/src/canvasyoke/direct/tests/test_roster.py
+++ b/src/canvasyoke/direct/tests/test_roster.py
@@ -8,7 +8,7 @@
 import pytest
 
 from canvasyoke._clock import ManualClock
-from canvasyoke.backend import ReportedLoad
+from canvasyoke.backend import BackendNotice, ReportedLoad
 from canvasyoke.direct._choice import Chosen, NoneAble, Wanted
 from canvasyoke.direct._known_backends import BackendChange
 from canvasyoke.direct._peer_loads import ToldLoad
@@ -61,7 +61,7 @@
 
 
 def test_load_on_answers_counts_where_nobody_tells(roster: Roster, clock: ManualClock) -> None:
-    roster.load_seen("a", ReportedLoad(running=5, waiting=1, slots=6))
+    roster.took_notice(endpoint("a"), BackendNotice(ReportedLoad(running=5, waiting=1, slots=6)))
     assert choose(roster) == "b"
     clock.advance(2_500)
     assert {choose(roster), choose(roster)} == {"a", "b"}
--- a/src/canvasyoke/platform/_engine.py
+++ b/src/canvasyoke/platform/_engine.py
@@ -20,7 +20,7 @@
 from canvasyoke.platform._notices import LEAVING_HEADER, LIMIT_HEADER, LOAD_HEADER, read_notice
 from canvasyoke.platform._ranks import ObjectsRankPort
 from canvasyoke.state import Endpoint
-from canvasyoke.transport import Exchange, ExchangeSlot, NotConnected, Sent, exchange
+from canvasyoke.transport import Exchange, ExchangeSlot, NotConnected, Sent, Withdrawn, exchange
 
 _REQUEST_ID: Final = "Attempt-Id"
 _TIME_LEFT: Final = "Request-Deadline"
@@ -105,6 +105,8 @@
         )
         if isinstance(sent, NotConnected):
             return NotRun(NotRunCause.UNREACHABLE, sent.detail)
+        if isinstance(sent, Withdrawn):
+            return NotRun(NotRunCause.WITHDRAWN, sent.detail)
         if isinstance(sent, Sent):
             return MayHaveRun(sent.detail, is_broken=not sent.is_late)
         return _classify(sent, request.request_id)
--- a/src/canvasyoke/transport/_exchange.py
+++ b/src/canvasyoke/transport/_exchange.py
@@ -12,7 +12,7 @@
 import http.client
 import socket
 import threading
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -58,6 +58,13 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True)
+class Withdrawn:
+    """The connection was made, and the request was not sent after all."""
+
+    detail: str
+
+
 @dataclass(frozen=True, slots=True)
 class Sent:
     """The request may have been read by the peer, and there is no answer."""
@@ -117,20 +124,26 @@
 
 
 class ExchangeSlot:
-    """Lets another task shut down an exchange at any moment of its life."""
+    """Lets others stop an exchange: before its request is sent, and at any moment after.
+
+    ``may_send`` is asked when the connection stands, right before the request is written.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, may_send: Callable[[], bool] = lambda: True) -> None:
         self._lock = threading.Lock()
+        self._may_send = may_send
         self._connection: HTTPConnection | None = None
         self._sock: socket.socket | None = None
         #: Whether it was shut down.
         self.is_shut = False
 
-    def hold(self, sock: socket.socket | None) -> bool:
-        """Take the socket in use now; false when it is to be given up at once."""
+    def hold(self, sock: socket.socket | None) -> str:
+        """Take the socket in use now; return why nothing may be sent on it, or nothing."""
         with self._lock:
             self._sock = sock
-            return not self.is_shut
+            if self.is_shut:
+                return "given up before anything was sent"
+        return "" if self._may_send() else "the backend takes no requests any more"
 
     def shut(self) -> None:
         """Shut the socket down, now or as soon as there is one."""
@@ -179,7 +192,7 @@
     connect_timeout: int,
     read_timeout: int,
     slot: ExchangeSlot | None = None,
-) -> Exchange | NotConnected | Sent:
+) -> Exchange | NotConnected | Withdrawn | Sent:
     """Send one request and wait for the head of its answer; times in milliseconds."""
     slot = slot or ExchangeSlot()
     host, port = address.rsplit(":", 1)
@@ -191,9 +204,10 @@
     except (urllib3.exceptions.HTTPError, OSError) as exc:
         connection.close()
         return NotConnected(f"{type(exc).__name__}: {exc}")
-    if not slot.hold(connection.sock):
+    why_not = slot.hold(connection.sock)
+    if why_not:
         connection.close()
-        return NotConnected("given up before anything was sent")
+        return Withdrawn(why_not)
     connection.timeout = max(_LEAST_TIMEOUT, read_timeout) / SECOND
     connection.sock.settimeout(connection.timeout)
     try:
