A backend that says that it leaves gets no more requests, from any entry

What callers saw: requests at backends that had told an entry in their answers that they would end, 2.1 s and later after it had passed such an answer on, while the store still had them as ready.

Cause: as with rest, the word was not read. An entry of the store is all that made a backend a leaving one, and it may be late, or written by another.

Changed: from that answer on the run counts as leaving at once, as if the store had said so: it is not chosen, nothing is sent on a connection that stands, readiness and the examination of broken exchanges know it. It ends with the run (another start or address), not with a list. Entries tell each other over their links; words only add up, so they may come in any order, any number of times, and a link that is new brings those that still hold of listed runs.

Why it holds: one function tells whether a backend leaves, by either word; a table has the order of its own word against the store's, heard here and told by others. Among 99 entries over five domains all know within six hops and fewer than 1,000 messages (bounds of the test); the state machine of cuts, deaths and restarts holds that all that are in touch agree. Real processes: two of six leave by answer, red before; and word of one entry keeps the requests of the two others away.

--- a/src/canvasyoke/direct/_backend_standing.py
+++ b/src/canvasyoke/direct/_backend_standing.py
@@ -6,7 +6,7 @@
 
 from canvasyoke.backend import BackendNotice
 from canvasyoke.direct._backend_streams import BackendStreams
-from canvasyoke.direct._backend_words import WordChange
+from canvasyoke.direct._backend_words import ToldWord, WordChange
 from canvasyoke.direct._member import Member
 from canvasyoke.direct._pass_over import unavailable_for
 from canvasyoke.state import Endpoint, EndpointState
@@ -27,6 +27,17 @@
                 member.reported_at = self.clock.now()
             return self._words.took(endpoint, notice)
 
+    def heard_word(self, told: ToldWord) -> bool:
+        """Take what a backend has said to another entry; false if it is no news."""
+        with self._lock:
+            return self._words.heard(told)
+
+    def words_to_tell(self) -> list[ToldWord]:
+        """Return all words of listed backends that still hold."""
+        with self._lock:
+            told = (self._words.to_tell(m.endpoint) for m in self._members.values())
+            return [word for word in told if word is not None]
+
     def may_send(self, endpoint: Endpoint) -> bool:
         """Tell whether a backend that was chosen may still get its request.
 
@@ -74,8 +85,20 @@
         with self._lock:
             return self._words.resting(member.endpoint for member in self._members.values())
 
+    @property
+    def leaving(self) -> int:
+        """Return how many backends have said themselves that they leave."""
+        with self._lock:
+            return self._words.leaving(member.endpoint for member in self._members.values())
+
     def _takes_requests(self, member: Member) -> bool:
         return not self._is_leaving(member) and not unavailable_for(self._sources, member)
 
     def _is_leaving(self, member: Member) -> bool:
-        return member.endpoint.state is EndpointState.LEAVING
+        """Tell whether a run leaves, by the store's word or by its own.
+
+        Its own holds until the run has ended, whatever the store says of it: the entry there
+        may be older, or another's.
+        """
+        is_told = member.endpoint.state is EndpointState.LEAVING
+        return is_told or self._words.is_leaving(member.endpoint)
--- a/src/canvasyoke/direct/_backend_words.py
+++ b/src/canvasyoke/direct/_backend_words.py
@@ -18,6 +18,9 @@
 #: Milliseconds of rest that one answer can ask for. A backend that named a time without an
 #: end by mistake is asked again after it.
 LONGEST_REST: Final = 600 * SECOND
+#: Milliseconds by which an end of a rest must be later to be news: refusals that were under
+#: way together name ends that differ by no more.
+_NEWS_STEP: Final = 500
 #: Runs of which words are kept; the oldest are dropped first.
 _LIMIT: Final = 10_000
 
@@ -30,7 +33,7 @@
 class WordChange:
     """What an answer's notice has changed."""
 
-    #: Milliseconds of rest that begin now; 0 where none begins.
+    #: Milliseconds of rest from now on; 0 where that is no news.
     rest: int = 0
     #: Whether the backend was not known to leave.
     leaves: bool = False
@@ -39,10 +42,24 @@
 _NO_CHANGE: Final = WordChange()
 
 
+@dataclass(frozen=True, slots=True)
+class ToldWord:
+    """A backend's word as entries tell it each other."""
+
+    #: Run of the backend, and its address.
+    run: str
+    address: str
+    #: Milliseconds for which it wants nothing from one of the entries.
+    rest: int = 0
+    is_leaving: bool = False
+
+
 @dataclass(slots=True)
 class _Word:
     #: Time on the clock at which the latest of all rests ends.
     rest_until: int = 0
+    #: The same for rests that other entries were asked for.
+    rest_elsewhere_until: int = 0
     is_leaving: bool = False
 
 
@@ -61,10 +78,10 @@
         if not notice.rest and not notice.is_leaving:
             return _NO_CHANGE
         now = self.clock.now()
-        word = self._find(endpoint)
+        word = self._find(_key(endpoint))
         rest = min(notice.rest, LONGEST_REST)
         change = WordChange(
-            rest=rest if now >= word.rest_until else 0,
+            rest=rest if now + rest > word.rest_until + _NEWS_STEP else 0,
             leaves=notice.is_leaving and not word.is_leaving,
         )
         word.rest_until = max(word.rest_until, now + rest)
@@ -76,6 +93,33 @@
         word = self._words.get(_key(endpoint))
         return max(0, word.rest_until - self.clock.now()) if word is not None else 0
 
+    def heard(self, told: ToldWord) -> bool:
+        """Take what another entry has heard from a backend; false if it is no news."""
+        now = self.clock.now()
+        word = self._find((told.run, told.address))
+        until = now + min(told.rest, LONGEST_REST)
+        known = max(now, word.rest_until, word.rest_elsewhere_until)
+        is_news = until > known + _NEWS_STEP or (told.is_leaving and not word.is_leaving)
+        word.rest_elsewhere_until = max(word.rest_elsewhere_until, until)
+        word.is_leaving = word.is_leaving or told.is_leaving
+        return is_news
+
+    def to_tell(self, endpoint: Endpoint) -> ToldWord | None:
+        """Return what still holds of a backend's word; ``None`` for nothing."""
+        word = self._words.get(_key(endpoint))
+        if word is None:
+            return None
+        until = max(word.rest_until, word.rest_elsewhere_until)
+        rest = max(0, until - self.clock.now())
+        if not rest and not word.is_leaving:
+            return None
+        return ToldWord(endpoint.run, endpoint.address, rest, word.is_leaving)
+
+    def rests_elsewhere(self, endpoint: Endpoint) -> bool:
+        """Tell whether a backend wants nothing from another entry."""
+        word = self._words.get(_key(endpoint))
+        return word is not None and self.clock.now() < word.rest_elsewhere_until
+
     def is_leaving(self, endpoint: Endpoint) -> bool:
         """Tell whether a run has said that it is about to end."""
         word = self._words.get(_key(endpoint))
@@ -89,8 +133,7 @@
         """Return how many of ``endpoints`` have said that they leave."""
         return sum(1 for endpoint in endpoints if self.is_leaving(endpoint))
 
-    def _find(self, endpoint: Endpoint) -> _Word:
-        key = _key(endpoint)
+    def _find(self, key: _Key) -> _Word:
         word = self._words.setdefault(key, _Word())
         while len(self._words) > _LIMIT:
             del self._words[next(iter(self._words))]
--- a/src/canvasyoke/direct/_peers.py
+++ b/src/canvasyoke/direct/_peers.py
@@ -20,6 +20,7 @@
 
 from canvasyoke._clock import SECOND, Clock
 from canvasyoke.direct._backend_news import to_crash_news, to_endpoint, to_news
+from canvasyoke.direct._backend_words import ToldWord
 from canvasyoke.direct._budget import FleetRetryBudget
 from canvasyoke.direct._crash_cases import CrashCase
 from canvasyoke.direct._entry_notes import EntryNotes
@@ -31,12 +32,14 @@
 from canvasyoke.direct._table_exchange import TableExchange
 from canvasyoke.direct._table_follower import TableView
 from canvasyoke.direct._telling import AT_LEAST, TELL_EVERY, Telling
+from canvasyoke.direct._word_exchange import WordExchange
 from canvasyoke.membership import OverlayLinks, Place, StoreContact, WatchRota
 from canvasyoke.observe import part_logger
 from canvasyoke.protocol import (
     BackendList,
     BackendNews,
     BackendsWanted,
+    BackendWords,
     CrashList,
     CrashNews,
     EntryLoad,
@@ -105,6 +108,7 @@
         #: Whether this entry watches the store for its domain.
         self.rota = WatchRota(settings.instance, clock, in_contact)
         self._tables = TableExchange(store, view, lambda: self.rota.is_watching, clock)
+        self._words = WordExchange(roster, self._tell_all)
         #: Where the other entries are, until the task that keeps the links takes it.
         self._found: list[Place] | None = None
         self._finder = threading.Thread(target=self._find_all, name="find-entries", daemon=True)
@@ -144,6 +148,10 @@
         """Pass on that a backend says nothing."""
         self._tell_all(SilenceNews(backend))
 
+    def tell_word(self, told: ToldWord) -> None:
+        """Pass on what a backend has said of itself."""
+        self._words.tell(told)
+
     def tell_case(self, fingerprint: str, case: CrashCase) -> None:
         """Pass on what is known against a request under which backends have ended."""
         self._tell_all(to_crash_news(fingerprint, case))
@@ -196,6 +204,7 @@
     def _opened(self, session: Session) -> None:
         _log.info("linked", peer=session.peer, incarnation=session.incarnation)
         session.send(self._load(is_near=session.peer in self._near, relayed=[]))
+        self._words.opened(session)
         cases = self._quarantine.cases()
         if cases:
             session.send(CrashList([to_crash_news(name, case) for name, case in cases.items()]))
@@ -229,6 +238,8 @@
             case SilenceNews():
                 if self._roster.fell_silent(message.backend):
                     self._tell_all(message, but=session)
+            case BackendWords():
+                self._words.took(session, message)
             case CrashNews():
                 self._take_case(message)
             case CrashList():
--- a/src/canvasyoke/direct/_process.py
+++ b/src/canvasyoke/direct/_process.py
@@ -110,7 +110,7 @@
         )
         port = DIRECT_BACKENDS.get(settings.adapter)()
         breaks = BreakExaminer(self._roster, self._metrics)
-        words = WordKeeper(self._roster, self._metrics)
+        words = WordKeeper(self._roster, self._metrics, self._peers.tell_word)
         forwarder = Forwarder(
             port, self._roster, self._budget, breaks, self._quarantine, words, self._clock, rng
         )
@@ -254,6 +254,11 @@
             "Backends that have asked this entry to send them nothing for now.",
             lambda: self._roster.resting,
         )
+        gauge(
+            "canvasyoke_backends_leaving",
+            "Backends that have said in an answer that they leave.",
+            lambda: self._roster.leaving,
+        )
         gauge(
             "canvasyoke_entries_unreadable",
             "Entries in the store that name no backend, as this entry watches them.",
--- /dev/null
+++ b/src/canvasyoke/direct/_word_exchange.py
@@ -0,0 +1,56 @@
+"""Passes on among entries what backends have said of themselves to one of them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from canvasyoke.direct._backend_words import ToldWord
+from canvasyoke.direct._roster import Roster
+from canvasyoke.observe import part_logger
+from canvasyoke.protocol import BackendWord, BackendWords, Message
+from canvasyoke.transport import Session
+
+_log = part_logger("words")
+
+
+class WordExchange:
+    """Words only add up, so they may come in any order and any number of times."""
+
+    def __init__(self, roster: Roster, tell_all: Callable[[Message, Session | None], None]) -> None:
+        self._roster = roster
+        self._tell_all = tell_all
+
+    def tell(self, told: ToldWord) -> None:
+        """Tell the others what a backend has said to this entry."""
+        self._tell_all(BackendWords([_to_message(told)]), None)
+
+    def opened(self, session: Session) -> None:
+        """Tell an entry that is newly linked with all that still holds."""
+        words = self._roster.words_to_tell()
+        if words:
+            session.send(BackendWords([_to_message(told) for told in words]))
+
+    def took(self, session: Session, message: BackendWords) -> None:
+        """Take what another entry tells, and pass on what is news."""
+        news = [
+            word
+            for word in message.words
+            if self._roster.heard_word(
+                ToldWord(word.backend, word.address, word.rest, word.is_leaving)
+            )
+        ]
+        if not news:
+            return
+        self._tell_all(BackendWords(news), session)
+        for word in news:
+            _log.info(
+                "word of a backend",
+                backend=word.backend,
+                rest=word.rest,
+                leaving=word.is_leaving,
+                peer=session.peer,
+            )
+
+
+def _to_message(told: ToldWord) -> BackendWord:
+    return BackendWord(told.run, told.address, told.rest, told.is_leaving)
--- a/src/canvasyoke/direct/_word_keeper.py
+++ b/src/canvasyoke/direct/_word_keeper.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import threading
+from collections.abc import Callable
 from typing import Final
 
 from canvasyoke._clock import SECOND
 from canvasyoke.backend import BackendNotice, UnreadableField
+from canvasyoke.direct._backend_words import ToldWord
 from canvasyoke.direct._metrics import DirectMetrics
 from canvasyoke.direct._roster import Roster
 from canvasyoke.observe import part_logger
@@ -20,9 +22,12 @@
 class WordKeeper:
     """One for all attempts of an entry; thread-safe."""
 
-    def __init__(self, roster: Roster, metrics: DirectMetrics) -> None:
+    def __init__(
+        self, roster: Roster, metrics: DirectMetrics, on_news: Callable[[ToldWord], None]
+    ) -> None:
         self._roster = roster
         self._metrics = metrics
+        self._on_news = on_news
         self._lock = threading.Lock()
         #: Runs and fields of which an unreadable word was logged, in the order they came.
         self._unreadable: dict[tuple[str, str], None] = {}
@@ -39,6 +44,10 @@
                 service=endpoint.service,
                 seconds=change.rest / SECOND,
             )
+        if change.leaves:
+            _log.info("backend says that it leaves", backend=endpoint.run, service=endpoint.service)
+        if change.rest or change.leaves:
+            self._on_news(ToldWord(endpoint.run, endpoint.address, change.rest, change.leaves))
 
     def _found_unreadable(self, run: str, field: UnreadableField) -> None:
         self._metrics.unreadable_word(field.name)
--- a/src/canvasyoke/direct/tests/calls.py
+++ b/src/canvasyoke/direct/tests/calls.py
@@ -62,7 +62,7 @@
     quarantine = quarantine or Quarantine(clock, lambda _name, _case: None)
     metrics = DirectMetrics()
     breaks = BreakExaminer(roster, metrics, lambda _address, _timeout: reach)
-    words = WordKeeper(roster, metrics)
+    words = WordKeeper(roster, metrics, lambda _told: None)
     return Forwarder(port, roster, budget, breaks, quarantine, words, clock, random.Random(1))
 
 
--- a/src/canvasyoke/direct/tests/test_backend_words.py
+++ b/src/canvasyoke/direct/tests/test_backend_words.py
@@ -10,13 +10,14 @@
 
 from canvasyoke._clock import SECOND, ManualClock
 from canvasyoke.backend import BackendNotice
-from canvasyoke.direct._backend_words import LONGEST_REST
+from canvasyoke.direct._backend_words import LONGEST_REST, ToldWord
 from canvasyoke.direct._choice import Chosen, NoneAble, Wanted
 from canvasyoke.direct._roster import Roster
 from canvasyoke.protocol import Reason
 from canvasyoke.state import Endpoint, EndpointState
 
 REST = BackendNotice(rest=3_000)
+LEAVES = BackendNotice(is_leaving=True)
 A = Endpoint("a", "ink", "10.0.0.1:1", "nbo-a", 6, EndpointState.READY, 1)
 B = dataclasses.replace(A, id="b", address="10.0.0.2:1")
 
@@ -135,6 +136,7 @@
 REASONS: list[tuple[str, Callable[[Roster], object], bool]] = [
     ("rest", lambda r: r.took_notice(A, REST), False),
     ("the store says that it leaves", lambda r: r.put(at(leaving(A), 7)), False),
+    ("it says that it leaves", lambda r: r.took_notice(A, LEAVES), False),
     ("full", lambda r: r.refused("a", 150), True),
     ("moved", lambda r: r.moved("a"), True),
     ("failures", lambda r: _fail(r, "a"), True),
@@ -171,3 +173,61 @@
     roster.refused("a", 150)
     clock.advance(4_999)
     assert chosen(roster) == {"b"}
+
+
+#: What comes after a backend has said that it leaves, and whether it still counts as leaving.
+ORDER: list[tuple[str, Callable[[Roster], object], bool]] = [
+    ("nothing", lambda _: None, True),
+    ("an answer that does not say so", lambda r: r.took_notice(A, BackendNotice()), True),
+    ("an older list that has it ready", lambda r: r.merge([A, B], 4), True),
+    ("a newer list that has it ready", lambda r: r.merge_from_store([at(A, 8), B], 9), True),
+    ("newer word of the store that it is ready", lambda r: r.put(at(A, 8)), True),
+    ("newer word that it leaves", lambda r: r.put(at(leaving(A), 8)), True),
+    ("its entry is gone and back", lambda r: (r.remove("a", 6), r.put(at(A, 7))), True),
+    ("another start under its name", lambda r: r.put(started(at(A, 7), 9)), False),
+    ("another address", lambda r: r.put(moved_to(at(A, 7), "10.0.0.3:1")), False),
+]
+
+
+@pytest.mark.parametrize(
+    ("happens", "leaves"), [case[1:] for case in ORDER], ids=[case[0] for case in ORDER]
+)
+@pytest.mark.parametrize("is_told", [False, True], ids=["said here", "told by another entry"])
+def test_own_word_against_the_store_s(
+    roster: Roster, happens: Callable[[Roster], object], leaves: bool, is_told: bool
+) -> None:
+    if is_told:
+        assert roster.heard_word(ToldWord("a", A.address, is_leaving=True))
+    else:
+        assert roster.took_notice(A, LEAVES).leaves
+    happens(roster)
+    now = next(endpoint for endpoint in roster.endpoints() if endpoint.id == "a")
+    assert roster.is_ready(now.run) is not leaves
+    assert roster.may_send(now) is not leaves
+    assert chosen(roster) == ({"b"} if leaves else {"a", "b"})
+
+
+def test_where_all_leave_nobody_is_chosen(roster: Roster) -> None:
+    for endpoint in (A, B):
+        roster.took_notice(endpoint, LEAVES)
+    assert roster.choose(Wanted("ink")) == NoneAble(Reason.LEAVING)
+    assert not roster.has_other("ink", frozenset())
+
+
+def test_word_is_news_once(roster: Roster) -> None:
+    assert roster.took_notice(A, LEAVES).leaves
+    assert not roster.took_notice(A, LEAVES).leaves
+    assert not roster.heard_word(ToldWord("a", A.address, is_leaving=True))
+    assert roster.words_to_tell() == [ToldWord("a", A.address, is_leaving=True)]
+
+
+def test_words_of_runs_that_are_gone_are_not_told(roster: Roster) -> None:
+    roster.took_notice(A, LEAVES)
+    roster.remove("a", 6)
+    assert roster.words_to_tell() == []
+
+
+def test_words_are_bounded(roster: Roster) -> None:
+    for number in range(10_010):
+        roster.heard_word(ToldWord(f"c-{number}", "10.0.0.9:1", is_leaving=True))
+    assert len(roster._words._words) == 10_000
--- a/src/canvasyoke/direct/tests/test_spread.py
+++ b/src/canvasyoke/direct/tests/test_spread.py
@@ -12,7 +12,9 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from canvasyoke._clock import SECOND
+from canvasyoke.backend import BackendNotice
 from canvasyoke.direct import _peers
+from canvasyoke.direct._backend_words import ToldWord
 from canvasyoke.direct.tests.fleet_model import SETTLE_TURNS, SimFleet, SimLinks
 from canvasyoke.protocol import BackendNews
 from canvasyoke.state import EndpointState, Note
@@ -20,6 +22,7 @@
 #: Seconds after which an event that is waited for has failed to come.
 PATIENCE = 20
 SIZES = (22, 17, 21, 19, 20)
+LEAVES = BackendNotice(is_leaving=True)
 
 
 @pytest.fixture(autouse=True)
@@ -140,6 +143,44 @@
     assert all(e.roster.groups() == {"b-1": "g-1"} for e in fleet.entries.values())
 
 
+def say_leaving(fleet: SimFleet, name: str, backend: str) -> None:
+    """Have a backend say to one entry that it leaves."""
+    entry = fleet.entries[name]
+    endpoint = next((e for e in entry.roster.endpoints() if e.id == backend), None)
+    if endpoint is not None and entry.roster.took_notice(endpoint, LEAVES).leaves:
+        entry.peers.tell_word(ToldWord(endpoint.run, endpoint.address, is_leaving=True))
+
+
+def test_a_backend_s_word_reaches_ninety_nine_entries_in_few_hops() -> None:
+    fleet = started(SIZES)
+    fleet.carried = 0
+    while fleet.carry():
+        pass
+    fleet.carried = 0
+    say_leaving(fleet, fleet.places[0].name, "b-1")
+    hops = 0
+    while any(e.roster.is_ready("b-1") for e in fleet.entries.values()):
+        assert fleet.carry()
+        hops += 1
+    while fleet.carry():
+        pass
+    assert hops <= 6
+    assert fleet.carried < 1_000
+
+
+def test_a_link_that_is_opened_brings_the_words_that_hold() -> None:
+    fleet = started((6, 5, 4))
+    fleet.cut = {"domain-1"}
+    fleet.pass_turns(2)
+    say_leaving(fleet, fleet.places[0].name, "b-1")
+    fleet.pass_turns(2)
+    ready = {e.place.domain for e in fleet.entries.values() if e.roster.is_ready("b-1")}
+    assert ready == {"domain-1"}
+    fleet.cut = set()
+    fleet.pass_turns(2)
+    assert not any(e.roster.is_ready("b-1") for e in fleet.entries.values())
+
+
 def test_loads_are_told_within_the_domain_only() -> None:
     fleet = started(SIZES)
     first = fleet.entries[fleet.places[0].name]
@@ -219,6 +260,10 @@
     def change(self, backend: int, state: EndpointState | None, starts_again: bool) -> None:
         self.fleet.change(f"b-{backend}", state, starts_again)
 
+    @rule(n=st.integers(0, 14), backend=st.integers(0, 7))
+    def say_leaving(self, n: int, backend: int) -> None:
+        say_leaving(self.fleet, self.watcher(n), f"b-{backend}")
+
     @rule(turns=st.integers(1, 6))
     def wait(self, turns: int) -> None:
         self.fleet.pass_turns(turns)
@@ -257,6 +302,8 @@
             assert known == true, name
             runs = {e.run for e in entry.roster.endpoints()}
             assert runs == {e.run for e in self.fleet.truth.values()}, name
+        told = {frozenset(e.roster.words_to_tell()) for e in self.fleet.entries.values()}
+        assert len(told) == 1
 
     @invariant()
     def nothing_goes_back(self) -> None:
--- a/src/canvasyoke/protocol/_messages.py
+++ b/src/canvasyoke/protocol/_messages.py
@@ -453,6 +453,23 @@
     cases: Annotated[list[CrashNews], msgspec.Meta(max_length=10_000)] = []
 
 
+class BackendWord(msgspec.Struct, frozen=True):
+    """What a run of a backend has said of itself to one of the entries."""
+
+    backend: Name
+    address: Name
+    #: Milliseconds for which it wants nothing from that entry; 0 for none.
+    rest: Count = 0
+    #: Whether it is about to end.
+    is_leaving: bool = False
+
+
+class BackendWords(msgspec.Struct, frozen=True, tag="backend_words"):
+    """Direct entry to entry: what backends have said in their answers."""
+
+    words: Annotated[list[BackendWord], msgspec.Meta(max_length=20_000)]
+
+
 #: Whatever may stand in a frame.
 Message: TypeAlias = (
     Run
@@ -491,4 +508,5 @@
     | SilenceNews
     | CrashNews
     | CrashList
+    | BackendWords
 )
--- a/tests/test_backend_words.py
+++ b/tests/test_backend_words.py
@@ -21,6 +21,7 @@
 
 import time
 from collections.abc import Iterator
+from functools import partial
 from threading import Thread
 from typing import Any
 
@@ -117,3 +118,20 @@
     assert all(engine.ledger for engine in leaving)
     assert [line for engine in leaving for line in late_arrivals(engine.ledger)] == []
     assert {reply.status for reply in replies} == {200}
+
+
+def _knows_that_one_leaves(entry: DirectEntry) -> bool:
+    return entry.metric("canvasyoke_backends_leaving") == 1
+
+
+def test_the_other_entries_hear_that_a_backend_leaves(fleet: WordFleet) -> None:
+    leaving, teller = fleet.shelf[0], fleet.entries[0]
+    leaving.word = EngineWord(leaving="1")
+    while not leaving.ledger:
+        assert fleet.call(teller).status == 200
+    for entry in fleet.entries:
+        wait_until(partial(_knows_that_one_leaves, entry), f"{entry.name} knows")
+    before = len(leaving.ledger)
+    replies = fleet.call_for(0.5)
+    assert len(leaving.ledger) == before
+    assert {reply.status for reply in replies} == {200}
