Entries tell each other which backends have asked for rest, as a suspicion

Hypothesis: a backend that wants nothing from one entry has no room for the others either, and each of them finding out for itself costs a refusal, and a retry of the fleet's budget, per backend and rest.

Change: word of a rest goes over the links like word of leaving. At the other entries it is a suspicion: such backends come last for that time, and get requests when nothing else is left.

Conclusion: kept. Where all rest, telling gains nothing: each entry asks each backend once a rest.

--- a/src/canvasyoke/direct/_pass_over.py
+++ b/src/canvasyoke/direct/_pass_over.py
@@ -52,6 +52,12 @@
     return sources.clock.now() < member.full_until
 
 
+@SUSPICIONS.register("rest elsewhere")
+def _rests_elsewhere(sources: Sources, member: Member) -> bool:
+    """It has asked another entry for rest, and has probably no room for this one either."""
+    return sources.words.rests_elsewhere(member.endpoint)
+
+
 @SUSPICIONS.register("moved")
 def _has_moved(sources: Sources, member: Member) -> bool:
     """Another run has said that it has the address; the backend itself has said nothing."""
