No retry is paid for where no other backend takes requests

What callers saw: with all other backends at rest a refused request took a retry from the fleet's budget, found nobody to send it to, and was refused all the same; the retry was then missing for requests that it would have helped.

Cause: the budget was asked before the choice, and whether a backend is left was asked with the list in view only (any that is ready).

Why it holds: the question comes before the payment and counts what takes requests now, by the same function as the choice. The test was red before (the refusal told of a second choice, with the retry gone).

--- a/src/canvasyoke/direct/_forwarder.py
+++ b/src/canvasyoke/direct/_forwarder.py
@@ -139,7 +139,7 @@
         return self._roster.choose(
             Wanted(
                 service=call.service,
-                tried=frozenset(tried.run for tried in call.tried),
+                tried=_tried(call),
                 patience=_patience(call),
             )
         )
@@ -256,6 +256,8 @@
             return "the route's attempts are used up"
         if call.deadline - self._clock.now() < LEAST_TIME:
             return "no time is left"
+        if not self._roster.has_other(call.service, _tried(call)):
+            return "no other backend takes requests"
         if isinstance(failure, NotRun) and failure.cause in _NOT_SENT:
             return ""  # nothing arrived anywhere, so nothing is spent
         return "" if self._pay(call) else "the retry budget is used up"
@@ -393,6 +395,10 @@
         return call.deadline - self._clock.now() + _BACKEND_GRACE
 
 
+def _tried(call: DirectCall) -> frozenset[str]:
+    return frozenset(tried.run for tried in call.tried)
+
+
 def _outcome(failure: NotRun | MayHaveRun | None) -> str:
     return "answered" if failure is None else failure.detail
 
--- a/src/canvasyoke/direct/tests/test_resting_backends.py
+++ b/src/canvasyoke/direct/tests/test_resting_backends.py
@@ -204,3 +204,16 @@
     for _ in range(4):
         entry.run(replace(RESUMABLE, max_attempts=1))
     assert entry.port.reached.count(resting) == 1
+
+
+def test_no_retry_is_paid_for_where_no_other_backend_takes_requests() -> None:
+    """The budget is the fleet's: what is paid here for nothing is missing where it would help."""
+    budget = _Entry(lambda _: RESTS).retries_left()
+    entry = _Entry(lambda _: RESTS)
+    entry.rest(*NAMES[1:])
+    _, last = entry.run()
+    assert entry.port.reached == ["b-1"]
+    assert isinstance(last, GaveUp)
+    assert last.detail == "refused with status 503; no retry: no other backend takes requests"
+    assert last.retry_after > 3_000
+    assert entry.retries_left() == budget
