Entries keep together to the rate that a backend names

Cause: as with rest, the word was not read; and no entry knows what the others send.

Changed: the rate goes over the links like the other words, with its age: the one heard last holds, in any order; an answer without it takes it back. Each entry keeps a bucket of its own for its part. Parts follow what callers ask of each entry (the retry budget's window, told with the loads while a limit holds) where all hear each other, and are equal elsewhere. Tokens are saved where all entries' saved ones together are borne; else four fifths of the rate is used and tokens perish. A limit is a fact: what cannot be sent is refused at once, and each caller gets the next moment that no other was given.

Left: urgency and organisations within a limit, large fleets, a state machine, whole processes under restarts and cuts.

--- a/fakes/engine_ledger.py
+++ b/fakes/engine_ledger.py
@@ -71,6 +71,49 @@
             yield asked, len(came)
 
 
+#: Seconds of the window in which requests are held against a limit, how many times what it
+#: allows may come in it, and how many more.
+LIMIT_WINDOW = 4.0
+LIMIT_TIMES = 1.5
+LIMIT_SLACK = 5
+#: Seconds from an engine's first word of a limit on after which it is judged.
+CONTACT_TIME = 3.0
+
+
+def worst_limit(ledger: Iterable[Exchanged]) -> float:
+    """Return the most that came in a window as a part of what the limit grants; 0 without one.
+
+    Requests count whose sender had passed on an answer that names the limit by half a second
+    before. All answers of the ledger that name one name the same.
+    """
+    known: dict[str, float] = {}
+    counted: list[float] = []
+    limit = 0.0
+    judged_from = 0.0
+    for exchanged in sorted(ledger, key=lambda e: e.at):
+        if exchanged.word.limit and not limit:
+            limit = float(exchanged.word.limit)
+            judged_from = exchanged.answered_at + CONTACT_TIME
+        is_known = exchanged.at >= known.get(exchanged.sender, float("inf")) + GRACE
+        if limit and is_known and exchanged.at >= judged_from:
+            counted.append(exchanged.at)
+        if exchanged.word.limit and exchanged.status != 503:
+            known.setdefault(exchanged.sender, exchanged.answered_at)
+    if not limit:
+        return 0.0
+    granted = LIMIT_TIMES * LIMIT_WINDOW * limit + LIMIT_SLACK
+    return _most_within(counted, LIMIT_WINDOW) / granted
+
+
+def _most_within(times: list[float], window: float) -> int:
+    most = begin = 0
+    for end, at in enumerate(times):
+        while at - times[begin] > window:
+            begin += 1
+        most = max(most, end - begin + 1)
+    return most
+
+
 def late_arrivals(ledger: Iterable[Exchanged]) -> list[str]:
     """Return what came from senders that had long passed on that the engine leaves."""
     told: dict[str, float] = {}
--- a/src/canvasyoke/backend/_notice.py
+++ b/src/canvasyoke/backend/_notice.py
@@ -35,6 +35,8 @@
     is_leaving: bool = False
     #: Requests a second that it takes from all entries together; ``None`` for no limit.
     rate_limit: float | None = None
+    #: Whether its limit can be told from this at all: a head has come, and is readable.
+    tells_limit: bool = False
     #: What cannot be read; it changes nothing.
     unreadable: tuple[UnreadableField, ...] = ()
 
--- a/src/canvasyoke/coordination/__init__.py
+++ b/src/canvasyoke/coordination/__init__.py
@@ -43,6 +43,7 @@
     Filtered,
     Ranker,
     RouteRequest,
+    Unavailability,
     filter_candidates,
 )
 
@@ -83,6 +84,7 @@
     "Slot",
     "SlotTable",
     "Step",
+    "Unavailability",
     "Waiting",
     "check_key",
     "filter_candidates",
--- a/src/canvasyoke/coordination/_routing.py
+++ b/src/canvasyoke/coordination/_routing.py
@@ -26,6 +26,15 @@
 REPORT_LIMIT: Final = 10_000
 
 
+@dataclass(frozen=True, slots=True)
+class Unavailability:
+    """For how long a target certainly takes no request of this entry, by its own word."""
+
+    reason: Reason
+    #: Milliseconds.
+    wait: int
+
+
 @dataclass(frozen=True, slots=True)
 class Candidate:
     """What an entry knows of one target when it chooses."""
@@ -56,8 +65,8 @@
     pace: float = 1.0
     #: Whether it was dealt to this entry, so that others come there last.
     is_home: bool = False
-    #: Milliseconds for which it certainly takes no request of this entry; 0 if it does.
-    unavailable: int = 0
+    #: Why it certainly takes no request of this entry now; ``None`` if it does.
+    unavailable: Unavailability | None = None
 
     @property
     def load(self) -> int:
@@ -119,9 +128,10 @@
     is never allowed, however few are left: it has said so itself.
     """
     able = [c for c in candidates if _is_able(c, req)]
-    available = [c for c in able if not c.unavailable]
+    available = [c for c in able if c.unavailable is None]
     if able and not available:
-        return Filtered((), Reason.RESTING, min(c.unavailable for c in able))
+        first = min((c.unavailable for c in able if c.unavailable), key=lambda u: u.wait)
+        return Filtered((), first.reason, first.wait)
     if not able:
         leaving = any(c.leaving for c in candidates if c.service == req.service)
         return Filtered((), Reason.LEAVING if leaving else Reason.NO_TARGET)
--- a/src/canvasyoke/direct/_backend_records.py
+++ b/src/canvasyoke/direct/_backend_records.py
@@ -14,6 +14,7 @@
 from canvasyoke._clock import SECOND, Clock
 from canvasyoke.coordination import RANKERS, Ejection, Ranker
 from canvasyoke.direct._backend_health import BackendHealth
+from canvasyoke.direct._backend_limits import BackendLimits
 from canvasyoke.direct._backend_words import BackendWords
 from canvasyoke.direct._domains import DomainReach
 from canvasyoke.direct._groups import RankGroups
@@ -85,7 +86,7 @@
         self._known = KnownBackends(StoreReturn(self.clock))
         self._groups = RankGroups(self.clock)
         self._health = BackendHealth(self.clock)
-        self._words = BackendWords(self.clock)
+        self._words = BackendWords(self.clock, BackendLimits(self.clock, self.rng))
         self._sources = Sources(self.clock, self._words, self._health, self._groups, self._domains)
         self._ranker = RANKERS.get(_RANKER)(self.rng)
         self._confirmed_at = self.clock.now()
--- a/src/canvasyoke/direct/_backend_standing.py
+++ b/src/canvasyoke/direct/_backend_standing.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from canvasyoke.backend import BackendNotice
+from canvasyoke.direct._backend_limits import Share
 from canvasyoke.direct._backend_streams import BackendStreams
 from canvasyoke.direct._backend_words import ToldWord, WordChange
 from canvasyoke.direct._member import Member
-from canvasyoke.direct._pass_over import unavailable_for
+from canvasyoke.direct._pass_over import unavailability
 from canvasyoke.state import Endpoint, EndpointState
 
 
@@ -38,6 +40,22 @@
             told = (self._words.to_tell(m.endpoint) for m in self._members.values())
             return [word for word in told if word is not None]
 
+    def set_share(self, share: Callable[[str], Share]) -> None:
+        """Let parts of limits be worked out by ``share``, by service."""
+        with self._lock:
+            self._words.limits.share = share
+
+    @property
+    def has_limits(self) -> bool:
+        """Tell whether any backend names a rate that it takes."""
+        with self._lock:
+            return self._words.limits.is_any
+
+    def services(self) -> frozenset[str]:
+        """Return the services of all backends known."""
+        with self._lock:
+            return frozenset(member.endpoint.service for member in self._members.values())
+
     def may_send(self, endpoint: Endpoint) -> bool:
         """Tell whether a backend that was chosen may still get its request.
 
@@ -48,20 +66,30 @@
             member = self._members.get(endpoint.run)
             if member is None or member.endpoint.address != endpoint.address:
                 return False
-            return self._takes_requests(member)
+            # The request has its part of a limit already.
+            return not self._is_leaving(member) and not self._words.rest_left(endpoint)
 
-    def rest_left(self, service: str) -> int:
+    def wait_left(self, service: str) -> int:
         """Return the milliseconds until a backend of a service takes requests again.
 
         0 if one does now, or if none is known that ever will.
         """
         with self._lock:
-            waits = [
-                unavailable_for(self._sources, member)
+            found = [
+                unavailability(self._sources, member)
                 for member in self._members.values()
                 if member.endpoint.service == service and not self._is_leaving(member)
             ]
-            return min(waits, default=0)
+            return min((each.wait if each else 0 for each in found), default=0)
+
+    def limited_part(self, service: str) -> float:
+        """Return the requests a second that this entry may send a service's limited backends."""
+        with self._lock:
+            return sum(
+                self._words.limit_part(member.endpoint)
+                for member in self._members.values()
+                if member.endpoint.service == service and not self._is_leaving(member)
+            )
 
     def has_other(self, service: str, tried: frozenset[str]) -> bool:
         """Tell whether a service has a backend besides those tried that takes requests."""
@@ -85,6 +113,12 @@
         with self._lock:
             return self._words.resting(member.endpoint for member in self._members.values())
 
+    @property
+    def limited(self) -> int:
+        """Return how many backends name a rate that they take."""
+        with self._lock:
+            return sum(1 for m in self._members.values() if self._words.limit_part(m.endpoint) > 0)
+
     @property
     def leaving(self) -> int:
         """Return how many backends have said themselves that they leave."""
@@ -92,7 +126,7 @@
             return self._words.leaving(member.endpoint for member in self._members.values())
 
     def _takes_requests(self, member: Member) -> bool:
-        return not self._is_leaving(member) and not unavailable_for(self._sources, member)
+        return not self._is_leaving(member) and not unavailability(self._sources, member)
 
     def _is_leaving(self, member: Member) -> bool:
         """Tell whether a run leaves, by the store's word or by its own.
@@ -100,5 +134,6 @@
         Its own holds until the run has ended, whatever the store says of it: the entry there
         may be older, or another's.
         """
-        is_told = member.endpoint.state is EndpointState.LEAVING
-        return is_told or self._words.is_leaving(member.endpoint)
+        if member.endpoint.state is EndpointState.LEAVING:
+            return True
+        return self._words.is_leaving(member.endpoint)
--- a/src/canvasyoke/direct/_backend_words.py
+++ b/src/canvasyoke/direct/_backend_words.py
@@ -13,6 +13,7 @@
 
 from canvasyoke._clock import SECOND, Clock
 from canvasyoke.backend import BackendNotice
+from canvasyoke.direct._backend_limits import BackendLimits, RateWord
 from canvasyoke.state import Endpoint
 
 #: Milliseconds of rest that one answer can ask for. A backend that named a time without an
@@ -37,6 +38,13 @@
     rest: int = 0
     #: Whether the backend was not known to leave.
     leaves: bool = False
+    #: Its word on the rate that it takes, where that is another than before.
+    limit: RateWord | None = None
+
+    @property
+    def is_any(self) -> bool:
+        """Tell whether anything has changed."""
+        return bool(self.rest) or self.leaves or self.limit is not None
 
 
 _NO_CHANGE: Final = WordChange()
@@ -52,6 +60,8 @@
     #: Milliseconds for which it wants nothing from one of the entries.
     rest: int = 0
     is_leaving: bool = False
+    #: Its word on the rate that it takes; ``None`` if it has never named one.
+    limit: RateWord | None = None
 
 
 @dataclass(slots=True)
@@ -68,26 +78,58 @@
     """Not thread-safe, the roster guards it."""
 
     clock: Clock
+    #: Rates that backends take.
+    limits: BackendLimits
     _words: dict[_Key, _Word] = field(default_factory=dict)
 
+    @property
+    def is_any(self) -> bool:
+        """Tell whether any word is kept; it spares each choice to look where there is none."""
+        return bool(self._words) or self.limits.has_buckets
+
     def took(self, endpoint: Endpoint, notice: BackendNotice) -> WordChange:
         """Take the notice in an answer of a backend, and return what it changes.
 
         Of several rests the latest end holds: answers of before pass later ones on the way.
         """
+        limit = self._took_limit(endpoint, notice)
         if not notice.rest and not notice.is_leaving:
-            return _NO_CHANGE
+            return WordChange(limit=limit) if limit is not None else _NO_CHANGE
         now = self.clock.now()
         word = self._find(_key(endpoint))
         rest = min(notice.rest, LONGEST_REST)
         change = WordChange(
             rest=rest if now + rest > word.rest_until + _NEWS_STEP else 0,
             leaves=notice.is_leaving and not word.is_leaving,
+            limit=limit,
         )
         word.rest_until = max(word.rest_until, now + rest)
         word.is_leaving = word.is_leaving or notice.is_leaving
         return change
 
+    def _took_limit(self, endpoint: Endpoint, notice: BackendNotice) -> RateWord | None:
+        """Take what an answer says, or no longer says, of a limit; return it if it is news."""
+        if not notice.tells_limit:
+            return None
+        word = RateWord(notice.rate_limit)
+        return word if self.limits.took(_key(endpoint), word) else None
+
+    def limit_wait(self, endpoint: Endpoint) -> int:
+        """Return the milliseconds until this entry's part of a limit has room again."""
+        return self.limits.wait(_key(endpoint), endpoint.service)
+
+    def limit_part(self, endpoint: Endpoint) -> float:
+        """Return this entry's part of the rate that a backend takes; 0 where it names none."""
+        return self.limits.part(_key(endpoint), endpoint.service)
+
+    def sent(self, endpoint: Endpoint) -> None:
+        """Take note that a backend was chosen for a request."""
+        self.limits.sent(_key(endpoint), endpoint.service)
+
+    def was_not_sent(self, endpoint: Endpoint) -> None:
+        """Take note that the request did not get there."""
+        self.limits.was_not_sent(_key(endpoint))
+
     def rest_left(self, endpoint: Endpoint) -> int:
         """Return the milliseconds for which a backend wants nothing from this entry."""
         word = self._words.get(_key(endpoint))
@@ -95,34 +137,38 @@
 
     def heard(self, told: ToldWord) -> bool:
         """Take what another entry has heard from a backend; false if it is no news."""
+        key = (told.run, told.address)
+        is_limit_news = told.limit is not None and self.limits.took(key, told.limit)
+        if not told.rest and not told.is_leaving:
+            return is_limit_news
         now = self.clock.now()
-        word = self._find((told.run, told.address))
+        word = self._find(key)
         until = now + min(told.rest, LONGEST_REST)
         known = max(now, word.rest_until, word.rest_elsewhere_until)
         is_news = until > known + _NEWS_STEP or (told.is_leaving and not word.is_leaving)
         word.rest_elsewhere_until = max(word.rest_elsewhere_until, until)
         word.is_leaving = word.is_leaving or told.is_leaving
-        return is_news
+        return is_news or is_limit_news
 
     def to_tell(self, endpoint: Endpoint) -> ToldWord | None:
         """Return what still holds of a backend's word; ``None`` for nothing."""
-        word = self._words.get(_key(endpoint))
-        if word is None:
-            return None
+        key = _key(endpoint)
+        word = self._words.get(key, _Word())
+        limit = self.limits.rate(key)
         until = max(word.rest_until, word.rest_elsewhere_until)
         rest = max(0, until - self.clock.now())
-        if not rest and not word.is_leaving:
+        if not rest and not word.is_leaving and limit is None:
             return None
-        return ToldWord(endpoint.run, endpoint.address, rest, word.is_leaving)
+        return ToldWord(endpoint.run, endpoint.address, rest, word.is_leaving, limit)
 
     def rests_elsewhere(self, endpoint: Endpoint) -> bool:
         """Tell whether a backend wants nothing from another entry."""
-        word = self._words.get(_key(endpoint))
+        word = self._words.get(_key(endpoint)) if self._words else None
         return word is not None and self.clock.now() < word.rest_elsewhere_until
 
     def is_leaving(self, endpoint: Endpoint) -> bool:
         """Tell whether a run has said that it is about to end."""
-        word = self._words.get(_key(endpoint))
+        word = self._words.get(_key(endpoint)) if self._words else None
         return word is not None and word.is_leaving
 
     def resting(self, endpoints: Iterable[Endpoint]) -> int:
--- a/src/canvasyoke/direct/_budget.py
+++ b/src/canvasyoke/direct/_budget.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from canvasyoke._clock import Clock
+from canvasyoke._clock import SECOND, Clock
 
 #: Part of the fleet's slack that entries share out among themselves.
 _SLACK_SHARED: Final = 0.5
@@ -70,6 +70,15 @@
         with self._lock:
             self._requests.setdefault(service, _Window()).add(self._clock.now())
 
+    def demand(self, service: str) -> float:
+        """Return the requests a second that callers have asked of a service here."""
+        window = self._allowance.window
+        with self._lock:
+            requests = self._requests.get(service)
+            if requests is None or not window:
+                return 0.0
+            return requests.count(self._clock.now() - window) * SECOND / window
+
     def spend(self, service: str) -> bool:
         """Take one retry; false when there is none left."""
         now = self._clock.now()
--- a/src/canvasyoke/direct/_forwarder.py
+++ b/src/canvasyoke/direct/_forwarder.py
@@ -161,7 +161,9 @@
         sent = self._port.send(endpoint, self._outbound(call), _CONNECT_TIMEOUT, call.slot)
         self._words.took(endpoint, sent.notice)
         self._note_reach(call, endpoint, sent)
-        if not isinstance(sent, NotRun) or sent.cause not in _NOT_SENT:
+        if isinstance(sent, NotRun) and sent.cause in _NOT_SENT:
+            self._roster.was_not_sent(endpoint.run)
+        else:
             call.sent_to.add(endpoint.run)
         failure: NotRun | MayHaveRun | None
         if isinstance(sent, NotRun | MayHaveRun):
--- a/src/canvasyoke/direct/_pass_over.py
+++ b/src/canvasyoke/direct/_pass_over.py
@@ -14,11 +14,13 @@
 
 from canvasyoke._clock import Clock
 from canvasyoke._registry import Registry
+from canvasyoke.coordination import Unavailability
 from canvasyoke.direct._backend_health import BackendHealth
 from canvasyoke.direct._backend_words import BackendWords
 from canvasyoke.direct._domains import DomainReach
 from canvasyoke.direct._groups import RankGroups
 from canvasyoke.direct._member import Member
+from canvasyoke.protocol import Reason
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,8 +34,8 @@
     domains: DomainReach
 
 
-#: Returns the milliseconds for which it keeps requests from a backend; 0 if it does not.
-Fact: TypeAlias = Callable[[Sources, Member], int]
+#: Returns why, and for how long, a backend takes no request; ``None`` if it does.
+Fact: TypeAlias = Callable[[Sources, Member], Unavailability | None]
 #: Tells whether it speaks against a backend.
 Suspicion: TypeAlias = Callable[[Sources, Member], bool]
 
@@ -42,14 +44,22 @@
 
 
 @FACTS.register("rest")
-def _rests(sources: Sources, member: Member) -> int:
-    return sources.words.rest_left(member.endpoint)
+def _rests(sources: Sources, member: Member) -> Unavailability | None:
+    rest = sources.words.rest_left(member.endpoint)
+    return Unavailability(Reason.RESTING, rest) if rest else None
+
+
+@FACTS.register("limit")
+def _is_limited(sources: Sources, member: Member) -> Unavailability | None:
+    """This entry's part of the rate that it takes is used up."""
+    wait = sources.words.limit_wait(member.endpoint)
+    return Unavailability(Reason.LIMITED, wait) if wait else None
 
 
 @SUSPICIONS.register("full")
 def _was_full(sources: Sources, member: Member) -> bool:
     """It has refused without naming a time."""
-    return sources.clock.now() < member.full_until
+    return member.full_until > 0 and sources.clock.now() < member.full_until
 
 
 @SUSPICIONS.register("rest elsewhere")
@@ -61,7 +71,7 @@
 @SUSPICIONS.register("moved")
 def _has_moved(sources: Sources, member: Member) -> bool:
     """Another run has said that it has the address; the backend itself has said nothing."""
-    return sources.clock.now() < member.moved_until
+    return member.moved_until > 0 and sources.clock.now() < member.moved_until
 
 
 @SUSPICIONS.register("failures")
@@ -88,11 +98,15 @@
 _SUSPICIONS: Final = tuple(SUSPICIONS.get(name) for name in SUSPICIONS.names())
 
 
-def unavailable_for(sources: Sources, member: Member) -> int:
-    """Return the milliseconds for which facts keep requests from a backend; 0 for none."""
-    return max(fact(sources, member) for fact in _FACTS)
+def unavailability(sources: Sources, member: Member) -> Unavailability | None:
+    """Return the fact that keeps requests from a backend for longest; ``None`` for none."""
+    found = (fact(sources, member) for fact in _FACTS)
+    return max((each for each in found if each), key=lambda each: each.wait, default=None)
 
 
 def is_suspect(sources: Sources, member: Member) -> bool:
     """Tell whether any suspicion speaks against a backend."""
-    return any(suspicion(sources, member) for suspicion in _SUSPICIONS)
+    for suspicion in _SUSPICIONS:  # noqa: SIM110 - a choice asks this of each backend
+        if suspicion(sources, member):
+            return True
+    return False
--- a/src/canvasyoke/direct/_peers.py
+++ b/src/canvasyoke/direct/_peers.py
@@ -15,7 +15,7 @@
 import random
 import threading
 import weakref
-from collections.abc import Callable
+from collections.abc import Callable, Hashable
 from typing import Final
 
 from canvasyoke._clock import SECOND, Clock
@@ -23,6 +23,7 @@
 from canvasyoke.direct._backend_words import ToldWord
 from canvasyoke.direct._budget import FleetRetryBudget
 from canvasyoke.direct._crash_cases import CrashCase
+from canvasyoke.direct._demand_shares import DemandShares
 from canvasyoke.direct._entry_notes import EntryNotes
 from canvasyoke.direct._known_backends import BackendChange
 from canvasyoke.direct._peer_loads import ToldLoad
@@ -108,6 +109,8 @@
         #: Whether this entry watches the store for its domain.
         self.rota = WatchRota(settings.instance, clock, in_contact)
         self._tables = TableExchange(store, view, lambda: self.rota.is_watching, clock)
+        self._shares = DemandShares(budget.demand, clock)
+        roster.set_share(self._shares.share)
         self._words = WordExchange(roster, self._tell_all)
         #: Where the other entries are, until the task that keeps the links takes it.
         self._found: list[Place] | None = None
@@ -189,6 +192,7 @@
             self._links.set_places(places)
             self._near = frozenset(p.name for p in places if p.domain == self._own.domain)
             self._budget.entries = len(places) + 1
+            self._shares.set_fleet(len(places) + 1, self._links.is_mesh)
             self._roster.set_fleet(
                 FleetView(len(places) + 1, self._own.name, self._near, self._links.is_mesh)
             )
@@ -253,6 +257,8 @@
         self._quarantine.hear(news.fingerprint, case)
 
     def _took_load(self, session: Session, load: EntryLoad) -> None:
+        if load.demands:
+            self._shares.told(session.peer, load.demands)
         if self._links.is_mesh or session.peer in self._near:
             self._roster.peer_load(session.peer, ToldLoad(load.told_at, load.under_way))
         for relayed in load.relayed:
@@ -329,9 +335,16 @@
             backends_revision=self._roster.position,
             backends_age=self._roster.list_age,
             watchers=watchers,
+            demands=self._demands(),
             relayed=relayed,
         )
 
+    def _demands(self) -> dict[str, float]:
+        """Return what callers ask here, while a backend limits what all entries may send."""
+        if not (self._links.is_mesh and self._roster.has_limits):
+            return {}
+        return {service: self._budget.demand(service) for service in self._roster.services()}
+
     def _tell_now(self) -> None:
         self._tell_near.forget()
         self._tell_far.forget()
@@ -354,9 +367,10 @@
             for session in far:
                 session.send(load)
 
-    def _what_is_new(self, with_load: bool) -> tuple[int, int, tuple[tuple[str, int], ...]]:
+    def _what_is_new(self, with_load: bool) -> Hashable:
         under_way = tuple(sorted(self._roster.own_load().items())) if with_load else ()
-        return self._view.current.version, self._roster.position, under_way
+        has_limits = self._roster.has_limits
+        return self._view.current.version, self._roster.position, under_way, has_limits
 
     def _unrelayed(self) -> list[RelayedLoad]:
         return [
--- a/src/canvasyoke/direct/_process.py
+++ b/src/canvasyoke/direct/_process.py
@@ -259,6 +259,11 @@
             "Backends that have said in an answer that they leave.",
             lambda: self._roster.leaving,
         )
+        gauge(
+            "canvasyoke_backends_limited",
+            "Backends that name a rate that they take from all entries together.",
+            lambda: self._roster.limited,
+        )
         gauge(
             "canvasyoke_entries_unreadable",
             "Entries in the store that name no backend, as this entry watches them.",
--- a/src/canvasyoke/direct/_refusals.py
+++ b/src/canvasyoke/direct/_refusals.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import random
+import threading
 from typing import Final
 
-from canvasyoke._clock import Clock
+from canvasyoke._clock import SECOND, Clock
 from canvasyoke.backend import MayHaveRun, NotRun, NotRunCause
 from canvasyoke.direct._call import BrokeOff, DirectCall, GaveUp
 from canvasyoke.direct._choice import NoneAble
@@ -25,6 +26,8 @@
 #: least: callers who were refused while backends rest come back over that time, not at once.
 _RETURN_PART: Final = 0.5
 _RETURN_LEAST: Final = 100
+#: Milliseconds of the longest return that a limit asks for.
+_LONGEST_RETURN: Final = 30 * SECOND
 #: Part of its time left that a caller is asked to wait at the most; callers wait for up
 #: to a third of it.
 _RETRY_PART: Final = 0.32
@@ -34,6 +37,34 @@
 _BAD_REQUEST: Final = 400
 
 
+class ReturnLine:
+    """Times to come back for callers who are refused because of a limit; thread-safe.
+
+    Each gets the next moment at which this entry may send a request that was not given to
+    another caller. Told the first such moment, all would come at it, for one request.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        #: Time on the clock of the last moment given, by service.
+        self._given: dict[str, float] = {}
+
+    def place(self, service: str, wait: int, part: float) -> int:
+        """Return the milliseconds after which a caller should come back.
+
+        ``wait`` are those until the next request may be sent, ``part`` is how many may be sent
+        a second.
+        """
+        now = self._clock.now()
+        step = SECOND / part if part else _LONGEST_RETURN
+        with self._lock:
+            moment = max(now + wait, self._given.get(service, 0.0) + step)
+            moment = min(moment, now + _LONGEST_RETURN)
+            self._given[service] = moment
+        return max(1, round(moment - now))
+
+
 class Refusals:
     """Gives requests up, by what is known of the backends."""
 
@@ -41,6 +72,7 @@
         self._roster = roster
         self._clock = clock
         self._rng = rng
+        self._line = ReturnLine(clock)
 
     def give_up(
         self, call: DirectCall, detail: str, cause: NotRun | MayHaveRun | NoneAble
@@ -61,9 +93,11 @@
         Where backends have said when they take requests again, the caller is told so, also
         if it cannot wait so long: a shorter time would bring it back to be refused again.
         """
-        rest = self._roster.rest_left(call.service)
-        if rest:
-            return rest + self._rng.randint(1, max(_RETURN_LEAST, round(rest * _RETURN_PART)))
+        wait = self._roster.wait_left(call.service)
+        if isinstance(cause, NoneAble) and cause.reason is Reason.LIMITED:
+            return self._line.place(call.service, wait, self._roster.limited_part(call.service))
+        if wait:
+            return wait + self._rng.randint(1, max(_RETURN_LEAST, round(wait * _RETURN_PART)))
         bounds = _RETRY_FULL
         if self._roster.is_away(call.service) or _is_lasting(call, cause):
             bounds = _RETRY_AWAY
--- a/src/canvasyoke/direct/_roster.py
+++ b/src/canvasyoke/direct/_roster.py
@@ -15,7 +15,7 @@
 from canvasyoke.direct._backend_standing import BackendStanding
 from canvasyoke.direct._choice import Chosen, NoneAble, Wanted
 from canvasyoke.direct._member import Member
-from canvasyoke.direct._pass_over import is_suspect, unavailable_for
+from canvasyoke.direct._pass_over import is_suspect, unavailability
 from canvasyoke.observe import part_logger
 from canvasyoke.protocol import Reason
 from canvasyoke.state import Endpoint
@@ -50,9 +50,10 @@
                 len(self._fleet.near) + 1,
             )
             fastest = self._groups.fastest_pause()
+            has_words = self._words.is_any
             found = filter_candidates(
                 [
-                    self._candidate(m, fastest)
+                    self._candidate(m, fastest, has_words)
                     for m in self._members.values()
                     if m.endpoint.service == wanted.service
                 ],
@@ -67,10 +68,11 @@
                 return NoneAble(Reason.OVERLOADED)
             member.own += 1
             member.ejection.sent()
+            self._words.sent(member.endpoint)
             heard_ago = self.clock.now() - member.heard_at
             return Chosen(member.endpoint, best.load, heard_ago, self._list_age())
 
-    def _candidate(self, member: Member, fastest: float) -> Candidate:
+    def _candidate(self, member: Member, fastest: float, has_words: bool) -> Candidate:
         endpoint = member.endpoint
         return Candidate(
             instance=endpoint.run,
@@ -80,7 +82,7 @@
             leaving=self._is_leaving(member),
             healthy=True,
             ejected=is_suspect(self._sources, member),
-            unavailable=unavailable_for(self._sources, member),
+            unavailable=unavailability(self._sources, member) if has_words else None,
             slots=endpoint.slots,
             queue=0,
             reported=self._load(member),
@@ -167,6 +169,13 @@
             if member is not None:
                 member.own = max(0, member.own - 1)
 
+    def was_not_sent(self, run: str) -> None:
+        """Take note that a request that was chosen for a backend did not get there."""
+        with self._lock:
+            member = self._members.get(run)
+            if member is not None:
+                self._words.was_not_sent(member.endpoint)
+
     def moved(self, run: str) -> None:
         """Take note that another run has the address of this one."""
         with self._lock:
--- a/src/canvasyoke/direct/_word_exchange.py
+++ b/src/canvasyoke/direct/_word_exchange.py
@@ -4,10 +4,11 @@
 
 from collections.abc import Callable
 
+from canvasyoke.direct._backend_limits import RateWord
 from canvasyoke.direct._backend_words import ToldWord
 from canvasyoke.direct._roster import Roster
 from canvasyoke.observe import part_logger
-from canvasyoke.protocol import BackendWord, BackendWords, Message
+from canvasyoke.protocol import BackendWord, BackendWords, LimitWord, Message
 from canvasyoke.transport import Session
 
 _log = part_logger("words")
@@ -32,13 +33,7 @@
 
     def took(self, session: Session, message: BackendWords) -> None:
         """Take what another entry tells, and pass on what is news."""
-        news = [
-            word
-            for word in message.words
-            if self._roster.heard_word(
-                ToldWord(word.backend, word.address, word.rest, word.is_leaving)
-            )
-        ]
+        news = [word for word in message.words if self._roster.heard_word(_to_told(word))]
         if not news:
             return
         self._tell_all(BackendWords(news), session)
@@ -48,9 +43,16 @@
                 backend=word.backend,
                 rest=word.rest,
                 leaving=word.is_leaving,
+                limit=word.limit.rate if word.limit is not None else None,
                 peer=session.peer,
             )
 
 
 def _to_message(told: ToldWord) -> BackendWord:
-    return BackendWord(told.run, told.address, told.rest, told.is_leaving)
+    limit = LimitWord(told.limit.age, told.limit.rate) if told.limit is not None else None
+    return BackendWord(told.run, told.address, told.rest, told.is_leaving, limit)
+
+
+def _to_told(word: BackendWord) -> ToldWord:
+    limit = RateWord(word.limit.rate, word.limit.age) if word.limit is not None else None
+    return ToldWord(word.backend, word.address, word.rest, word.is_leaving, limit)
--- a/src/canvasyoke/direct/_word_keeper.py
+++ b/src/canvasyoke/direct/_word_keeper.py
@@ -46,8 +46,17 @@
             )
         if change.leaves:
             _log.info("backend says that it leaves", backend=endpoint.run, service=endpoint.service)
-        if change.rest or change.leaves:
-            self._on_news(ToldWord(endpoint.run, endpoint.address, change.rest, change.leaves))
+        if change.limit is not None:
+            _log.info(
+                "backend names a limit" if change.limit.rate is not None else "limit taken back",
+                backend=endpoint.run,
+                service=endpoint.service,
+                rate=change.limit.rate,
+            )
+        if change.is_any:
+            self._on_news(
+                ToldWord(endpoint.run, endpoint.address, change.rest, change.leaves, change.limit)
+            )
 
     def _found_unreadable(self, run: str, field: UnreadableField) -> None:
         self._metrics.unreadable_word(field.name)
--- a/src/canvasyoke/direct/tests/need_model.py
+++ b/src/canvasyoke/direct/tests/need_model.py
@@ -20,12 +20,14 @@
 from canvasyoke.direct._budget import FleetRetryBudget, RetryAllowance
 from canvasyoke.direct._call import DirectCall, GaveUp, Tried
 from canvasyoke.direct._choice import Chosen, NoneAble, Wanted
+from canvasyoke.direct._demand_shares import DemandShares
 from canvasyoke.direct._peer_loads import ToldLoad
 from canvasyoke.direct._refusals import Refusals
 from canvasyoke.direct._roster import FleetView, Roster
 from canvasyoke.direct.tests.calls import ROUTE, make_call
+from canvasyoke.membership import is_mesh
 from canvasyoke.state import Endpoint, EndpointState
-from fakes.engine_ledger import EngineWord, Exchanged, broken_rests
+from fakes.engine_ledger import EngineWord, Exchanged, broken_rests, worst_limit
 
 _SERVICE = "ink"
 #: Milliseconds that a request takes to a backend and a refusal takes back.
@@ -46,8 +48,10 @@
     end: int
     #: How many of them.
     backends: int
-    #: Time that they ask for.
-    rest: int
+    #: Time that they ask for; 0 where they name a limit instead.
+    rest: int = 0
+    #: Requests a second that each takes from all entries, none of which it turns away.
+    limit: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -68,6 +72,8 @@
     #: Whether entries hear the rests that backends ask for, and tell each other.
     hears: bool = True
     tells: bool = True
+    #: Whether the callers of entries are as many as by Zipf's law.
+    is_uneven: bool = False
     seed: int = 1
 
 
@@ -84,6 +90,10 @@
     #: Requests at backends by second.
     arrivals: dict[int, int] = field(default_factory=dict)
     broken: list[str] = field(default_factory=list)
+    #: The most that came in a window as a part of what a limit grants.
+    worst_limit: float = 0.0
+    #: Part of the limits that was used while they held and had been heard of.
+    used: float = 0.0
 
 
 @dataclass
@@ -100,9 +110,13 @@
         self.name = name
         self.roster = Roster("nbo-a", world.clock, rng)
         self.roster.merge([backend.endpoint for backend in world.backends.values()], 5)
-        self.roster.set_fleet(FleetView(day.entries, name))
+        near = frozenset(f"entry-{n}" for n in range(day.entries)) - {name}
+        self.roster.set_fleet(FleetView(day.entries, name, near, is_mesh(day.entries)))
         self.budget = FleetRetryBudget(RetryAllowance(0.2, 92, 10 * SECOND), world.clock)
         self.budget.entries = day.entries
+        self.shares = DemandShares(self.budget.demand, world.clock)
+        self.shares.set_fleet(day.entries, is_mesh(day.entries))
+        self.roster.set_share(self.shares.share)
         self.refusals = Refusals(self.roster, world.clock, rng)
 
 
@@ -122,11 +136,13 @@
             )
             for n in range(day.backends)
         }
+        #: Callers are dealt to entries unevenly, as by a hash of few of them.
+        self.weights = [1 / (n + 1) if day.is_uneven else 1.0 for n in range(day.entries)]
         self.entries = [_Entry(f"entry-{n}", self) for n in range(day.entries)]
 
     def run(self) -> NeedOutcome:
         self._plan_arrival()
-        for entry in self.entries:
+        for entry in self.entries if is_mesh(self.day.entries) else ():
             self._plan(self.rng.randrange(_TELL_EVERY), self._telling(entry))
         end = 10_000 + self.day.length
         while self._events and self._events[0][0] <= end:
@@ -135,6 +151,8 @@
             action()
         for backend in self.backends.values():
             self.outcome.broken += broken_rests(backend.ledger)
+            self.outcome.worst_limit = max(self.outcome.worst_limit, worst_limit(backend.ledger))
+        self.outcome.used = self._used()
         return self.outcome
 
     def _plan(self, delay: float, action: Callable[[], object]) -> None:
@@ -144,7 +162,9 @@
     def _telling(self, entry: _Entry) -> Callable[[], None]:
         def tell() -> None:
             load = ToldLoad(self.clock.now(), entry.roster.own_load())
+            demands = {_SERVICE: entry.budget.demand(_SERVICE)}
             self._tell(entry, lambda other: other.roster.peer_load(entry.name, load))
+            self._tell(entry, lambda other: other.shares.told(entry.name, demands))
             self._plan(_TELL_EVERY, tell)
 
         return tell
@@ -165,7 +185,7 @@
         self._plan(self.rng.expovariate(self.day.rate / SECOND), arrive)
 
     def _ask(self, call: DirectCall, has_returned: bool) -> None:
-        entry = self.rng.choice(self.entries)
+        entry = self.rng.choices(self.entries, self.weights)[0]
         entry.budget.saw_request(_SERVICE)
         self._choose(entry, call, frozenset(), has_returned)
 
@@ -190,9 +210,8 @@
         second = (self.clock.now() - 10_000) // SECOND
         self.outcome.arrivals[second] = self.outcome.arrivals.get(second, 0) + 1
         need = self._need_of(backend)
-        if need is None:
-            self._note(entry, backend, 200, EngineWord())
-            self._serve(entry, backend)
+        if need is None or need.limit:
+            self._answer(entry, backend, need)
             return
         self.outcome.turned_away += 1
         self._note(entry, backend, 503, EngineWord(rest=f"{need.rest / SECOND:g}"))
@@ -209,6 +228,33 @@
 
         self._plan(_WAY, refused)
 
+    def _answer(self, entry: _Entry, backend: _Backend, need: Need | None) -> None:
+        limit = need.limit if need is not None else None
+        self._note(entry, backend, 200, EngineWord(limit=f"{limit:g}" if limit else ""))
+        self._serve(entry, backend)
+        if not self.day.hears:
+            return
+
+        def heard() -> None:
+            notice = BackendNotice(rate_limit=limit, tells_limit=True)
+            change = entry.roster.took_notice(backend.endpoint, notice)
+            if change.limit is not None and self.day.tells:
+                run, address = backend.endpoint.run, backend.endpoint.address
+                told = ToldWord(run, address, limit=change.limit)
+                self._tell(entry, lambda other: other.roster.heard_word(told))
+
+        self._plan(_WAY, heard)
+
+    def _used(self) -> float:
+        """Return the part of the limits that was used, from a window after they were named on."""
+        allowed = used = 0.0
+        for need in self.day.needs:
+            begin, end = (10_000 + need.begin) / SECOND + 4, (10_000 + need.end) / SECOND
+            for backend in list(self.backends.values())[: need.backends]:
+                allowed += need.limit * (end - begin)
+                used += sum(1 for e in backend.ledger if begin <= e.at < end)
+        return used / allowed if allowed else 0.0
+
     def _retry(
         self, entry: _Entry, call: DirectCall, tried: frozenset[str], has_returned: bool
     ) -> None:
--- a/src/canvasyoke/direct/tests/test_backend_words.py
+++ b/src/canvasyoke/direct/tests/test_backend_words.py
@@ -59,7 +59,7 @@
     clock.advance(1_000)
     roster.took_notice(B, REST)
     assert roster.choose(Wanted("ink")) == NoneAble(Reason.RESTING, 2_000)
-    assert roster.rest_left("ink") == 2_000
+    assert roster.wait_left("ink") == 2_000
     assert not roster.has_other("ink", frozenset())
 
 
@@ -231,3 +231,19 @@
     for number in range(10_010):
         roster.heard_word(ToldWord(f"c-{number}", "10.0.0.9:1", is_leaving=True))
     assert len(roster._words._words) == 10_000
+
+
+def test_a_resting_backend_is_not_asked_for_its_group_or_pace(
+    roster: Roster, clock: ManualClock
+) -> None:
+    roster.learn_group("a", "g")
+    roster.learn_pace("a", 5.0)
+    roster.took_notice(A, REST)
+    roster.took_notice(B, REST)
+    assert roster.without_group(frozenset({"ink"})) == []
+    assert roster.in_slow_groups("ink", 100) == []
+    clock.advance(2_999)
+    roster.learn_pace("a", 5.0)
+    clock.advance(1)
+    assert roster.without_group(frozenset({"ink"})) == [B]
+    assert roster.in_slow_groups("ink", 100) == [A]
--- a/src/canvasyoke/platform/_notices.py
+++ b/src/canvasyoke/platform/_notices.py
@@ -41,6 +41,7 @@
         rest=round((rest or 0) * SECOND),
         is_leaving=bool(leaving),
         rate_limit=limit,
+        tells_limit=all(field.name != "rate_limit" for field in fields.unreadable),
         unreadable=tuple(fields.unreadable),
     )
 
--- a/src/canvasyoke/platform/tests/test_notices.py
+++ b/src/canvasyoke/platform/tests/test_notices.py
@@ -2,27 +2,32 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 from canvasyoke.backend import BackendNotice, ReportedLoad, UnreadableField
 from canvasyoke.platform._notices import read_notice
 
+#: A head that came and says nothing.
+HEARD = BackendNotice(tells_limit=True)
+
 READABLE = [
-    ("nothing", 200, {}, BackendNotice()),
-    ("load", 200, {"Server-Load": "3,1,6"}, BackendNotice(load=ReportedLoad(3, 1, 6))),
-    ("rest in whole seconds", 503, {"Retry-After": "3"}, BackendNotice(rest=3_000)),
-    ("rest in fractions", 503, {"Retry-After": " 0.25 "}, BackendNotice(rest=250)),
-    ("rest with another refusal", 429, {"Retry-After": "1"}, BackendNotice(rest=1_000)),
-    ("a time that is meant for the caller", 200, {"Retry-After": "3"}, BackendNotice()),
-    ("no rest", 503, {"Retry-After": "0"}, BackendNotice()),
-    ("leaving", 200, {"Server-Leaving": "1"}, BackendNotice(is_leaving=True)),
-    ("not leaving", 200, {"Server-Leaving": "0"}, BackendNotice()),
-    ("limit", 200, {"Server-Limit": "2.5"}, BackendNotice(rate_limit=2.5)),
+    ("nothing", 200, {}, HEARD),
+    ("load", 200, {"Server-Load": "3,1,6"}, replace(HEARD, load=ReportedLoad(3, 1, 6))),
+    ("rest in whole seconds", 503, {"Retry-After": "3"}, replace(HEARD, rest=3_000)),
+    ("rest in fractions", 503, {"Retry-After": " 0.25 "}, replace(HEARD, rest=250)),
+    ("rest with another refusal", 429, {"Retry-After": "1"}, replace(HEARD, rest=1_000)),
+    ("a time that is meant for the caller", 200, {"Retry-After": "3"}, HEARD),
+    ("no rest", 503, {"Retry-After": "0"}, HEARD),
+    ("leaving", 200, {"Server-Leaving": "1"}, replace(HEARD, is_leaving=True)),
+    ("not leaving", 200, {"Server-Leaving": "0"}, HEARD),
+    ("limit", 200, {"Server-Limit": "2.5"}, replace(HEARD, rate_limit=2.5)),
     (
         "all at once, with a refusal",
         503,
         {"Retry-After": "2", "Server-Leaving": "1", "Server-Limit": "6", "Server-Load": "0,0,6"},
-        BackendNotice(ReportedLoad(0, 0, 6), 2_000, True, 6.0),
+        BackendNotice(ReportedLoad(0, 0, 6), 2_000, True, 6.0, tells_limit=True),
     ),
 ]
 
@@ -59,6 +64,7 @@
         notice = read_notice({header: text}.get, 503)
     assert notice.unreadable == (UnreadableField(name, text[:40]),)
     assert (notice.load, notice.rest, notice.rate_limit) == (None, 0, None)
+    assert notice.tells_limit is (name != "rate_limit")
 
 
 def test_the_log_shows_all_but_the_load() -> None:
--- a/src/canvasyoke/protocol/_messages.py
+++ b/src/canvasyoke/protocol/_messages.py
@@ -361,6 +361,8 @@
     backends_age: Count = 0
     #: Who watches the store; told within a domain.
     watchers: Annotated[list[StoreWatcher], msgspec.Meta(max_length=100)] = []
+    #: Requests a second that callers ask of services here, while a backend names a limit.
+    demands: Annotated[dict[str, float], msgspec.Meta(max_length=1_000)] = {}
     #: Loads heard since the last telling; told within a domain of an overlay.
     relayed: Annotated[list[RelayedLoad], msgspec.Meta(max_length=10_000)] = []
 
@@ -453,6 +455,15 @@
     cases: Annotated[list[CrashNews], msgspec.Meta(max_length=10_000)] = []
 
 
+class LimitWord(msgspec.Struct, frozen=True):
+    """What a backend has said of the requests that it takes from all entries together."""
+
+    #: Milliseconds since an entry heard it from the backend.
+    age: Count
+    #: Requests a second; ``None`` where it takes whatever comes.
+    rate: Annotated[float, msgspec.Meta(ge=0)] | None = None
+
+
 class BackendWord(msgspec.Struct, frozen=True):
     """What a run of a backend has said of itself to one of the entries."""
 
@@ -462,6 +473,8 @@
     rest: Count = 0
     #: Whether it is about to end.
     is_leaving: bool = False
+    #: ``None`` if it has never named a limit.
+    limit: LimitWord | None = None
 
 
 class BackendWords(msgspec.Struct, frozen=True, tag="backend_words"):
--- a/src/canvasyoke/protocol/_outcome.py
+++ b/src/canvasyoke/protocol/_outcome.py
@@ -38,6 +38,7 @@
     DEADLINE = "deadline"
     LEAVING = "leaving"
     RESTING = "resting"
+    LIMITED = "limited"
     NOT_HOME = "not_home"
     KEY_BEFORE_HOME = "key_before_home"
     KEY_EXPIRED = "key_expired"
@@ -64,6 +65,7 @@
     Reason.DEADLINE: 504,
     Reason.LEAVING: 503,
     Reason.RESTING: 503,
+    Reason.LIMITED: 503,
     Reason.NOT_HOME: 503,
     Reason.KEY_BEFORE_HOME: 409,
     Reason.KEY_EXPIRED: 409,
--- a/tests/test_backend_words.py
+++ b/tests/test_backend_words.py
@@ -27,7 +27,13 @@
 
 import pytest
 
-from fakes.engine_ledger import SENDER_HEADER, EngineWord, broken_rests, late_arrivals
+from fakes.engine_ledger import (
+    SENDER_HEADER,
+    EngineWord,
+    broken_rests,
+    late_arrivals,
+    worst_limit,
+)
 from fakes.platform_engine import PlatformEngine
 from tests.direct import DirectEntry, DirectFleet, Reply, wait_until
 
@@ -135,3 +141,26 @@
     replies = fleet.call_for(0.5)
     assert len(leaving.ledger) == before
     assert {reply.status for reply in replies} == {200}
+
+
+def test_backends_that_name_a_limit_get_no_more_than_it_grants(fleet: WordFleet) -> None:
+    """All entries together, though only they know what each of them sends."""
+    limited = fleet.shelf[:2]
+    for engine in limited:
+        engine.word = EngineWord(limit="3")
+    replies = fleet.call_for(9.0)
+    assert all(engine.ledger for engine in limited)
+    assert [
+        worst_limit(engine.ledger) for engine in limited if worst_limit(engine.ledger) > 1
+    ] == []
+    assert {reply.status for reply in replies} == {200}
+
+
+def test_where_all_backends_name_a_limit_callers_are_told_when_to_come(fleet: WordFleet) -> None:
+    for engine in fleet.shelf:
+        engine.word = EngineWord(limit="1")
+    replies = fleet.call_for(9.0)
+    assert [worst_limit(e.ledger) for e in fleet.shelf if worst_limit(e.ledger) > 1] == []
+    assert {reply.status for reply in replies} == {200, 503}
+    refused = [reply for reply in replies if reply.status == 503]
+    assert all(float(reply.headers["Retry-After"]) > 0 for reply in refused)
