--- a/src/canvasyoke/backend/_direct.py
+++ b/src/canvasyoke/backend/_direct.py
@@ -43,6 +43,11 @@
     #: What the backend said of itself with its refusal.
     notice: BackendNotice = NO_NOTICE
 
+    @property
+    def has_arrived(self) -> bool:
+        """Tell whether the backend has had the request."""
+        return self.cause not in (NotRunCause.UNREACHABLE, NotRunCause.WITHDRAWN)
+
 
 @dataclass(frozen=True, slots=True)
 class MayHaveRun:
--- a/src/canvasyoke/direct/_call.py
+++ b/src/canvasyoke/direct/_call.py
@@ -156,6 +156,11 @@
     #: Digest of what it asks for; empty until it was asked for.
     _fingerprint: str = ""
 
+    @property
+    def tried_runs(self) -> frozenset[str]:
+        """Return the runs of backends that were tried."""
+        return frozenset(tried.run for tried in self.tried)
+
     @property
     def fingerprint(self) -> str:
         """Return what it has in common with others that a backend cannot tell from it."""
--- a/src/canvasyoke/direct/tests/test_resting_backends.py
+++ b/src/canvasyoke/direct/tests/test_resting_backends.py
@@ -217,3 +217,53 @@
     assert last.detail == "refused with status 503; no retry: no other backend takes requests"
     assert last.retry_after > 3_000
     assert entry.retries_left() == budget
+
+
+def silent_call(entry: _Entry, backend: str) -> DirectCall:
+    """Return a stream's call whose backend has said nothing for long, while its group goes on."""
+    for endpoint in entry.roster.endpoints():
+        entry.roster.learn_group(endpoint.run, "g")
+        entry.roster.stream_began(endpoint.run, 100)
+    entry.clock.advance(1)
+    call = make_call(RESUMABLE)
+    call.slot = ExchangeSlot()
+    call.backend, call.sent_at = backend, entry.clock.now()
+    entry.clock.advance(1_000)
+    for endpoint in entry.roster.endpoints():
+        if endpoint.id != backend:
+            entry.roster.stream_heard(endpoint.run, 50)
+    return call
+
+
+def test_a_stream_is_taken_from_a_silent_backend(entry: _Entry) -> None:
+    budget = _Entry(lambda _: RESTS).retries_left()
+    call = silent_call(entry, "b-1")
+    assert entry.forwarder.give_up_silent(call)
+    assert call.slot is not None
+    assert call.slot.is_shut
+    assert entry.retries_left() == budget - 1
+
+
+def test_a_stream_stays_with_a_silent_backend_where_all_others_rest(entry: _Entry) -> None:
+    """It would have none: what the silent one may still say is all there is."""
+    call = silent_call(entry, "b-1")
+    entry.rest("b-2", "b-3")
+    assert not entry.forwarder.give_up_silent(call)
+
+
+def test_a_stream_stays_with_a_silent_backend_where_no_retry_is_left(entry: _Entry) -> None:
+    """Ended first, it would get a failure at once in place of a late answer."""
+    call = silent_call(entry, "b-1")
+    entry.retries_left()
+    assert not entry.forwarder.give_up_silent(call)
+    assert call.slot is not None
+    assert not call.slot.is_shut
+
+
+def test_a_stream_stays_with_a_slow_backend_where_all_others_rest() -> None:
+    entry = _Entry(lambda _: _Answer([b"id: 1\ndata: a\n\n", b"id: 9\ndata: last\n\n"]))
+    for endpoint in entry.roster.endpoints():
+        entry.roster.learn_pace(endpoint.run, 12.0)
+    entry.rest(*NAMES[1:])
+    call, _ = entry.run()
+    assert [tried.outcome for tried in call.tried] == ["answered"]
