--- a/src/canvasyoke/direct/tests/test_resting_backends.py
+++ b/src/canvasyoke/direct/tests/test_resting_backends.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import replace
 
+import logbook
 import pytest
 
 from canvasyoke._clock import ManualClock
@@ -17,10 +18,15 @@
     NotRunCause,
     OutboundRequest,
     Sending,
+    UnreadableField,
 )
+from canvasyoke.direct._backend_limits import RateWord
+from canvasyoke.direct._backend_words import ToldWord
 from canvasyoke.direct._budget import FleetRetryBudget, RetryAllowance
 from canvasyoke.direct._call import DirectCall, GaveUp
+from canvasyoke.direct._metrics import DirectMetrics
 from canvasyoke.direct._roster import Roster
+from canvasyoke.direct._word_keeper import WordKeeper
 from canvasyoke.direct.tests.calls import ROUTE, make_call, make_forwarder
 from canvasyoke.state import Endpoint, EndpointState, TableRoute
 from canvasyoke.transport import ExchangeError, ExchangeSlot
@@ -267,3 +273,28 @@
     entry.rest(*NAMES[1:])
     call, _ = entry.run()
     assert [tried.outcome for tried in call.tried] == ["answered"]
+
+
+def test_a_request_that_did_not_get_there_leaves_its_part_of_a_limit() -> None:
+    entry = _Entry(lambda _: NotRun(NotRunCause.UNREACHABLE, "timed out"))
+    for endpoint in entry.roster.endpoints():
+        word = ToldWord(endpoint.run, endpoint.address, limit=RateWord(0.05))
+        entry.roster.heard_word(word)
+    entry.clock.advance(20_000)
+    entry.run()
+    assert sorted(entry.port.reached) == sorted(NAMES)
+    assert entry.roster.wait_left("ink") == 0
+
+
+def test_a_word_that_cannot_be_read_is_logged_once_and_counted_each_time() -> None:
+    entry = _Entry(lambda _: _Answer(WHOLE))
+    metrics = DirectMetrics()
+    keeper = WordKeeper(entry.roster, metrics, lambda _told: None)
+    endpoint = entry.roster.endpoints()[0]
+    notice = BackendNotice(unreadable=(UnreadableField("rest", "soon"),))
+    with logbook.TestHandler() as handler:
+        for _ in range(3):
+            keeper.took(endpoint, notice)
+    assert sum("unreadable word" in record.message for record in handler.records) == 1
+    assert 'canvasyoke_unreadable_words_total{field="rest"} 3' in metrics.all.render()
+    assert entry.roster.may_send(endpoint)
--- a/src/canvasyoke/direct/tests/test_spread.py
+++ b/src/canvasyoke/direct/tests/test_spread.py
@@ -14,6 +14,7 @@
 from canvasyoke._clock import SECOND
 from canvasyoke.backend import BackendNotice
 from canvasyoke.direct import _peers
+from canvasyoke.direct._backend_limits import RateWord
 from canvasyoke.direct._backend_words import ToldWord
 from canvasyoke.direct.tests.fleet_model import SETTLE_TURNS, SimFleet, SimLinks
 from canvasyoke.protocol import BackendNews
@@ -181,6 +182,34 @@
     assert not any(e.roster.is_ready("b-1") for e in fleet.entries.values())
 
 
+def test_parts_of_a_limit_follow_callers_where_all_hear_each_other() -> None:
+    fleet = started((4, 3))
+    busy, *others = fleet.entries.values()
+    for _ in range(20):
+        busy.peers._budget.saw_request("ink")
+    assert busy.peers._shares.share("ink").part < 0.3, "nothing is told without a limit"
+    busy.roster.heard_word(ToldWord("b-1", "10.9.0.1:b-1", limit=RateWord(7.0)))
+    busy.peers.tell_word(ToldWord("b-1", "10.9.0.1:b-1", limit=RateWord(7.0)))
+    for _ in range(SETTLE_TURNS):
+        busy.peers._budget.saw_request("ink")
+        fleet.pass_turns(1)
+    assert all(entry.roster.has_limits for entry in others)
+    assert busy.peers._shares.share("ink").part > 0.9
+    assert all(entry.peers._shares.share("ink").part < 0.05 for entry in others)
+
+
+def test_a_limit_taken_back_is_known_to_all() -> None:
+    fleet = started((6, 5, 4))
+    entry = next(iter(fleet.entries.values()))
+    for rate, holds in ((7.0, True), (None, False)):
+        fleet.clock.advance(10)
+        told = ToldWord("b-1", "10.9.0.1:b-1", limit=RateWord(rate))
+        entry.roster.heard_word(told)
+        entry.peers.tell_word(told)
+        fleet.pass_turns(SETTLE_TURNS)
+        assert {e.roster.has_limits for e in fleet.entries.values()} == {holds}
+
+
 def test_loads_are_told_within_the_domain_only() -> None:
     fleet = started(SIZES)
     first = fleet.entries[fleet.places[0].name]
