--- a/fakes/engine_ledger.py
+++ b/fakes/engine_ledger.py
@@ -13,7 +13,7 @@
 SENDER_HEADER = "X-Entry"
 #: Seconds after an engine's word within which requests may still come: they are under way.
 GRACE = 0.5
-#: Requests that may reach a resting engine from one sender within one rest.
+#: Requests that may reach an engine that has asked a sender to back off, until the time is over.
 GRANTED = 2
 #: Seconds after which nothing may come any more from a sender that has passed on that an
 #: engine leaves.
@@ -25,7 +25,7 @@
     """Headers that an engine adds to its answers; empty for none."""
 
     #: Seconds for which it wants nothing, in refusals.
-    rest: str = ""
+    backoff: str = ""
     leaving: str = ""
     limit: str = ""
 
@@ -33,7 +33,7 @@
         """Return the headers of an answer."""
         named = {"Server-Leaving": self.leaving, "Server-Limit": self.limit}
         if is_refusal:
-            named["Retry-After"] = self.rest
+            named["Retry-After"] = self.backoff
         return {name: value for name, value in named.items() if value}
 
 
@@ -49,24 +49,24 @@
     word: EngineWord
 
     @property
-    def rest(self) -> float:
-        """Return the seconds of rest that were asked for; 0 for none."""
-        return float(self.word.rest) if self.status == 503 and self.word.rest else 0.0
+    def backoff(self) -> float:
+        """Return the seconds for which the sender was to back off; 0 for none."""
+        return float(self.word.backoff) if self.status == 503 and self.word.backoff else 0.0
 
 
-def broken_rests(ledger: Iterable[Exchanged]) -> list[str]:
-    """Return the rests within which a sender sent more than was granted."""
+def broken_backoffs(ledger: Iterable[Exchanged]) -> list[str]:
+    """Return the times for which a sender was to back off and sent more than was granted."""
     return [
-        f"asked {asked.sender} for {asked.rest} s of rest at {asked.answered_at:.3f}, got {count}"
-        for asked, count in _rests(list(ledger))
+        f"{asked.sender}: {count} in {asked.backoff} s after {asked.answered_at:.3f}"
+        for asked, count in _backoffs(list(ledger))
         if count > GRANTED
     ]
 
 
-def _rests(ledger: list[Exchanged]) -> Iterator[tuple[Exchanged, int]]:
+def _backoffs(ledger: list[Exchanged]) -> Iterator[tuple[Exchanged, int]]:
     for asked in ledger:
-        if asked.rest:
-            begin, end = asked.answered_at + GRACE, asked.answered_at + asked.rest
+        if asked.backoff:
+            begin, end = asked.answered_at + GRACE, asked.answered_at + asked.backoff
             came = [e for e in ledger if e.sender == asked.sender and begin < e.at < end]
             yield asked, len(came)
 
--- a/src/canvasyoke/backend/_notice.py
+++ b/src/canvasyoke/backend/_notice.py
@@ -30,7 +30,7 @@
 
     load: ReportedLoad | None = None
     #: Milliseconds for which it wants no request from the entry that it answered; 0 for none.
-    rest: int = 0
+    backoff: int = 0
     #: Whether it is about to end.
     is_leaving: bool = False
     #: Requests a second that it takes from all entries together; ``None`` for no limit.
@@ -43,8 +43,8 @@
     def __str__(self) -> str:
         """Return what it says beyond its load, for the log; empty for nothing."""
         parts = []
-        if self.rest:
-            parts.append(f"rest={self.rest}ms")
+        if self.backoff:
+            parts.append(f"backoff={self.backoff}ms")
         if self.is_leaving:
             parts.append("leaving")
         if self.rate_limit is not None:
--- a/src/canvasyoke/direct/_backend_standing.py
+++ b/src/canvasyoke/direct/_backend_standing.py
@@ -59,7 +59,7 @@
     def may_send(self, endpoint: Endpoint) -> bool:
         """Tell whether a backend that was chosen may still get its request.
 
-        It may have asked for rest, left the list or started anew while the connection to it
+        It may have asked to back off, left the list or started anew while the connection to it
         was made.
         """
         with self._lock:
@@ -67,7 +67,7 @@
             if member is None or member.endpoint.address != endpoint.address:
                 return False
             # The request has its part of a limit already.
-            return not self._is_leaving(member) and not self._words.rest_left(endpoint)
+            return not self._is_leaving(member) and not self._words.backoff_left(endpoint)
 
     def wait_left(self, service: str) -> int:
         """Return the milliseconds until a backend of a service takes requests again.
@@ -108,10 +108,10 @@
             return member is not None and not self._is_leaving(member)
 
     @property
-    def resting(self) -> int:
+    def backing_off(self) -> int:
         """Return how many backends want nothing from this entry now."""
         with self._lock:
-            return self._words.resting(member.endpoint for member in self._members.values())
+            return self._words.backing_off(member.endpoint for member in self._members.values())
 
     @property
     def limited(self) -> int:
--- a/src/canvasyoke/direct/_backend_streams.py
+++ b/src/canvasyoke/direct/_backend_streams.py
@@ -15,7 +15,8 @@
     def without_group(self, services: frozenset[str]) -> list[Endpoint]:
         """Return the backends of ``services`` whose group is not known yet.
 
-        Those at rest are left out: a question would be a request that they do not want.
+        Those that asked to back off are left out: a question would be a request that they do
+        not want.
         """
         with self._lock:
             return [
@@ -23,7 +24,7 @@
                 for m in self._members.values()
                 if m.endpoint.service in services
                 and not self._groups.is_learned(m.endpoint.run)
-                and not self._words.rest_left(m.endpoint)
+                and not self._words.backoff_left(m.endpoint)
             ]
 
     def learn_group(self, run: str, group: str) -> bool:
@@ -62,8 +63,8 @@
     def in_slow_groups(self, service: str, longest_pause: int) -> list[Endpoint]:
         """Return the backends of this domain whose groups pause for longer than they may.
 
-        Those that are known to be slow are among them: they may have recovered. Those at rest
-        are not: they want no question either.
+        Those that are known to be slow are among them: they may have recovered. Those
+        that asked to back off are not: they want no question either.
         """
         with self._lock:
             near = [
@@ -71,7 +72,7 @@
                 for m in self._members.values()
                 if m.endpoint.service == service
                 and m.endpoint.domain == self.domain
-                and not self._words.rest_left(m.endpoint)
+                and not self._words.backoff_left(m.endpoint)
             ]
             return [
                 e
--- a/src/canvasyoke/direct/_backend_words.py
+++ b/src/canvasyoke/direct/_backend_words.py
@@ -1,6 +1,6 @@
 """What backends have said of themselves in their answers, for as long as it holds.
 
-A request for rest binds the entry that was asked, until the time that was named. That a run
+That an entry is to back off binds the one that was asked, until the time that was named. That a run
 leaves holds until it has ended. Both are kept by run and address, not with the backend's place
 in the list: an entry of the store lapses while the store is away, and comes back.
 """
@@ -16,10 +16,10 @@
 from canvasyoke.direct._backend_limits import BackendLimits, RateWord
 from canvasyoke.state import Endpoint
 
-#: Milliseconds of rest that one answer can ask for. A backend that named a time without an
+#: Milliseconds of backoff that one answer can ask for. A backend that named a time without an
 #: end by mistake is asked again after it.
-LONGEST_REST: Final = 600 * SECOND
-#: Milliseconds by which an end of a rest must be later to be news: refusals that were under
+LONGEST_BACKOFF: Final = 600 * SECOND
+#: Milliseconds by which the end of a backoff must be later to be news: refusals that were under
 #: way together name ends that differ by no more.
 _NEWS_STEP: Final = 500
 #: Runs of which words are kept; the oldest are dropped first.
@@ -34,8 +34,8 @@
 class WordChange:
     """What an answer's notice has changed."""
 
-    #: Milliseconds of rest from now on; 0 where that is no news.
-    rest: int = 0
+    #: Milliseconds of backoff from now on; 0 where that is no news.
+    backoff: int = 0
     #: Whether the backend was not known to leave.
     leaves: bool = False
     #: Its word on the rate that it takes, where that is another than before.
@@ -44,7 +44,7 @@
     @property
     def is_any(self) -> bool:
         """Tell whether anything has changed."""
-        return bool(self.rest) or self.leaves or self.limit is not None
+        return bool(self.backoff) or self.leaves or self.limit is not None
 
 
 _NO_CHANGE: Final = WordChange()
@@ -58,7 +58,7 @@
     run: str
     address: str
     #: Milliseconds for which it wants nothing from one of the entries.
-    rest: int = 0
+    backoff: int = 0
     is_leaving: bool = False
     #: Its word on the rate that it takes; ``None`` if it has never named one.
     limit: RateWord | None = None
@@ -66,10 +66,10 @@
 
 @dataclass(slots=True)
 class _Word:
-    #: Time on the clock at which the latest of all rests ends.
-    rest_until: int = 0
-    #: The same for rests that other entries were asked for.
-    rest_elsewhere_until: int = 0
+    #: Time on the clock at which the latest of all backoffs ends.
+    backoff_until: int = 0
+    #: The same for other entries.
+    backoff_elsewhere_until: int = 0
     is_leaving: bool = False
 
 
@@ -90,20 +90,20 @@
     def took(self, endpoint: Endpoint, notice: BackendNotice) -> WordChange:
         """Take the notice in an answer of a backend, and return what it changes.
 
-        Of several rests the latest end holds: answers of before pass later ones on the way.
+        Of several backoffs the latest end holds: answers of before pass later ones on the way.
         """
         limit = self._took_limit(endpoint, notice)
-        if not notice.rest and not notice.is_leaving:
+        if not notice.backoff and not notice.is_leaving:
             return WordChange(limit=limit) if limit is not None else _NO_CHANGE
         now = self.clock.now()
         word = self._find(_key(endpoint))
-        rest = min(notice.rest, LONGEST_REST)
+        backoff = min(notice.backoff, LONGEST_BACKOFF)
         change = WordChange(
-            rest=rest if now + rest > word.rest_until + _NEWS_STEP else 0,
+            backoff=backoff if now + backoff > word.backoff_until + _NEWS_STEP else 0,
             leaves=notice.is_leaving and not word.is_leaving,
             limit=limit,
         )
-        word.rest_until = max(word.rest_until, now + rest)
+        word.backoff_until = max(word.backoff_until, now + backoff)
         word.is_leaving = word.is_leaving or notice.is_leaving
         return change
 
@@ -130,23 +130,23 @@
         """Take note that the request did not get there."""
         self.limits.was_not_sent(_key(endpoint))
 
-    def rest_left(self, endpoint: Endpoint) -> int:
+    def backoff_left(self, endpoint: Endpoint) -> int:
         """Return the milliseconds for which a backend wants nothing from this entry."""
         word = self._words.get(_key(endpoint))
-        return max(0, word.rest_until - self.clock.now()) if word is not None else 0
+        return max(0, word.backoff_until - self.clock.now()) if word is not None else 0
 
     def heard(self, told: ToldWord) -> bool:
         """Take what another entry has heard from a backend; false if it is no news."""
         key = (told.run, told.address)
         is_limit_news = told.limit is not None and self.limits.took(key, told.limit)
-        if not told.rest and not told.is_leaving:
+        if not told.backoff and not told.is_leaving:
             return is_limit_news
         now = self.clock.now()
         word = self._find(key)
-        until = now + min(told.rest, LONGEST_REST)
-        known = max(now, word.rest_until, word.rest_elsewhere_until)
+        until = now + min(told.backoff, LONGEST_BACKOFF)
+        known = max(now, word.backoff_until, word.backoff_elsewhere_until)
         is_news = until > known + _NEWS_STEP or (told.is_leaving and not word.is_leaving)
-        word.rest_elsewhere_until = max(word.rest_elsewhere_until, until)
+        word.backoff_elsewhere_until = max(word.backoff_elsewhere_until, until)
         word.is_leaving = word.is_leaving or told.is_leaving
         return is_news or is_limit_news
 
@@ -155,25 +155,25 @@
         key = _key(endpoint)
         word = self._words.get(key, _Word())
         limit = self.limits.rate(key)
-        until = max(word.rest_until, word.rest_elsewhere_until)
-        rest = max(0, until - self.clock.now())
-        if not rest and not word.is_leaving and limit is None:
+        until = max(word.backoff_until, word.backoff_elsewhere_until)
+        backoff = max(0, until - self.clock.now())
+        if not backoff and not word.is_leaving and limit is None:
             return None
-        return ToldWord(endpoint.run, endpoint.address, rest, word.is_leaving, limit)
+        return ToldWord(endpoint.run, endpoint.address, backoff, word.is_leaving, limit)
 
-    def rests_elsewhere(self, endpoint: Endpoint) -> bool:
+    def backs_off_elsewhere(self, endpoint: Endpoint) -> bool:
         """Tell whether a backend wants nothing from another entry."""
         word = self._words.get(_key(endpoint)) if self._words else None
-        return word is not None and self.clock.now() < word.rest_elsewhere_until
+        return word is not None and self.clock.now() < word.backoff_elsewhere_until
 
     def is_leaving(self, endpoint: Endpoint) -> bool:
         """Tell whether a run has said that it is about to end."""
         word = self._words.get(_key(endpoint)) if self._words else None
         return word is not None and word.is_leaving
 
-    def resting(self, endpoints: Iterable[Endpoint]) -> int:
-        """Return how many of ``endpoints`` rest."""
-        return sum(1 for endpoint in endpoints if self.rest_left(endpoint))
+    def backing_off(self, endpoints: Iterable[Endpoint]) -> int:
+        """Return how many of ``endpoints`` want nothing from this entry."""
+        return sum(1 for endpoint in endpoints if self.backoff_left(endpoint))
 
     def leaving(self, endpoints: Iterable[Endpoint]) -> int:
         """Return how many of ``endpoints`` have said that they leave."""
--- a/src/canvasyoke/direct/_pass_over.py
+++ b/src/canvasyoke/direct/_pass_over.py
@@ -43,10 +43,10 @@
 SUSPICIONS: Registry[Suspicion] = Registry("suspicion")
 
 
-@FACTS.register("rest")
-def _rests(sources: Sources, member: Member) -> Unavailability | None:
-    rest = sources.words.rest_left(member.endpoint)
-    return Unavailability(Reason.RESTING, rest) if rest else None
+@FACTS.register("backoff")
+def _backs_off(sources: Sources, member: Member) -> Unavailability | None:
+    backoff = sources.words.backoff_left(member.endpoint)
+    return Unavailability(Reason.BACKOFF, backoff) if backoff else None
 
 
 @FACTS.register("limit")
@@ -62,10 +62,10 @@
     return member.full_until > 0 and sources.clock.now() < member.full_until
 
 
-@SUSPICIONS.register("rest elsewhere")
-def _rests_elsewhere(sources: Sources, member: Member) -> bool:
-    """It has asked another entry for rest, and has probably no room for this one either."""
-    return sources.words.rests_elsewhere(member.endpoint)
+@SUSPICIONS.register("backoff elsewhere")
+def _backs_off_elsewhere(sources: Sources, member: Member) -> bool:
+    """It has asked another entry to back off, and has probably no room for this one either."""
+    return sources.words.backs_off_elsewhere(member.endpoint)
 
 
 @SUSPICIONS.register("moved")
--- a/src/canvasyoke/direct/_process.py
+++ b/src/canvasyoke/direct/_process.py
@@ -250,9 +250,9 @@
         )
         gauge("canvasyoke_backends", "Backends known.", lambda: len(self._roster.ids()))
         gauge(
-            "canvasyoke_backends_resting",
+            "canvasyoke_backends_backing_off",
             "Backends that have asked this entry to send them nothing for now.",
-            lambda: self._roster.resting,
+            lambda: self._roster.backing_off,
         )
         gauge(
             "canvasyoke_backends_leaving",
--- a/src/canvasyoke/direct/_refusals.py
+++ b/src/canvasyoke/direct/_refusals.py
@@ -22,8 +22,8 @@
 _RETRY_FULL: Final = (150, 400)
 _RETRY_CROWDED: Final = (800, 2_400)
 _RETRY_AWAY: Final = (2_400, 2_600)
-#: What follows the end of a rest, as a part of its time left, and in milliseconds at the
-#: least: callers who were refused while backends rest come back over that time, not at once.
+#: What follows the end of a backoff, as a part of its time left, and in milliseconds at the
+#: least: callers who were refused meanwhile come back over that time, not at once.
 _RETURN_PART: Final = 0.5
 _RETURN_LEAST: Final = 100
 #: Milliseconds of the longest return that a limit asks for.
--- a/src/canvasyoke/direct/_retries.py
+++ b/src/canvasyoke/direct/_retries.py
@@ -68,7 +68,7 @@
     def _may_go_elsewhere(self, call: DirectCall) -> bool:
         """Tell whether another backend may get a request that one has.
 
-        Taken from its backend while all others rest, it would have none.
+        Taken from its backend while no other takes requests, it would have none.
         """
         return (
             call.route.repeatable
--- a/src/canvasyoke/direct/_word_exchange.py
+++ b/src/canvasyoke/direct/_word_exchange.py
@@ -41,7 +41,7 @@
             _log.info(
                 "word of a backend",
                 backend=word.backend,
-                rest=word.rest,
+                backoff=word.backoff,
                 leaving=word.is_leaving,
                 limit=word.limit.rate if word.limit is not None else None,
                 peer=session.peer,
@@ -50,9 +50,9 @@
 
 def _to_message(told: ToldWord) -> BackendWord:
     limit = LimitWord(told.limit.age, told.limit.rate) if told.limit is not None else None
-    return BackendWord(told.run, told.address, told.rest, told.is_leaving, limit)
+    return BackendWord(told.run, told.address, told.backoff, told.is_leaving, limit)
 
 
 def _to_told(word: BackendWord) -> ToldWord:
     limit = RateWord(word.limit.rate, word.limit.age) if word.limit is not None else None
-    return ToldWord(word.backend, word.address, word.rest, word.is_leaving, limit)
+    return ToldWord(word.backend, word.address, word.backoff, word.is_leaving, limit)
--- a/src/canvasyoke/direct/_word_keeper.py
+++ b/src/canvasyoke/direct/_word_keeper.py
@@ -37,12 +37,12 @@
         for field in notice.unreadable:
             self._found_unreadable(endpoint.run, field)
         change = self._roster.took_notice(endpoint, notice)
-        if change.rest:
+        if change.backoff:
             _log.info(
-                "backend asks for rest",
+                "backend asks to back off",
                 backend=endpoint.run,
                 service=endpoint.service,
-                seconds=change.rest / SECOND,
+                seconds=change.backoff / SECOND,
             )
         if change.leaves:
             _log.info("backend says that it leaves", backend=endpoint.run, service=endpoint.service)
@@ -55,7 +55,9 @@
             )
         if change.is_any:
             self._on_news(
-                ToldWord(endpoint.run, endpoint.address, change.rest, change.leaves, change.limit)
+                ToldWord(
+                    endpoint.run, endpoint.address, change.backoff, change.leaves, change.limit
+                )
             )
 
     def _found_unreadable(self, run: str, field: UnreadableField) -> None:
--- a/src/canvasyoke/direct/tests/need_model.py
+++ b/src/canvasyoke/direct/tests/need_model.py
@@ -1,4 +1,4 @@
-"""A fleet some of whose backends turn requests away and ask for rest, in simulated time.
+"""A fleet some of whose backends turn requests away and ask to back off, in simulated time.
 
 The decisions are the product's own: each entry has its roster, its part of the retry budget and
 its refusals. Callers, backends and links are made up; backends keep the ledger that the
@@ -27,7 +27,7 @@
 from canvasyoke.direct.tests.calls import ROUTE, make_call
 from canvasyoke.membership import is_mesh
 from canvasyoke.state import Endpoint, EndpointState
-from fakes.engine_ledger import EngineWord, Exchanged, broken_rests, worst_limit
+from fakes.engine_ledger import EngineWord, Exchanged, broken_backoffs, worst_limit
 
 _SERVICE = "ink"
 #: Milliseconds that a request takes to a backend and a refusal takes back.
@@ -49,7 +49,7 @@
     #: How many of them.
     backends: int
     #: Time that they ask for; 0 where they name a limit instead.
-    rest: int = 0
+    backoff: int = 0
     #: Requests a second that each takes from all entries, none of which it turns away.
     limit: float = 0.0
 
@@ -69,7 +69,7 @@
     length: int = 20_000
     #: Time that a caller gives a request, with one return.
     time_left: int = 8_000
-    #: Whether entries hear the rests that backends ask for, and tell each other.
+    #: Whether entries hear what backends ask for, and tell each other.
     hears: bool = True
     tells: bool = True
     #: Whether the callers of entries are as many as by Zipf's law.
@@ -150,7 +150,7 @@
             self.clock.advance(moment - self.clock.now())
             action()
         for backend in self.backends.values():
-            self.outcome.broken += broken_rests(backend.ledger)
+            self.outcome.broken += broken_backoffs(backend.ledger)
             self.outcome.worst_limit = max(self.outcome.worst_limit, worst_limit(backend.ledger))
         self.outcome.used = self._used()
         return self.outcome
@@ -214,15 +214,15 @@
             self._answer(entry, backend, need)
             return
         self.outcome.turned_away += 1
-        self._note(entry, backend, 503, EngineWord(rest=f"{need.rest / SECOND:g}"))
-        notice = BackendNotice(rest=need.rest if self.day.hears else 0)
+        self._note(entry, backend, 503, EngineWord(backoff=f"{need.backoff / SECOND:g}"))
+        notice = BackendNotice(backoff=need.backoff if self.day.hears else 0)
 
         def refused() -> None:
             change = entry.roster.took_notice(backend.endpoint, notice)
             entry.roster.refused(backend.endpoint.run, _PAUSE)
             call.tried.append(Tried(chosen, "refused", 2 * _WAY))
-            if change.rest and self.day.tells:
-                told = ToldWord(backend.endpoint.run, backend.endpoint.address, change.rest)
+            if change.backoff and self.day.tells:
+                told = ToldWord(backend.endpoint.run, backend.endpoint.address, change.backoff)
                 self._tell(entry, lambda other: other.roster.heard_word(told))
             self._retry(entry, call, tried | {backend.endpoint.run}, has_returned)
 
--- a/src/canvasyoke/direct/tests/test_backend_words.py
+++ b/src/canvasyoke/direct/tests/test_backend_words.py
@@ -10,13 +10,13 @@
 
 from canvasyoke._clock import SECOND, ManualClock
 from canvasyoke.backend import BackendNotice
-from canvasyoke.direct._backend_words import LONGEST_REST, ToldWord
+from canvasyoke.direct._backend_words import LONGEST_BACKOFF, ToldWord
 from canvasyoke.direct._choice import Chosen, NoneAble, Wanted
 from canvasyoke.direct._roster import Roster
 from canvasyoke.protocol import Reason
 from canvasyoke.state import Endpoint, EndpointState
 
-REST = BackendNotice(rest=3_000)
+BACKOFF = BackendNotice(backoff=3_000)
 LEAVES = BackendNotice(is_leaving=True)
 A = Endpoint("a", "ink", "10.0.0.1:1", "nbo-a", 6, EndpointState.READY, 1)
 B = dataclasses.replace(A, id="b", address="10.0.0.2:1")
@@ -43,8 +43,8 @@
     return {choice.endpoint.id for choice in found if isinstance(choice, Chosen)}
 
 
-def test_a_rest_holds_until_its_end(roster: Roster, clock: ManualClock) -> None:
-    roster.took_notice(A, REST)
+def test_a_backoff_holds_until_its_end(roster: Roster, clock: ManualClock) -> None:
+    roster.took_notice(A, BACKOFF)
     assert chosen(roster) == {"b"}
     clock.advance(2_999)
     assert chosen(roster) == {"b"}
@@ -52,22 +52,22 @@
     assert chosen(roster) == {"a", "b"}
 
 
-def test_where_all_rest_nobody_is_chosen_and_the_first_end_is_told(
+def test_where_all_ask_to_back_off_nobody_is_chosen_and_the_first_end_is_told(
     roster: Roster, clock: ManualClock
 ) -> None:
-    roster.took_notice(A, REST)
+    roster.took_notice(A, BACKOFF)
     clock.advance(1_000)
-    roster.took_notice(B, REST)
-    assert roster.choose(Wanted("ink")) == NoneAble(Reason.RESTING, 2_000)
+    roster.took_notice(B, BACKOFF)
+    assert roster.choose(Wanted("ink")) == NoneAble(Reason.BACKOFF, 2_000)
     assert roster.wait_left("ink") == 2_000
     assert not roster.has_other("ink", frozenset())
 
 
-#: What comes after three seconds of rest were asked for, and what is left of them then.
+#: What comes after three seconds of backoff were asked for, and what is left of them then.
 AFTERWARDS: list[tuple[str, Callable[[Roster], object], int]] = [
     ("nothing", lambda _: None, 3_000),
-    ("a shorter rest", lambda r: r.took_notice(A, BackendNotice(rest=500)), 3_000),
-    ("a longer rest", lambda r: r.took_notice(A, BackendNotice(rest=4_000)), 4_000),
+    ("a shorter backoff", lambda r: r.took_notice(A, BackendNotice(backoff=500)), 3_000),
+    ("a longer backoff", lambda r: r.took_notice(A, BackendNotice(backoff=4_000)), 4_000),
     ("an answer without a word", lambda r: r.took_notice(A, BackendNotice()), 3_000),
     ("an answer that is whole", lambda r: r.finished("a", 10, failed=False), 3_000),
     ("a refusal without a time", lambda r: r.refused("a", 150), 3_000),
@@ -99,25 +99,27 @@
 @pytest.mark.parametrize(
     ("happens", "left"), [case[1:] for case in AFTERWARDS], ids=[case[0] for case in AFTERWARDS]
 )
-def test_what_ends_a_rest(roster: Roster, happens: Callable[[Roster], object], left: int) -> None:
-    roster.took_notice(A, REST)
+def test_what_ends_a_backoff(
+    roster: Roster, happens: Callable[[Roster], object], left: int
+) -> None:
+    roster.took_notice(A, BACKOFF)
     happens(roster)
     now = next(endpoint for endpoint in roster.endpoints() if endpoint.id == "a")
-    assert roster._words.rest_left(now) == left
+    assert roster._words.backoff_left(now) == left
     assert roster.may_send(now) is (left == 0)
 
 
-def test_a_rest_without_an_end_is_bounded(roster: Roster, clock: ManualClock) -> None:
-    roster.took_notice(A, BackendNotice(rest=10**15))
-    clock.advance(LONGEST_REST - 1)
+def test_a_backoff_without_an_end_is_bounded(roster: Roster, clock: ManualClock) -> None:
+    roster.took_notice(A, BackendNotice(backoff=10**15))
+    clock.advance(LONGEST_BACKOFF - 1)
     assert chosen(roster) == {"b"}
     clock.advance(1)
     assert chosen(roster) == {"a", "b"}
 
 
 def test_the_time_of_a_suspended_machine_counts(roster: Roster, clock: ManualClock) -> None:
-    """The clock goes on while the machine does not: the rest is over when it wakes."""
-    roster.took_notice(A, REST)
+    """The clock goes on while the machine does not: the backoff is over when it wakes."""
+    roster.took_notice(A, BACKOFF)
     clock.advance(60 * SECOND)
     assert chosen(roster) == {"a", "b"}
 
@@ -134,7 +136,7 @@
 
 #: What speaks against a backend, and whether it is set aside when no other is left.
 REASONS: list[tuple[str, Callable[[Roster], object], bool]] = [
-    ("rest", lambda r: r.took_notice(A, REST), False),
+    ("backoff", lambda r: r.took_notice(A, BACKOFF), False),
     ("the store says that it leaves", lambda r: r.put(at(leaving(A), 7)), False),
     ("it says that it leaves", lambda r: r.took_notice(A, LEAVES), False),
     ("full", lambda r: r.refused("a", 150), True),
@@ -157,12 +159,12 @@
     assert chosen(roster) == ({"a"} if is_set_aside else set())
 
 
-def test_a_resting_backend_does_not_isolate_the_entry(roster: Roster) -> None:
+def test_a_backend_to_back_off_from_does_not_isolate_the_entry(roster: Roster) -> None:
     """It answers: callers would not fare better at entries of other domains."""
     far = dataclasses.replace(B, id="c", domain="nbo-b", address="10.0.0.4:1")
     roster.put(at(far, 7))
     for endpoint in (A, B, far):
-        roster.took_notice(endpoint, REST)
+        roster.took_notice(endpoint, BACKOFF)
     assert not roster.is_isolated()
     assert not roster.is_away("ink")
 
@@ -233,13 +235,13 @@
     assert len(roster._words._words) == 10_000
 
 
-def test_a_resting_backend_is_not_asked_for_its_group_or_pace(
+def test_a_backend_to_back_off_from_is_not_asked_for_its_group_or_pace(
     roster: Roster, clock: ManualClock
 ) -> None:
     roster.learn_group("a", "g")
     roster.learn_pace("a", 5.0)
-    roster.took_notice(A, REST)
-    roster.took_notice(B, REST)
+    roster.took_notice(A, BACKOFF)
+    roster.took_notice(B, BACKOFF)
     assert roster.without_group(frozenset({"ink"})) == []
     assert roster.in_slow_groups("ink", 100) == []
     clock.advance(2_999)
--- a/src/canvasyoke/direct/tests/test_resting_backends.py
+++ b/src/canvasyoke/direct/tests/test_backoff.py
@@ -1,4 +1,4 @@
-"""No way leads to a backend that has asked for rest."""
+"""No way leads to a backend that has asked to back off."""
 
 from __future__ import annotations
 
@@ -32,7 +32,7 @@
 from canvasyoke.transport import ExchangeError, ExchangeSlot
 
 RESUMABLE = replace(ROUTE, resumable=True, max_attempts=3)
-RESTS = NotRun(NotRunCause.FULL, "refused with status 503", notice=BackendNotice(rest=3_000))
+ASKS = NotRun(NotRunCause.FULL, "refused with status 503", notice=BackendNotice(backoff=3_000))
 NAMES = ("b-1", "b-2", "b-3")
 
 
@@ -107,10 +107,10 @@
         call.deadline = self.clock.now() + 8_000
         return call, list(self.forwarder.run(call))[-1]
 
-    def rest(self, *names: str, rest: int = 3_000) -> None:
+    def back_off(self, *names: str, backoff: int = 3_000) -> None:
         for endpoint in self.roster.endpoints():
             if endpoint.id in names:
-                self.roster.took_notice(endpoint, BackendNotice(rest=rest))
+                self.roster.took_notice(endpoint, BackendNotice(backoff=backoff))
 
     def retries_left(self) -> int:
         count = 0
@@ -124,21 +124,21 @@
     return _Entry(lambda _: _Answer(WHOLE))
 
 
-def test_all_at_rest_are_left_alone_and_the_caller_is_told_when(entry: _Entry) -> None:
-    entry.rest(*NAMES)
+def test_all_that_asked_are_left_alone_and_the_caller_is_told_when(entry: _Entry) -> None:
+    entry.back_off(*NAMES)
     entry.clock.advance(1_000)
     call, last = entry.run()
     assert entry.port.reached == []
     assert isinstance(last, GaveUp)
     assert last.status == 503
     assert 2_000 < last.retry_after <= 3_000
-    assert last.detail == "no backend can take it: resting for 2000 ms more"
+    assert last.detail == "no backend can take it: backoff for 2000 ms more"
     assert not call.may_have_run
 
 
 def test_a_caller_with_little_time_is_told_the_truth(entry: _Entry) -> None:
     """A time within what it has left would bring it back to be refused again."""
-    entry.rest(*NAMES)
+    entry.back_off(*NAMES)
     call = make_call(RESUMABLE, time_left=1_000)
     last = list(entry.forwarder.run(call))[-1]
     assert isinstance(last, GaveUp)
@@ -146,7 +146,7 @@
 
 
 def test_callers_who_are_refused_together_come_back_apart(entry: _Entry) -> None:
-    entry.rest(*NAMES)
+    entry.back_off(*NAMES)
     ends = [end for _ in range(20) if isinstance(end := entry.run()[1], GaveUp)]
     times = sorted(end.retry_after for end in ends)
     assert times[0] > 3_000
@@ -154,9 +154,9 @@
     assert times[-1] - times[0] > 700
 
 
-def test_a_retry_leaves_resting_backends_alone() -> None:
+def test_a_retry_leaves_backends_that_asked_alone() -> None:
     def answer(endpoint: Endpoint) -> Sending:
-        return RESTS if endpoint.id != "b-3" else _Answer(WHOLE)
+        return ASKS if endpoint.id != "b-3" else _Answer(WHOLE)
 
     entry = _Entry(answer)
     for _ in range(10):
@@ -165,14 +165,14 @@
     assert entry.port.reached.count("b-3") == 10
 
 
-def test_a_stream_is_not_taken_up_again_at_a_resting_backend() -> None:
-    """Its own backend broke off, with a head that asked for nothing; the others rest."""
+def test_a_stream_is_not_taken_up_again_at_a_backend_that_asked() -> None:
+    """Its own backend broke off, with a head that asked for nothing; the others ask to back off."""
     entry = _Entry(lambda _: _Answer([b"id: 1\ndata: first\n\n"]))
 
-    def others_rest(endpoint: Endpoint) -> None:
-        entry.rest(*(name for name in NAMES if name != endpoint.id))
+    def others_ask(endpoint: Endpoint) -> None:
+        entry.back_off(*(name for name in NAMES if name != endpoint.id))
 
-    entry.port.on_connect = others_rest
+    entry.port.on_connect = others_ask
     entry.run()
     assert len(entry.port.reached) == 1
 
@@ -183,7 +183,7 @@
     def asks(endpoint: Endpoint) -> None:
         if not first:
             first.append(endpoint.id)
-            entry.rest(endpoint.id)
+            entry.back_off(endpoint.id)
 
     entry.port.on_connect = asks
     call, _ = entry.run()
@@ -193,12 +193,12 @@
     assert len(call.sent_to) == 1
 
 
-#: Answers that say that the backend rests, whatever else is in them.
+#: Answers that ask to back off, whatever else is in them.
 ANSWERS: list[tuple[str, Sending]] = [
-    ("a refusal", RESTS),
-    ("a failure of its own", _Answer(WHOLE, 503, BackendNotice(rest=3_000))),
-    ("a stream that breaks off", _Answer([b"id: 1\n"], notice=BackendNotice(rest=3_000))),
-    ("a whole stream", _Answer(WHOLE, notice=BackendNotice(rest=3_000))),
+    ("a refusal", ASKS),
+    ("a failure of its own", _Answer(WHOLE, 503, BackendNotice(backoff=3_000))),
+    ("a stream that breaks off", _Answer([b"id: 1\n"], notice=BackendNotice(backoff=3_000))),
+    ("a whole stream", _Answer(WHOLE, notice=BackendNotice(backoff=3_000))),
 ]
 
 
@@ -206,17 +206,17 @@
 def test_each_answer_is_heard(sending: Sending) -> None:
     entry = _Entry(lambda _: sending)
     entry.run(replace(RESUMABLE, max_attempts=1))
-    resting = entry.port.reached[0]
+    asking = entry.port.reached[0]
     for _ in range(4):
         entry.run(replace(RESUMABLE, max_attempts=1))
-    assert entry.port.reached.count(resting) == 1
+    assert entry.port.reached.count(asking) == 1
 
 
 def test_no_retry_is_paid_for_where_no_other_backend_takes_requests() -> None:
     """The budget is the fleet's: what is paid here for nothing is missing where it would help."""
-    budget = _Entry(lambda _: RESTS).retries_left()
-    entry = _Entry(lambda _: RESTS)
-    entry.rest(*NAMES[1:])
+    budget = _Entry(lambda _: ASKS).retries_left()
+    entry = _Entry(lambda _: ASKS)
+    entry.back_off(*NAMES[1:])
     _, last = entry.run()
     assert entry.port.reached == ["b-1"]
     assert isinstance(last, GaveUp)
@@ -242,7 +242,7 @@
 
 
 def test_a_stream_is_taken_from_a_silent_backend(entry: _Entry) -> None:
-    budget = _Entry(lambda _: RESTS).retries_left()
+    budget = _Entry(lambda _: ASKS).retries_left()
     call = silent_call(entry, "b-1")
     assert entry.forwarder.give_up_silent(call)
     assert call.slot is not None
@@ -250,10 +250,10 @@
     assert entry.retries_left() == budget - 1
 
 
-def test_a_stream_stays_with_a_silent_backend_where_all_others_rest(entry: _Entry) -> None:
+def test_a_stream_stays_with_a_silent_backend_where_no_other_takes_requests(entry: _Entry) -> None:
     """It would have none: what the silent one may still say is all there is."""
     call = silent_call(entry, "b-1")
-    entry.rest("b-2", "b-3")
+    entry.back_off("b-2", "b-3")
     assert not entry.forwarder.give_up_silent(call)
 
 
@@ -266,11 +266,11 @@
     assert not call.slot.is_shut
 
 
-def test_a_stream_stays_with_a_slow_backend_where_all_others_rest() -> None:
+def test_a_stream_stays_with_a_slow_backend_where_no_other_takes_requests() -> None:
     entry = _Entry(lambda _: _Answer([b"id: 1\ndata: a\n\n", b"id: 9\ndata: last\n\n"]))
     for endpoint in entry.roster.endpoints():
         entry.roster.learn_pace(endpoint.run, 12.0)
-    entry.rest(*NAMES[1:])
+    entry.back_off(*NAMES[1:])
     call, _ = entry.run()
     assert [tried.outcome for tried in call.tried] == ["answered"]
 
@@ -291,10 +291,10 @@
     metrics = DirectMetrics()
     keeper = WordKeeper(entry.roster, metrics, lambda _told: None)
     endpoint = entry.roster.endpoints()[0]
-    notice = BackendNotice(unreadable=(UnreadableField("rest", "soon"),))
+    notice = BackendNotice(unreadable=(UnreadableField("backoff", "soon"),))
     with logbook.TestHandler() as handler:
         for _ in range(3):
             keeper.took(endpoint, notice)
     assert sum("unreadable word" in record.message for record in handler.records) == 1
-    assert 'canvasyoke_unreadable_words_total{field="rest"} 3' in metrics.all.render()
+    assert 'canvasyoke_unreadable_words_total{field="backoff"} 3' in metrics.all.render()
     assert entry.roster.may_send(endpoint)
--- a/src/canvasyoke/direct/tests/test_needs.py
+++ b/src/canvasyoke/direct/tests/test_needs.py
@@ -1,7 +1,7 @@
-"""What callers get while backends ask for rest, played with the product's own decisions.
+"""What callers get while backends ask to back off, played with the product's own decisions.
 
 Eight entries, 16 backends of six slots, 45 requests a second, eight seconds in which some
-backends turn all requests away and ask for 3 s of rest. Figures are of three seeds together.
+backends turn all requests away and ask to back off for 3 s. Figures are of three seeds together.
 """
 
 from __future__ import annotations
@@ -15,8 +15,8 @@
 SEEDS = (1, 2, 3)
 
 
-def day_of(backends: int, rest: int = 3_000) -> NeedDay:
-    return NeedDay(needs=(Need(3_000, 11_000, backends, rest),))
+def day_of(backends: int, backoff: int = 3_000) -> NeedDay:
+    return NeedDay(needs=(Need(3_000, 11_000, backends, backoff),))
 
 
 def play(day: NeedDay) -> NeedOutcome:
@@ -32,10 +32,10 @@
 
 
 @pytest.mark.parametrize("entries", [3, 8, 30])
-@pytest.mark.parametrize("rest", [500, 1_000, 3_000])
+@pytest.mark.parametrize("backoff", [500, 1_000, 3_000])
 @pytest.mark.parametrize("backends", [1, 5, 8, 16])
-def test_no_rest_is_broken(backends: int, rest: int, entries: int) -> None:
-    day = replace(day_of(backends, rest), entries=entries, seed=entries)
+def test_no_backoff_is_broken(backends: int, backoff: int, entries: int) -> None:
+    day = replace(day_of(backends, backoff), entries=entries, seed=entries)
     assert NeedWorld(day).run().broken == []
 
 
@@ -62,7 +62,7 @@
     assert play(day).refused_twice <= before.refused_twice / 2
 
 
-def test_where_all_rest_backends_are_left_alone() -> None:
+def test_where_all_ask_to_back_off_backends_are_left_alone() -> None:
     """Requests turned away before and after: 2,564 and 1,199."""
     day = day_of(16)
     before = play(replace(day, hears=False, tells=False))
--- a/src/canvasyoke/platform/_notices.py
+++ b/src/canvasyoke/platform/_notices.py
@@ -13,7 +13,7 @@
 #: Running, waiting and slots, joined by commas.
 LOAD_HEADER: Final = "Server-Load"
 #: Seconds for which the engine wants nothing from the machine that it answers.
-_REST_HEADER: Final = "Retry-After"
+_BACKOFF_HEADER: Final = "Retry-After"
 #: ``1`` while the engine is about to end.
 LEAVING_HEADER: Final = "Server-Leaving"
 #: Requests a second that the engine takes from all machines together.
@@ -35,10 +35,10 @@
     load = fields.read("load", LOAD_HEADER, _load)
     leaving = fields.read("is_leaving", LEAVING_HEADER, _flag)
     limit = fields.read("rate_limit", LIMIT_HEADER, _decimal)
-    rest = fields.read("rest", _REST_HEADER, _decimal) if status in _TURNED_AWAY else None
+    backoff = fields.read("backoff", _BACKOFF_HEADER, _decimal) if status in _TURNED_AWAY else None
     return BackendNotice(
         load=load,
-        rest=round((rest or 0) * SECOND),
+        backoff=round((backoff or 0) * SECOND),
         is_leaving=bool(leaving),
         rate_limit=limit,
         tells_limit=all(field.name != "rate_limit" for field in fields.unreadable),
--- a/src/canvasyoke/protocol/_messages.py
+++ b/src/canvasyoke/protocol/_messages.py
@@ -470,7 +470,7 @@
     backend: Name
     address: Name
     #: Milliseconds for which it wants nothing from that entry; 0 for none.
-    rest: Count = 0
+    backoff: Count = 0
     #: Whether it is about to end.
     is_leaving: bool = False
     #: ``None`` if it has never named a limit.
--- a/src/canvasyoke/protocol/_outcome.py
+++ b/src/canvasyoke/protocol/_outcome.py
@@ -37,7 +37,7 @@
     OVER_LIMIT = "over_limit"
     DEADLINE = "deadline"
     LEAVING = "leaving"
-    RESTING = "resting"
+    BACKOFF = "backoff"
     LIMITED = "limited"
     NOT_HOME = "not_home"
     KEY_BEFORE_HOME = "key_before_home"
@@ -64,7 +64,7 @@
     Reason.OVER_LIMIT: 429,
     Reason.DEADLINE: 504,
     Reason.LEAVING: 503,
-    Reason.RESTING: 503,
+    Reason.BACKOFF: 503,
     Reason.LIMITED: 503,
     Reason.NOT_HOME: 503,
     Reason.KEY_BEFORE_HOME: 409,
--- a/tests/test_backend_words.py
+++ b/tests/test_backend_words.py
@@ -1,20 +1,20 @@
 """What a backend says of itself in an answer is kept by the entry that it told.
 
 What callers saw: two of five streams refused for ten seconds at a time although most backends
-were free. Operators saw backends that had asked an entry for three seconds of rest and got up
+were free. Operators saw backends that had asked an entry to back off for three seconds and got up
 to seven more requests from it within that time.
 
 The order of events: a backend in need answers 503 with the seconds for which it wants nothing.
-The entry passes it over for 150 ms, whatever it said. Then it looks idle, since it runs nothing,
-and is the first choice; it refuses again. Each refusal takes a retry from the fleet's budget,
-and when that is used up callers are refused at the first such backend they come to.
+The entry passed it over for 150 ms, whatever it said. Then it looked idle, since it ran nothing,
+and was the first choice; it refused again. Each refusal took a retry from the fleet's budget,
+and when that was used up callers were refused at the first such backend they came to.
 
-The cause: nothing reads what a backend says of itself but its load. Where it was passed over,
+The cause: nothing read what a backend says of itself but its load. Where it was passed over,
 that was a suspicion, which is set aside when nothing else is left.
 
 Evidence: in the recorded day 195 requests went to a backend that had refused the same entry
-before, none within 150 ms, all with `load=0`. Here each such attempt stands in the line of its
-request as `load=0 ... refused with status 503 (rest=2000ms)`, again and again.
+before, none within 150 ms, all with `load=0`. Here each such attempt stood in the line of its
+request as `load=0 ... refused with status 503 (backoff=2000ms)`, again and again.
 """
 
 from __future__ import annotations
@@ -30,7 +30,7 @@
 from fakes.engine_ledger import (
     SENDER_HEADER,
     EngineWord,
-    broken_rests,
+    broken_backoffs,
     late_arrivals,
     worst_limit,
 )
@@ -39,7 +39,7 @@
 
 ENTRIES = 3
 BACKENDS = 6
-REST = "2.0"
+BACKOFF = "2.0"
 #: Seconds between two requests of one caller; much less than the time of any pause.
 _CALL_EVERY = 0.02
 
@@ -84,10 +84,10 @@
             caller.join()
         return replies
 
-    def shed(self, engines: list[PlatformEngine], rest: str = REST) -> None:
-        """Have backends turn all requests away and ask for rest."""
+    def shed(self, engines: list[PlatformEngine], backoff: str = BACKOFF) -> None:
+        """Have backends turn all requests away and ask to back off."""
         for engine in engines:
-            engine.word = EngineWord(rest=rest)
+            engine.word = EngineWord(backoff=backoff)
             engine.is_shedding = True
 
 
@@ -99,19 +99,19 @@
 
 
 def test_a_backend_that_asks_for_rest_gets_it(fleet: WordFleet) -> None:
-    resting = fleet.shelf[0]
-    fleet.shed([resting])
-    replies = fleet.call_for(2 * float(REST))
-    assert resting.ledger
-    assert any("refused with status 503 (rest=2000ms)" in e.logged() for e in fleet.entries)
-    assert broken_rests(resting.ledger) == []
+    asking = fleet.shelf[0]
+    fleet.shed([asking])
+    replies = fleet.call_for(2 * float(BACKOFF))
+    assert asking.ledger
+    assert any("refused with status 503 (backoff=2000ms)" in e.logged() for e in fleet.entries)
+    assert broken_backoffs(asking.ledger) == []
     assert {reply.status for reply in replies} == {200}
 
 
 def test_all_backends_of_a_service_that_ask_for_rest_get_it(fleet: WordFleet) -> None:
     fleet.shed(fleet.shelf)
-    replies = fleet.call_for(2 * float(REST))
-    assert [line for engine in fleet.shelf for line in broken_rests(engine.ledger)] == []
+    replies = fleet.call_for(2 * float(BACKOFF))
+    assert [line for engine in fleet.shelf for line in broken_backoffs(engine.ledger)] == []
     assert {reply.status for reply in replies} == {503}
 
 
