--- a/src/canvasyoke/direct/_peers.py
+++ b/src/canvasyoke/direct/_peers.py
@@ -4,22 +4,18 @@
 the version of its configuration, and how much it knows of the backends; and at once what
 one of them learns of a backend. Whoever learns something new passes it on, so that it
 reaches all that are in touch although each has few links.
-
-A link loses nothing while it stands and keeps the order. So an entry that hears over a
-link that the other one knows all changes up to a position has heard of them itself,
-unless they are older than the link; then it asks for the whole list.
 """
 
 from __future__ import annotations
 
 import random
 import threading
-import weakref
 from collections.abc import Callable, Hashable
 from typing import Final
 
 from canvasyoke._clock import SECOND, Clock
-from canvasyoke.direct._backend_news import to_crash_news, to_endpoint, to_news
+from canvasyoke.direct._backend_exchange import BackendExchange
+from canvasyoke.direct._backend_news import to_crash_news
 from canvasyoke.direct._backend_words import ToldWord
 from canvasyoke.direct._budget import FleetRetryBudget
 from canvasyoke.direct._crash_cases import CrashCase
@@ -56,13 +52,10 @@
 from canvasyoke.state import (
     DirectSettings,
     FleetStore,
-    format_position,
 )
 from canvasyoke.transport import Session
 
 _log = part_logger("peers")
-#: Milliseconds between questions for all backends, one for each link that is new.
-_LIST_AGAIN: Final = 200
 #: Milliseconds between tellings in an overlay even if nothing is new: word of who watches
 #: the store goes from neighbour to neighbour with them.
 _RELAY_AT_LEAST: Final = 300
@@ -87,7 +80,6 @@
     ) -> None:
         self._own = Place(settings.instance, settings.peer, settings.domain)
         self._store = store
-        self._listed_at = -_LIST_AGAIN
         self._view = view
         self._roster = roster
         self._budget = budget
@@ -98,9 +90,6 @@
         self._notes = EntryNotes(self._own, store, clock, rng)
         #: Entries of the own failure domain, as the store's notes say.
         self._near: frozenset[str] = frozenset()
-        #: Sessions over which all older changes of backends have come. Held weakly: the
-        #: end of one that its peer has replaced by another is not told.
-        self._caught_up: weakref.WeakSet[Session] = weakref.WeakSet()
         self._tell_near = Telling(clock)
         self._tell_far = Telling(clock)
         self._links = OverlayLinks(
@@ -111,6 +100,7 @@
         self._tables = TableExchange(store, view, lambda: self.rota.is_watching, clock)
         self._shares = DemandShares(budget.demand, clock)
         roster.set_share(self._shares.share)
+        self._backends = BackendExchange(roster, self._tell_all, self._tell_now, clock)
         self._words = WordExchange(roster, self._tell_all)
         #: Where the other entries are, until the task that keeps the links takes it.
         self._found: list[Place] | None = None
@@ -137,7 +127,7 @@
 
     def tell_backend(self, change: BackendChange) -> None:
         """Pass on what the store said of a backend."""
-        self._tell_all(to_news(change))
+        self._backends.tell(change)
 
     def tell_group(self, backend: str, group: str) -> None:
         """Pass on which group a backend belongs to."""
@@ -214,7 +204,7 @@
             session.send(CrashList([to_crash_news(name, case) for name, case in cases.items()]))
 
     def _closed(self, session: Session) -> None:
-        self._caught_up.discard(session)
+        self._backends.closed(session)
         if self._links.is_mesh:
             self._roster.peer_left(session.peer)
         _log.info("link lost", peer=session.peer)
@@ -226,13 +216,13 @@
             case TableWanted():
                 self._tables.send(session, message.version)
             case BackendsWanted():
-                session.send(self._backend_list())
+                session.send(self._backends.all())
             case TableDocument():
                 self._tables.adopt(session, message)
             case BackendNews():
-                self._take_news(session, message)
+                self._backends.took_news(session, message)
             case BackendList():
-                self._take_list(session, message)
+                self._backends.took_list(session, message)
             case GroupNews():
                 if self._roster.learn_group(message.backend, message.group):
                     self._tell_all(message, but=session)
@@ -267,60 +257,7 @@
                 self._roster.peer_load(relayed.entry, told)
         self.rota.hear([StoreContact(w.name, w.age, w.is_lost) for w in load.watchers])
         self._tables.heard_of(load.config_version, session)
-        self._heard_up_to(load.backends_revision, load.backends_age, session)
-
-    def _heard_up_to(self, position: int, age: int, session: Session) -> None:
-        """Take note of the position up to which another entry knows all backends."""
-        now = self._clock.now()
-        if session in self._caught_up and not self._roster.wants_list:
-            self._roster.knows_up_to(position)
-            self._roster.confirmed(age)
-        elif position and now - self._listed_at >= _LIST_AGAIN:
-            self._listed_at = now
-            session.send(BackendsWanted())
-
-    def _backend_list(self) -> BackendList:
-        position = self._roster.position
-        changes = [BackendChange(e, False, e.position) for e in self._roster.endpoints()]
-        backends = [to_news(change) for change in changes]
-        return BackendList(position, backends, self._roster.groups())
-
-    def _take_list(self, session: Session, listed: BackendList) -> None:
-        """Take all backends from another entry, and pass on what was new."""
-        self._caught_up.add(session)
-        changes = self._roster.merge(
-            [to_endpoint(news) for news in listed.backends], listed.revision
-        )
-        _log.info(
-            "backends heard",
-            count=len(listed.backends),
-            changes=len(changes),
-            revision=format_position(listed.revision),
-            peer=session.peer,
-        )
-        for change in changes:
-            self._tell_all(to_news(change), but=session)
-        for backend, group in listed.groups.items():
-            if self._roster.learn_group(backend, group):
-                self._tell_all(GroupNews(backend, group), but=session)
-        self._tell_now()
-
-    def _take_news(self, session: Session, news: BackendNews) -> None:
-        change = BackendChange(to_endpoint(news), news.gone, news.revision, news.was_lost)
-        if not self._roster.hear(change):
-            answer = self._roster.refute(change)
-            if answer is not None:
-                session.send(to_news(answer))
-            return
-        self._tell_all(news, but=session)
-        _log.info(
-            "backend news",
-            backend=news.id,
-            gone=news.gone,
-            leaving=news.leaving,
-            revision=format_position(news.revision),
-            peer=session.peer,
-        )
+        self._backends.heard_up_to(load.backends_revision, load.backends_age, session)
 
     def _load(self, is_near: bool, relayed: list[RelayedLoad]) -> EntryLoad:
         """Return what to tell an entry of the own domain, or of another one."""
--- a/src/canvasyoke/direct/tests/test_spread.py
+++ b/src/canvasyoke/direct/tests/test_spread.py
@@ -132,7 +132,7 @@
         fleet.open("front-0-1", "front-0-0")
         fleet.pass_turns(4)
     gc.collect()
-    assert len(entry.peers._caught_up) <= len(entry.links.open)
+    assert len(entry.peers._backends._caught_up) <= len(entry.links.open)
 
 
 def test_a_group_is_learned_from_one_entry_by_all() -> None:
