--- a/src/canvasyoke/direct/tests/test_backend_limits.py
+++ b/src/canvasyoke/direct/tests/test_backend_limits.py
@@ -273,3 +273,9 @@
 def test_few_are_refused_where_callers_ask_for_less_than_the_limit() -> None:
     outcome = play(7, 20.0, load=0.6).outcome
     assert outcome.refused <= outcome.answered // 20
+
+
+@pytest.mark.parametrize(("entries", "limit"), [(7, 2.0), (12, 6.0), (30, 20.0), (100, 200.0)])
+def test_all_entries_together_stay_within_the_rate_itself(entries: int, limit: float) -> None:
+    """What is granted beyond it is for what nobody can know."""
+    assert play(entries, limit).outcome.used <= 1.02
