--- /dev/null
+++ b/src/canvasyoke/direct/_attempt_recorder.py
@@ -0,0 +1,119 @@
+"""Records what an attempt shows of its backend: reachability, load, failures and crashes."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from canvasyoke.backend import BackendAnswer, MayHaveRun, NotRun, NotRunCause, SendResult
+from canvasyoke.direct._call import Attempt, DirectCall
+from canvasyoke.direct._choice import Chosen
+from canvasyoke.direct._crash_detector import BackendLiveness, CrashDetector
+from canvasyoke.direct._quarantine import Quarantine
+from canvasyoke.direct._roster import Roster
+from canvasyoke.state import Endpoint
+
+#: Milliseconds for which a backend that refused for lack of capacity is not chosen.
+_FULL_BACKOFF: Final = 150
+_SUCCESS: Final = range(200, 300)
+
+
+class AttemptRecorder:
+    """Passes the results of attempts on to the roster and to the quarantine."""
+
+    def __init__(
+        self, roster: Roster, crash_detector: CrashDetector, quarantine: Quarantine
+    ) -> None:
+        self._roster = roster
+        self._crash_detector = crash_detector
+        self._quarantine = quarantine
+
+    def record_connection(self, call: DirectCall, endpoint: Endpoint, sent: SendResult) -> None:
+        """Report to the roster whether the failure domain of the backend is reachable.
+
+        An exchange that fails without a response is no evidence: its connection was established
+        earlier, and the domain may have been cut off since.
+        """
+        if isinstance(sent, MayHaveRun):
+            return
+        if not isinstance(sent, NotRun) or sent.cause is not NotRunCause.UNREACHABLE:
+            self._roster.record_connect_success(endpoint.domain)
+        elif not call.is_disconnected():
+            self._roster.record_connect_failure(endpoint)
+
+    def record_attempt(
+        self,
+        call: DirectCall,
+        chosen: Chosen,
+        duration: int,
+        sent: SendResult,
+        failure: NotRun | MayHaveRun | None,
+    ) -> None:
+        """Record an attempt that took ``duration`` milliseconds; ``failure`` is why it failed."""
+        self._record_load(call, chosen.endpoint, duration, failure)
+        self._record_group(call, chosen.endpoint, failure)
+        outcome = "answered" if failure is None else failure.detail
+        call.attempts.append(Attempt(chosen, outcome, duration, sent.notice))
+        self._update_quarantine(call, chosen.endpoint, sent, failure)
+
+    def _record_load(
+        self,
+        call: DirectCall,
+        endpoint: Endpoint,
+        duration: int,
+        failure: NotRun | MayHaveRun | None,
+    ) -> None:
+        backend = endpoint.run
+        if isinstance(failure, NotRun) and failure.was_received:
+            if failure.cause is NotRunCause.MOVED:
+                self._roster.record_address_conflict(backend)
+            else:
+                self._roster.record_refusal(backend, _FULL_BACKOFF)
+        elif (
+            _is_withdrawn(failure)
+            or call.is_moved
+            or call.is_unresponsive
+            or (failure is not None and call.is_disconnected())
+        ):
+            self._roster.record_cancelled(backend)
+        else:
+            self._roster.record_finished(backend, duration, failed=failure is not None)
+
+    def _record_group(
+        self, call: DirectCall, endpoint: Endpoint, failure: NotRun | MayHaveRun | None
+    ) -> None:
+        if isinstance(failure, NotRun) and failure.faulty_backend not in ("", endpoint.id):
+            self._roster.record_group_failure(endpoint.run)
+        if isinstance(failure, MayHaveRun):
+            call.may_have_run = True
+            if call.route.is_stream and not _closed_by_entry(call):
+                self._roster.record_group_failure(endpoint.run)
+
+    def _update_quarantine(
+        self,
+        call: DirectCall,
+        endpoint: Endpoint,
+        sent: SendResult,
+        failure: NotRun | MayHaveRun | None,
+    ) -> None:
+        """Record whether the attempt cleared the request or crashed its backend."""
+        if failure is None:
+            if isinstance(sent, BackendAnswer) and sent.status in _SUCCESS and sent.is_framed:
+                self._quarantine.record_answer(call.fingerprint)
+            return
+        if (
+            not isinstance(failure, MayHaveRun)
+            or not failure.is_connection_lost
+            or _closed_by_entry(call)
+        ):
+            return
+        if self._crash_detector.check(call, endpoint, failure.detail) is BackendLiveness.ENDED:
+            self._quarantine.record_end(call.fingerprint, endpoint.run)
+
+
+def _is_withdrawn(failure: NotRun | MayHaveRun | None) -> bool:
+    return isinstance(failure, NotRun) and failure.cause is NotRunCause.WITHDRAWN
+
+
+def _closed_by_entry(call: DirectCall) -> bool:
+    """Return whether this entry closed the exchange, which is no evidence of a backend failure."""
+    return call.is_moved or call.is_unresponsive or call.is_disconnected()
--- a/src/canvasyoke/direct/_forwarder.py
+++ b/src/canvasyoke/direct/_forwarder.py
@@ -12,48 +12,36 @@
 from typing import Final
 
 from canvasyoke._clock import Clock
-from canvasyoke.backend import (
-    BackendAnswer,
-    DirectBackendPort,
-    MayHaveRun,
-    NotRun,
-    NotRunCause,
-    OutboundRequest,
-    SendResult,
-)
+from canvasyoke.backend import DirectBackendPort, MayHaveRun, NotRun, OutboundRequest
 from canvasyoke.direct._admission import NO_LIMIT
 from canvasyoke.direct._answer_relay import AnswerRelay
+from canvasyoke.direct._attempt_recorder import AttemptRecorder
 from canvasyoke.direct._budget import FleetRetryBudget
 from canvasyoke.direct._call import (
     AnswerEnd,
     AnswerPart,
-    Attempt,
     CallerDisconnected,
     DirectCall,
     ErrorAnswer,
     IncompleteAnswer,
 )
 from canvasyoke.direct._choice import BackendQuery, Chosen, NoneAvailable
-from canvasyoke.direct._crash_detector import BackendLiveness, CrashDetector
+from canvasyoke.direct._crash_detector import CrashDetector
 from canvasyoke.direct._notice_handler import NoticeHandler
 from canvasyoke.direct._quarantine import Quarantine
 from canvasyoke.direct._refusals import MIN_ATTEMPT_TIME, RefusalPolicy
 from canvasyoke.direct._retries import RetryPolicy
 from canvasyoke.direct._roster import Roster
 from canvasyoke.protocol import Reason
-from canvasyoke.state import Endpoint
 from canvasyoke.transport import ExchangeHandle
 
 #: Connect timeout in milliseconds. Shorter than the retransmission timeout of a lost SYN packet,
 #: since trying another backend is faster.
 _CONNECT_TIMEOUT: Final = 100
-#: Milliseconds for which a backend that refused for lack of capacity is not chosen.
-_FULL_BACKOFF: Final = 150
 #: Longest wait for a slot, as a fraction of the route's objective: for a new request, and for a
 #: stream that resumes on another backend.
 _WAIT_FRACTION: Final = 0.5
 _RESUMED_WAIT_FRACTION: Final = 0.75
-_SUCCESS: Final = range(200, 300)
 _BAD_GATEWAY: Final = 502
 
 
@@ -74,8 +62,8 @@
         self._port = port
         self._roster = roster
         self._budget = budget
-        self._crash_detector = crash_detector
         self._quarantine = quarantine
+        self._recorder = AttemptRecorder(roster, crash_detector, quarantine)
         self._notice_handler = notice_handler
         self._clock = clock
         self._refusals = RefusalPolicy(roster, clock, rng)
@@ -153,7 +141,7 @@
             call.slot.cancel()
         sent = self._port.send(endpoint, self._outbound(call), _CONNECT_TIMEOUT, call.slot)
         self._notice_handler.handle(endpoint, sent.notice)
-        self._record_reachability(call, endpoint, sent)
+        self._recorder.record_connection(call, endpoint, sent)
         if isinstance(sent, NotRun) and not sent.was_received:
             self._roster.record_not_sent(endpoint.run)
         else:
@@ -167,48 +155,10 @@
                 failure = yield from self._relay.relay(call, sent)
             finally:
                 sent.close()
-        self._record_attempt(
-            call,
-            Attempt(chosen, _outcome(failure), self._clock.now() - began, sent.notice),
-            failure,
-        )
-        self._update_quarantine(call, endpoint, sent, failure)
+        duration = self._clock.now() - began
+        self._recorder.record_attempt(call, chosen, duration, sent, failure)
         return failure
 
-    def _update_quarantine(
-        self,
-        call: DirectCall,
-        endpoint: Endpoint,
-        sent: SendResult,
-        failure: NotRun | MayHaveRun | None,
-    ) -> None:
-        """Record whether the attempt cleared the request or crashed its backend."""
-        if failure is None:
-            if isinstance(sent, BackendAnswer) and sent.status in _SUCCESS and sent.is_framed:
-                self._quarantine.record_answer(call.fingerprint)
-            return
-        if (
-            not isinstance(failure, MayHaveRun)
-            or not failure.is_connection_lost
-            or _closed_by_entry(call)
-        ):
-            return
-        if self._crash_detector.check(call, endpoint, failure.detail) is BackendLiveness.ENDED:
-            self._quarantine.record_end(call.fingerprint, endpoint.run)
-
-    def _record_reachability(self, call: DirectCall, endpoint: Endpoint, sent: SendResult) -> None:
-        """Report to the roster whether the failure domain of the backend is reachable.
-
-        An exchange that fails without a response is no evidence: its connection was established
-        earlier, and the domain may have been cut off since.
-        """
-        if isinstance(sent, MayHaveRun):
-            return
-        if not isinstance(sent, NotRun) or sent.cause is not NotRunCause.UNREACHABLE:
-            self._roster.record_connect_success(endpoint.domain)
-        elif not call.is_disconnected():
-            self._roster.record_connect_failure(endpoint)
-
     def _outbound(self, call: DirectCall) -> OutboundRequest:
         return OutboundRequest(
             method=call.method,
@@ -222,36 +172,6 @@
             resume_after=call.last_event,
         )
 
-    def _record_attempt(
-        self, call: DirectCall, attempt: Attempt, failure: NotRun | MayHaveRun | None
-    ) -> None:
-        """Record the outcome of an attempt in the roster and in the call."""
-        backend = attempt.run
-        if isinstance(failure, NotRun) and failure.was_received:
-            if failure.cause is NotRunCause.MOVED:
-                self._roster.record_address_conflict(backend)
-            else:
-                self._roster.record_refusal(backend, _FULL_BACKOFF)
-        elif (
-            _is_withdrawn(failure)
-            or call.is_moved
-            or call.is_unresponsive
-            or (failure is not None and call.is_disconnected())
-        ):
-            self._roster.record_cancelled(backend)
-        else:
-            self._roster.record_finished(backend, attempt.duration, failed=failure is not None)
-        if isinstance(failure, NotRun) and failure.faulty_backend not in (
-            "",
-            attempt.chosen.endpoint.id,
-        ):
-            self._roster.record_group_failure(backend)
-        if isinstance(failure, MayHaveRun):
-            call.may_have_run = True
-            if call.route.is_stream and not _closed_by_entry(call):
-                self._roster.record_group_failure(backend)
-        call.attempts.append(attempt)
-
     def _finish(
         self, call: DirectCall, last: ErrorAnswer | IncompleteAnswer
     ) -> Iterator[AnswerPart]:
@@ -276,19 +196,6 @@
         return True
 
 
-def _outcome(failure: NotRun | MayHaveRun | None) -> str:
-    return "answered" if failure is None else failure.detail
-
-
-def _is_withdrawn(failure: NotRun | MayHaveRun | None) -> bool:
-    return isinstance(failure, NotRun) and failure.cause is NotRunCause.WITHDRAWN
-
-
-def _closed_by_entry(call: DirectCall) -> bool:
-    """Return whether this entry closed the exchange, which is no evidence of a backend failure."""
-    return call.is_moved or call.is_unresponsive or call.is_disconnected()
-
-
 def _max_wait(call: DirectCall) -> int:
     """Return the longest useful wait for a slot, in milliseconds."""
     if not call.route.objective:
