Direct: an exit that shows after the connections have ended counts against its request

Callers saw: one request took down backend after backend when the port of each stayed open for a moment after its connections (a supervisor, a slow exit).

Change: a break whose backend still listens stays open (ExitMonitor) until a later probe or a request's connection is refused, another run has the address, or the run answers what was sent after the break or leaves. The end counts from the time of the break, told to other entries as an age: by the time of the finding, the ends of one outage look like many causes. The new model tests show that: without the time, half of the backends ending at once with evidence 20 to 1,000 ms late blames a sound request. An entry removed while the port listens is no evidence by itself: backends that do not announce their end look the same; only the next run at the address is.

--- a/src/canvasyoke/backend/_direct.py
+++ b/src/canvasyoke/backend/_direct.py
@@ -42,6 +42,8 @@
     faulty_backend: str = ""
     #: Notice in the headers of the refusal.
     notice: BackendNotice = NO_NOTICE
+    #: Whether nothing listened on the backend's port.
+    is_port_closed: bool = False
 
     @property
     def was_received(self) -> bool:
--- a/src/canvasyoke/direct/_attempt_recorder.py
+++ b/src/canvasyoke/direct/_attempt_recorder.py
@@ -7,7 +7,7 @@
 from canvasyoke.backend import BackendAnswer, MayHaveRun, NotRun, NotRunCause, SendResult
 from canvasyoke.direct._call import Attempt, DirectCall
 from canvasyoke.direct._choice import Chosen
-from canvasyoke.direct._crash_detector import BackendLiveness, CrashDetector
+from canvasyoke.direct._exit_monitor import ExitMonitor
 from canvasyoke.direct._quarantine import Quarantine
 from canvasyoke.direct._roster import Roster
 from canvasyoke.state import Endpoint
@@ -20,19 +20,21 @@
 class AttemptRecorder:
     """Passes the results of attempts on to the roster and to the quarantine."""
 
-    def __init__(
-        self, roster: Roster, crash_detector: CrashDetector, quarantine: Quarantine
-    ) -> None:
+    def __init__(self, roster: Roster, exit_monitor: ExitMonitor, quarantine: Quarantine) -> None:
         self._roster = roster
-        self._crash_detector = crash_detector
+        self._exit_monitor = exit_monitor
         self._quarantine = quarantine
 
     def record_connection(self, call: DirectCall, endpoint: Endpoint, sent: SendResult) -> None:
-        """Report to the roster whether the failure domain of the backend is reachable.
+        """Report whether the backend and its failure domain are reachable.
 
         An exchange that fails without a response is no evidence: its connection was established
         earlier, and the domain may have been cut off since.
         """
+        if isinstance(sent, BackendAnswer) and sent.status in _SUCCESS:
+            self._exit_monitor.record_answer(endpoint.run, call.sent_at)
+        elif isinstance(sent, NotRun) and sent.is_port_closed:
+            self._exit_monitor.record_refused_connection(endpoint)
         if isinstance(sent, MayHaveRun):
             return
         if not isinstance(sent, NotRun) or sent.cause is not NotRunCause.UNREACHABLE:
@@ -66,6 +68,7 @@
         if isinstance(failure, NotRun) and failure.was_received:
             if failure.cause is NotRunCause.MOVED:
                 self._roster.record_address_conflict(backend)
+                self._exit_monitor.record_address_conflict(endpoint)
             else:
                 self._roster.record_refusal(backend, _FULL_BACKOFF)
         elif (
@@ -106,8 +109,7 @@
             or _closed_by_entry(call)
         ):
             return
-        if self._crash_detector.check(call, endpoint, failure.detail) is BackendLiveness.ENDED:
-            self._quarantine.record_end(call.fingerprint, endpoint.run)
+        self._exit_monitor.record_failure(call, endpoint, failure.detail)
 
 
 def _is_withdrawn(failure: NotRun | MayHaveRun | None) -> bool:
--- a/src/canvasyoke/direct/_backend_availability.py
+++ b/src/canvasyoke/direct/_backend_availability.py
@@ -106,6 +106,14 @@
             member = self._members.get(run)
             return member is not None and not self._is_leaving(member)
 
+    def is_leaving(self, endpoint: Endpoint) -> bool:
+        """Return whether a run has announced that it leaves, even if it is no longer listed."""
+        with self._lock:
+            member = self._members.get(endpoint.run)
+            if member is not None:
+                return self._is_leaving(member)
+            return self._notices.is_leaving(endpoint)
+
     @property
     def backing_off_count(self) -> int:
         """Return the number of backends that asked this entry for backoff."""
--- a/src/canvasyoke/direct/_backend_records.py
+++ b/src/canvasyoke/direct/_backend_records.py
@@ -6,11 +6,12 @@
 
 from __future__ import annotations
 
+import enum
 import random
 import threading
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from typing import Final
+from typing import Final, TypeAlias
 
 from canvasyoke._clock import SECOND, Clock
 from canvasyoke.coordination import RANKERS, Ejection, Ranker
@@ -25,7 +26,7 @@
 from canvasyoke.direct._member import Member
 from canvasyoke.direct._peer_loads import PeerLoad, PeerLoads
 from canvasyoke.direct._store_restore import StoreRestore
-from canvasyoke.state import Endpoint, StorePosition
+from canvasyoke.state import Endpoint, EndpointState, StorePosition
 
 #: Milliseconds over which the weight of a load report decays linearly to zero.
 _REPORT_DECAY: Final = 2 * SECOND
@@ -38,6 +39,19 @@
 _LARGE_FLEET_RANKER: Final = "near_paced"
 
 
+class RunChange(enum.Enum):
+    """Change of a run in the list of backends."""
+
+    ADDED = enum.auto()
+    #: The store lists it as leaving.
+    LEAVING = enum.auto()
+    REMOVED = enum.auto()
+
+
+#: Called with a run and its change, with the lock of the records held.
+OnRunChange: TypeAlias = Callable[[Endpoint, RunChange], None]
+
+
 @dataclass(frozen=True, slots=True)
 class FleetView:
     """The known entries that share the same backends."""
@@ -79,6 +93,8 @@
     #: Time at which the list was last confirmed to match the store; initially the time of
     #: creation.
     _confirmed_at: int = field(init=False)
+    #: Observer of runs that are added, leave or are removed.
+    on_run_change: OnRunChange = lambda _endpoint, _change: None
     #: Moving average of request durations in milliseconds, by service.
     _durations: dict[str, float] = field(default_factory=dict)
 
@@ -192,8 +208,11 @@
             if member is None:
                 self._runs[endpoint.id] = endpoint.run
                 self._members[endpoint.run] = Member(endpoint, Ejection(self.clock), now)
+                self.on_run_change(endpoint, RunChange.ADDED)
             else:
                 member.endpoint, member.updated_at = endpoint, now
+            if endpoint.state is EndpointState.LEAVING:
+                self.on_run_change(endpoint, RunChange.LEAVING)
         if changes:
             self._assign_home_share()
         return changes
@@ -212,7 +231,7 @@
     def _forget(self, endpoint_id: str) -> None:
         run = self._runs.pop(endpoint_id, None)
         if run is not None:
-            del self._members[run]
+            self.on_run_change(self._members.pop(run).endpoint, RunChange.REMOVED)
             self._groups.forget(run)
             self._health.forget(run)
 
--- a/src/canvasyoke/direct/_crash_cases.py
+++ b/src/canvasyoke/direct/_crash_cases.py
@@ -68,10 +68,9 @@
 ) -> frozenset[str]:
     """Return the fingerprints of requests newly found responsible.
 
-    ``ended_at`` maps each ended run to the clock time (as ``now``) at which this entry learned of
-    it. Runs of cleared requests count as ends without the request for every other suspect, except
-    those in ``released_runs``: they were attributed to a request before it was released and are
-    ignored.
+    ``ended_at`` maps each ended run to the clock time (as ``now``) at which it ended. Runs of
+    cleared requests count as ends without the request for every other suspect, except those in
+    ``released_runs``: they were attributed to a request before it was released and are ignored.
     """
     attributed = released_runs | _union(case.runs for case in cases.values() if case.is_blamed)
     suspects = {n: c.runs for n, c in cases.items() if not c.is_blamed}
--- a/src/canvasyoke/direct/_forwarder.py
+++ b/src/canvasyoke/direct/_forwarder.py
@@ -26,7 +26,7 @@
     IncompleteAnswer,
 )
 from canvasyoke.direct._choice import BackendQuery, Chosen, NoneAvailable
-from canvasyoke.direct._crash_detector import CrashDetector
+from canvasyoke.direct._exit_monitor import ExitMonitor
 from canvasyoke.direct._notice_handler import NoticeHandler
 from canvasyoke.direct._quarantine import Quarantine
 from canvasyoke.direct._refusals import MIN_ATTEMPT_TIME, RefusalPolicy
@@ -53,7 +53,7 @@
         port: DirectBackendPort,
         roster: Roster,
         budget: FleetRetryBudget,
-        crash_detector: CrashDetector,
+        exit_monitor: ExitMonitor,
         quarantine: Quarantine,
         notice_handler: NoticeHandler,
         clock: Clock,
@@ -63,7 +63,7 @@
         self._roster = roster
         self._budget = budget
         self._quarantine = quarantine
-        self._recorder = AttemptRecorder(roster, crash_detector, quarantine)
+        self._recorder = AttemptRecorder(roster, exit_monitor, quarantine)
         self._notice_handler = notice_handler
         self._clock = clock
         self._refusals = RefusalPolicy(roster, clock, rng)
--- a/src/canvasyoke/direct/_metrics.py
+++ b/src/canvasyoke/direct/_metrics.py
@@ -31,6 +31,12 @@
             "backend",
         )
 
+        self._late_exits = self.all.counter(
+            "canvasyoke_late_exits_total",
+            "Backends found to have ended after they still listened, by evidence.",
+            "evidence",
+        )
+
         self._unreadable = self.all.counter(
             "canvasyoke_unreadable_words_total",
             "What backends say of themselves and cannot be read, by what it is.",
@@ -45,6 +51,10 @@
         """Count a failed exchange, by the state of its backend."""
         self._failed_exchanges.add(liveness)
 
+    def record_late_exit(self, evidence: str) -> None:
+        """Count a backend that was found to have ended some time after an exchange failed."""
+        self._late_exits.add(evidence)
+
     def record_chunk(self, call: DirectCall, now: int) -> None:
         """Time the first chunk of a response and the pauses after it."""
         if not call.first_chunk_at:
--- a/src/canvasyoke/direct/_peers.py
+++ b/src/canvasyoke/direct/_peers.py
@@ -156,7 +156,7 @@
 
     def announce_case(self, fingerprint: str, case: CrashCase) -> None:
         """Announce a request during which backends have crashed."""
-        self._broadcast(to_crash_news(fingerprint, case))
+        self._broadcast(self._crash_news(fingerprint, case))
 
     def _run_discovery(self) -> None:
         """Poll the store for the other entries until stopped.
@@ -212,7 +212,7 @@
         self._notice_exchange.handle_open(session)
         cases = self._quarantine.cases()
         if cases:
-            session.send(CrashList([to_crash_news(name, case) for name, case in cases.items()]))
+            session.send(CrashList([self._crash_news(name, case) for name, case in cases.items()]))
 
     def _handle_close(self, session: Session) -> None:
         self._backends.handle_close(session)
@@ -253,9 +253,14 @@
             case _:
                 _log.warning("unexpected message", peer=session.peer, kind=type(message).__name__)
 
+    def _crash_news(self, fingerprint: str, case: CrashCase) -> CrashUpdate:
+        return to_crash_news(fingerprint, case, self._quarantine.time_since_end(case.runs))
+
     def _handle_crash_news(self, news: CrashUpdate) -> None:
         case = CrashCase(news.cleared, frozenset(news.runs), news.is_blamed)
-        self._quarantine.merge(news.fingerprint, case)
+        self._quarantine.merge(
+            news.fingerprint, case, dict(zip(news.runs, news.ages, strict=False))
+        )
 
     def _handle_load(self, session: Session, load: EntryLoad) -> None:
         if load.demands:
--- a/src/canvasyoke/direct/_process.py
+++ b/src/canvasyoke/direct/_process.py
@@ -17,6 +17,7 @@
 from canvasyoke.direct._crash_detector import CrashDetector
 from canvasyoke.direct._domains import DomainProber
 from canvasyoke.direct._endpoint_follower import EndpointFollower
+from canvasyoke.direct._exit_monitor import ExitMonitor
 from canvasyoke.direct._forwarder import Forwarder
 from canvasyoke.direct._group_learner import GroupLearner
 from canvasyoke.direct._metrics import DirectMetrics
@@ -110,12 +111,15 @@
         )
         port = DIRECT_BACKENDS.get(settings.adapter)()
         crash_detector = CrashDetector(self._roster, self._metrics)
+        self._exit_monitor = ExitMonitor(
+            crash_detector, self._roster, self._quarantine, self._metrics, self._clock
+        )
         notice_handler = NoticeHandler(self._roster, self._metrics, self._peers.announce_notice)
         forwarder = Forwarder(
             port,
             self._roster,
             self._budget,
-            crash_detector,
+            self._exit_monitor,
             self._quarantine,
             notice_handler,
             self._clock,
@@ -175,6 +179,7 @@
         self._group_learner.start()
         self._pace_monitor.start()
         self._domain_prober.start()
+        self._exit_monitor.start()
         self._caller_app.start()
         for server in (self._readiness_server, self._admin_server, self._caller_server):
             server.start()
@@ -305,6 +310,11 @@
             "Requests under which a backend has ended, and that are not to blame so far.",
             lambda: self._quarantine.suspects,
         )
+        gauge(
+            "canvasyoke_open_failures",
+            "Backends with broken exchanges whose cause is not known yet.",
+            lambda: self._exit_monitor.open_count,
+        )
         gauge("canvasyoke_log_lines_dropped", "Lost log lines.", lambda: self._log_writer.dropped)
         gauge("canvasyoke_peers", "Entries linked with.", lambda: self._peers.link_count)
         gauge(
--- a/src/canvasyoke/direct/_quarantine.py
+++ b/src/canvasyoke/direct/_quarantine.py
@@ -9,7 +9,8 @@
 
 import threading
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
+from types import MappingProxyType
 from typing import Final
 
 from canvasyoke._clock import SECOND, Clock
@@ -43,8 +44,8 @@
         self._cases: dict[str, CrashCase] = {}
         #: Clock time of the last update of each case.
         self._updated_at: dict[str, int] = {}
-        #: All runs that ended under a request, with the clock time at which this entry learned of
-        #: it.
+        #: All runs that ended under a request, with the clock time at which they ended, or at which
+        #: this entry learned of it if the time is not known.
         self._ended_at: dict[str, int] = {}
         #: Those of them that were attributed to a request that has been cleared since.
         self._released_runs: frozenset[str] = frozenset()
@@ -74,11 +75,14 @@
         """Return whether a request is quarantined."""
         return fingerprint in self._quarantined
 
-    def record_end(self, fingerprint: str, run: str) -> None:
-        """Record that the run of a backend ended while it ran a request."""
+    def record_end(self, fingerprint: str, run: str, at: int | None = None) -> None:
+        """Record that the run of a backend ended while it ran a request.
+
+        ``at`` is the clock time at which it ended, which may be known only later; ``None`` for now.
+        """
         with self._lock:
+            self._record_end_time(run, self._clock.now() if at is None else at)
             if self._was_answered(fingerprint):
-                self._ended_at.setdefault(run, self._clock.now())
                 return
             known = self._cases.get(fingerprint, CrashCase())
             self._merge(fingerprint, known.with_end(run))
@@ -110,13 +114,22 @@
             _log.info("request released from quarantine", fingerprint=fingerprint)
         return was_released
 
-    def merge(self, fingerprint: str, case: CrashCase) -> None:
+    def time_since_end(self, runs: Iterable[str]) -> dict[str, int]:
+        """Return the milliseconds since each of ``runs`` ended."""
+        now = self._clock.now()
+        with self._lock:
+            return {run: max(0, now - self._ended_at.get(run, now)) for run in runs}
+
+    def merge(
+        self, fingerprint: str, case: CrashCase, ages: Mapping[str, int] | None = None
+    ) -> None:
         """Merge a case from another entry or from the store, and publish changes.
 
-        The request is cleared if it was answered here recently.
+        ``ages`` maps runs to the milliseconds since they ended, where known. The request is cleared
+        if it was answered here recently.
         """
         with self._lock:
-            self._merge(fingerprint, case)
+            self._merge(fingerprint, case, ages or {})
             if self._was_answered(fingerprint):
                 self._clear(fingerprint)
             changes = self._take_changes()
@@ -133,6 +146,10 @@
             changes = self._take_changes()
         self._publish_all(changes)
 
+    def _record_end_time(self, run: str, at: int) -> None:
+        """Record when a run ended; of several reports the earliest is the closest."""
+        self._ended_at[run] = min(at, self._ended_at.get(run, at))
+
     def _publish_all(self, changes: dict[str, CrashCase]) -> None:
         """Publish changed cases. Called without the lock, since a receiver may call back."""
         for fingerprint, case in changes.items():
@@ -156,17 +173,19 @@
         self._merge(fingerprint, known.with_clearance())
         return True
 
-    def _merge(self, fingerprint: str, case: CrashCase) -> None:
+    def _merge(
+        self, fingerprint: str, case: CrashCase, ages: Mapping[str, int] = MappingProxyType({})
+    ) -> None:
         """Merge ``case`` into the known one and re-evaluate all cases if necessary."""
         known = self._cases.get(fingerprint)
         merged = case if known is None else known.merged(case)
+        now = self._clock.now()
+        for run in merged.runs:
+            self._record_end_time(run, now - ages.get(run, 0))
         if merged == known:
             return
         if known is not None and known.is_blamed and merged.cleared > known.cleared:
             self._released_runs |= known.runs
-        now = self._clock.now()
-        for run in merged.runs:
-            self._ended_at.setdefault(run, now)
         self._update(fingerprint, merged)
         # A case below the threshold cannot change a verdict. Skipping it matters when a new link
         # transfers thousands of cases.
--- a/src/canvasyoke/direct/tests/calls.py
+++ b/src/canvasyoke/direct/tests/calls.py
@@ -10,6 +10,7 @@
 from canvasyoke.direct._budget import FleetRetryBudget
 from canvasyoke.direct._call import DirectCall
 from canvasyoke.direct._crash_detector import CrashDetector
+from canvasyoke.direct._exit_monitor import ExitMonitor
 from canvasyoke.direct._forwarder import Forwarder
 from canvasyoke.direct._metrics import DirectMetrics
 from canvasyoke.direct._notice_handler import NoticeHandler
@@ -66,9 +67,12 @@
     quarantine = quarantine or Quarantine(clock, lambda _name, _case: None)
     metrics = DirectMetrics()
     crash_detector = CrashDetector(roster, metrics, lambda _address, _timeout: reach)
+    exit_monitor = ExitMonitor(
+        crash_detector, roster, quarantine, metrics, clock, lambda _address, _timeout: reach
+    )
     notice_handler = NoticeHandler(roster, metrics, lambda _notice: None)
     return Forwarder(
-        port, roster, budget, crash_detector, quarantine, notice_handler, clock, random.Random(1)
+        port, roster, budget, exit_monitor, quarantine, notice_handler, clock, random.Random(1)
     )
 
 
--- a/src/canvasyoke/direct/tests/test_quarantine_fleet.py
+++ b/src/canvasyoke/direct/tests/test_quarantine_fleet.py
@@ -187,10 +187,14 @@
     hot_fraction: float = 0.0
     #: Number of immediate retries by a caller.
     caller_retries: int = 1
+    #: Range of milliseconds after which entries learn that a backend has ended.
+    evidence_delay: tuple[int, int] = (0, 0)
     clock: ManualClock = field(default_factory=lambda: ManualClock(start=100_000))
 
     def __post_init__(self) -> None:
         self.rng = random.Random(self.seed)
+        #: Separate, so that the same requests fail whenever that becomes known.
+        self.evidence_rng = random.Random(self.seed)
         self.quarantine = Quarantine(self.clock, lambda _name, _case: None)
         self.blamed: set[str] = set()
         self.refused = 0
@@ -200,6 +204,8 @@
         self.in_flight: list[tuple[str, int, int, int]] = []
         self.starts = [0] * self.backends
         self.restart_at = [0] * self.backends
+        #: Evidence that entries do not have yet: when it comes, request, run, time of the end.
+        self.pending: list[tuple[int, str, str, int]] = []
 
     def send(self, name: str, attempts: int) -> None:
         if self.quarantine.is_quarantined(name):
@@ -218,13 +224,24 @@
             self.restart_at[backend] = self.clock.now() + 3 * SECOND
             self.starts[backend] += 1
             self.ends += 1
+        now = self.clock.now()
+        due = {backend: now + self.evidence_rng.randint(*self.evidence_delay) for backend in ending}
         for name, backend, _, _ in broken:
-            self.quarantine.record_end(name, f"{backend}@{self.starts[backend]}")
-            self.blamed |= self.quarantine.quarantined
+            self.pending.append((due[backend], name, f"{backend}@{self.starts[backend]}", now))
+        self.record_evidence()
         for name, _, _, attempts in broken:
             if attempts:
                 self.send(name, attempts - 1)
 
+    def record_evidence(self) -> None:
+        """Record the ends of backends that entries know of by now."""
+        now = self.clock.now()
+        found = [each for each in self.pending if each[0] <= now]
+        self.pending = [each for each in self.pending if each[0] > now]
+        for _, name, run, ended_at in found:
+            self.quarantine.record_end(name, run, ended_at)
+            self.blamed |= self.quarantine.quarantined
+
     def simulate(self, seconds: int, every: int, ending: list[list[int]]) -> None:
         """Send 40 requests a second, and apply the next entry of ``ending`` every ``every`` ms."""
         for turn in range(seconds * 40):
@@ -236,6 +253,7 @@
             self.in_flight = [each for each in self.in_flight if each[2] > self.clock.now()]
             for name, _, _, _ in done:
                 self.quarantine.record_answer(name)
+            self.record_evidence()
             self.quarantine.refresh()
             self.blamed |= self.quarantine.quarantined
             if ending and turn * 25 % every == 0 and turn:
@@ -281,3 +299,52 @@
         assert fleet.ends
         assert not fleet.blamed, (seed, fleet.blamed)
         assert not fleet.refused
+
+
+#: Ranges of milliseconds after which the end of a backend is known: its port closes late, and it is
+#: found only after a network partition has healed or a frozen machine runs again.
+EVIDENCE_DELAYS = [(20, 20), (20, 200), (20, 1_000), (1_000, 1_000), (1_500, 4_000)]
+
+
+@pytest.mark.parametrize("delay", EVIDENCE_DELAYS, ids=str)
+@pytest.mark.parametrize("cause", EXTERNAL_CAUSES, ids=[c[0] for c in EXTERNAL_CAUSES])
+def test_late_evidence_of_external_causes_quarantines_no_request(
+    cause: tuple,  # type: ignore[type-arg]
+    delay: tuple[int, int],
+) -> None:
+    """Ends of one moment that become known one by one must not count as many moments."""
+    _, plan, every, hot_fraction, caller_retries = cause
+    for seed in range(20):
+        fleet = CrashingFleet(
+            seed,
+            hot_fraction=hot_fraction,
+            caller_retries=caller_retries,
+            evidence_delay=delay,
+        )
+        fleet.simulate(20, every, plan(random.Random(seed)))
+        assert fleet.ends
+        assert not fleet.blamed, (seed, fleet.blamed)
+        assert not fleet.refused
+
+
+@pytest.mark.parametrize("delay", [(0, 0), *EVIDENCE_DELAYS], ids=str)
+def test_half_of_the_backends_end_before_a_repeated_request_was_answered(
+    delay: tuple[int, int],
+) -> None:
+    """Only the time of the ends shows that the request did not cause them."""
+    for seed in range(20):
+        fleet = CrashingFleet(seed, hot_fraction=0.9, evidence_delay=delay)
+        fleet.simulate(10, 900, [random.Random(seed).sample(range(40), 20)])
+        assert not fleet.blamed, seed
+
+
+def test_entries_learn_when_a_backend_ended() -> None:
+    """Entries that count from the arrival of the news would see one moment as many."""
+    fleet = connected_fleet((3, 3, 3))
+    at = fleet.clock.now()
+    fleet.clock.advance(700)
+    fleet.entries["front-0-0"].quarantine.record_end(CRASHING, "a", at)
+    while fleet.deliver_hop():
+        pass
+    for entry in fleet.entries.values():
+        assert entry.quarantine.time_since_end(["a"]) == {"a": 700}
--- a/src/canvasyoke/platform/_engine.py
+++ b/src/canvasyoke/platform/_engine.py
@@ -115,7 +115,7 @@
             handle=slot,
         )
         if isinstance(sent, NotConnected):
-            return NotRun(NotRunCause.UNREACHABLE, sent.detail)
+            return NotRun(NotRunCause.UNREACHABLE, sent.detail, is_port_closed=sent.is_refused)
         if isinstance(sent, Withdrawn):
             return NotRun(NotRunCause.WITHDRAWN, sent.detail)
         if isinstance(sent, NoResponse):
--- a/src/canvasyoke/protocol/_messages.py
+++ b/src/canvasyoke/protocol/_messages.py
@@ -446,6 +446,8 @@
     runs: Annotated[list[Name], msgspec.Meta(max_length=10_000)] = []
     #: Whether an entry has identified the request as the cause.
     is_blamed: bool = False
+    #: Milliseconds since each of ``runs`` crashed; empty if the sender does not know.
+    ages: Annotated[list[Count], msgspec.Meta(max_length=10_000)] = []
 
 
 class CrashList(msgspec.Struct, frozen=True, tag="crash_list"):
--- a/src/canvasyoke/transport/_exchange.py
+++ b/src/canvasyoke/transport/_exchange.py
@@ -54,6 +54,8 @@
     """No connection was established, so the peer has not seen the request."""
 
     detail: str
+    #: Whether the host responded that nothing listens on the port.
+    is_refused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -203,7 +205,7 @@
         connection.connect()
     except (urllib3.exceptions.HTTPError, OSError) as exc:
         connection.close()
-        return NotConnected(f"{type(exc).__name__}: {exc}")
+        return NotConnected(f"{type(exc).__name__}: {exc}", _is_refused(exc))
     abort_reason = handle.attach(connection.sock)
     if abort_reason:
         connection.close()
@@ -234,6 +236,12 @@
     return any(isinstance(each, TimeoutError | urllib3.exceptions.TimeoutError) for each in causes)
 
 
+def _is_refused(exc: Exception) -> bool:
+    """Return whether a connection failed because nothing listens on the port."""
+    causes = (exc, exc.__cause__, *exc.args)
+    return any(isinstance(each, ConnectionRefusedError) for each in causes)
+
+
 def _suppress_default_headers(headers: Sequence[tuple[str, str]]) -> dict[str, str]:
     """Return the headers, with urllib3's default headers suppressed."""
     sent: dict[str, str] = {
