Direct: a backend that closes the connection of a request is avoided for a moment

Callers saw: while a backend whose connections had ended still accepted new ones, ordinary requests were sent to it, since it looked idle; where two of them met a request within its two attempts, the caller got a 502. Cause: an entry passes over a backend only after two failures in a row; the lines of the failed requests show both attempts at backends with load=0 that had ended a moment before. Change: the first lost connection is a suspicion for 500 ms, until the backend completes another request. What is left are entries that have not met either backend yet: nothing tells them. Telling them each lost connection was weighed: a message to all entries for each reset answer; not done. With 500 ms each entry meets a port that is open for 1 s twice. Also: later probes at 1.1 s in place of 1.6 s.

--- a/src/canvasyoke/direct/_attempt_recorder.py
+++ b/src/canvasyoke/direct/_attempt_recorder.py
@@ -109,6 +109,7 @@
             or _closed_by_entry(call)
         ):
             return
+        self._roster.record_connection_lost(endpoint.run)
         self._exit_monitor.record_failure(call, endpoint, failure.detail)
 
 
--- a/src/canvasyoke/direct/_backend_checks.py
+++ b/src/canvasyoke/direct/_backend_checks.py
@@ -75,6 +75,15 @@
     )
 
 
+@SUSPICION_CHECKS.register("connection lost")
+def _has_lost_connection(evidence: BackendEvidence, member: Member) -> bool:
+    """Return whether it recently closed the connection of a request, and answered none since.
+
+    Its process may be about to end although its port still accepts connections.
+    """
+    return member.connection_lost_until > 0 and evidence.clock.now() < member.connection_lost_until
+
+
 @SUSPICION_CHECKS.register("failures")
 def _has_failed(evidence: BackendEvidence, member: Member) -> bool:
     return member.ejection.ejected
--- a/src/canvasyoke/direct/_exit_monitor.py
+++ b/src/canvasyoke/direct/_exit_monitor.py
@@ -34,7 +34,7 @@
 
 _log = part_logger("breaks")
 #: Milliseconds after a failure at which its backend is probed again.
-_PROBE_DELAYS: Final = (50, 100, 200, 400, 800, 1_600, 3_000)
+_PROBE_DELAYS: Final = (50, 100, 200, 400, 700, 1_100, 1_600, 2_300, 3_200)
 #: Connect timeout of a probe in milliseconds.
 _PROBE_TIMEOUT: Final = 30
 #: Milliseconds after which the cause of a failure stays unknown. Covers the expiry of a store entry
--- a/src/canvasyoke/direct/_member.py
+++ b/src/canvasyoke/direct/_member.py
@@ -25,5 +25,7 @@
     mean_duration: float = 0.0
     #: Time until which it is avoided after refusing a request.
     full_until: int = 0
+    #: Time until which it is avoided because it closed the connection of a request.
+    connection_lost_until: int = 0
     #: Time until which it is avoided because another run answered at its address.
     address_conflict_until: int = 0
--- a/src/canvasyoke/direct/_roster.py
+++ b/src/canvasyoke/direct/_roster.py
@@ -25,6 +25,9 @@
 #: Milliseconds for which a backend is avoided after another run answered at its address; the
 #: list is updated by then.
 _ADDRESS_CONFLICT_COOLDOWN: Final = 5 * SECOND
+#: Milliseconds for which a backend is avoided after it closed the connection of a request, unless
+#: it completes another one.
+_CONNECTION_LOST_COOLDOWN: Final = 500
 #: Assumed duration of a request in milliseconds, until one of its service has finished.
 _ASSUMED_DURATION: Final = 1_000.0
 #: Weight of a new sample in the moving averages of durations.
@@ -153,11 +156,19 @@
                 member.ejection.record_failure()
                 return
             member.ejection.record_success()
+            member.connection_lost_until = 0
             member.mean_duration += _DURATION_WEIGHT * (duration - member.mean_duration)
             service = member.endpoint.service
             mean = self._durations.get(service, float(duration))
             self._durations[service] = mean + _DURATION_WEIGHT * (duration - mean)
 
+    def record_connection_lost(self, run: str) -> None:
+        """Record that a backend closed the connection of a request; avoid it for a moment."""
+        with self._lock:
+            member = self._members.get(run)
+            if member is not None:
+                member.connection_lost_until = self.clock.now() + _CONNECTION_LOST_COOLDOWN
+
     def record_cancelled(self, run: str) -> None:
         """Record that the caller cancelled a request.
 
--- a/src/canvasyoke/direct/tests/test_backend_notices.py
+++ b/src/canvasyoke/direct/tests/test_backend_notices.py
@@ -141,6 +141,7 @@
     ("it says that it leaves", lambda r: r.record_notice(A, LEAVES), False),
     ("full", lambda r: r.record_refusal("a", 150), True),
     ("moved", lambda r: r.record_address_conflict("a"), True),
+    ("a lost connection", lambda r: r.record_connection_lost("a"), True),
     ("failures", lambda r: _fail(r, "a"), True),
     ("silence", lambda r: r.mark_unresponsive("a"), True),
     ("a group that stands still", lambda r: _break_group(r, "a"), True),
--- a/src/canvasyoke/direct/tests/test_roster.py
+++ b/src/canvasyoke/direct/tests/test_roster.py
@@ -132,6 +132,23 @@
     assert choose(roster) == "a"
 
 
+def test_backend_that_closed_a_connection_is_avoided_for_a_moment(
+    roster: Roster, clock: ManualClock
+) -> None:
+    """Its process may be ending, and the retry of a request must not meet it."""
+    roster.record_connection_lost("a")
+    assert {choose(roster) for _ in range(6)} == {"b"}
+    clock.advance(500)
+    assert "a" in {choose(roster) for _ in range(6)}
+
+
+def test_backend_that_closed_a_connection_is_used_again_after_an_answer(roster: Roster) -> None:
+    """The other requests of a live backend must not be sent elsewhere for long."""
+    roster.record_connection_lost("a")
+    roster.record_finished("a", 20, failed=False)
+    assert "a" in {choose(roster) for _ in range(6)}
+
+
 def test_a_group_with_slower_steps_gets_fewer_requests(roster: Roster) -> None:
     for name, group, pause in (("a", "g-1", 70), ("b", "g-2", 350)):
         roster.learn_group(name, group)
