Links: a session's thread closes its pipe; each test run checks who closes sockets

After a frame that cannot be opened, the server's receiving thread closed the pipe while the session's thread may be in a send to it. A session that timed out kept its pipe open: a peer that falls silent without a reset left a connection for good. Change: the thread of a session is the only one that sends to its pipe, and closes it as its last act, however the session ends. Frames of a pipe whose session has ended are passed over until it is gone. Instrument: fakes/socket_monitor.py, from the test of the rule. The whole suite runs under it, also the processes that tests start (a sitecustomize on their path), and the test during which a thread closes a socket or pipe that another one uses fails.

--- a/fakes/launcher.py
+++ b/fakes/launcher.py
@@ -26,6 +26,12 @@
 _STOP_SECONDS = 30.0
 
 
+def child_environment() -> dict[str, str]:
+    """Return the environment of processes of the product."""
+    path = (ROOT / "src", ROOT, ROOT / "fakes" / "child_process")
+    return {**os.environ, "PYTHONPATH": os.pathsep.join(str(each) for each in path)}
+
+
 class FleetError(RuntimeError):
     """Raised when the fleet fails to start or to reach an expected state."""
 
@@ -268,7 +274,7 @@
         self._start(name, ["-m", "canvasyoke", role, "--settings", str(path)])
 
     def _start(self, name: str, arguments: Sequence[str]) -> None:
-        env = {**os.environ, "PYTHONPATH": f"{ROOT / 'src'}:{ROOT}"}
+        env = child_environment()
         with open(self.log(name), "ab") as log:
             self._processes[name] = subprocess.Popen(
                 [sys.executable, *arguments], cwd=ROOT, env=env, stdout=log, stderr=log
@@ -348,7 +354,7 @@
 
     def command(self, *arguments: str) -> tuple[int, str]:
         """Run a ``canvasyoke`` command; return its exit code and output."""
-        env = {**os.environ, "PYTHONPATH": f"{ROOT / 'src'}:{ROOT}"}
+        env = child_environment()
         done = subprocess.run(
             [sys.executable, "-m", "canvasyoke", *arguments],
             cwd=ROOT,
--- a/src/canvasyoke/transport/_link_server.py
+++ b/src/canvasyoke/transport/_link_server.py
@@ -59,6 +59,8 @@
         self._on_close = on_close
         self._piggyback = piggyback
         self._sessions: dict[int, Session] = {}
+        #: Pipes whose session has ended, and that its thread closes.
+        self._closing: set[int] = set()
         self._removed: set[int] = set()
         self._removed_lock = threading.Lock()
         self._is_stopping = False
@@ -123,15 +125,17 @@
         timed_out = [key for key, session in self._sessions.items() if session.is_timed_out]
         for key in [*removed, *timed_out]:
             self._end_session(key)
+        self._closing -= removed
 
     def _end_session(self, key: int) -> None:
         session = self._sessions.pop(key, None)
         if session is not None:
+            self._closing.add(key)
             session.close()
             self._on_close(session)
 
     def _receive(self, pipe: Any, data: bytes) -> None:
-        if pipe is None:
+        if pipe is None or pipe.id in self._closing:
             return
         session = self._sessions.get(pipe.id)
         if session is None:
@@ -141,7 +145,6 @@
             messages = session.receive(data)
         except (SealError, CodecError):
             self._end_session(pipe.id)
-            _close_pipe(pipe)
             return
         for message in messages:
             self._on_message(session, message)
@@ -170,6 +173,8 @@
             write,
             self._clock,
             role=hello.role,
+            # Only the session's thread sends to the pipe, so it closes the pipe after that.
+            on_end=lambda: _close_pipe(pipe),
             piggyback=self._piggyback if hello.role == "entry" else lambda: None,
         )
         try:
--- a/src/canvasyoke/transport/tests/test_socket_owner.py
+++ b/src/canvasyoke/transport/tests/test_socket_owner.py
@@ -6,82 +6,31 @@
 
 from __future__ import annotations
 
-import functools
 import threading
-from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from typing import Any
 
 import pynng
 import pytest
 
 from canvasyoke._clock import SECOND, ManualClock
-from canvasyoke.protocol import Forget, accept_hello, make_hello
+from canvasyoke.protocol import Forget, accept_hello, accept_welcome, make_hello
 from canvasyoke.transport import Session, _link_server
 from canvasyoke.transport.tests.test_links import KEY, Client, Server
 from fakes.launcher import wait_until
 from fakes.ports import free_address
+from fakes.socket_monitor import SocketMonitor
 
-CALLS = ("recv", "recv_msg", "send", "send_msg")
 LINKS = 10
 #: Timeout in seconds for expected events, and seconds within which a premature close would happen.
 EVENT_TIMEOUT = 20.0
 PREMATURE_CLOSE_WAIT = 0.3
 
 
-class SocketMonitor:
-    """Tracks the threads in calls on sockets, and closes that conflict with them."""
-
-    def __init__(self) -> None:
-        self._lock = threading.Lock()
-        self._active_calls: Counter[tuple[int, str]] = Counter()
-        self._receivers: dict[int, str] = {}
-        self.closed: set[int] = set()
-        self.conflicts: list[str] = []
-
-    def tracked(self, call: Callable[..., Any]) -> Callable[..., Any]:
-        """Wrap a call so that it is tracked while it runs."""
-
-        @functools.wraps(call)
-        def wrapper(socket: Any, *args: Any, **kw: Any) -> Any:
-            caller = (id(socket), threading.current_thread().name)
-            with self._lock:
-                self._active_calls[caller] += 1
-                if call.__name__.startswith("recv"):
-                    self._receivers[caller[0]] = caller[1]
-            try:
-                return call(socket, *args, **kw)
-            finally:
-                with self._lock:
-                    self._active_calls[caller] -= 1
-
-        return wrapper
-
-    def tracked_close(self, close: Callable[[Any], None]) -> Callable[[Any], None]:
-        """Wrap a close so that it records other threads in calls on the socket."""
-
-        @functools.wraps(close)
-        def wrapper(socket: Any) -> None:
-            with self._lock:
-                own = threading.current_thread().name
-                others = {
-                    n for (s, n), count in self._active_calls.items() if s == id(socket) and count
-                }
-                others |= {self._receivers.pop(id(socket), own)} - {own}
-                if others:
-                    self.conflicts.append(f"{own} closed a socket in use by {sorted(others)}")
-                self.closed.add(id(socket))
-            close(socket)
-
-        return wrapper
-
-
 @pytest.fixture
 def monitor(monkeypatch: pytest.MonkeyPatch) -> Iterator[SocketMonitor]:
     created = SocketMonitor()
-    for name in CALLS:
-        monkeypatch.setattr(pynng.Socket, name, created.tracked(getattr(pynng.Socket, name)))
-    monkeypatch.setattr(pynng.Socket, "close", created.tracked_close(pynng.Socket.close))
+    created.install(monkeypatch.setattr)
     yield created
 
 
@@ -135,6 +84,60 @@
     assert not monitor.conflicts
 
 
+def connect_raw(address: str) -> pynng.Pair1:
+    """Return a socket that has completed the handshake of a link."""
+    socket = pynng.Pair1(polyamorous=True, recv_timeout=5 * SECOND, send_timeout=5 * SECOND)
+    socket.dial(f"tcp://{address}", block=True)
+    hello, data = make_hello(KEY, "entry", "e-1", "run")
+    socket.send(data)
+    accept_welcome(KEY, hello, socket.recv())
+    return socket
+
+
+def test_pipe_is_closed_after_pending_sends(
+    monitor: SocketMonitor, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """An invalid frame ends a server's session while its thread sends to the pipe."""
+    sending, resume, closed = threading.Event(), threading.Event(), threading.Event()
+    send_msg, close = pynng.Socket.send_msg, pynng.Pipe.close
+
+    def blocking_send(socket: Any, *args: Any) -> None:
+        if threading.current_thread().name.startswith("send-"):
+            sending.set()
+            resume.wait()
+        send_msg(socket, *args)
+
+    def recorded_close(pipe: Any) -> None:
+        close(pipe)
+        closed.set()
+
+    server = Server(address := free_address())
+    with connect_raw(address) as socket:
+        wait_until(lambda: bool(server.sessions), "a session")
+        monkeypatch.setattr(pynng.Socket, "send_msg", monitor.tracked(blocking_send))
+        monkeypatch.setattr(pynng.Pipe, "close", recorded_close)
+        server.sessions[0].send(Forget(1, 1))
+        assert sending.wait(EVENT_TIMEOUT)
+        socket.send(b"no frame of ours")
+        wait_until(lambda: bool(server.ended), "the session ends")
+        closed.wait(PREMATURE_CLOSE_WAIT)
+        resume.set()
+        assert closed.wait(EVENT_TIMEOUT)
+    server.link.stop()
+    assert not monitor.conflicts
+
+
+def test_pipe_of_a_timed_out_session_is_closed() -> None:
+    """Otherwise each peer that falls silent leaves an open connection."""
+    clock = ManualClock(start=10_000)
+    server = Server(address := free_address(), clock=clock)
+    with connect_raw(address) as socket:
+        wait_until(lambda: bool(server.sessions), "a session")
+        clock.advance(3_001)
+        wait_until(lambda: not socket.pipes, "the connection is closed")
+    server.link.stop()
+
+
 def test_idle_server_stops_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
     """Stopping does not wait for the next check for timed-out sessions."""
     monkeypatch.setattr(_link_server, "_TIMEOUT_CHECK_INTERVAL", 1_000 * SECOND)
--- a/tests/direct.py
+++ b/tests/direct.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import http.client
-import os
 import signal
 import subprocess
 import sys
@@ -16,6 +15,7 @@
 
 import yaml
 
+from fakes.launcher import child_environment
 from fakes.object_store import ObjectStore, StoreEndpoint
 from fakes.platform_engine import PlatformEngine
 from fakes.ports import free_address
@@ -122,7 +122,7 @@
         self.process = subprocess.Popen(
             [sys.executable, "-m", "canvasyoke", "direct", "--settings", str(self.settings)],
             cwd=ROOT,
-            env={**os.environ, "PYTHONPATH": str(ROOT / "src")},
+            env=child_environment(),
             stdout=self.log,
             stderr=self.log,
         )
--- a/tests/test_tutorial.py
+++ b/tests/test_tutorial.py
@@ -1,6 +1,5 @@
 """The commands of the tutorial work as written, except for the port numbers."""
 
-import os
 import re
 import shlex
 import subprocess
@@ -11,7 +10,7 @@
 import pytest
 import urllib3
 
-from fakes.launcher import ROOT, is_listening, wait_until
+from fakes.launcher import ROOT, child_environment, is_listening, wait_until
 from fakes.ports import free_address
 
 TUTORIAL = (ROOT / "docs" / "TUTORIAL.md").read_text()
@@ -37,7 +36,7 @@
         """Run a command, in the background if it ends with ``&``."""
         words = shlex.split(self.replace_addresses(command))
         words[0] = sys.executable if words[0] == "python" else words[0]
-        env = {**os.environ, "PYTHONPATH": f"{ROOT / 'src'}:{ROOT}"}
+        env = child_environment()
         if words[-1] == "&":
             child = subprocess.Popen(words[:-1], cwd=self.folder, env=env)
             self.background.append(child)
