Direct: probes of failed backends are fewer and limited; a lost connection counts for a second

Cause: read while looking for what the open failures cost. A rank group that breaks resets the streams of all its ranks at each entry: 96 ranks times nine probes within 3.2 s at each of 30 entries are some 90 connections a second at an engine that accepts few. Change: five probes a run (50 ms to 3.2 s) in place of nine, at most eight in 50 ms at an entry, the most overdue first; what is skipped by then is one probe. Second change, measured apart: a backend that closed a connection is avoided for 1 s in place of 500 ms. Not longer, since a live backend that reset one answer is passed over as long by an entry that has nothing else there.

--- a/src/canvasyoke/direct/_crash_detector.py
+++ b/src/canvasyoke/direct/_crash_detector.py
@@ -2,7 +2,7 @@
 
 A connection may fail because of a reset, a lost response, or the loss of another rank of the group.
 Only the end of the process itself closes its listening port, so a TCP connection is tried to
-distinguish the cases.
+distinguish the cases. A port that is still open decides nothing: ``_exit_monitor`` follows it up.
 """
 
 from __future__ import annotations
--- a/src/canvasyoke/direct/_exit_monitor.py
+++ b/src/canvasyoke/direct/_exit_monitor.py
@@ -34,9 +34,13 @@
 
 _log = part_logger("breaks")
 #: Milliseconds after a failure at which its backend is probed again.
-_PROBE_DELAYS: Final = (50, 100, 200, 400, 700, 1_100, 1_600, 2_300, 3_200)
+_PROBE_DELAYS: Final = (50, 250, 800, 1_600, 3_200)
 #: Connect timeout of a probe in milliseconds.
 _PROBE_TIMEOUT: Final = 30
+#: Maximum number of probes within an interval in milliseconds. A rank group that breaks loses the
+#: connections of all its ranks, and its engines accept few connections.
+_PROBE_BATCH: Final = 8
+_PROBE_INTERVAL: Final = 50
 #: Milliseconds after which the cause of a failure stays unknown. Covers the expiry of a store entry
 #: and the start of the next run.
 _MAX_OPEN_TIME: Final = 10 * SECOND
@@ -113,6 +117,8 @@
         #: Runs that have ended, with the clock time of their end, oldest first. Other exchanges
         #: with them may be found broken after the next run has taken the port.
         self._ended: OrderedDict[str, int] = OrderedDict()
+        #: Clock time from which on further probes are allowed.
+        self._next_batch_at = 0
         #: Changes of listed runs that the monitor has not processed yet.
         self._run_changes: deque[tuple[Endpoint, RunChange]] = deque()
         self._thread = threading.Thread(target=self._run, name="exits", daemon=True)
@@ -206,7 +212,10 @@
 
     def _wait_time(self) -> float | None:
         """Return the seconds until the next probe or expiry; ``None`` for none."""
-        times = [f.next_probe_at or f.expires_at for f in self._open.values()]
+        times = [
+            max(f.next_probe_at, self._next_batch_at) if f.next_probe_at else f.expires_at
+            for f in self._open.values()
+        ]
         if not times:
             return None
         return max(0, min(times) - self._clock.now()) / SECOND
@@ -219,10 +228,20 @@
         with self._condition:
             for run in [run for run, f in self._open.items() if f.expires_at <= now]:
                 del self._open[run]
-            due = [f for f in self._open.values() if (f.next_probe_at or now + 1) <= now]
+            due = self._due_probes(now)
         for failure in due:
             self._probe(failure)
 
+    def _due_probes(self, now: int) -> list[_OpenFailure]:
+        """Return the failures to probe now, the most overdue first."""
+        if now < self._next_batch_at:
+            return []
+        due = [f for f in self._open.values() if (f.next_probe_at or now + 1) <= now]
+        if len(due) > _PROBE_BATCH:
+            self._next_batch_at = now + _PROBE_INTERVAL
+            due.sort(key=lambda f: f.next_probe_at or now)
+        return due[:_PROBE_BATCH]
+
     def _apply_run_change(self, endpoint: Endpoint, change: RunChange) -> None:
         if change is RunChange.ADDED:
             with self._condition:
--- a/src/canvasyoke/direct/_roster.py
+++ b/src/canvasyoke/direct/_roster.py
@@ -27,7 +27,7 @@
 _ADDRESS_CONFLICT_COOLDOWN: Final = 5 * SECOND
 #: Milliseconds for which a backend is avoided after it closed the connection of a request, unless
 #: it completes another one.
-_CONNECTION_LOST_COOLDOWN: Final = 500
+_CONNECTION_LOST_COOLDOWN: Final = 1 * SECOND
 #: Assumed duration of a request in milliseconds, until one of its service has finished.
 _ASSUMED_DURATION: Final = 1_000.0
 #: Weight of a new sample in the moving averages of durations.
--- a/src/canvasyoke/direct/tests/test_exit_monitor.py
+++ b/src/canvasyoke/direct/tests/test_exit_monitor.py
@@ -256,6 +256,21 @@
     assert entry.probes == 20 + len(_exit_monitor._PROBE_DELAYS)
 
 
+def test_probes_are_limited_when_many_backends_fail_together() -> None:
+    """A rank group that breaks resets the connections of all its ranks."""
+    entry = Entry()
+    runs = [replace(RUN, id=f"m-{n}", address=f"10.0.1.{n}:1") for n in range(96)]
+    entry.roster.merge(runs, 5)
+    for run in runs:
+        entry.fail(endpoint=run)
+    entry.probes = 0
+    entry.wait(1_000)
+    assert entry.probes <= 20 * _exit_monitor._PROBE_BATCH
+    entry.close_port()
+    entry.wait(4_000)
+    assert entry.ended() == {run.run for run in runs}
+
+
 def test_open_failures_take_bounded_memory(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(_exit_monitor, "_MAX_RUNS", 10)
     monkeypatch.setattr(_exit_monitor, "_MAX_REQUESTS", 5)
--- a/src/canvasyoke/direct/tests/test_roster.py
+++ b/src/canvasyoke/direct/tests/test_roster.py
@@ -138,7 +138,7 @@
     """Its process may be ending, and the retry of a request must not meet it."""
     roster.record_connection_lost("a")
     assert {choose(roster) for _ in range(6)} == {"b"}
-    clock.advance(500)
+    clock.advance(1_000)
     assert "a" in {choose(roster) for _ in range(6)}
 
 
