Direct: a backend that is removed during a stream no longer leaves its group stalled

Callers saw (by the code; not seen in a log): after a backend left the list while one of its streams ran, as each one does that leaves without an announcement, its group counted as stalled whenever it was idle for 400 ms, until the entry ended. Such a group is passed over where another one serves the service, and counts as not responsive where an entry judges whether it is isolated. The end of a stream was looked up by its backend, whose group is forgotten with it, so the group's count of open streams never came back to zero. A stream that began before its group was known was taken off the count of others in turn. Change: streams are counted by backend; those of a backend that is forgotten leave the group's count. Evidence: test_backend_removed_during_a_stream_does_not_stall_its_group, red before (only the other group was chosen).

--- a/src/canvasyoke/direct/_groups.py
+++ b/src/canvasyoke/direct/_groups.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 from typing import Final
 
@@ -46,6 +47,8 @@
         self._clock = clock
         self._group_of: dict[str, str] = {}
         self._groups: dict[str, _Group] = {}
+        #: Streams counted in their group, by backend.
+        self._streams: Counter[str] = Counter()
 
     def learn(self, backend: str, group: str) -> None:
         """Store a backend's group; empty for none."""
@@ -60,7 +63,11 @@
         return dict(self._group_of)
 
     def forget(self, backend: str) -> None:
-        """Remove a backend."""
+        """Remove a backend; its open streams no longer count in its group."""
+        group = self._find(backend)
+        if group is not None:
+            group.streams -= self._streams[backend]
+        self._streams.pop(backend, None)
         self._group_of.pop(backend, None)
 
     def _find(self, backend: str) -> _Group | None:
@@ -89,6 +96,7 @@
         group = self._find(backend)
         if group is not None:
             group.streams += 1
+            self._streams[backend] += 1
             self.record_event(backend)
 
     def record_event(self, backend: str, pause: int = 0) -> None:
@@ -138,5 +146,6 @@
     def record_stream_end(self, backend: str) -> None:
         """Record that a stream has ended or was interrupted."""
         group = self._find(backend)
-        if group is not None:
-            group.streams = max(0, group.streams - 1)
+        if group is not None and self._streams[backend]:
+            group.streams -= 1
+            self._streams[backend] -= 1
--- a/src/canvasyoke/direct/tests/test_roster.py
+++ b/src/canvasyoke/direct/tests/test_roster.py
@@ -110,6 +110,20 @@
     assert choose(roster) == "a"
 
 
+def test_backend_removed_during_a_stream_does_not_stall_its_group(
+    roster: Roster, clock: ManualClock
+) -> None:
+    """The end of the stream must not be lost with the record of its backend."""
+    roster.put(endpoint("c"))
+    for name, group in (("a", "g-1"), ("b", "g-1"), ("c", "g-2")):
+        roster.learn_group(name, group)
+    roster.record_stream_start("a", 150)
+    roster.remove("a", 2)
+    roster.record_stream_end("a")
+    clock.advance(500)
+    assert {choose(roster) for _ in range(8)} == {"b", "c"}
+
+
 def test_last_group_is_used_even_if_stalled(roster: Roster) -> None:
     for name in ("a", "b"):
         roster.learn_group(name, "g-1")
