--- a/src/canvasyoke/direct/tests/test_forwarder.py
+++ b/src/canvasyoke/direct/tests/test_forwarder.py
@@ -17,6 +17,7 @@
     SendResult,
 )
 from canvasyoke.direct._budget import FleetRetryBudget, RetryAllowance
+from canvasyoke.direct._choice import BackendQuery, Chosen
 from canvasyoke.direct._roster import Roster
 from canvasyoke.direct.tests.calls import ROUTE, CannedPort, make_call, make_forwarder
 from canvasyoke.state import Endpoint, EndpointState
@@ -94,6 +95,13 @@
 RESUMABLE = replace(ROUTE, resumable=True, max_attempts=2)
 
 
+def test_a_lost_connection_sends_the_next_requests_elsewhere(roster: Roster) -> None:
+    """A backend that closes all connections looks idle, and must not be the first choice."""
+    run(roster, lambda: MayHaveRun("reset", is_connection_lost=True))
+    chosen = [roster.choose(BackendQuery("ink")) for _ in range(8)]
+    assert len({c.endpoint.run for c in chosen if isinstance(c, Chosen)}) == 2
+
+
 class _Stream(BackendAnswer):
     """A complete stream that calls ``on_event`` after each event."""
 
--- a/src/canvasyoke/transport/tests/test_socket_owner.py
+++ b/src/canvasyoke/transport/tests/test_socket_owner.py
@@ -133,8 +133,10 @@
     server = Server(address := free_address(), clock=clock)
     with connect_raw(address) as socket:
         wait_until(lambda: bool(server.sessions), "a session")
+        (pipe,) = socket.pipes
         clock.advance(3_001)
-        wait_until(lambda: not socket.pipes, "the connection is closed")
+        # The client's socket connects again at once, with another pipe.
+        wait_until(lambda: pipe not in socket.pipes, "the connection is closed")
     server.link.stop()
 
 
