Tests: an answer to a later request closes an open failure, through the forwarder

Taking out the line that passes answers on to the exit monitor turned no test red. The new test is red without it: the request whose connection was reset is charged with the later end of a backend that had answered another one in between. Two tests share the forwarder they need.

--- a/src/canvasyoke/direct/tests/test_exit_monitor.py
+++ b/src/canvasyoke/direct/tests/test_exit_monitor.py
@@ -6,13 +6,20 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import replace
 
 import pytest
 
 from canvasyoke._clock import SECOND, ManualClock
-from canvasyoke.backend import BackendNotice, MayHaveRun, NotRun, NotRunCause, SendResult
+from canvasyoke.backend import (
+    BackendAnswer,
+    BackendNotice,
+    MayHaveRun,
+    NotRun,
+    NotRunCause,
+    SendResult,
+)
 from canvasyoke.direct import _exit_monitor
 from canvasyoke.direct._budget import FleetRetryBudget, RetryAllowance
 from canvasyoke.direct._crash_detector import CrashDetector
@@ -288,6 +295,7 @@
     assert len(entry.monitor._ended) == 10
 
 
+SAFE = replace(ROUTE, is_stream=False, repeatability=Repeatability.SAFE)
 BROKEN = MayHaveRun("reset", is_connection_lost=True)
 #: Results of a later attempt that show that the run of an earlier one has ended.
 SIGNS: list[SendResult] = [
@@ -296,23 +304,52 @@
 ]
 
 
-@pytest.mark.parametrize("sign", SIGNS, ids=["closed port", "another run"])
-def test_a_later_attempt_decides_an_earlier_failure(sign: SendResult) -> None:
-    """The results of attempts must reach the monitor."""
+class _Answer(BackendAnswer):
+    status = 200
+    headers: list[tuple[str, str]] = []
+    is_framed = True
+
+    def pieces(self) -> Iterator[bytes]:
+        yield b"done"
+
+    def wait_at_most(self, duration: int) -> None:
+        pass
+
+    def close(self) -> None:
+        pass
+
+
+def forward(*results: SendResult) -> Quarantine:
+    """Forward a request for each result of the only backend, whose port always listens."""
     clock = ManualClock(start=10_000)
     roster = Roster("nbo-a", clock, random.Random(1))
     roster.merge([RUN], 1)
     quarantine = Quarantine(clock, lambda _name, _case: None)
-    results: list[SendResult] = [BROKEN, sign]
+    remaining = list(results)
     forwarder = make_forwarder(
-        CannedPort(lambda: results.pop(0)),
+        CannedPort(lambda: remaining.pop(0)),
         roster,
         FleetRetryBudget(RetryAllowance(0.2, 1_000, 10_000), clock),
         clock,
         ProbeResult.LISTENING,
         quarantine,
     )
-    route = replace(ROUTE, is_stream=False, repeatability=Repeatability.SAFE)
-    for _ in range(2):
-        list(forwarder.run(make_call(route)))
+    for number in range(len(results)):
+        call = make_call(SAFE)
+        call.body = b"%d" % number
+        list(forwarder.run(call))
+        clock.advance(50)
+    assert not remaining
+    return quarantine
+
+
+@pytest.mark.parametrize("sign", SIGNS, ids=["closed port", "another run"])
+def test_a_later_attempt_decides_an_earlier_failure(sign: SendResult) -> None:
+    """The results of attempts must reach the monitor."""
+    quarantine = forward(BROKEN, sign)
     assert [case.runs for case in quarantine.cases().values()] == [{RUN.run}]
+
+
+def test_an_answer_to_a_later_request_closes_a_failure() -> None:
+    """Without it the later exit of a live backend would count against the request."""
+    assert not forward(BROKEN, _Answer(), SIGNS[0]).cases()
