--- a/src/canvasyoke/entry/_target_pool.py
+++ b/src/canvasyoke/entry/_target_pool.py
@@ -63,7 +63,6 @@
         self._rng = rng
         self._ranker = RANKERS.get(ranker)(rng)
         self._targets: dict[str, TargetClient] = {}
-        self._listed: dict[str, Instance] = {}
         #: Whether the last read of the instance list succeeded.
         self.instance_list_available = False
         self._stop = threading.Event()
--- a/src/canvasyoke/target/_process.py
+++ b/src/canvasyoke/target/_process.py
@@ -75,7 +75,6 @@
         self._load = SchedulerLoad(0, 0, 0)
         self._stop_requested = threading.Event()
         self._load_changed = threading.Event()
-        self._started = False
         self._order_executor = ThreadPoolExecutor(max_workers=4, thread_name_prefix="order")
         self._rank_guard: RankGuard | None = None
         self._map_owner: MapOwner | None = None
