--- a/src/canvasyoke/direct/_exit_monitor.py
+++ b/src/canvasyoke/direct/_exit_monitor.py
@@ -263,9 +263,9 @@
         was_removed = failure.is_probe_due
         failure.is_probe_due = False
         result = self._probe_port(failure.endpoint.address, _PROBE_TIMEOUT)
-        late_by = self._clock.now() - failure.failed_at
+        elapsed = self._clock.now() - failure.failed_at
         # Probes that are overdue after a delay would all give the same result.
-        failure.probes = sum(1 for delay in _PROBE_DELAYS if delay <= late_by)
+        failure.probes = sum(1 for delay in _PROBE_DELAYS if delay <= elapsed)
         if result is ProbeResult.REFUSED:
             self._confirm_late(failure, ExitEvidence.PROBE)
         elif was_removed and result is ProbeResult.LISTENING:
