--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -14,6 +14,7 @@
 import msgspec
 
 import bench.ablation
+import bench.delayed_exits
 import bench.expert_maps
 import bench.faults
 import bench.link_sockets
