--- a/src/canvasyoke/transport/tests/test_links.py
+++ b/src/canvasyoke/transport/tests/test_links.py
@@ -9,7 +9,7 @@
 import pynng
 import pytest
 
-from canvasyoke import Clock, SystemClock
+from canvasyoke import SystemClock
 from canvasyoke.protocol import Chunk, Forget, Message, make_hello
 from canvasyoke.transport import LinkClient, LinkServer, Session
 from fakes.launcher import wait_until
@@ -21,9 +21,7 @@
 class Server:
     """A listening end that records messages and sessions."""
 
-    def __init__(
-        self, address: str, incarnation: str = "run-1", clock: Clock | None = None
-    ) -> None:
+    def __init__(self, address: str, incarnation: str = "run-1") -> None:
         self.messages: list[Message] = []
         self.sessions: list[Session] = []
         self.ended: list[Session] = []
@@ -32,7 +30,7 @@
             KEY,
             "t-1",
             incarnation,
-            clock or SystemClock(),
+            SystemClock(),
             lambda session, message: self.messages.append(message),
             self.sessions.append,
             self.ended.append,
--- a/src/canvasyoke/transport/tests/test_socket_owner.py
+++ b/src/canvasyoke/transport/tests/test_socket_owner.py
@@ -15,7 +15,7 @@
 
 from canvasyoke._clock import SECOND, ManualClock
 from canvasyoke.protocol import Forget, accept_hello, accept_welcome, make_hello
-from canvasyoke.transport import Session, _link_server
+from canvasyoke.transport import LinkServer, Session, _link_server
 from canvasyoke.transport.tests.test_links import KEY, Client, Server
 from fakes.launcher import wait_until
 from fakes.ports import free_address
@@ -130,14 +130,25 @@
 def test_pipe_of_a_timed_out_session_is_closed() -> None:
     """Otherwise each peer that falls silent leaves an open connection."""
     clock = ManualClock(start=10_000)
-    server = Server(address := free_address(), clock=clock)
+    sessions: list[Session] = []
+    server = LinkServer(
+        address := free_address(),
+        KEY,
+        "t-1",
+        "run",
+        clock,
+        lambda _session, _message: None,
+        sessions.append,
+        lambda _session: None,
+    )
+    server.start()
     with connect_raw(address) as socket:
-        wait_until(lambda: bool(server.sessions), "a session")
+        wait_until(lambda: bool(sessions), "a session")
         (pipe,) = socket.pipes
         clock.advance(3_001)
         # The client's socket connects again at once, with another pipe.
         wait_until(lambda: pipe not in socket.pipes, "the connection is closed")
-    server.link.stop()
+    server.stop()
 
 
 def test_idle_server_stops_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
