--- a/conftest.py
+++ b/conftest.py
@@ -15,8 +15,6 @@
 from fakes.socket_monitor import REPORT_DIR_VARIABLE, SocketMonitor
 
 _LIST = Path(__file__).resolve().parent / "KNOWN-RED.txt"
-
-
 _monitor = SocketMonitor()
 
 
