Links: late frames close no pipe in use, and stop waits for sessions that have ended

Cause: the server passes over frames of a pipe whose session has ended only until the pipe is removed. Frames may be left in the queue then; the first is taken for a handshake, rejected, and its pipe closed by the receiving task while the session's task is still in a send. The test showed a second breach once the first was mended: stop joined the sessions that were open, not those that had ended while their task was in a call, and then closed the socket (link-server closed a socket in use by send-e-1). Change: sessions that have ended are kept by pipe until their task has finished; their frames are passed over, and stop joins them.

--- a/src/canvasyoke/transport/_link_server.py
+++ b/src/canvasyoke/transport/_link_server.py
@@ -59,8 +59,8 @@
         self._on_close = on_close
         self._piggyback = piggyback
         self._sessions: dict[int, Session] = {}
-        #: Pipes whose session has ended, and that its thread closes.
-        self._closing: set[int] = set()
+        #: Sessions that have ended, by pipe, until their thread has closed the pipe.
+        self._ending: dict[int, Session] = {}
         self._removed: set[int] = set()
         self._removed_lock = threading.Lock()
         self._is_stopping = False
@@ -107,10 +107,9 @@
                 for message in self._receiver.receive_available():
                     self._receive(message.pipe, message.bytes)
         finally:
-            sessions = list(self._sessions.values())
             for key in list(self._sessions):
                 self._end_session(key)
-            for session in sessions:
+            for session in self._ending.values():
                 session.join()
             self._close()
 
@@ -125,17 +124,18 @@
         timed_out = [key for key, session in self._sessions.items() if session.is_timed_out]
         for key in [*removed, *timed_out]:
             self._end_session(key)
-        self._closing -= removed
+        self._ending = {k: s for k, s in self._ending.items() if not s.is_finished}
 
     def _end_session(self, key: int) -> None:
         session = self._sessions.pop(key, None)
         if session is not None:
-            self._closing.add(key)
+            self._ending[key] = session
             session.close()
             self._on_close(session)
 
     def _receive(self, pipe: Any, data: bytes) -> None:
-        if pipe is None or pipe.id in self._closing:
+        # Frames of a pipe may be left after it was removed.
+        if pipe is None or pipe.id in self._ending:
             return
         session = self._sessions.get(pipe.id)
         if session is None:
--- a/src/canvasyoke/transport/_session.py
+++ b/src/canvasyoke/transport/_session.py
@@ -94,6 +94,11 @@
         """Return whether the session has ended."""
         return self._closed
 
+    @property
+    def is_finished(self) -> bool:
+        """Return whether the sending thread has ended, so that it makes no further calls."""
+        return self._thread.ident is not None and not self._thread.is_alive()
+
     @property
     def time_since_received(self) -> int:
         """Return the milliseconds since the last frame was received."""
--- a/src/canvasyoke/transport/tests/test_socket_owner.py
+++ b/src/canvasyoke/transport/tests/test_socket_owner.py
@@ -127,6 +127,33 @@
     assert not monitor.conflicts
 
 
+def test_late_frame_of_a_removed_pipe_does_not_close_it(
+    monitor: SocketMonitor, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Frames may be left in the queue when the pipe is removed while its thread sends to it."""
+    sending, resume = threading.Event(), threading.Event()
+    send_msg = pynng.Socket.send_msg
+
+    def blocking_send(socket: Any, *args: Any) -> None:
+        if threading.current_thread().name.startswith("send-"):
+            sending.set()
+            resume.wait()
+        send_msg(socket, *args)
+
+    server = Server(address := free_address())
+    with connect_raw(address):
+        wait_until(lambda: bool(server.sessions), "a session")
+        (pipe,) = server.link._socket.pipes
+        monkeypatch.setattr(pynng.Socket, "send_msg", monitor.tracked(blocking_send))
+        server.sessions[0].send(Forget(1, 1))
+        assert sending.wait(EVENT_TIMEOUT)
+    wait_until(lambda: bool(server.ended), "the session ends")
+    server.link._receive(pipe, b"a late frame")
+    resume.set()
+    server.link.stop()
+    assert not monitor.conflicts
+
+
 def test_pipe_of_a_timed_out_session_is_closed() -> None:
     """Otherwise each peer that falls silent leaves an open connection."""
     clock = ManualClock(start=10_000)
