--- /dev/null
+++ b/src/canvasyoke/admission/_request.py
@@ -0,0 +1,21 @@
+"""What a request brings to the admission decision."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class PendingRequest:
+    """A request that asks for a place at a backend; times are on the clock, in milliseconds."""
+
+    #: 0 is the most urgent.
+    priority: int
+    #: Name of the organisation; empty for a caller without a key.
+    organisation: str
+    arrived_at: int
+    deadline: int
+    #: Time at which the caller gives up if it has received no event.
+    patience_until: int
+    #: Expected milliseconds from the start at a backend to the end of the response.
+    expected_duration: int
--- a/src/canvasyoke/platform/_config.py
+++ b/src/canvasyoke/platform/_config.py
@@ -59,12 +59,15 @@
     places: int = 0
     spare: int = 0
     expert_mb: float = 0.0
+    form_time: float = msgspec.field(name="form_ms", default=0.0)
 
 
 class _Service(msgspec.Struct, frozen=True):
     name: str = msgspec.field(name="Name")
     max_connections: int = msgspec.field(name="MaxConnections", default=0)
     engine: _Engine | None = msgspec.field(name="Engine", default=None)
+    cold_seconds: float = msgspec.field(name="ColdStartS", default=0.0)
+    cold_rate: float = msgspec.field(name="ColdPerS", default=0.0)
 
 
 class _Limits(msgspec.Struct, frozen=True):
@@ -140,6 +143,9 @@
         service.name,
         service.max_connections,
         _rank_geometry(service.engine),
+        form_time=round(service.engine.form_time) if service.engine is not None else 0,
+        cold_rate=service.cold_rate,
+        cold_time=round(service.cold_seconds * _MILLISECONDS_PER_SECOND),
     )
 
 
--- a/src/canvasyoke/protocol/_messages.py
+++ b/src/canvasyoke/protocol/_messages.py
@@ -344,6 +344,8 @@
     told_at: Count
     #: Requests in progress by backend id.
     under_way: Annotated[dict[str, int], msgspec.Meta(max_length=20_000)] = {}
+    #: Requests that wait for a place there, by service and priority.
+    waiting: Annotated[dict[str, dict[int, int]], msgspec.Meta(max_length=1_000)] = {}
 
 
 class EntryLoad(msgspec.Struct, frozen=True, tag="entry_load"):
@@ -364,6 +366,8 @@
     demands: Annotated[dict[str, float], msgspec.Meta(max_length=1_000)] = {}
     #: Loads received since the last report; sent within a domain of an overlay.
     relayed: Annotated[list[RelayedLoad], msgspec.Meta(max_length=10_000)] = []
+    #: Requests that wait for a place here, by service and priority.
+    waiting: Annotated[dict[str, dict[int, int]], msgspec.Meta(max_length=1_000)] = {}
 
 
 class TableRequest(msgspec.Struct, frozen=True, tag="table_wanted"):
@@ -401,6 +405,8 @@
     was_lost: bool = False
     #: Start time on the backend's clock; 0 if unknown.
     started: Count = 0
+    #: Milliseconds for which the backend remains cold.
+    cold_remaining: Count = 0
 
 
 class BackendList(msgspec.Struct, frozen=True, tag="backend_list"):
@@ -421,6 +427,26 @@
     group: Annotated[str, msgspec.Meta(max_length=200)] = ""
 
 
+class GroupStateUpdate(msgspec.Struct, frozen=True, tag="group_state"):
+    """Direct entry to entry: whether a rank group executes steps."""
+
+    group: Annotated[str, msgspec.Meta(max_length=200)]
+    epoch: Count
+    is_open: bool
+    #: Milliseconds since the state was observed.
+    age: Count
+    #: Milliseconds for which the group did not execute steps before it opened; 0 if unknown.
+    outage: Count = 0
+
+
+class EvacuationList(msgspec.Struct, frozen=True, tag="evacuations"):
+    """Direct entry to entry: all failure domains that are being evacuated."""
+
+    #: Store position of the list.
+    position: Count
+    domains: Annotated[list[Name], msgspec.Meta(max_length=1_000)] = []
+
+
 class PaceUpdate(msgspec.Struct, frozen=True, tag="pace_news"):
     """Direct entry to entry: a backend is slower than usual."""
 
@@ -518,6 +544,8 @@
     | BackendUpdate
     | BackendList
     | GroupUpdate
+    | GroupStateUpdate
+    | EvacuationList
     | PaceUpdate
     | BackendUnresponsive
     | CrashUpdate
--- a/src/canvasyoke/protocol/_outcome.py
+++ b/src/canvasyoke/protocol/_outcome.py
@@ -38,6 +38,7 @@
     LEAVING = "leaving"
     BACKOFF = "backoff"
     LIMITED = "limited"
+    EVACUATED = "evacuated"
     NOT_HOME = "not_home"
     KEY_BEFORE_HOME = "key_before_home"
     KEY_EXPIRED = "key_expired"
@@ -65,6 +66,7 @@
     Reason.LEAVING: 503,
     Reason.BACKOFF: 503,
     Reason.LIMITED: 503,
+    Reason.EVACUATED: 503,
     Reason.NOT_HOME: 503,
     Reason.KEY_BEFORE_HOME: 409,
     Reason.KEY_EXPIRED: 409,
--- a/src/canvasyoke/state/_routing_table.py
+++ b/src/canvasyoke/state/_routing_table.py
@@ -89,6 +89,12 @@
     max_connections: int
     #: Dimensions of its rank groups; ``None`` for a plain service.
     geometry: RankGeometry | None = None
+    #: Milliseconds from the return of a group's last missing rank until the group opens.
+    form_time: int = 0
+    #: Requests a second that a cold backend accepts from all entries together; 0 for no limit.
+    cold_rate: float = 0.0
+    #: Milliseconds for which a backend stays cold after its start.
+    cold_time: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/canvasyoke/state/_settings.py
+++ b/src/canvasyoke/state/_settings.py
@@ -107,6 +107,30 @@
         float,
         Meta(ge=0, description="Fleet-wide retries allowed per window in addition to the ratio."),
     ] = 20
+    cold_overage: Annotated[
+        float,
+        Meta(
+            ge=0,
+            description="Multiple of its stated rate that a cold backend tolerates within one "
+            "second; 0 turns the limits of cold backends off.",
+        ),
+    ] = 0.0
+    cold_slack: Annotated[
+        float,
+        Meta(
+            ge=0,
+            description="Requests that a cold backend tolerates within one second in addition "
+            "to the multiple of its rate.",
+        ),
+    ] = 0.0
+    evacuate_ms: Annotated[
+        int,
+        Meta(
+            ge=0,
+            description="Milliseconds within which requests to an evacuated failure domain must "
+            "stop; 0 if the store has no evacuations.",
+        ),
+    ] = 0
     log: LogSettings = LogSettings(format="json")
 
 
