--- a/src/canvasyoke/tests/test_layers.py
+++ b/src/canvasyoke/tests/test_layers.py
@@ -12,6 +12,7 @@
     "transport",
     "state",
     "coordination",
+    "admission",
     "observe",
     "membership",
     "backend",
