Evacuations: no requests to a failure domain that is being evacuated

Change: entries that watch the store list and watch the kind, put the set with the newest position in force and tell the others over the links. Backends of an evacuated domain are unavailable, which is checked again before a request is written; an entry accepts callers once it knows the set. The stand-in engine records times of arrival, the stand-in store counts calls by kind and can be slow or reject kinds. Draining moved to a module of its own.

--- a/fakes/object_store.py
+++ b/fakes/object_store.py
@@ -32,6 +32,10 @@
     garbage: bytes = b""
     #: Whether connections are closed after a write instead of a response.
     lose_writes: bool = False
+    #: Seconds by which every response is delayed.
+    delay: float = 0.0
+    #: Kinds of objects for which every call is rejected with status 503.
+    rejected_kinds: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True)
@@ -49,6 +53,7 @@
     def __init__(self, store: ObjectStore) -> None:
         self.faults = StoreFaults()
         self.calls = 0
+        self.calls_by_kind: Counter[str] = Counter()
         #: Incremented to silence all connections opened before.
         self._silence_count = 0
         self._closed = threading.Event()
@@ -62,9 +67,14 @@
             def handle_request(
                 self, method: str, path: str, query: dict[str, str], body: bytes
             ) -> None:
+                kind = path.split("/")[2]
                 endpoint.calls += 1
+                endpoint.calls_by_kind[kind] += 1
                 faults = endpoint.faults
                 headers = store.headers()
+                if kind in faults.rejected_kinds:
+                    self.reply(503, headers=headers)
+                    return
                 if faults.status:
                     self.reply(faults.status, headers=headers)
                     return
@@ -72,6 +82,8 @@
                     self.reply(200, faults.garbage, headers)
                     return
                 status, value = store.answer(method, path, query, body)
+                if faults.delay:
+                    endpoint._closed.wait(faults.delay)
                 if self._silence_count_at_open < endpoint._silence_count:
                     endpoint._closed.wait()
                     return
--- a/fakes/platform_engine.py
+++ b/fakes/platform_engine.py
@@ -29,6 +29,8 @@
     target: str
     headers: dict[str, str]
     body: bytes
+    #: Time of arrival in seconds on the monotonic clock.
+    at: float
 
 
 @dataclass
@@ -83,7 +85,9 @@
                 if path == "/report":
                     engine.report(self)
                     return
-                engine.arrivals.append(Arrival(method, self.path, dict(self.headers), body))
+                engine.arrivals.append(
+                    Arrival(method, self.path, dict(self.headers), body, time.monotonic())
+                )
                 engine.arrived.set()
                 if engine.crash_body and body == engine.crash_body:
                     engine.crash()
--- a/src/canvasyoke/direct/_backend_availability.py
+++ b/src/canvasyoke/direct/_backend_availability.py
@@ -59,12 +59,15 @@
     def may_send(self, endpoint: Endpoint) -> bool:
         """Return whether a chosen backend may still be sent its request.
 
-        It may have asked for backoff, left the list or restarted while the connection was made.
+        It may have asked for backoff, left the list or restarted, or its domain may have been
+        evacuated, while the connection was made.
         """
         with self._lock:
             member = self._members.get(endpoint.run)
             if member is None or member.endpoint.address != endpoint.address:
                 return False
+            if self._is_evacuated(member.endpoint):
+                return False
             # The rate limit is not checked: the request has taken its token already.
             return not self._is_leaving(member) and not self._notices.remaining_backoff(endpoint)
 
@@ -81,13 +84,25 @@
             ]
             return min((each.retry_after if each else 0 for each in found), default=0)
 
+    def is_service_evacuated(self, service: str) -> bool:
+        """Return whether all backends of a service that do not leave are in evacuated domains."""
+        with self._lock:
+            staying = [
+                member.endpoint
+                for member in self._members.values()
+                if member.endpoint.service == service and not self._is_leaving(member)
+            ]
+            return bool(staying) and all(self._is_evacuated(endpoint) for endpoint in staying)
+
     def rate_limit_share(self, service: str) -> float:
         """Return this entry's requests per second to a service's rate-limited backends."""
         with self._lock:
             return sum(
                 self._notices.limit_share(member.endpoint)
                 for member in self._members.values()
-                if member.endpoint.service == service and not self._is_leaving(member)
+                if member.endpoint.service == service
+                and not self._is_leaving(member)
+                and not self._is_evacuated(member.endpoint)
             )
 
     def has_alternative(self, service: str, tried: frozenset[str]) -> bool:
--- a/src/canvasyoke/direct/_backend_checks.py
+++ b/src/canvasyoke/direct/_backend_checks.py
@@ -1,8 +1,8 @@
 """Checks that exclude a backend from selection.
 
-An unavailability check rests on the backend's own notice and always excludes it; if all
-backends are unavailable, requests are refused. A suspicion check rests on evidence that may be
-wrong: suspected backends are used only when no other is left.
+An unavailability check rests on the backend's own notice or on an operator's order and always
+excludes it; if all backends are unavailable, requests are refused. A suspicion check rests on
+evidence that may be wrong: suspected backends are used only when no other is left.
 """
 
 from __future__ import annotations
@@ -11,16 +11,21 @@
 from dataclasses import dataclass
 from typing import Final, TypeAlias
 
-from canvasyoke._clock import Clock
+from canvasyoke._clock import SECOND, Clock
 from canvasyoke._registry import Registry
 from canvasyoke.coordination import Unavailability
 from canvasyoke.direct._backend_health import BackendHealth
 from canvasyoke.direct._backend_notices import BackendNotices
-from canvasyoke.direct._domains import DomainReachability
+from canvasyoke.direct._domains import DomainReachability, EvacuatedDomains
 from canvasyoke.direct._groups import RankGroups
 from canvasyoke.direct._member import Member
 from canvasyoke.protocol import Reason
 
+#: Milliseconds for which a backend of an evacuated domain counts as unavailable. The end is not
+#: known; the time is longer than any backoff, so that another unavailable backend of the service
+#: decides the return time of a caller.
+EVACUATION_TIME: Final = 3_600 * SECOND
+
 
 @dataclass(frozen=True, slots=True)
 class BackendEvidence:
@@ -31,6 +36,7 @@
     health: BackendHealth
     groups: RankGroups
     domains: DomainReachability
+    evacuated: EvacuatedDomains
 
 
 #: Returns why and for how long a backend is unavailable; ``None`` if it is available.
@@ -55,6 +61,14 @@
     return Unavailability(Reason.LIMITED, wait) if wait else None
 
 
+@UNAVAILABILITY_CHECKS.register("evacuated")
+def _is_evacuated(evidence: BackendEvidence, member: Member) -> Unavailability | None:
+    """Return whether an operator evacuates its domain."""
+    if member.endpoint.domain in evidence.evacuated.names:
+        return Unavailability(Reason.EVACUATED, EVACUATION_TIME)
+    return None
+
+
 @SUSPICION_CHECKS.register("full")
 def _is_full(evidence: BackendEvidence, member: Member) -> bool:
     """Return whether it recently refused a request without asking for backoff."""
--- a/src/canvasyoke/direct/_backend_records.py
+++ b/src/canvasyoke/direct/_backend_records.py
@@ -19,7 +19,7 @@
 from canvasyoke.direct._backend_health import BackendHealth
 from canvasyoke.direct._backend_limits import BackendLimits
 from canvasyoke.direct._backend_notices import BackendNotices
-from canvasyoke.direct._domains import DomainReachability
+from canvasyoke.direct._domains import DomainReachability, EvacuatedDomains
 from canvasyoke.direct._groups import RankGroups
 from canvasyoke.direct._home_share import assign_home_share
 from canvasyoke.direct._known_backends import BackendChange, KnownBackends
@@ -82,6 +82,7 @@
     _evidence: BackendEvidence = field(init=False)
     _ranker: Ranker = field(init=False)
     _domains: DomainReachability = field(default_factory=DomainReachability)
+    _evacuated: EvacuatedDomains = field(default_factory=EvacuatedDomains)
     #: Whether no backend that this entry can reach serves its callers.
     _is_isolated: bool = False
     _lock: threading.Lock = field(default_factory=threading.Lock)
@@ -104,7 +105,7 @@
         self._health = BackendHealth(self.clock)
         self._notices = BackendNotices(self.clock, BackendLimits(self.clock, self.rng))
         self._evidence = BackendEvidence(
-            self.clock, self._notices, self._health, self._groups, self._domains
+            self.clock, self._notices, self._health, self._groups, self._domains, self._evacuated
         )
         self._ranker = RANKERS.get(_RANKER)(self.rng)
         self._confirmed_at = self.clock.now()
@@ -247,11 +248,30 @@
     def _assign_home_share(self) -> None:
         """Recompute this entry's home share."""
         if not self._fleet.is_full_mesh:
-            endpoints = [member.endpoint for member in self._members.values()]
+            endpoints = [
+                member.endpoint
+                for member in self._members.values()
+                if not self._is_evacuated(member.endpoint)
+            ]
             self._home_share = assign_home_share(
                 self._fleet.name, self.domain, self._fleet.domain_peers, endpoints
             )
 
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Return the failure domains whose backends get no requests."""
+        with self._lock:
+            return self._evacuated.names
+
+    def set_evacuated(self, domains: frozenset[str]) -> None:
+        """Set the failure domains whose backends get no requests; running ones continue."""
+        with self._lock:
+            self._evacuated.names = domains
+            self._assign_home_share()
+
+    def _is_evacuated(self, endpoint: Endpoint) -> bool:
+        return endpoint.domain in self._evacuated.names
+
     def update_peer_load(self, peer: str, load: PeerLoad) -> None:
         """Store another entry's in-flight requests."""
         with self._lock:
--- a/src/canvasyoke/direct/_backend_streams.py
+++ b/src/canvasyoke/direct/_backend_streams.py
@@ -15,7 +15,7 @@
     def with_unknown_group(self, services: frozenset[str]) -> list[Endpoint]:
         """Return the backends of ``services`` whose group is unknown.
 
-        Backends that asked for backoff are excluded, since a query is a request too.
+        Backends that may not be queried are excluded.
         """
         with self._lock:
             return [
@@ -23,9 +23,14 @@
                 for m in self._members.values()
                 if m.endpoint.service in services
                 and not self._groups.is_learned(m.endpoint.run)
-                and not self._notices.remaining_backoff(m.endpoint)
+                and self._may_query(m.endpoint)
             ]
 
+    def _may_query(self, endpoint: Endpoint) -> bool:
+        """Return whether a backend may be queried about itself, which is a request too."""
+        is_backing_off = self._notices.remaining_backoff(endpoint) > 0
+        return not is_backing_off and not self._is_evacuated(endpoint)
+
     def learn_group(self, run: str, group: str) -> bool:
         """Store a backend's group, empty for none; return false if it is already known."""
         with self._lock:
@@ -63,7 +68,7 @@
         """Return this domain's backends in groups that pause longer than ``longest_pause``.
 
         Backends known to be slow are included, since they may have recovered. Backends that
-        asked for backoff are excluded, since a query is a request too.
+        may not be queried are excluded.
         """
         with self._lock:
             near = [
@@ -71,7 +76,7 @@
                 for m in self._members.values()
                 if m.endpoint.service == service
                 and m.endpoint.domain == self.domain
-                and not self._notices.remaining_backoff(m.endpoint)
+                and self._may_query(m.endpoint)
             ]
             return [
                 e
--- a/src/canvasyoke/direct/_domains.py
+++ b/src/canvasyoke/direct/_domains.py
@@ -1,4 +1,4 @@
-"""Detection of failure domains that an entry cannot reach.
+"""Failure domains that an entry cannot reach, or that operators evacuate.
 
 Every request sent to an unreachable domain waits for a connect timeout per backend. After
 consecutive connect failures to several of its backends a domain is avoided as a whole, and a
@@ -23,6 +23,13 @@
 _PROBE_TIMEOUT: Final = 150
 
 
+@dataclass(slots=True)
+class EvacuatedDomains:
+    """Domains whose backends get no requests; not thread-safe, guarded by the roster's lock."""
+
+    names: frozenset[str] = frozenset()
+
+
 @dataclass(slots=True)
 class DomainReachability:
     """Reachability of each domain; not thread-safe, guarded by the roster's lock."""
--- a/src/canvasyoke/direct/_peers.py
+++ b/src/canvasyoke/direct/_peers.py
@@ -21,6 +21,7 @@
 from canvasyoke.direct._crash_cases import CrashCase
 from canvasyoke.direct._demand_shares import DemandShares
 from canvasyoke.direct._entry_notes import EntryNotes
+from canvasyoke.direct._evacuation_exchange import EvacuationExchange
 from canvasyoke.direct._known_backends import BackendChange
 from canvasyoke.direct._load_schedule import LOAD_INTERVAL, MAX_INTERVAL, LoadSchedule
 from canvasyoke.direct._notice_exchange import NoticeExchange
@@ -40,6 +41,7 @@
     CrashList,
     CrashUpdate,
     EntryLoad,
+    EvacuationList,
     GroupUpdate,
     Message,
     PaceUpdate,
@@ -108,6 +110,8 @@
         self._shares = DemandShares(budget.request_rate, clock)
         roster.set_share(self._shares.share)
         self._backends = BackendExchange(roster, self._broadcast, self._send_load_now, clock)
+        #: Evacuated domains, and their exchange with the other entries.
+        self.evacuations = EvacuationExchange(roster, self._broadcast, clock)
         self._notice_exchange = NoticeExchange(roster, self._broadcast)
         #: Last result of the discovery, until the exchange thread takes it.
         self._discovered: list[Node] | None = None
@@ -208,6 +212,7 @@
 
     def _handle_open(self, session: Session) -> None:
         _log.info("linked", peer=session.peer, incarnation=session.incarnation)
+        self.evacuations.handle_open(session)  # first, see ``EvacuationFollower.is_settled``
         session.send(self._build_load(is_local=session.peer in self._domain_peers, relayed=[]))
         self._notice_exchange.handle_open(session)
         cases = self._quarantine.cases()
@@ -245,6 +250,8 @@
                     self._broadcast(message, exclude=session)
             case RelayedNotices():
                 self._notice_exchange.receive(session, message)
+            case EvacuationList():
+                self.evacuations.receive(session, message)
             case CrashUpdate():
                 self._handle_crash_news(message)
             case CrashList():
@@ -263,6 +270,7 @@
         )
 
     def _handle_load(self, session: Session, load: EntryLoad) -> None:
+        self.evacuations.has_heard_peer = True
         if load.demands:
             self._shares.report_demand(session.peer, load.demands)
         if self._links.is_mesh or session.peer in self._domain_peers:
--- a/src/canvasyoke/direct/_process.py
+++ b/src/canvasyoke/direct/_process.py
@@ -16,7 +16,9 @@
 from canvasyoke.direct._callers import MAX_CONCURRENT_REQUESTS, CallerApp
 from canvasyoke.direct._crash_detector import CrashDetector
 from canvasyoke.direct._domains import DomainProber
+from canvasyoke.direct._drain import drain
 from canvasyoke.direct._endpoint_follower import EndpointFollower
+from canvasyoke.direct._evacuation_follower import EvacuationFollower
 from canvasyoke.direct._exit_monitor import ExitMonitor
 from canvasyoke.direct._forwarder import Forwarder
 from canvasyoke.direct._group_learner import GroupLearner
@@ -42,15 +44,8 @@
 #: Additional threads, so that requests over the limit can be refused.
 _SPARE_THREADS: Final = 8
 _ADMIN_THREADS: Final = 2
-#: Milliseconds for which the balancer may still open connections after readiness is withdrawn: it
-#: probes once a second and needs two failures.
-_BALANCER_GRACE: Final = 2_300
 #: Milliseconds between checks of the settings file and of reachability.
 _CHECK_INTERVAL: Final = 500
-#: Milliseconds between checks whether all requests have finished while draining.
-_DRAIN_POLL_INTERVAL: Final = 50
-#: Milliseconds to flush sockets before the process exits.
-_FLUSH_TIME: Final = 100
 #: Assumed number of entries until it is known.
 _ASSUMED_ENTRIES: Final = 8
 #: Limits of the admin servers.
@@ -96,7 +91,7 @@
             self._quarantine,
             self._clock,
             rng,
-            lambda: not (self._table_follower.is_lost or self._endpoint_follower.is_lost),
+            lambda: not self._is_store_lost(),
         )
         self._table_follower = TableFollower(
             make_store(settings.store), self._view, self._peers.is_watching, self._clock, rng
@@ -109,6 +104,15 @@
             self._clock,
             rng,
         )
+        self._evacuation_follower = EvacuationFollower(
+            make_store(settings.store),
+            self._peers.evacuations.evacuations,
+            settings.evacuate_ms,
+            self._peers.is_watching,
+            self._peers.evacuations.announce,
+            self._clock,
+            rng,
+        )
         port = DIRECT_BACKENDS.get(settings.adapter)()
         crash_detector = CrashDetector(self._roster, self._metrics)
         self._exit_monitor = ExitMonitor(
@@ -145,7 +149,7 @@
         )
         self._caller_app = CallerApp(
             CALLER_PORTS.get(settings.adapter)(),
-            lambda: self._view.current,
+            lambda: self._view.current if self._knows_evacuations() else RoutingTable(),
             forwarder,
             self._clock,
             rng,
@@ -175,6 +179,7 @@
         signal.signal(signal.SIGHUP, lambda *_: self._on_signal(self._reload_requested))
         self._table_follower.start()
         self._endpoint_follower.start()
+        self._evacuation_follower.start()
         self._peers.start()
         self._group_learner.start()
         self._pace_monitor.start()
@@ -188,7 +193,8 @@
             self._wakeup.wait(_CHECK_INTERVAL / SECOND)
             self._wakeup.clear()
             self._check_changes()
-        self._drain()
+        drain(self._caller_app, self._caller_server)
+        _log.info("stopped", instance=self._settings.instance)
         return 0
 
     def _on_signal(self, event: threading.Event) -> None:
@@ -215,22 +221,6 @@
         self._budget.set_allowance(_allowance(loaded))
         _log.info("settings reloaded", instance=loaded.instance)
 
-    def _drain(self) -> None:
-        """Withdraw readiness, complete the requests in progress and exit."""
-        _log.info("stopping", in_flight=self._caller_app.in_flight)
-        self._caller_server.set_draining(True)
-        pause = threading.Event()
-        pause.wait(_BALANCER_GRACE / SECOND)
-        # A later request might not finish before the process is killed; the balancer can send it to
-        # another entry.
-        self._caller_app.close()
-        self._caller_server.close_idle()
-        while self._caller_app.in_flight:
-            pause.wait(_DRAIN_POLL_INTERVAL / SECOND)
-            self._caller_server.close_idle()
-        pause.wait(_FLUSH_TIME / SECOND)
-        _log.info("stopped", instance=self._settings.instance)
-
     def _on_unresponsive_backend(self, backend: str) -> None:
         """Avoid an unresponsive backend, and notify the other entries."""
         if self._roster.mark_unresponsive(backend):
@@ -241,6 +231,13 @@
         self._caller_server.set_limits(_server_limits(table.limits))
         self._peers.announce_table()
 
+    def _is_store_lost(self) -> bool:
+        followers = (self._table_follower, self._endpoint_follower, self._evacuation_follower)
+        return any(follower.is_lost for follower in followers)
+
+    def _knows_evacuations(self) -> bool:
+        return self._evacuation_follower.is_settled(self._peers.evacuations.has_heard_peer)
+
     def _not_ready(self) -> str:
         if self._stopping.is_set():
             return "stopping"
@@ -248,6 +245,8 @@
             return "no configuration yet"
         if not self._roster.is_known:
             return "no list of backends yet"
+        if not self._knows_evacuations():
+            return "no list of evacuations yet"
         if self._roster.is_isolated():
             return "cut off from the backends"
         return ""
@@ -322,6 +321,11 @@
             "1 while this entry watches the store for its failure domain.",
             lambda: int(self._peers.is_watching()),
         )
+        gauge(
+            "canvasyoke_domains_evacuated",
+            "Failure domains that this entry sends nothing to because operators evacuate them.",
+            lambda: len(self._roster.evacuated),
+        )
         gauge(
             "canvasyoke_isolated",
             "1 while cut off from what callers need.",
@@ -330,7 +334,7 @@
         gauge(
             "canvasyoke_store_lost",
             "1 while the store does not answer.",
-            lambda: int(self._table_follower.is_lost or self._endpoint_follower.is_lost),
+            lambda: int(self._is_store_lost()),
         )
 
 
--- a/src/canvasyoke/direct/_refusals.py
+++ b/src/canvasyoke/direct/_refusals.py
@@ -17,7 +17,8 @@
 MIN_ATTEMPT_TIME: Final = 20
 #: Ranges of ``Retry-After`` in milliseconds, from which a value is drawn at random so that callers
 #: refused together do not return together: a full backend frees a slot within a step or two, a
-#: queue needs longer to drain, and a group that lost a rank needs seconds to recover.
+#: queue needs longer to drain, and a group that lost a rank needs seconds to recover. When an
+#: evacuation is taken back is unknown, so its callers return as late as they may.
 _RETRY_FULL: Final = (150, 400)
 _RETRY_OVERLOADED: Final = (800, 2_400)
 _RETRY_UNAVAILABLE: Final = (2_400, 2_600)
@@ -91,7 +92,8 @@
         A backoff or limit announced by backends is reported in full, even past the deadline of the
         caller: with a shorter time it would return only to be refused again.
         """
-        wait = self._roster.time_until_available(call.service)
+        is_evacuated = self._roster.is_service_evacuated(call.service)
+        wait = 0 if is_evacuated else self._roster.time_until_available(call.service)
         if isinstance(cause, NoneAvailable) and cause.reason is Reason.LIMITED:
             return self._scheduler.assign(
                 call.service, wait, self._roster.rate_limit_share(call.service)
@@ -101,7 +103,8 @@
                 1, max(_MIN_BACKOFF_SPREAD, round(wait * _BACKOFF_SPREAD))
             )
         bounds = _RETRY_FULL
-        if self._roster.is_service_stalled(call.service) or _recovers_slowly(call, cause):
+        is_stalled = self._roster.is_service_stalled(call.service)
+        if is_evacuated or is_stalled or _recovers_slowly(call, cause):
             bounds = _RETRY_UNAVAILABLE
         elif isinstance(cause, NoneAvailable) and cause.reason is Reason.OVERLOADED:
             bounds = _RETRY_OVERLOADED
--- a/src/canvasyoke/direct/_roster.py
+++ b/src/canvasyoke/direct/_roster.py
@@ -52,17 +52,18 @@
                 len(self._fleet.domain_peers) + 1,
             )
             fastest = self._groups.fastest_pause()
-            has_notices = self._notices.has_any
+            may_be_unavailable = self._notices.has_any or bool(self._evacuated.names)
             found = filter_candidates(
                 [
-                    self._candidate(m, fastest, has_notices)
+                    self._candidate(m, fastest, may_be_unavailable)
                     for m in self._members.values()
                     if m.endpoint.service == query.service
                 ],
                 req,
             )
             if not found.candidates:
-                return NoneAvailable(found.reason, found.retry_after)
+                is_evacuated = found.reason is Reason.EVACUATED  # its end is not known
+                return NoneAvailable(found.reason, 0 if is_evacuated else found.retry_after)
             best = self._ranker.choose(found.candidates, req)
             member = self._members[best.instance]
             duration = self._durations.get(query.service, _ASSUMED_DURATION)
@@ -74,7 +75,7 @@
             update_age = self.clock.now() - member.updated_at
             return Chosen(member.endpoint, best.load, update_age, self._list_age())
 
-    def _candidate(self, member: Member, fastest: float, has_notices: bool) -> Candidate:
+    def _candidate(self, member: Member, fastest: float, may_be_unavailable: bool) -> Candidate:
         endpoint = member.endpoint
         return Candidate(
             instance=endpoint.run,
@@ -84,7 +85,7 @@
             leaving=self._is_leaving(member),
             healthy=True,
             ejected=is_suspect(self._evidence, member),
-            unavailable=unavailability(self._evidence, member) if has_notices else None,
+            unavailable=unavailability(self._evidence, member) if may_be_unavailable else None,
             slots=endpoint.slots,
             queue_limit=0,
             reported_load=self._load(member),
@@ -143,7 +144,8 @@
 
     def _is_responsive(self, endpoint: Endpoint) -> bool:
         is_unreachable = self._domains.is_unreachable(endpoint.domain)
-        return not is_unreachable and not self._groups.is_stalled(endpoint.run)
+        is_excluded = is_unreachable or self._is_evacuated(endpoint)
+        return not is_excluded and not self._groups.is_stalled(endpoint.run)
 
     def record_finished(self, run: str, duration: int, failed: bool) -> None:
         """Record the end of a request and its duration in milliseconds."""
--- a/src/canvasyoke/platform/_store.py
+++ b/src/canvasyoke/platform/_store.py
@@ -20,12 +20,15 @@
     read_name,
     read_object,
 )
+from canvasyoke.platform._evacuations import read_evacuation_changes, read_evacuations
 from canvasyoke.platform._json_parts import split_list, split_object
 from canvasyoke.state import (
     CALL_TIMEOUT,
     FLEET_STORES,
     EndpointList,
     EndpointWatchResult,
+    EvacuationRead,
+    EvacuationWatchResult,
     FleetStore,
     HistoryGone,
     NoChange,
@@ -60,6 +63,7 @@
 _ENDPOINTS: Final = "servers"
 _CONFIG: Final = "config"
 _CONFIG_NAME: Final = "main"
+_EVACUATIONS: Final = "evacuations"
 
 
 class _Envelope(msgspec.Struct, frozen=True):
@@ -136,6 +140,19 @@
         """Decode the routing table in ``document``."""
         return decode_table(document)
 
+    def evacuations(self, timeout: int = CALL_TIMEOUT) -> EvacuationRead | Unavailable | Unusable:
+        """Return all evacuations."""
+        listed = self._list(_EVACUATIONS, timeout=timeout)
+        return listed if isinstance(listed, Unavailable | Unusable) else read_evacuations(*listed)
+
+    def watch_evacuations(self, after: StorePosition, wait: int) -> EvacuationWatchResult:
+        """Wait up to ``wait`` milliseconds for changes of evacuations."""
+        result = self._watch(_EVACUATIONS, after, wait)
+        if not isinstance(result, _Events):
+            return result
+        position = store_position(era_of(after), result.revision)
+        return read_evacuation_changes([bytes(event) for event in result.items], position)
+
     def notes(self, kind: str, allow_stale: bool = False) -> list[Note] | Unavailable | Unusable:
         """Return all notes of ``kind``."""
         listed = self._list(kind, allow_stale)
--- a/src/canvasyoke/protocol/_messages.py
+++ b/src/canvasyoke/protocol/_messages.py
@@ -445,6 +445,8 @@
     #: Store position of the list.
     position: Count
     domains: Annotated[list[Name], msgspec.Meta(max_length=1_000)] = []
+    #: Milliseconds since an entry last read the list from the store.
+    age: Count = 0
 
 
 class PaceUpdate(msgspec.Struct, frozen=True, tag="pace_news"):
--- a/src/canvasyoke/state/_fleet_store.py
+++ b/src/canvasyoke/state/_fleet_store.py
@@ -99,6 +99,24 @@
     document: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class EvacuationRead:
+    """All failure domains that are being evacuated, at one store position."""
+
+    domains: frozenset[str]
+    #: Position of the list; its revision is 0 if the store has never had an evacuation.
+    position: StorePosition
+
+
+@dataclass(frozen=True, slots=True)
+class EvacuationChanges:
+    """Changes of evacuations between two store positions, in order."""
+
+    #: Domain, and whether it is being evacuated after the change.
+    changes: tuple[tuple[str, bool], ...]
+    position: StorePosition
+
+
 @dataclass(frozen=True, slots=True)
 class NoChange:
     """A watch ended without a change."""
@@ -123,6 +141,9 @@
 
 EndpointWatchResult: TypeAlias = EndpointChanges | NoChange | HistoryGone | Unavailable | Unusable
 TableWatchResult: TypeAlias = TableRead | NoChange | HistoryGone | Unavailable | Unusable
+EvacuationWatchResult: TypeAlias = (
+    EvacuationChanges | NoChange | HistoryGone | Unavailable | Unusable
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,6 +181,14 @@
     def parse_table(self, document: bytes) -> RoutingTable | Unusable:
         """Parse a configuration document that another process forwarded."""
 
+    @abstractmethod
+    def evacuations(self, timeout: int = CALL_TIMEOUT) -> EvacuationRead | Unavailable | Unusable:
+        """Return all evacuations; ``timeout`` applies to each request to the store."""
+
+    @abstractmethod
+    def watch_evacuations(self, after: StorePosition, wait: int) -> EvacuationWatchResult:
+        """Wait up to ``wait`` milliseconds for changes of evacuations after position ``after``."""
+
     @abstractmethod
     def notes(self, kind: str, allow_stale: bool = False) -> list[Note] | Unavailable | Unusable:
         """Return all notes of ``kind``.
