Choose without computing anything for evacuated backends

Cause: the checks of unavailability for each backend took a choice among 64 backends from 427 to 599 us (medians, busy machine), above the 550 us that it may take. Change: evacuated backends are left out first.

--- a/src/canvasyoke/direct/_roster.py
+++ b/src/canvasyoke/direct/_roster.py
@@ -52,18 +52,17 @@
                 len(self._fleet.domain_peers) + 1,
             )
             fastest = self._groups.fastest_pause()
-            may_be_unavailable = self._notices.has_any or bool(self._evacuated.names)
+            has_notices = self._notices.has_any
+            members = [m for m in self._members.values() if m.endpoint.service == query.service]
+            # Left out here: the checks of unavailability would add 0.17 ms for 64 backends.
+            staying = [m for m in members if not self._is_evacuated(m.endpoint)]
+            if members and not staying:
+                return NoneAvailable(Reason.EVACUATED)
             found = filter_candidates(
-                [
-                    self._candidate(m, fastest, may_be_unavailable)
-                    for m in self._members.values()
-                    if m.endpoint.service == query.service
-                ],
-                req,
+                [self._candidate(m, fastest, has_notices) for m in staying], req
             )
             if not found.candidates:
-                is_evacuated = found.reason is Reason.EVACUATED  # its end is not known
-                return NoneAvailable(found.reason, 0 if is_evacuated else found.retry_after)
+                return NoneAvailable(found.reason, found.retry_after)
             best = self._ranker.choose(found.candidates, req)
             member = self._members[best.instance]
             duration = self._durations.get(query.service, _ASSUMED_DURATION)
@@ -75,7 +74,7 @@
             update_age = self.clock.now() - member.updated_at
             return Chosen(member.endpoint, best.load, update_age, self._list_age())
 
-    def _candidate(self, member: Member, fastest: float, may_be_unavailable: bool) -> Candidate:
+    def _candidate(self, member: Member, fastest: float, has_notices: bool) -> Candidate:
         endpoint = member.endpoint
         return Candidate(
             instance=endpoint.run,
@@ -85,7 +84,7 @@
             leaving=self._is_leaving(member),
             healthy=True,
             ejected=is_suspect(self._evidence, member),
-            unavailable=unavailability(self._evidence, member) if may_be_unavailable else None,
+            unavailable=unavailability(self._evidence, member) if has_notices else None,
             slots=endpoint.slots,
             queue_limit=0,
             reported_load=self._load(member),
