Evacuations: the time limit of a start begins when only they are missing

Cause: an entry that had waited for the store longer than evacuate_ms would have served as soon as it had read configuration and backends, before it had read the evacuations. Change: the limit counts from when it knows configuration and backends.

--- a/src/canvasyoke/direct/_evacuation_follower.py
+++ b/src/canvasyoke/direct/_evacuation_follower.py
@@ -69,7 +69,8 @@
         self._watch_time = round(time_limit * _WATCH_FRACTION)
         self._is_watching = is_watching
         self._announce = announce
-        self._started_at = clock.now()
+        #: Clock time since which only the evacuations are missing; ``None`` before.
+        self._blocked_since: int | None = None
         #: Evacuated domains in the store as of a position; the position is 0 if a list is needed.
         self._domains: frozenset[str] = frozenset()
         self._position: StorePosition = 0
@@ -80,18 +81,23 @@
         if self._time_limit:
             super().start()
 
-    def is_settled(self, has_heard_peer: bool) -> bool:
+    def is_settled(self, has_rest: bool, has_heard_peer: bool) -> bool:
         """Return whether this entry may accept callers.
 
         It must not send requests to an evacuated domain because it has just started. It waits for
         the store; without the store for its first link, over which a set that is not empty would
         have come before all else; and at most for the time limit, since the kind may be unreadable.
+        ``has_rest`` tells whether it knows all else that callers need, and begins this time.
         """
         if not self._time_limit or self._evacuations.is_known:
             return True
-        return (
-            has_heard_peer and self.is_lost
-        ) or self._clock.now() - self._started_at >= self._time_limit
+        if not has_rest:
+            return False
+        now = self._clock.now()
+        if self._blocked_since is None:
+            self._blocked_since = now
+        has_asked_peers = has_heard_peer and self.is_lost
+        return has_asked_peers or now - self._blocked_since >= self._time_limit
 
     def _run(self) -> None:
         while not self._stop.is_set():
--- a/src/canvasyoke/direct/_process.py
+++ b/src/canvasyoke/direct/_process.py
@@ -113,6 +113,7 @@
             self._clock,
             rng,
         )
+        self._followers = (self._table_follower, self._endpoint_follower, self._evacuation_follower)
         port = DIRECT_BACKENDS.get(settings.adapter)()
         crash_detector = CrashDetector(self._roster, self._metrics)
         self._exit_monitor = ExitMonitor(
@@ -177,9 +178,8 @@
         signal.signal(signal.SIGTERM, lambda *_: self._on_signal(self._stopping))
         signal.signal(signal.SIGINT, lambda *_: self._on_signal(self._stopping))
         signal.signal(signal.SIGHUP, lambda *_: self._on_signal(self._reload_requested))
-        self._table_follower.start()
-        self._endpoint_follower.start()
-        self._evacuation_follower.start()
+        for follower in self._followers:
+            follower.start()
         self._peers.start()
         self._group_learner.start()
         self._pace_monitor.start()
@@ -232,11 +232,12 @@
         self._peers.announce_table()
 
     def _is_store_lost(self) -> bool:
-        followers = (self._table_follower, self._endpoint_follower, self._evacuation_follower)
-        return any(follower.is_lost for follower in followers)
+        return any(follower.is_lost for follower in self._followers)
 
     def _knows_evacuations(self) -> bool:
-        return self._evacuation_follower.is_settled(self._peers.evacuations.has_heard_peer)
+        has_rest = self._roster.is_known and self._view.current.version > 0
+        has_heard_peer = self._peers.evacuations.has_heard_peer
+        return self._evacuation_follower.is_settled(has_rest, has_heard_peer)
 
     def _not_ready(self) -> str:
         if self._stopping.is_set():
@@ -323,7 +324,7 @@
         )
         gauge(
             "canvasyoke_domains_evacuated",
-            "Failure domains that this entry sends nothing to because operators evacuate them.",
+            "Evacuated domains.",
             lambda: len(self._roster.evacuated),
         )
         gauge(
--- a/src/canvasyoke/direct/tests/test_evacuations.py
+++ b/src/canvasyoke/direct/tests/test_evacuations.py
@@ -229,13 +229,17 @@
 
 
 def make_follower(
-    store: ScriptedStore, roster: Roster, clock: ManualClock, time_limit: int = TIME_LIMIT
+    store: ScriptedStore,
+    roster: Roster,
+    clock: ManualClock,
+    time_limit: int = TIME_LIMIT,
+    is_watching: bool = True,
 ) -> EvacuationFollower:
     return EvacuationFollower(
         cast(FleetStore, store),
         Evacuations(roster, clock),
         time_limit,
-        lambda: True,
+        lambda: is_watching,
         lambda: None,
         clock,
         random.Random(1),
@@ -244,16 +248,45 @@
 
 def test_callers_wait_for_the_store_or_the_first_link(roster: Roster, clock: ManualClock) -> None:
     """An entry that has just started would otherwise send requests to an evacuated domain."""
-    assert make_follower(ScriptedStore([]), roster, clock, 0).is_settled(False)
-    store = ScriptedStore([Unavailable("down")])
-    follower = make_follower(store, roster, clock)
-    assert not follower.is_settled(has_heard_peer=True)  # the store may still answer
+    assert make_follower(ScriptedStore([]), roster, clock, 0).is_settled(True, False)
+    follower = make_follower(ScriptedStore([]), roster, clock)
+    assert not follower.is_settled(True, has_heard_peer=True)  # the store may still answer
     follower._stop.set()
     follower._handle(Unavailable("down"))
-    assert not follower.is_settled(has_heard_peer=False)
-    assert follower.is_settled(has_heard_peer=True)
-    clock.advance(TIME_LIMIT)
-    assert follower.is_settled(has_heard_peer=False)
+    assert not follower.is_settled(True, has_heard_peer=False)
+    assert follower.is_settled(True, has_heard_peer=True)
+
+
+def test_the_time_limit_begins_when_callers_wait_for_evacuations_alone(
+    roster: Roster, clock: ManualClock
+) -> None:
+    """After a long outage configuration and backends may be read before the evacuations."""
+    follower = make_follower(ScriptedStore([]), roster, clock)
+    assert not follower.is_settled(has_rest=False, has_heard_peer=False)
+    clock.advance(10 * TIME_LIMIT)
+    assert not follower.is_settled(has_rest=True, has_heard_peer=False)
+    clock.advance(TIME_LIMIT - 1)
+    assert not follower.is_settled(has_rest=True, has_heard_peer=False)
+    clock.advance(1)
+    assert follower.is_settled(has_rest=True, has_heard_peer=False)
+
+
+def test_an_entry_that_does_not_watch_lists_once(
+    roster: Roster, clock: ManualClock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Calls to the store are priced; the other entries tell it of changes."""
+    store = ScriptedStore([Unavailable("down"), LIST, QUIET])
+    follower = make_follower(store, roster, clock, is_watching=False)
+    pauses: list[float] = []
+
+    def pause(duration: float) -> None:
+        pauses.append(duration)
+        if len(pauses) == 10:
+            follower._stop.set()
+
+    monkeypatch.setattr(follower, "_pause", pause)
+    follower._run()
+    assert store.calls == ["list", "list"]
 
 
 class EvacuatedSim:
