--- a/src/canvasyoke/direct/_budget.py
+++ b/src/canvasyoke/direct/_budget.py
@@ -13,6 +13,7 @@
 from typing import Final
 
 from canvasyoke._clock import SECOND, Clock
+from canvasyoke.state import DirectSettings
 
 #: Fraction of the fleet's slack that is divided among entries.
 _SLACK_FRACTION: Final = 0.5
@@ -48,6 +49,12 @@
         return len(self._times)
 
 
+def retry_allowance(settings: DirectSettings) -> RetryAllowance:
+    """Return the operator's limits of retries."""
+    window = round(settings.retry_window_s * SECOND)
+    return RetryAllowance(settings.retry_ratio, settings.retry_slack, window)
+
+
 class FleetRetryBudget:
     """One entry's part of the fleet's retry budget, per service; thread-safe."""
 
--- a/src/canvasyoke/direct/_process.py
+++ b/src/canvasyoke/direct/_process.py
@@ -11,7 +11,7 @@
 from canvasyoke._clock import SECOND, Clock, SystemClock
 from canvasyoke.backend import DIRECT_BACKENDS
 from canvasyoke.direct._admin import AdminApp
-from canvasyoke.direct._budget import FleetRetryBudget, RetryAllowance
+from canvasyoke.direct._budget import FleetRetryBudget, retry_allowance
 from canvasyoke.direct._caller_port import CALLER_PORTS
 from canvasyoke.direct._callers import MAX_CONCURRENT_REQUESTS, CallerApp
 from canvasyoke.direct._crash_detector import CrashDetector
@@ -74,7 +74,7 @@
         self._wakeup = threading.Event()
         self._view = TableView(self._on_new_table)
         self._roster = Roster(settings.domain, self._clock, rng)
-        self._budget = FleetRetryBudget(_allowance(settings), self._clock)
+        self._budget = FleetRetryBudget(retry_allowance(settings), self._clock)
         self._budget.entries = _ASSUMED_ENTRIES
         self._metrics = DirectMetrics()
         self._quarantine = Quarantine(
@@ -218,7 +218,7 @@
             _log.error("settings not taken", faults=[str(fault) for fault in loaded])
             return
         self._settings = loaded
-        self._budget.set_allowance(_allowance(loaded))
+        self._budget.set_allowance(retry_allowance(loaded))
         _log.info("settings reloaded", instance=loaded.instance)
 
     def _on_unresponsive_backend(self, backend: str) -> None:
@@ -339,11 +339,6 @@
         )
 
 
-def _allowance(settings: DirectSettings) -> RetryAllowance:
-    window = round(settings.retry_window_s * SECOND)
-    return RetryAllowance(settings.retry_ratio, settings.retry_slack, window)
-
-
 def _server_limits(limits: CallerLimits) -> ServerLimits:
     return ServerLimits(
         limits.header_bytes, limits.body_bytes, limits.header_time, limits.idle_time
