Evacuations: an entry without the store waits for the set of its first link

Cause: a load report of another thread can overtake the set that a new link starts with, and the entry then accepted callers a moment too early. Change: a link counts as heard 100 ms after its first report.

--- a/src/canvasyoke/direct/_evacuation_exchange.py
+++ b/src/canvasyoke/direct/_evacuation_exchange.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Final
 
 from canvasyoke._clock import Clock
 from canvasyoke.direct._evacuations import Evacuations
@@ -18,6 +19,10 @@
 from canvasyoke.protocol import EvacuationList, Message
 from canvasyoke.transport import Session
 
+#: Milliseconds after the first report within which the set of a new link arrives. Another thread of
+#: the sender can send a report to all links between the opening of the link and the set.
+_START_GRACE: Final = 100
+
 
 class EvacuationExchange:
     """Sends and receives the set of evacuated domains."""
@@ -27,11 +32,22 @@
     ) -> None:
         self._broadcast = broadcast
         self._clock = clock
-        #: Whether a link has delivered the messages that it starts with.
-        self.has_heard_peer = False
+        #: Clock time of the first report of another entry; ``None`` before.
+        self._first_report_at: int | None = None
         #: The set in force.
         self.evacuations = Evacuations(roster, clock)
 
+    @property
+    def has_heard_peer(self) -> bool:
+        """Return whether a link has delivered the set that it starts with, if there is one."""
+        at = self._first_report_at
+        return at is not None and self._clock.now() - at >= _START_GRACE
+
+    def record_report(self) -> None:
+        """Record a report of another entry, which follows the set on a new link."""
+        if self._first_report_at is None:
+            self._first_report_at = self._clock.now()
+
     def announce(self) -> None:
         """Send all linked entries the set in force."""
         self._broadcast(self._message(), None)
--- a/src/canvasyoke/direct/_peers.py
+++ b/src/canvasyoke/direct/_peers.py
@@ -270,7 +270,7 @@
         )
 
     def _handle_load(self, session: Session, load: EntryLoad) -> None:
-        self.evacuations.has_heard_peer = True
+        self.evacuations.record_report()
         if load.demands:
             self._shares.report_demand(session.peer, load.demands)
         if self._links.is_mesh or session.peer in self._domain_peers:
