States of rank groups, forecasts of outages and planned return times

Cause: while the only group of a service is stalled, callers are sent away for 2.4 to 2.6 s, return into the same outage and are lost; each of their requests is sent to an engine that refuses it. Change: entries that watch the store poll a stalled group's engines and announce its state; a planner names the wait and the return time that cover the forecast of the outage best.

--- a/src/canvasyoke/backend/_direct.py
+++ b/src/canvasyoke/backend/_direct.py
@@ -110,6 +110,17 @@
         """Close the connection and discard the rest of the body."""
 
 
+@dataclass(frozen=True, slots=True)
+class GroupReport:
+    """An engine's report of its rank group."""
+
+    name: str
+    #: Rises each time the group forms.
+    epoch: int
+    #: Whether the group executes steps; false while a rank is missing.
+    is_open: bool
+
+
 SendResult: TypeAlias = BackendAnswer | NotRun | MayHaveRun
 
 
@@ -134,6 +145,10 @@
     def group_of(self, endpoint: Endpoint) -> str | None:
         """Return the rank group of a backend; empty if it has none, ``None`` if unknown."""
 
+    @abstractmethod
+    def group_report(self, endpoint: Endpoint) -> GroupReport | None:
+        """Return a backend's report of its rank group; ``None`` without one or an answer."""
+
 
 #: Adapters by name.
 DIRECT_BACKENDS: Registry[type[DirectBackendPort]] = Registry("direct backend adapter")
--- a/src/canvasyoke/direct/_attempt_recorder.py
+++ b/src/canvasyoke/direct/_attempt_recorder.py
@@ -85,7 +85,7 @@
         self, call: DirectCall, endpoint: Endpoint, failure: NotRun | MayHaveRun | None
     ) -> None:
         if isinstance(failure, NotRun) and failure.faulty_backend not in ("", endpoint.id):
-            self._roster.record_group_failure(endpoint.run)
+            self._roster.record_group_failure(endpoint.run, is_refused=True)
         if isinstance(failure, MayHaveRun):
             call.may_have_run = True
             if call.route.is_stream and not _closed_by_entry(call):
--- a/src/canvasyoke/direct/_backend_records.py
+++ b/src/canvasyoke/direct/_backend_records.py
@@ -20,6 +20,7 @@
 from canvasyoke.direct._backend_limits import BackendLimits
 from canvasyoke.direct._backend_notices import BackendNotices
 from canvasyoke.direct._domains import DomainReachability
+from canvasyoke.direct._group_states import GroupStates, OwnObservation
 from canvasyoke.direct._groups import RankGroups
 from canvasyoke.direct._home_share import assign_home_share
 from canvasyoke.direct._known_backends import BackendChange, KnownBackends
@@ -75,6 +76,8 @@
     _fleet: FleetView = FleetView()
     #: Backends assigned to this entry as its home share.
     _home_share: frozenset[str] = frozenset()
+    #: Whether the groups of the backends execute steps; has a lock of its own.
+    group_states: GroupStates = field(init=False)
     _groups: RankGroups = field(init=False)
     _health: BackendHealth = field(init=False)
     _notices: BackendNotices = field(init=False)
@@ -100,7 +103,10 @@
 
     def __post_init__(self) -> None:
         self._known = KnownBackends(StoreRestore(self.clock))
-        self._groups = RankGroups(self.clock)
+        self.group_states = GroupStates(
+            self.clock, self.own_observations, self.all_own_observations
+        )
+        self._groups = RankGroups(self.clock, self.group_states)
         self._health = BackendHealth(self.clock)
         self._notices = BackendNotices(self.clock, BackendLimits(self.clock, self.rng))
         self._evidence = BackendEvidence(
@@ -282,6 +288,24 @@
         with self._lock:
             return {i: m.own_requests for i, m in self._members.items() if m.own_requests}
 
+    def own_observations(self, service: str) -> dict[str, OwnObservation]:
+        """Return what this entry's traffic shows of a service's groups, by group.
+
+        The empty name stands for backends without a group or of an unknown one.
+        """
+        with self._lock:
+            return dict(
+                self._groups.observation(member.endpoint.run)
+                for member in self._members.values()
+                if member.endpoint.service == service
+                and member.endpoint.state is not EndpointState.LEAVING
+            )
+
+    def all_own_observations(self) -> dict[str, OwnObservation]:
+        """Return what this entry's traffic shows, by group."""
+        with self._lock:
+            return self._groups.observations()
+
     def _load(self, member: Member) -> int:
         """Return the in-flight requests of all entries at a backend."""
         return member.own_requests + self._peer_requests(member)
--- a/src/canvasyoke/direct/_backend_streams.py
+++ b/src/canvasyoke/direct/_backend_streams.py
@@ -39,10 +39,21 @@
         with self._lock:
             return self._groups.learned()
 
-    def record_group_failure(self, run: str) -> None:
-        """Record that a backend's group has lost a rank."""
+    def record_group_failure(self, run: str, is_refused: bool = False) -> None:
+        """Record that a backend's group has lost a rank, as the backend said if ``is_refused``."""
         with self._lock:
-            self._groups.record_failure(run)
+            self._groups.record_failure(run, is_refused)
+
+    def group_members(self, group: str) -> list[Endpoint]:
+        """Return this domain's backends of a group, except those that asked for backoff."""
+        with self._lock:
+            return [
+                m.endpoint
+                for m in self._members.values()
+                if m.endpoint.domain == self.domain
+                and self._groups.observation(m.endpoint.run)[0] == group
+                and not self._notices.remaining_backoff(m.endpoint)
+            ]
 
     def learn_pace(self, run: str, pace: float) -> bool:
         """Store a backend's slowdown factor; return whether to report it to other entries."""
--- a/src/canvasyoke/direct/_groups.py
+++ b/src/canvasyoke/direct/_groups.py
@@ -8,17 +8,17 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Final
 
 from canvasyoke._clock import SECOND, Clock
+from canvasyoke.direct._group_states import STALL_TIMEOUT, GroupStates, OwnObservation
 
 #: Milliseconds for which a group is avoided after a rank reported that another is missing;
 #: doubled with each further report up to the maximum.
 _COOLDOWN: Final = 250
 _MAX_COOLDOWN: Final = 1 * SECOND
-#: Milliseconds without an event on any stream of a group after which it is considered stalled.
-_STALL_TIMEOUT: Final = 400
 #: Weight of a new sample in a group's moving average of pauses between events.
 _PAUSE_WEIGHT: Final = 0.05
 #: Milliseconds for which a mean pause stays valid after the last event.
@@ -32,6 +32,9 @@
 class _Group:
     cooldown: int = _COOLDOWN
     cooldown_until: int = 0
+    #: Time of the last refusal because another rank is missing, and of the last failure.
+    refused_at: int = 0
+    failed_at: int = 0
     #: Open streams of this entry that have had their first event.
     streams: int = 0
     #: Time of the last event on any stream.
@@ -39,12 +42,20 @@
     #: Moving average of the milliseconds between events of a stream; 0 if unknown.
     event_pause: float = 0.0
 
+    def observation(self) -> OwnObservation:
+        """Return what the traffic of this entry shows."""
+        return OwnObservation(
+            self.streams, self.last_event_at, self.refused_at, self.failed_at, self.cooldown_until
+        )
+
 
 class RankGroups:
     """Observed state of rank groups; not thread-safe, guarded by the roster's lock."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, states: GroupStates) -> None:
         self._clock = clock
+        #: Combines the observations made here with reports of the engines.
+        self._states = states
         self._group_of: dict[str, str] = {}
         self._groups: dict[str, _Group] = {}
         #: Streams counted in their group, by backend.
@@ -62,6 +73,10 @@
         """Return the known groups by backend."""
         return dict(self._group_of)
 
+    def names(self, backends: Iterable[str]) -> frozenset[str]:
+        """Return the known groups of backends."""
+        return frozenset(filter(None, (self._group_of.get(backend) for backend in backends)))
+
     def forget(self, backend: str) -> None:
         """Remove a backend; its open streams no longer count in its group."""
         group = self._find(backend)
@@ -79,16 +94,33 @@
         group = self._find(backend)
         if group is None:
             return False
-        now = self._clock.now()
-        is_overdue = group.streams > 0 and now - group.last_event_at > _STALL_TIMEOUT
-        return now < group.cooldown_until or is_overdue
+        return self._states.is_stalled(self._group_of[backend], group.observation())
+
+    def observations(self) -> dict[str, OwnObservation]:
+        """Return what the traffic of this entry shows, by group."""
+        names = {name for name in self._group_of.values() if name}
+        return {name: self._groups.setdefault(name, _Group()).observation() for name in names}
+
+    def observation(self, backend: str) -> tuple[str, OwnObservation]:
+        """Return the backend's group and what is observed of it; the name may be empty."""
+        group = self._find(backend)
+        if group is None:
+            return "", OwnObservation()
+        return self._group_of[backend], group.observation()
+
+    def record_failure(self, backend: str, is_refused: bool = False) -> None:
+        """Record that the backend's group has lost a rank.
 
-    def record_failure(self, backend: str) -> None:
-        """Record that the backend's group has lost a rank."""
+        ``is_refused`` tells that the backend itself said so in a refusal.
+        """
         group = self._find(backend)
         if group is None:
             return
-        group.cooldown_until = self._clock.now() + group.cooldown
+        now = self._clock.now()
+        group.failed_at = now
+        if is_refused:
+            group.refused_at = now
+        group.cooldown_until = now + group.cooldown
         group.cooldown = min(_MAX_COOLDOWN, group.cooldown * 2)
 
     def record_stream_start(self, backend: str) -> None:
@@ -122,7 +154,7 @@
     def is_progressing(self, backend: str) -> bool:
         """Return whether the backend's group had an event within the stall timeout."""
         group = self._find(backend)
-        return group is not None and self._clock.now() - group.last_event_at < _STALL_TIMEOUT
+        return group is not None and self._clock.now() - group.last_event_at < STALL_TIMEOUT
 
     def fastest_pause(self) -> float:
         """Return the smallest mean pause of all groups; 0 if unknown."""
--- a/src/canvasyoke/direct/_metrics.py
+++ b/src/canvasyoke/direct/_metrics.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from canvasyoke.direct._call import DirectCall, Lateness
+from canvasyoke.direct._roster import Roster
 from canvasyoke.observe import Metrics
 
 
@@ -75,3 +76,22 @@
             self._pauses.record(call.longest_gap)
         if late is not Lateness.ON_TIME:
             self._late.add(late.value)
+
+
+def add_list_gauges(metrics: Metrics, roster: Roster) -> None:
+    """Register gauges of the list of backends."""
+    metrics.gauge(
+        "canvasyoke_backends_age_ms",
+        "Milliseconds since the list of backends was known to be in step with the store.",
+        lambda: roster.list_age,
+    )
+    metrics.gauge(
+        "canvasyoke_store_era",
+        "How many times the store is known to have come back from an older copy.",
+        lambda: roster.era,
+    )
+    metrics.gauge(
+        "canvasyoke_backends_doubted",
+        "Backends of which the store's word is not believed just after its return.",
+        lambda: roster.doubted,
+    )
--- a/src/canvasyoke/direct/_peers.py
+++ b/src/canvasyoke/direct/_peers.py
@@ -21,6 +21,7 @@
 from canvasyoke.direct._crash_cases import CrashCase
 from canvasyoke.direct._demand_shares import DemandShares
 from canvasyoke.direct._entry_notes import EntryNotes
+from canvasyoke.direct._group_exchange import GroupExchange
 from canvasyoke.direct._known_backends import BackendChange
 from canvasyoke.direct._load_schedule import LOAD_INTERVAL, MAX_INTERVAL, LoadSchedule
 from canvasyoke.direct._notice_exchange import NoticeExchange
@@ -40,6 +41,7 @@
     CrashList,
     CrashUpdate,
     EntryLoad,
+    GroupStateUpdate,
     GroupUpdate,
     Message,
     PaceUpdate,
@@ -108,6 +110,10 @@
         self._shares = DemandShares(budget.request_rate, clock)
         roster.set_share(self._shares.share)
         self._backends = BackendExchange(roster, self._broadcast, self._send_load_now, clock)
+        #: States of rank groups.
+        self.groups = GroupExchange(
+            roster.group_states, lambda: self._links.is_mesh, self._broadcast
+        )
         self._notice_exchange = NoticeExchange(roster, self._broadcast)
         #: Last result of the discovery, until the exchange thread takes it.
         self._discovered: list[Node] | None = None
@@ -237,6 +243,8 @@
             case GroupUpdate():
                 if self._roster.learn_group(message.backend, message.group):
                     self._broadcast(message, exclude=session)
+            case GroupStateUpdate():
+                self.groups.receive(session, message)
             case PaceUpdate():
                 if self._roster.learn_pace(message.backend, message.pace):
                     self._broadcast(message, exclude=session)
--- a/src/canvasyoke/direct/_process.py
+++ b/src/canvasyoke/direct/_process.py
@@ -20,7 +20,8 @@
 from canvasyoke.direct._exit_monitor import ExitMonitor
 from canvasyoke.direct._forwarder import Forwarder
 from canvasyoke.direct._group_learner import GroupLearner
-from canvasyoke.direct._metrics import DirectMetrics
+from canvasyoke.direct._group_monitor import GroupMonitor
+from canvasyoke.direct._metrics import DirectMetrics, add_list_gauges
 from canvasyoke.direct._notice_handler import NoticeHandler
 from canvasyoke.direct._pace_monitor import PaceMonitor
 from canvasyoke.direct._peers import EntryPeers
@@ -133,6 +134,15 @@
             self._peers.announce_group,
             self._clock,
         )
+        self._roster.group_states.form_time = self._view.form_time
+        self._group_monitor = GroupMonitor(
+            port,
+            self._roster,
+            self._peers.is_watching,
+            self._peers.groups.share,
+            self._clock,
+        )
+        self._group_monitor.add_gauges(self._metrics.all)
         self._pace_monitor = PaceMonitor(
             port,
             self._roster,
@@ -177,6 +187,7 @@
         self._endpoint_follower.start()
         self._peers.start()
         self._group_learner.start()
+        self._group_monitor.start()
         self._pace_monitor.start()
         self._domain_prober.start()
         self._exit_monitor.start()
@@ -254,6 +265,7 @@
 
     def _add_gauges(self) -> None:
         gauge = self._metrics.all.gauge
+        add_list_gauges(self._metrics.all, self._roster)
         gauge(
             "canvasyoke_requests_in_flight",
             "Requests held now.",
@@ -285,21 +297,6 @@
             "Entries in the store that name no backend, as this entry watches them.",
             lambda: self._endpoint_follower.unreadable,
         )
-        gauge(
-            "canvasyoke_backends_age_ms",
-            "Milliseconds since the list of backends was known to be in step with the store.",
-            lambda: self._roster.list_age,
-        )
-        gauge(
-            "canvasyoke_store_era",
-            "How many times the store is known to have come back from an older copy.",
-            lambda: self._roster.era,
-        )
-        gauge(
-            "canvasyoke_backends_doubted",
-            "Backends of which the store's word is not believed just after its return.",
-            lambda: self._roster.doubted,
-        )
         gauge(
             "canvasyoke_requests_quarantined",
             "Requests that are kept from all backends because backends ended under them.",
--- a/src/canvasyoke/direct/_refusals.py
+++ b/src/canvasyoke/direct/_refusals.py
@@ -10,6 +10,7 @@
 from canvasyoke.backend import MayHaveRun, NotRun, NotRunCause
 from canvasyoke.direct._call import DirectCall, ErrorAnswer, IncompleteAnswer
 from canvasyoke.direct._choice import NoneAvailable
+from canvasyoke.direct._return_times import ReturnTimes
 from canvasyoke.direct._roster import Roster
 from canvasyoke.protocol import Reason
 
@@ -71,6 +72,8 @@
         self._clock = clock
         self._rng = rng
         self._scheduler = RetryScheduler(clock)
+        #: Shared with requests that wait, so that no place is assigned twice.
+        self.return_times = ReturnTimes(roster, clock)
 
     def final_answer(
         self, call: DirectCall, detail: str, cause: NotRun | MayHaveRun | NoneAvailable
@@ -100,6 +103,8 @@
             return wait + self._rng.randint(
                 1, max(_MIN_BACKOFF_SPREAD, round(wait * _BACKOFF_SPREAD))
             )
+        if self.return_times.applies(call) and not _is_moved(cause):
+            return self.return_times.assign(call)
         bounds = _RETRY_FULL
         if self._roster.is_service_stalled(call.service) or _recovers_slowly(call, cause):
             bounds = _RETRY_UNAVAILABLE
@@ -119,4 +124,9 @@
     if not isinstance(cause, NotRun):
         return False
     lacks_rank = cause.faulty_backend not in ("", call.attempts[-1].chosen.endpoint.id)
-    return lacks_rank or cause.cause is NotRunCause.MOVED
+    return lacks_rank or _is_moved(cause)
+
+
+def _is_moved(cause: NotRun | MayHaveRun | NoneAvailable) -> bool:
+    """Return whether the list of backends is outdated, so that their states are unknown."""
+    return isinstance(cause, NotRun) and cause.cause is NotRunCause.MOVED
--- a/src/canvasyoke/direct/_roster.py
+++ b/src/canvasyoke/direct/_roster.py
@@ -20,7 +20,7 @@
 from canvasyoke.protocol import Reason
 from canvasyoke.state import Endpoint
 
-__all__ = ["FleetView", "Roster"]
+__all__ = ["FleetView", "Roster", "ServiceLoad"]
 
 #: Milliseconds for which a backend is avoided after another run answered at its address; the
 #: list is updated by then.
@@ -36,6 +36,20 @@
 _log = part_logger("roster")
 
 
+@dataclass(frozen=True, slots=True)
+class ServiceLoad:
+    """Load of the backends of a service."""
+
+    #: Slots of the backends that are not leaving.
+    places: int
+    #: Estimated requests of all entries in progress there.
+    in_use: int
+    #: Mean duration of a request in milliseconds; at least 1.
+    mean_duration: int
+    #: Known entries, including this one.
+    entries: int
+
+
 @dataclass(slots=True)
 class Roster(BackendAvailability):
     """All known backends, and selection among them; thread-safe."""
@@ -103,6 +117,21 @@
             ready = [m for m in self._members.values() if m.endpoint.service == service]
             return bool(ready) and all(self._groups.is_stalled(m.endpoint.run) for m in ready)
 
+    def service_load(self, service: str) -> ServiceLoad:
+        """Return the load of a service's backends."""
+        with self._lock:
+            members = [
+                m
+                for m in self._members.values()
+                if m.endpoint.service == service and not self._is_leaving(m)
+            ]
+            return ServiceLoad(
+                places=sum(m.endpoint.slots for m in members),
+                in_use=sum(self._load(m) for m in members),
+                mean_duration=max(1, round(self._durations.get(service, _ASSUMED_DURATION))),
+                entries=self._fleet.entries,
+            )
+
     def record_connect_failure(self, endpoint: Endpoint) -> None:
         """Record a failure to connect to a backend."""
         with self._lock:
@@ -114,6 +143,10 @@
         with self._lock:
             if self._domains.record_success(domain):
                 _log.info("domain in reach", domain=domain, own=self.domain)
+                runs = [
+                    m.endpoint.run for m in self._members.values() if m.endpoint.domain == domain
+                ]
+                self.group_states.expect_opening(self._groups.names(runs))
 
     def probe_addresses(self) -> dict[str, str]:
         """Return the address of a random backend in each unreachable domain."""
--- a/src/canvasyoke/direct/_table_follower.py
+++ b/src/canvasyoke/direct/_table_follower.py
@@ -40,6 +40,11 @@
         #: Document that the table was parsed from, for peers.
         self.document = b""
 
+    def form_time(self, service: str) -> int:
+        """Return the milliseconds in which a service's rank group forms; 0 if unknown."""
+        found = self.current.services.get(service)
+        return found.form_time if found is not None else 0
+
     def adopt(self, table: RoutingTable, document: bytes, source: str) -> bool:
         """Put ``table`` in force if it is newer; return whether it was."""
         with self._lock:
--- a/src/canvasyoke/direct/tests/calls.py
+++ b/src/canvasyoke/direct/tests/calls.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from canvasyoke._clock import Clock
-from canvasyoke.backend import DirectBackendPort, OutboundRequest, SendResult
+from canvasyoke.backend import DirectBackendPort, GroupReport, OutboundRequest, SendResult
 from canvasyoke.direct._budget import FleetRetryBudget
 from canvasyoke.direct._call import DirectCall
 from canvasyoke.direct._crash_detector import CrashDetector
@@ -54,6 +54,9 @@
     def group_of(self, endpoint: Endpoint) -> str | None:
         return ""
 
+    def group_report(self, endpoint: Endpoint) -> GroupReport | None:
+        return None
+
 
 def make_forwarder(
     port: DirectBackendPort,
--- a/src/canvasyoke/direct/tests/test_backoff.py
+++ b/src/canvasyoke/direct/tests/test_backoff.py
@@ -14,6 +14,7 @@
     BackendAnswer,
     BackendNotice,
     DirectBackendPort,
+    GroupReport,
     NotRun,
     NotRunCause,
     OutboundRequest,
@@ -91,6 +92,9 @@
     def group_of(self, endpoint: Endpoint) -> str | None:
         return ""
 
+    def group_report(self, endpoint: Endpoint) -> GroupReport | None:
+        return None
+
 
 class _Entry:
     """An entry's forwarder with a scripted port in place of sockets."""
--- a/src/canvasyoke/platform/_engine.py
+++ b/src/canvasyoke/platform/_engine.py
@@ -10,6 +10,7 @@
     BackendAnswer,
     BackendNotice,
     DirectBackendPort,
+    GroupReport,
     MayHaveRun,
     NotRun,
     NotRunCause,
@@ -134,6 +135,13 @@
             return None
         return report.group if report is not None else ""
 
+    def group_report(self, endpoint: Endpoint) -> GroupReport | None:
+        """Request the engine's report."""
+        report = ObjectsRankPort(endpoint.address).report()
+        if not isinstance(report, RankReport):
+            return None
+        return GroupReport(report.group, report.epoch, report.is_open)
+
 
 def _headers(endpoint: Endpoint, request: OutboundRequest) -> list[tuple[str, str]]:
     headers = [
