--- a/fakes/platform_engine.py
+++ b/fakes/platform_engine.py
@@ -39,6 +39,13 @@
     events: int = 5
     #: Rank group; empty for none.
     group: str = ""
+    #: Epoch of the group, and whether it reports that a rank is missing.
+    epoch: int = 1
+    is_broken: bool = False
+    #: Number of reports that were requested.
+    reports: int = 0
+    #: Cleared while the group is stalled: streams send no events.
+    running: threading.Event = field(default_factory=threading.Event)
     #: Seconds between two events of a stream.
     event_pause: float = 0.0
     #: Port to listen on; 0 for any free port.
@@ -64,6 +71,7 @@
 
     def __post_init__(self) -> None:
         engine = self
+        self.running.set()
 
         class _Handler(Handler):
             def setup(self) -> None:
@@ -92,6 +100,8 @@
                 behaviour = engine.behaviours.popleft() if engine.behaviours else answer
                 if engine.is_shedding:
                     behaviour = overloaded
+                if engine.is_broken:
+                    behaviour = group_broken
                 engine.record_arrival(self)
                 behaviour(self, engine)
 
@@ -141,9 +151,16 @@
 
     def report(self, handler: Handler) -> None:
         """Send the engine report with its rank group."""
+        self.reports += 1
         report: dict[str, object] = {"Stage": "dual"}
         if self.group:
-            report["group"] = {"Name": self.group, "epoch": 1, "rank": 0, "State": "open"}
+            state = "broken" if self.is_broken else "open"
+            report["group"] = {
+                "Name": self.group,
+                "epoch": self.epoch,
+                "rank": 0,
+                "State": state,
+            }
             report["size"] = 2
         handler.reply_json(report)
 
@@ -191,6 +208,7 @@
     handler.end_headers()
     first = int(handler.headers.get("Last-Event-Id") or 0) + 1
     for number in range(first, until + 1):
+        engine.running.wait()
         try:
             handler.write_chunk(event(number))
         except OSError:
