Return times of a full group leave out places that others wait for

Cause: the first caller refused by a full group was told to return after 1 ms. Change: the first place that is assigned is half a mean duration away, later by the queue.

--- a/src/canvasyoke/admission/_returns.py
+++ b/src/canvasyoke/admission/_returns.py
@@ -72,7 +72,7 @@
         """
         longest = _longest_return(request, now)
         window = _second_window(request, now + longest)
-        opens_in = 0 if room.is_open else room.opens_in
+        opens_in = _taken_time(room) if room.is_open else room.opens_in
         if not window or opens_in is None:
             return longest if window else 0
         if opens_in > _HOPELESS_FACTOR * (longest + window):
@@ -101,6 +101,16 @@
     return max(1, round(SECOND / room.entry_rate)) if room.entry_rate > 0 else _DEFAULT_INTERVAL
 
 
+def _taken_time(room: ServiceRoom) -> int:
+    """Return for how long the places of an open group are taken, in milliseconds.
+
+    The caller was refused, so places that become free sooner go to requests that wait. It is the
+    mean rest of the requests that run, and the time for those that queue beyond the places.
+    """
+    queued = max(0, room.in_use - room.places) / max(1, room.places)
+    return round(room.mean_duration * (0.5 + queued))
+
+
 def _longest_wait(request: PendingRequest, patience_until: int, now: int) -> int:
     """Return the longest wait in milliseconds after which the caller is still served."""
     latest_start = request.deadline - request.expected_duration
--- a/src/canvasyoke/admission/tests/test_returns.py
+++ b/src/canvasyoke/admission/tests/test_returns.py
@@ -89,6 +89,8 @@
 ASSIGN_CASES = [
     ("the group opens later than a third", 4_000, 10.0, False, 0, 2_560),
     ("unknown opening", None, 10.0, False, 0, 2_560),
+    ("the running requests go on", None, 10.0, True, 0, 750),
+    ("places are assigned in turn", None, 10.0, True, 3, 1_050),
     ("places for the next seconds are assigned", None, 1.0, True, 10, 0),
     ("no hope", 60_000, 10.0, False, 0, 0),
 ]
--- a/src/canvasyoke/direct/_backend_records.py
+++ b/src/canvasyoke/direct/_backend_records.py
@@ -294,12 +294,13 @@
         The empty name stands for backends without a group or of an unknown one.
         """
         with self._lock:
-            return dict(
-                self._groups.observation(member.endpoint.run)
+            names = {
+                self._groups.group_of(member.endpoint.run)
                 for member in self._members.values()
                 if member.endpoint.service == service
                 and member.endpoint.state is not EndpointState.LEAVING
-            )
+            }
+            return {name: self._groups.observation(name) for name in names}
 
     def all_own_observations(self) -> dict[str, OwnObservation]:
         """Return what this entry's traffic shows, by group."""
--- a/src/canvasyoke/direct/_backend_streams.py
+++ b/src/canvasyoke/direct/_backend_streams.py
@@ -51,7 +51,7 @@
                 m.endpoint
                 for m in self._members.values()
                 if m.endpoint.domain == self.domain
-                and self._groups.observation(m.endpoint.run)[0] == group
+                and self._groups.group_of(m.endpoint.run) == group
                 and not self._notices.remaining_backoff(m.endpoint)
             ]
 
--- a/src/canvasyoke/direct/_groups.py
+++ b/src/canvasyoke/direct/_groups.py
@@ -99,14 +99,16 @@
     def observations(self) -> dict[str, OwnObservation]:
         """Return what the traffic of this entry shows, by group."""
         names = {name for name in self._group_of.values() if name}
-        return {name: self._groups.setdefault(name, _Group()).observation() for name in names}
+        return {name: self.observation(name) for name in names}
 
-    def observation(self, backend: str) -> tuple[str, OwnObservation]:
-        """Return the backend's group and what is observed of it; the name may be empty."""
-        group = self._find(backend)
-        if group is None:
-            return "", OwnObservation()
-        return self._group_of[backend], group.observation()
+    def group_of(self, backend: str) -> str:
+        """Return the backend's group; empty for none and for an unknown one."""
+        return self._group_of.get(backend, "")
+
+    def observation(self, group: str) -> OwnObservation:
+        """Return what the traffic of this entry shows of a group."""
+        found = self._groups.get(group)
+        return found.observation() if found is not None else OwnObservation()
 
     def record_failure(self, backend: str, is_refused: bool = False) -> None:
         """Record that the backend's group has lost a rank.
