Learns no outage from a pause of this process

Cause: an entry that is stopped for seconds sees its streams resume and learnt its own pause. Change: an outage that began before a gap of the checks is not learnt. Measured: the new test fails without the rule.

--- a/src/canvasyoke/direct/_group_states.py
+++ b/src/canvasyoke/direct/_group_states.py
@@ -36,6 +36,9 @@
 _CONFIRM_INTERVAL: Final = 400
 #: Shortest outage in milliseconds that is learnt; a shorter silence is a pause of the group.
 _MIN_OUTAGE: Final = 1 * SECOND
+#: Milliseconds between two checks after which this process has not run in between. The silence is
+#: its own then, and no outage of the group.
+_MAX_CHECK_GAP: Final = 1 * SECOND
 #: Milliseconds after the forecast end of a formation after which the group is not forming.
 _FORM_SLACK: Final = 500
 #: Shortest forecast of a group that forms, in milliseconds.
@@ -137,6 +140,9 @@
         self.form_time: Callable[[str], int] = lambda _service: 0
         self._lock = threading.Lock()
         self._records: dict[str, _Record] = {}
+        #: Time of the last check, and of the first one after a gap; 0 for never.
+        self._checked_at = 0
+        self._resumed_at = 0
 
     def observe(
         self,
@@ -216,6 +222,9 @@
         now = self._clock.now()
         changes: list[GroupChange] = []
         with self._lock:
+            if self._checked_at and now - self._checked_at > _MAX_CHECK_GAP:
+                self._resumed_at = now
+            self._checked_at = now
             for group, observation in own.items():
                 record = self._records.setdefault(group, _Record())
                 state = self._judge(group, observation, 0, now)
@@ -227,8 +236,9 @@
                     continue
                 # Without proof of an opening the reports or the overdue streams have just ended.
                 newest_open = max(observation.last_event_at, record.opened_at)
-                is_proven = state.is_open and newest_open > before.closed_since
-                outage = now - before.closed_since if is_proven else 0
+                since = before.closed_since
+                is_proven = state.is_open and newest_open > since >= self._resumed_at
+                outage = now - since if is_proven else 0
                 if outage >= _MIN_OUTAGE:
                     record.forecast.record(outage)
                 changes.append(GroupChange(group, state, outage))
--- a/src/canvasyoke/direct/tests/test_group_states.py
+++ b/src/canvasyoke/direct/tests/test_group_states.py
@@ -240,6 +240,23 @@
     assert group.states.service_state("ink").opens_in == 1_500
 
 
+def test_a_pause_of_this_process_is_no_outage(group: Fixture) -> None:
+    """Forecasts would follow the pauses of entries, and callers would be sent away for them."""
+    group.is_watching = False
+    group.run_streams()
+    group.poll(4, True, times=2)
+    group.clock.advance(4_000)
+    group.poll(4, True)
+    group.clock.advance(10)
+    group.roster.record_stream_event("b-1", 4_000)
+    group.poll(4, True)
+    refuse(group)
+    state = group.states.service_state("ink")
+    assert not state.is_open
+    assert state.opens_in is not None
+    assert state.opens_in < 1_000
+
+
 def test_an_outage_learnt_elsewhere_counts(group: Fixture) -> None:
     group.states.observe("g", 4, True, 0)
     group.states.observe("g", 5, True, 0, outage=6_000)
