--- a/src/canvasyoke/direct/_refusals.py
+++ b/src/canvasyoke/direct/_refusals.py
@@ -124,7 +124,7 @@
     if not isinstance(cause, NotRun):
         return False
     lacks_rank = cause.faulty_backend not in ("", call.attempts[-1].chosen.endpoint.id)
-    return lacks_rank or _is_moved(cause)
+    return lacks_rank or cause.cause is NotRunCause.MOVED
 
 
 def _is_moved(cause: NotRun | MayHaveRun | NoneAvailable) -> bool:
