--- a/src/canvasyoke/direct/_peers.py
+++ b/src/canvasyoke/direct/_peers.py
@@ -22,6 +22,7 @@
 from canvasyoke.direct._demand_shares import DemandShares
 from canvasyoke.direct._entry_notes import EntryNotes
 from canvasyoke.direct._evacuation_exchange import EvacuationExchange
+from canvasyoke.direct._group_exchange import GroupExchange
 from canvasyoke.direct._known_backends import BackendChange
 from canvasyoke.direct._load_schedule import LOAD_INTERVAL, MAX_INTERVAL, LoadSchedule
 from canvasyoke.direct._notice_exchange import NoticeExchange
@@ -42,6 +43,7 @@
     CrashUpdate,
     EntryLoad,
     EvacuationList,
+    GroupStateUpdate,
     GroupUpdate,
     Message,
     PaceUpdate,
@@ -112,6 +114,10 @@
         self._backends = BackendExchange(roster, self._broadcast, self._send_load_now, clock)
         #: Evacuated domains, and their exchange with the other entries.
         self.evacuations = EvacuationExchange(roster, self._broadcast, clock)
+        #: States of rank groups.
+        self.groups = GroupExchange(
+            roster.group_states, lambda: self._links.is_mesh, self._broadcast
+        )
         self._notice_exchange = NoticeExchange(roster, self._broadcast)
         #: Last result of the discovery, until the exchange thread takes it.
         self._discovered: list[Node] | None = None
@@ -242,6 +248,8 @@
             case GroupUpdate():
                 if self._roster.learn_group(message.backend, message.group):
                     self._broadcast(message, exclude=session)
+            case GroupStateUpdate():
+                self.groups.receive(session, message)
             case PaceUpdate():
                 if self._roster.learn_pace(message.backend, message.pace):
                     self._broadcast(message, exclude=session)
--- a/src/canvasyoke/direct/_refusals.py
+++ b/src/canvasyoke/direct/_refusals.py
@@ -10,6 +10,7 @@
 from canvasyoke.backend import MayHaveRun, NotRun, NotRunCause
 from canvasyoke.direct._call import DirectCall, ErrorAnswer, IncompleteAnswer
 from canvasyoke.direct._choice import NoneAvailable
+from canvasyoke.direct._return_times import ReturnTimes
 from canvasyoke.direct._roster import Roster
 from canvasyoke.protocol import Reason
 
@@ -72,6 +73,8 @@
         self._clock = clock
         self._rng = rng
         self._scheduler = RetryScheduler(clock)
+        #: Shared with requests that wait, so that no place is assigned twice.
+        self.return_times = ReturnTimes(roster, clock)
 
     def final_answer(
         self, call: DirectCall, detail: str, cause: NotRun | MayHaveRun | NoneAvailable
@@ -102,6 +105,8 @@
             return wait + self._rng.randint(
                 1, max(_MIN_BACKOFF_SPREAD, round(wait * _BACKOFF_SPREAD))
             )
+        if self.return_times.applies(call) and not _is_moved(cause):
+            return self.return_times.assign(call)
         bounds = _RETRY_FULL
         is_stalled = self._roster.is_service_stalled(call.service)
         if is_evacuated or is_stalled or _recovers_slowly(call, cause):
@@ -123,3 +128,8 @@
         return False
     lacks_rank = cause.faulty_backend not in ("", call.attempts[-1].chosen.endpoint.id)
     return lacks_rank or cause.cause is NotRunCause.MOVED
+
+
+def _is_moved(cause: NotRun | MayHaveRun | NoneAvailable) -> bool:
+    """Return whether the list of backends is outdated, so that their states are unknown."""
+    return isinstance(cause, NotRun) and cause.cause is NotRunCause.MOVED
