Experts: the standby acts for a silent owner (untested draft)

Cause: no map changes while the owner's machine stands still. Change: relays and directly linked ranks send their readings to the process beside rank 1 while the owner is silent; it allocates fences and runs the owner's code. A recovery raises all fences first.

--- a/src/canvasyoke/coordination/_demand_stability.py
+++ b/src/canvasyoke/coordination/_demand_stability.py
@@ -35,6 +35,10 @@
         self._min_skew = 0.0
         self._is_outdated = False
 
+    def forget_activation(self) -> None:
+        """Learn nothing from the map in force, as another process may have changed it."""
+        self._activated_at = None
+
     def record_skew(self, now: int, skew: float) -> None:
         """Record the skew of the map in force under the current demand."""
         if self._activated_at is None or self._is_outdated:
--- a/src/canvasyoke/experts/_change.py
+++ b/src/canvasyoke/experts/_change.py
@@ -10,7 +10,8 @@
 delayed orders are rejected.
 
 A hold does not expire. Each new owner therefore starts with ``recover``, which completes or rolls
-back an interrupted change.
+back an interrupted change. It first raises the fences of all ranks: the earlier owner may resume at
+any time, and an order of it that arrived between the reports and a release would split the group.
 
 The owner's host can fail together with its rank. For this reason the hold is never placed on the
 owner's rank, and that rank is armed last and disarmed first: it can be armed only while all other
@@ -22,10 +23,17 @@
 
 import threading
 from collections.abc import Callable, Mapping, Set
+from dataclasses import replace
 from typing import Final
 
 from canvasyoke._clock import SECOND, Clock
-from canvasyoke.experts._change_types import HOLD_RANK, OWNER_RANK, ChangeResult, ChangeTimings
+from canvasyoke.experts._change_types import (
+    HOLD_RANK,
+    OWNER_RANK,
+    ChangeResult,
+    ChangeTimings,
+    OwnerReplacedError,
+)
 from canvasyoke.experts._fences import FenceSequence
 from canvasyoke.experts._group import NewMap, OrderResult, RankGroup
 from canvasyoke.experts._rank_port import (
@@ -66,10 +74,6 @@
 _ACKNOWLEDGED: Final = frozenset({OrderOutcome.DONE, OrderOutcome.CONFLICT})
 
 
-class _OwnerReplaced(Exception):
-    """Raised when a rank has seen the fence of another owner."""
-
-
 class _GroupReformed(Exception):
     """Raised when the group has entered another epoch."""
 
@@ -156,16 +160,25 @@
     def _raise_fences(self, ranks: Set[int]) -> bool:
         """Make the ranks reject orders of earlier owners, and wait out the report lag.
 
-        Returns false if not every rank has acknowledged the new fence.
+        Returns false if not every rank has acknowledged the new fence. A group whose processes are
+        all linked is asked until all have.
         """
-        order = MapOrder(
-            MapOrderKind.DISARM, self._fences.next(), self._epoch, version=_UNUSED_VERSION
-        )
-        results = self._group.send_orders(dict.fromkeys(ranks, order), self._order_timeout)
-        self._check_results(results)
-        if any(result.outcome not in _ACKNOWLEDGED for result in results.values()):
-            return False
-        self._pause(self._group.report_lag / SECOND)
+        pending = set(ranks)
+        while pending:
+            order = MapOrder(
+                MapOrderKind.DISARM, self._fences.next(), self._epoch, version=_UNUSED_VERSION
+            )
+            results = self._group.send_orders(dict.fromkeys(pending, order), self._order_timeout)
+            self._check_results(results)
+            pending = {r for r, each in results.items() if each.outcome not in _ACKNOWLEDGED}
+            if not pending:
+                break
+            if self._group.report_lag or self._group.owner_report_lag:
+                return False
+            self._check_own_epoch()
+            self._pause(_RETRY_INTERVAL / SECOND)
+        if self._group.report_lag:
+            self._pause(self._group.report_lag / SECOND)
         return True
 
     def _recover(self) -> ChangeResult:
@@ -176,9 +189,9 @@
         order to arm may still be in flight and must meet a higher fence before the hold is
         released. During this the group must not reach the step for which some ranks are armed.
         """
-        if self._group.report_lag and not self._raise_fences(set(range(self._group.size))):
+        if not self._raise_fences(set(range(self._group.size))):
             return ChangeResult.NOT_HELD
-        reports = self._all_reports()
+        reports = self._settled_reports()
         held = {r: report.held_step for r, report in reports.items() if report.held_step}
         armed = [report.armed for report in reports.values() if report.armed is not None]
         is_complete = len(armed) == self._group.size and len(set(armed)) == 1
@@ -206,6 +219,20 @@
             held[HOLD_RANK] = step
         return 0 < step <= first_step
 
+    def _settled_reports(self) -> Mapping[int, RankReport]:
+        """Return reports that no order of an earlier owner changes; all fences are raised.
+
+        The owner's rank is armed only while all others are. So its report matters only then, and
+        only then its lag is waited out.
+        """
+        reports = self._all_reports()
+        if not self._group.owner_report_lag:
+            return reports
+        if any(reports[rank].armed is None for rank in self._non_owner_ranks):
+            return {**reports, OWNER_RANK: replace(reports[OWNER_RANK], armed=None)}
+        self._pause(self._group.owner_report_lag / SECOND)
+        return self._all_reports()
+
     def _all_reports(self) -> Mapping[int, RankReport]:
         while True:
             reports = self._group.fetch_reports(self._order_timeout)
@@ -392,7 +419,7 @@
     def _check_results(self, results: Mapping[int, OrderResult]) -> None:
         """Raise if the results show another owner or another epoch."""
         if any(result.outcome is OrderOutcome.FENCED for result in results.values()):
-            raise _OwnerReplaced
+            raise OwnerReplacedError
         self._check_epoch(
             [
                 order_result.report
@@ -411,7 +438,7 @@
     """Run ``operation`` and translate a new owner or epoch into a result."""
     try:
         return operation()
-    except _OwnerReplaced:
+    except OwnerReplacedError:
         return ChangeResult.REPLACED
     except _GroupReformed:
         return ChangeResult.REFORMED
--- a/src/canvasyoke/experts/_change_types.py
+++ b/src/canvasyoke/experts/_change_types.py
@@ -12,6 +12,15 @@
 HOLD_RANK: Final = 1
 
 
+#: Milliseconds of silence after which the owner counts as unresponsive. It normally answers each
+#: reading, five times a second, within milliseconds.
+OWNER_TIMEOUT: Final = 600
+
+
+class OwnerReplacedError(Exception):
+    """Raised when another process owns the group's map, also by the ``pause`` of a changer."""
+
+
 class ChangeResult(enum.StrEnum):
     """Result of a map change."""
 
--- a/src/canvasyoke/experts/_group.py
+++ b/src/canvasyoke/experts/_group.py
@@ -31,6 +31,14 @@
         """Return the milliseconds by which reports may lag behind executed orders."""
         return 0
 
+    @property
+    def owner_report_lag(self) -> int:
+        """Return the milliseconds by which reports of the owner's rank alone may lag.
+
+        Outcomes of orders to that rank are reliable, also while its reports lag.
+        """
+        return 0
+
     @abstractmethod
     def send_orders(
         self, orders: Mapping[int, MapOrder], timeout: int
--- a/src/canvasyoke/experts/_linked_group.py
+++ b/src/canvasyoke/experts/_linked_group.py
@@ -67,6 +67,7 @@
         report: RankReport,
         clock: Clock,
         remote_client: Callable[[int], RankClient | None],
+        first_order: int = 1,
     ) -> None:
         self.name = report.group
         self.epoch = report.epoch
@@ -77,11 +78,13 @@
         #: used only for ranks whose process is not linked.
         self._remote_client = remote_client
         self._clock = clock
-        self._order_ids = itertools.count(1)
+        self._order_ids = itertools.count(first_order)
         self._condition = threading.Condition()
         self._links: dict[int, _Link] = {}
         self._calls: dict[int, tuple[_PendingCall, int]] = {}
         self._counts: list[int] = []
+        #: Time before which received counts are dropped.
+        self._counts_from = 0
 
     @property
     def size(self) -> int:
@@ -92,9 +95,15 @@
     def is_linked(self) -> bool:
         """Return whether the processes of all other ranks are linked and in this epoch."""
         with self._condition:
-            links = [li for li in self._links.values() if not li.session.closed]
-            in_epoch = [li for li in links if li.reading.epoch == self.epoch]
-        return len(in_epoch) == self._size - 1
+            return len(self._linked_ranks()) == self._size - 1
+
+    def _linked_ranks(self) -> set[int]:
+        """Return the ranks whose processes are linked and in this epoch; call with the lock."""
+        return {
+            rank
+            for rank, link in self._links.items()
+            if not link.session.closed and link.reading.epoch == self.epoch
+        }
 
     def on_message(self, session: Session, message: Message) -> None:
         """Handle a message from another rank's process."""
@@ -140,7 +149,13 @@
             self._accumulate(counts)
 
     def _accumulate(self, counts: list[int]) -> None:
-        self._counts = add_counts(self._counts, counts)
+        if self._clock.now() >= self._counts_from:
+            self._counts = add_counts(self._counts, counts)
+
+    def discard_counts(self, duration: int) -> None:
+        """Drop the counts received so far and within the next ``duration`` milliseconds."""
+        with self._condition:
+            self._counts, self._counts_from = [], self._clock.now() + duration
 
     def take_counts(self) -> list[int]:
         """Return the counts of all ranks since the last call."""
--- a/src/canvasyoke/experts/_owner.py
+++ b/src/canvasyoke/experts/_owner.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Final
 
 from canvasyoke._clock import Clock
@@ -24,7 +24,7 @@
     plan_map_update,
 )
 from canvasyoke.experts._change import MapChanger
-from canvasyoke.experts._change_types import HOLD_RANK, ChangeResult
+from canvasyoke.experts._change_types import HOLD_RANK, OWNER_RANK, ChangeResult
 from canvasyoke.experts._fences import FenceSequence, allocate_fences
 from canvasyoke.experts._group import NewMap
 from canvasyoke.experts._linked_group import LinkedGroup
@@ -68,6 +68,7 @@
         demand: DemandStabilityEstimator,
         change_counter: Counter,
         clock: Clock,
+        pause: Callable[[float], object] | None = None,
     ) -> None:
         self._group = group
         self._store = store
@@ -75,6 +76,9 @@
         self._geometry = geometry
         self._demand = demand
         self._clock = clock
+        self._pause = pause
+        #: Whether this is the standby, which stops for good when it is replaced.
+        self._is_standby = group.own_rank != OWNER_RANK
         self._changer: MapChanger | None = None
         self._fences: FenceSequence | None = None
         self._layers: tuple[Layer, ...] = ()
@@ -102,6 +106,11 @@
         """Return whether this owner has taken ownership of the map."""
         return self._changer is not None
 
+    @property
+    def fence(self) -> int:
+        """Return the number below all of this owner's fences; 0 before it has any."""
+        return self._fences.base if self._fences is not None else 0
+
     def tick(self) -> bool:
         """Do the work that is due; return false if the group no longer belongs to this owner."""
         if self._changer is None:
@@ -126,16 +135,19 @@
         """Allocate fences and complete or roll back the previous owner's change."""
         if not self._group.is_linked:
             return True
-        fences = allocate_fences(
-            self._store, self._group.name, self._incarnation, self._group.epoch
-        )
-        if isinstance(fences, Unavailable | Unusable):
-            _log.warning(
-                "could not take ownership of the group", group=self._group.name, cause=fences.detail
-            )
+        fences = self._fences or self._allocate_fences()
+        if fences is None:
             return True
-        changer = MapChanger(self._group, self._group.epoch, fences, self._clock)
-        if not self._record_result(changer.recover()) or not self._read_layers():
+        changer = MapChanger(self._group, self._group.epoch, fences, self._clock, self._pause)
+        result = changer.recover()
+        if not self._record_result(result):
+            self._fences = None
+            return not self._is_standby and self._group.epoch == self._current_epoch()
+        if self._is_standby and result is ChangeResult.NOT_HELD:
+            self._fences = fences
+            return True
+        if not self._read_layers():
+            self._fences = fences if self._is_standby else None
             return self._group.epoch == self._current_epoch()
         self._changer, self._fences = changer, fences
         _log.info(
@@ -143,6 +155,17 @@
         )
         return True
 
+    def _allocate_fences(self) -> FenceSequence | None:
+        fences = allocate_fences(
+            self._store, self._group.name, self._incarnation, self._group.epoch
+        )
+        if isinstance(fences, Unavailable | Unusable):
+            _log.warning(
+                "could not take ownership of the group", group=self._group.name, cause=fences.detail
+            )
+            return None
+        return fences
+
     def _is_held(self, own: RankReport) -> bool:
         """Return whether a hold exists although no change is in progress."""
         return bool(own.held_step) or self._group.confirms_hold(HOLD_RANK)
@@ -153,7 +176,7 @@
 
     def _record_result(self, result: ChangeResult) -> bool:
         """Count the result of a change; return false if it shows that the group is lost."""
-        self._change_counter.add(result.value)
+        self._change_counter.add(f"standby: {result.value}" if self._is_standby else result.value)
         return result not in (ChangeResult.REFORMED, ChangeResult.REPLACED)
 
     def _read_layers(self) -> bool:
--- a/src/canvasyoke/experts/_process.py
+++ b/src/canvasyoke/experts/_process.py
@@ -13,8 +13,8 @@
 
 from canvasyoke._clock import SECOND, Clock, SystemClock
 from canvasyoke.coordination import DemandStabilityEstimator
-from canvasyoke.experts._change_types import OWNER_RANK
-from canvasyoke.experts._direct_group import DirectGroup
+from canvasyoke.experts._acting_owner import Pause
+from canvasyoke.experts._change_types import OWNER_RANK, OWNER_TIMEOUT
 from canvasyoke.experts._linked_group import LinkedGroup
 from canvasyoke.experts._lookup_limiter import LookupLimiter
 from canvasyoke.experts._note_keeper import NoteKeeper
@@ -34,7 +34,8 @@
     time_until_next,
 )
 from canvasyoke.experts._relay import Relay
-from canvasyoke.experts._standby import STANDBY_RANK, Standby
+from canvasyoke.experts._standby import STANDBY_RANK
+from canvasyoke.experts._standby_role import StandbyRole
 from canvasyoke.observe import Metrics, part_logger
 from canvasyoke.protocol import Message
 from canvasyoke.state import (
@@ -102,7 +103,8 @@
         self._server: LinkServer | None = None
         self._group: LinkedGroup | None = None
         self._owner: MapOwner | None = None
-        self._standby: Standby | None = None
+        #: Time at which the owner's last tick ended; 0 before it.
+        self._owner_ran_at = 0
         #: Kept across epochs, as the rate of demand shifts does not depend on them.
         self._demand = DemandStabilityEstimator()
         self._metrics = Metrics()
@@ -112,10 +114,26 @@
         self._metrics.gauge(
             "canvasyoke_owns_map", "1 where this process owns a map.", self._owns_map
         )
+        self._standby = StandbyRole(
+            self._rank_client,
+            self._remote_client,
+            self._read_notes,
+            self._make_owner,
+            lambda: self._owner_link.silence,
+            self._store,
+            self._incarnation,
+            self._change_counter,
+            self._clock,
+        )
+        self._metrics.gauge(
+            "canvasyoke_acts_for_owner",
+            "1 while this process changes the map for a silent owner.",
+            lambda: int(self._standby.acting.is_acting),
+        )
         self._metrics.gauge(
             "canvasyoke_map_skew",
             "Most loaded rank over the mean under the demand seen last; 0 without a map.",
-            lambda: self._owner.skew if self._owner is not None else 0.0,
+            lambda: self._owner.skew if self._owner is not None else self._standby.acting.skew,
         )
         self._metrics.gauge(
             "canvasyoke_demand_span_seconds",
@@ -157,7 +175,7 @@
     def _time_until_tick(self) -> int:
         """Return the milliseconds until the next tick."""
         wall_time = self._clock.wall()
-        if self._owner is not None:
+        if self._owner is not None or self._standby.acting.is_acting:
             return time_until_next(wall_time, _TICK_INTERVAL, OWNER_READ_OFFSET)
         phase = RELAY_READ_OFFSET if self._owner_link.is_relay else 0
         return time_until_next(wall_time, READ_INTERVAL, phase)
@@ -245,8 +263,7 @@
 
     # Owner.
 
-    def _run_owner(self, report: RankReport) -> None:
-        self._owner_link.stop()
+    def _start_server(self) -> None:
         if self._server is None:
             self._server = LinkServer(
                 self._settings.peer,
@@ -259,24 +276,43 @@
                 lambda _session: None,
             )
             self._server.start()
+
+    def _run_owner(self, report: RankReport) -> None:
+        self._owner_link.stop()
+        self._start_server()
         if self._group is None or self._group.epoch != report.epoch:
             self._group = LinkedGroup(self._rank_client, report, self._clock, self._remote_client)
             self._owner = None
             _log.info("group seen", group=report.group, epoch=report.epoch, size=report.size)
+        pause = self._clock.now() - self._owner_ran_at
+        if self._owner is not None and pause > OWNER_TIMEOUT:
+            _log.warning("did not run and takes ownership anew", pause=pause)
+            self._drop_ownership(self._group)
         self._group.add_own_counts(self._rank_client.read_counts())
         if self._owner is None:
             self._owner = self._make_owner(self._group)
         if self._owner is not None and not self._owner.tick():
-            self._owner = None
-            self._group = None
+            self._drop_ownership(self._group)
+        self._owner_ran_at = self._clock.now()
+
+    def _drop_ownership(self, group: LinkedGroup) -> None:
+        """Forget the map and the demand, which another process may have followed meanwhile.
+
+        The counts that the ranks had queued before this process fell silent are still to come.
+        """
+        self._owner = None
+        self._demand.forget_activation()
+        group.discard_counts(READ_INTERVAL)
 
-    def _make_owner(self, group: LinkedGroup) -> MapOwner | None:
+    def _make_owner(self, group: LinkedGroup, pause: Pause | None = None) -> MapOwner | None:
         if not self._lookup_limiter.try_acquire():
             return None
         self._read_notes(group.name)
         geometry = self._geometry()
         if geometry is None:
             return None
+        if pause is not None:
+            self._demand.forget_activation()
         return MapOwner(
             group,
             self._store,
@@ -285,6 +321,7 @@
             self._demand,
             self._change_counter,
             self._clock,
+            pause,
         )
 
     def _geometry(self) -> RankGeometry | None:
@@ -300,6 +337,8 @@
     def _on_message(self, session: Session, message: Message) -> None:
         if self._group is not None:
             self._group.on_message(session, message)
+        else:
+            self._standby.acting.on_message(session, message)
 
     def _remote_client(self, rank: int) -> RankClient | None:
         """Return a client for another rank's engine, or ``None`` if its address is unknown."""
@@ -317,27 +356,12 @@
     def _run_follower(self, report: RankReport) -> None:
         self._owner = None
         self._group = None
+        if report.rank != STANDBY_RANK and self._server is not None:
+            self._server.stop()
+            self._server = None
         self._owner_link.tick(report, self._link_key)
 
     def _run_standby(self, report: RankReport) -> None:
-        """Recover a change left unfinished by an unresponsive owner."""
-        if self._standby is None or self._standby.epoch != report.epoch:
-            self._standby = Standby(
-                report,
-                lambda: self._remote_client(OWNER_RANK),
-                lambda: self._direct_group(report),
-                self._store,
-                self._incarnation,
-                self._change_counter,
-                self._clock,
-            )
-        self._standby.check(report, self._owner_link.silence)
-
-    def _direct_group(self, report: RankReport) -> DirectGroup | None:
-        """Return the group reached at its engines, or ``None`` while an address is unknown."""
-        clients = {r: self._remote_client(r) for r in range(report.size) if r != report.rank}
-        known_clients = {r: client for r, client in clients.items() if client is not None}
-        if len(known_clients) < report.size - 1:
-            self._read_notes(report.group)
-            return None
-        return DirectGroup({**known_clients, report.rank: self._rank_client}, report.rank)
+        self._owner_link.stop_relay()
+        self._start_server()
+        self._standby.tick(report)
--- a/src/canvasyoke/experts/_relay.py
+++ b/src/canvasyoke/experts/_relay.py
@@ -35,6 +35,9 @@
 #: Maximum number of ranks per relay, including itself. It bounds the bandwidth for sending them a
 #: map.
 _MAX_RELAY_RANKS: Final = 24
+#: First number of the standby's orders. The owner counts from 1, so that a relay can tell from an
+#: answer whose order it answers.
+FIRST_STANDBY_ORDER: Final = 1 << 40
 
 
 def members_of_relay(rank: int, domains: Mapping[int, str]) -> Sequence[int]:
@@ -66,9 +69,14 @@
         self._lock = threading.Lock()
         self._sessions: dict[int, Session] = {}
         self._readings: dict[int, RankReading] = {}
+        #: Last reading of each linked rank, for a standby that knows none of them yet.
+        self._last_readings: dict[int, RankReading] = {}
+        self._was_sent_to_standby = False
         self._counts: list[int] = []
         #: Link to the owner; ``None`` before the first report.
         self._owner: Session | None = None
+        #: Link to the standby; ``None`` until the owner has been silent.
+        self._standby: Session | None = None
         self._server = LinkServer(
             address,
             link_key,
@@ -97,7 +105,7 @@
         if isinstance(message, RankReading):
             self._on_reading(session, message)
         elif isinstance(message, RankOrderResult):
-            self._forward_to_owner(message)
+            self._forward_answer(message)
 
     def _on_reading(self, session: Session, reading: RankReading) -> None:
         try:
@@ -107,28 +115,52 @@
             counts = []
         with self._lock:
             self._sessions[reading.rank] = session
-            self._readings[reading.rank] = msgspec.structs.replace(reading, counts=b"")
+            status = msgspec.structs.replace(reading, counts=b"")
+            self._readings[reading.rank] = self._last_readings[reading.rank] = status
             self._counts = add_counts(self._counts, counts)
 
     def on_closed(self, session: Session) -> None:
         """Report the ranks of a closed link to the owner as lost."""
         with self._lock:
-            lost = [rank for rank, linked in self._sessions.items() if linked is session]
+            lost = [rank for rank, each in self._sessions.items() if each is session]
             for rank in lost:
                 del self._sessions[rank]
                 self._readings.pop(rank, None)
+                self._last_readings.pop(rank, None)
         for rank in lost:
-            self._forward_to_owner(RankDisconnected(rank))
+            for end in (self._owner, self._standby):
+                if end is not None:
+                    end.send(RankDisconnected(rank))
+
+    def send_readings(
+        self,
+        target: Session,
+        own: RankReading,
+        own_counts: list[int],
+        to_standby: bool = False,
+    ) -> None:
+        """Send the ranks' readings, with the sum of their counts since the last call.
 
-    def send_readings(self, owner: Session, own: RankReading, own_counts: list[int]) -> None:
-        """Send the owner the ranks' readings, with the sum of their counts since the last call."""
+        They go to the owner, or to the standby while the owner is silent.
+        """
         with self._lock:
-            self._owner = owner
+            if to_standby:
+                self._standby = target
+            else:
+                self._owner = target
             counts = add_counts(self._counts, own_counts)
             self._counts = []
-            readings = [own, *self._readings.values()]
+            is_first = to_standby and not self._was_sent_to_standby
+            self._was_sent_to_standby = to_standby
+            readings = [own, *(self._last_readings if is_first else self._readings).values()]
+            self._readings.clear()
+        target.send(RelayedReadings(readings, pack_counts(counts)))
+
+    def discard_readings(self) -> None:
+        """Drop the readings that can be sent neither to the owner nor to the standby."""
+        with self._lock:
+            self._counts = []
             self._readings.clear()
-        owner.send(RelayedReadings(readings, pack_counts(counts)))
 
     def forward_order(self, message: RankOrder) -> bool:
         """Forward an order; return false if its rank is not linked."""
@@ -139,10 +171,11 @@
         session.send(message)
         return True
 
-    def _forward_to_owner(self, message: Message) -> None:
-        owner = self._owner
-        if owner is not None:
-            owner.send(message)
+    def _forward_answer(self, answer: RankOrderResult) -> None:
+        """Send an answer to the process that gave the order."""
+        session = self._standby if answer.order >= FIRST_STANDBY_ORDER else self._owner
+        if session is not None:
+            session.send(answer)
 
 
 def add_counts(older: list[int], newer: list[int]) -> list[int]:
--- a/src/canvasyoke/experts/_standby.py
+++ b/src/canvasyoke/experts/_standby.py
@@ -3,8 +3,9 @@
 A hold does not expire, so an owner that hangs or dies between hold and release stops its group. The
 process beside rank 1 monitors its link to the owner. If the link is silent for too long while a
 change is in progress, it allocates fences above the owner's, disarms the ranks unless all of them
-are armed, and releases the hold. It starts no changes itself. An owner that resumes finds its
-fences rejected and takes ownership again.
+are armed, and releases the hold. Changes of its own begin only when the ranks send it their
+readings (``_acting_owner``). An owner that resumes finds its fences rejected and takes ownership
+again.
 """
 
 from __future__ import annotations
@@ -15,7 +16,7 @@
 
 from canvasyoke._clock import Clock
 from canvasyoke.experts._change import MapChanger
-from canvasyoke.experts._change_types import HOLD_RANK, ChangeResult
+from canvasyoke.experts._change_types import HOLD_RANK, OWNER_TIMEOUT, ChangeResult
 from canvasyoke.experts._fences import FenceSequence, allocate_fences
 from canvasyoke.experts._group import RankGroup
 from canvasyoke.experts._rank_client import RankClient
@@ -27,9 +28,6 @@
 #: Rank whose process is the standby. Holds are placed on it, so that they can be released if the
 #: owner's host is lost.
 STANDBY_RANK: Final = HOLD_RANK
-#: Milliseconds of silence after which the owner counts as unresponsive. It normally answers each
-#: reading, five times a second, within milliseconds.
-_OWNER_TIMEOUT: Final = 600
 
 
 class StandbyOutcome(enum.StrEnum):
@@ -92,7 +90,7 @@
         return result
 
     def _evaluate(self, report: RankReport, silence: int) -> StandbyOutcome:
-        if silence < _OWNER_TIMEOUT:
+        if silence < OWNER_TIMEOUT:
             self._fences = None
             return StandbyOutcome.OWNER_ALIVE
         is_armed = report.armed is not None and report.armed != self._completed
