--- a/src/canvasyoke/experts/_acting_owner.py
+++ b/src/canvasyoke/experts/_acting_owner.py
@@ -57,6 +57,7 @@
         self._owner: MapOwner | None = None
         #: Whether another owner has taken over during the current silence.
         self._is_replaced = False
+        self._is_silence = False
         self._stepped_back_at = clock.now() - _SLOW_OWNER_INTERVAL
         self._began_at = 0
 
@@ -65,6 +66,11 @@
         """Return whether this process owns the map at present."""
         return self._owner is not None and self._owner.owns_map
 
+    @property
+    def is_silence(self) -> bool:
+        """Return whether the owner was silent at the last tick, so that ticks are frequent."""
+        return self._is_silence
+
     @property
     def skew(self) -> float:
         """Return the skew of the map in force; 0 while not acting."""
@@ -84,7 +90,8 @@
             self._is_replaced = False
             group = self._group = self._make_group(report)
         silence = self._silence()
-        if silence < self._required_silence():
+        self._is_silence = silence >= self._required_silence()
+        if not self._is_silence:
             self._step_back("the owner is heard of")
             self._is_replaced = False
             group.forget_readings()
--- a/src/canvasyoke/experts/_process.py
+++ b/src/canvasyoke/experts/_process.py
@@ -175,7 +175,7 @@
     def _time_until_tick(self) -> int:
         """Return the milliseconds until the next tick."""
         wall_time = self._clock.wall()
-        if self._owner is not None or self._standby.acting.is_acting:
+        if self._owner is not None or self._standby.acting.is_silence:
             return time_until_next(wall_time, _TICK_INTERVAL, OWNER_READ_OFFSET)
         phase = RELAY_READ_OFFSET if self._owner_link.is_relay else 0
         return time_until_next(wall_time, READ_INTERVAL, phase)
@@ -291,6 +291,9 @@
         self._group.add_own_counts(self._rank_client.read_counts())
         if self._owner is None:
             self._owner = self._make_owner(self._group)
+        is_linked = self._group.is_linked
+        if is_linked and len(self._notes) < report.size and self._lookup_limiter.try_acquire():
+            self._read_notes(report.group)  # some registered after the owner was made
         if self._owner is not None and not self._owner.tick():
             self._drop_ownership(self._group)
         self._owner_ran_at = self._clock.now()
