Experts: split group control and directory; reports of unlinked ranks are settled first

A recovery inferred the owner's rank's state from reports that may be old where a rank has no link. Change: _group_control.py and _rank_directory.py; a recovery waits out the lag of such reports.

--- a/src/canvasyoke/experts/_acting_group.py
+++ b/src/canvasyoke/experts/_acting_group.py
@@ -8,10 +8,10 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import replace
-from typing import Final
 
 from canvasyoke._clock import Clock
 from canvasyoke.experts._change_types import OWNER_RANK
+from canvasyoke.experts._direct_group import ENGINE_REPORT_LAG
 from canvasyoke.experts._group import OrderResult
 from canvasyoke.experts._linked_group import LinkedGroup
 from canvasyoke.experts._rank_client import RankClient
@@ -25,10 +25,6 @@
 )
 from canvasyoke.experts._relay import FIRST_STANDBY_ORDER
 
-#: Milliseconds within which an engine's reports to other hosts reflect a change: twice the
-#: platform's stated lag and a margin.
-_REPORT_LAG: Final = 500
-
 
 class ActingGroup(LinkedGroup):
     """One group in one epoch, as its standby acts on it."""
@@ -56,7 +52,7 @@
     @property
     def owner_report_lag(self) -> int:
         """Return the milliseconds by which reports of the owner's rank may lag."""
-        return _REPORT_LAG
+        return ENGINE_REPORT_LAG
 
     @property
     def is_owner_rank_reachable(self) -> bool:
--- a/src/canvasyoke/experts/_change.py
+++ b/src/canvasyoke/experts/_change.py
@@ -23,7 +23,6 @@
 
 import threading
 from collections.abc import Callable, Mapping, Set
-from dataclasses import replace
 from typing import Final
 
 from canvasyoke._clock import SECOND, Clock
@@ -36,6 +35,7 @@
 )
 from canvasyoke.experts._fences import FenceSequence
 from canvasyoke.experts._group import NewMap, OrderResult, RankGroup
+from canvasyoke.experts._group_control import GroupControl, GroupReformedError
 from canvasyoke.experts._rank_port import (
     Armed,
     MapOrder,
@@ -47,11 +47,6 @@
 from canvasyoke.observe import part_logger
 
 _log = part_logger("map")
-#: Milliseconds for an order, its answer and the following report, plus an allowance per rank for
-#: the owner's processing. If it is too short, orders to large groups are repeated while their
-#: answers are on the way.
-_ORDER_TIMEOUT: Final = 200
-_ORDER_TIMEOUT_PER_RANK: Final = 3
 #: Milliseconds allowed for copying beyond the computed copy time.
 _COPY_SLACK: Final = 1_500
 #: Milliseconds between checks whether all ranks have finished copying.
@@ -64,21 +59,11 @@
 _STEPS_AHEAD_AFTER_TIMEOUT: Final = (5, 5, 6, 7, 8)
 #: Maximum attempts to arm the ranks while the group is held.
 _MAX_ARM_ATTEMPTS: Final = 5
-#: Milliseconds between retries of operations that must succeed before the group can continue.
-_RETRY_INTERVAL: Final = 50
 #: Maximum number of ranks listed in a log record.
 _MAX_LOGGED_RANKS: Final = 8
-#: Version for disarm orders that only raise the fence. No map has this version.
-_UNUSED_VERSION: Final = 1
-#: Outcomes after which a rank has seen the order's fence and needs no further attempt.
-_ACKNOWLEDGED: Final = frozenset({OrderOutcome.DONE, OrderOutcome.CONFLICT})
 
 
-class _GroupReformed(Exception):
-    """Raised when the group has entered another epoch."""
-
-
-class MapChanger:
+class MapChanger(GroupControl):
     """Executes map changes of one group, one at a time."""
 
     def __init__(
@@ -89,17 +74,13 @@
         clock: Clock,
         pause: Callable[[float], object] | None = None,
     ) -> None:
-        self._group = group
-        self._epoch = epoch
-        self._fences = fences
+        super().__init__(group, epoch, fences, pause or threading.Event().wait)
         self._clock = clock
-        self._pause = pause or threading.Event().wait
         #: Timings of the last change.
         self.timings = ChangeTimings()
         #: Whether an order of the current change has timed out.
         self._had_timeout = False
         self._timing = StepTiming(group.size)
-        self._order_timeout = _ORDER_TIMEOUT + _ORDER_TIMEOUT_PER_RANK * group.size
 
     def change(self, new_map: NewMap) -> ChangeResult:
         """Activate ``new_map`` on all ranks or on none; return the result."""
@@ -152,35 +133,6 @@
         self._release(held)
         return ChangeResult.ABANDONED
 
-    @property
-    def _non_owner_ranks(self) -> set[int]:
-        """Return all ranks except the owner's."""
-        return set(range(self._group.size)) - {OWNER_RANK}
-
-    def _raise_fences(self, ranks: Set[int]) -> bool:
-        """Make the ranks reject orders of earlier owners, and wait out the report lag.
-
-        Returns false if not every rank has acknowledged the new fence. A group whose processes are
-        all linked is asked until all have.
-        """
-        pending = set(ranks)
-        while pending:
-            order = MapOrder(
-                MapOrderKind.DISARM, self._fences.next(), self._epoch, version=_UNUSED_VERSION
-            )
-            results = self._group.send_orders(dict.fromkeys(pending, order), self._order_timeout)
-            self._check_results(results)
-            pending = {r for r, each in results.items() if each.outcome not in _ACKNOWLEDGED}
-            if not pending:
-                break
-            if self._group.report_lag or self._group.owner_report_lag:
-                return False
-            self._check_own_epoch()
-            self._pause(_RETRY_INTERVAL / SECOND)
-        if self._group.report_lag:
-            self._pause(self._group.report_lag / SECOND)
-        return True
-
     def _recover(self) -> ChangeResult:
         """Release holds, after completing or rolling back the change that they belong to.
 
@@ -219,29 +171,6 @@
             held[HOLD_RANK] = step
         return 0 < step <= first_step
 
-    def _settled_reports(self) -> Mapping[int, RankReport]:
-        """Return reports that no order of an earlier owner changes; all fences are raised.
-
-        The owner's rank is armed only while all others are. So its report matters only then, and
-        only then its lag is waited out.
-        """
-        reports = self._all_reports()
-        if not self._group.owner_report_lag:
-            return reports
-        if any(reports[rank].armed is None for rank in self._non_owner_ranks):
-            return {**reports, OWNER_RANK: replace(reports[OWNER_RANK], armed=None)}
-        self._pause(self._group.owner_report_lag / SECOND)
-        return self._all_reports()
-
-    def _all_reports(self) -> Mapping[int, RankReport]:
-        while True:
-            reports = self._group.fetch_reports(self._order_timeout)
-            self._check_epoch(reports.values())
-            if len(reports) == self._group.size:
-                return reports
-            self._check_own_epoch()
-            self._pause(_RETRY_INTERVAL / SECOND)
-
     def _prepare(self, new_map: NewMap) -> bool:
         """Have all ranks copy their experts; return whether all copies are complete."""
         fence = self._fences.next()
@@ -352,87 +281,6 @@
                 return False
         return False
 
-    def _disarm_all(self, armed: Mapping[int, int]) -> None:
-        """Disarm all ranks under a new fence until each reports that it is not armed.
-
-        ``armed`` maps ranks to the versions that they are known to be armed for.
-        """
-        self._disarm({OWNER_RANK}, armed)
-        self._disarm(self._non_owner_ranks, armed)
-
-    def _disarm(self, ranks: Set[int], armed: Mapping[int, int]) -> None:
-        versions = dict(armed)
-        pending = set(ranks)
-        while pending:
-            fence = self._fences.next()
-            orders = {
-                r: MapOrder(
-                    MapOrderKind.DISARM,
-                    fence,
-                    self._epoch,
-                    version=versions.get(r, _UNUSED_VERSION),
-                )
-                for r in pending
-            }
-            results = self._group.send_orders(orders, self._order_timeout)
-            self._check_results(results)
-            for rank, result in results.items():
-                if result.report is not None and result.report.armed is not None:
-                    versions[rank] = result.report.armed.version
-            pending = {r for r, order_result in results.items() if not _is_disarmed(order_result)}
-            if pending:
-                self._check_own_epoch()
-                self._pause(_RETRY_INTERVAL / SECOND)
-
-    def _release(self, held: Mapping[int, int]) -> None:
-        """Release the holds, retrying until every holding rank reports none."""
-        pending = dict(held)
-        while pending:
-            fence = self._fences.next()
-            orders = {
-                r: MapOrder(MapOrderKind.RELEASE, fence, self._epoch, step=step)
-                for r, step in pending.items()
-            }
-            results = self._group.send_orders(orders, self._order_timeout)
-            self._check_results(results)
-            for rank, result in results.items():
-                if result.report is not None and not result.report.held_step:
-                    del pending[rank]
-            if pending:
-                self._check_own_epoch()
-                self._pause(_RETRY_INTERVAL / SECOND)
-
-    def _own_report(self) -> RankReport:
-        """Return the report of this process's rank, retrying until it is available."""
-        while True:
-            report = self._group.own_report()
-            if report is not None:
-                self._check_epoch([report])
-                return report
-            self._pause(_RETRY_INTERVAL / SECOND)
-
-    def _check_own_epoch(self) -> None:
-        report = self._group.own_report()
-        if report is not None:
-            self._check_epoch([report])
-
-    def _check_results(self, results: Mapping[int, OrderResult]) -> None:
-        """Raise if the results show another owner or another epoch."""
-        if any(result.outcome is OrderOutcome.FENCED for result in results.values()):
-            raise OwnerReplacedError
-        self._check_epoch(
-            [
-                order_result.report
-                for order_result in results.values()
-                if order_result.report is not None
-            ]
-        )
-
-    def _check_epoch(self, reports: object) -> None:
-        for report in reports:  # type: ignore[attr-defined]
-            if report.epoch != self._epoch:
-                raise _GroupReformed
-
 
 def _run_to_result(operation: Callable[[], ChangeResult]) -> ChangeResult:
     """Run ``operation`` and translate a new owner or epoch into a result."""
@@ -440,7 +288,7 @@
         return operation()
     except OwnerReplacedError:
         return ChangeResult.REPLACED
-    except _GroupReformed:
+    except GroupReformedError:
         return ChangeResult.REFORMED
 
 
@@ -453,10 +301,3 @@
 def _is_armed(result: OrderResult, armed: Armed) -> bool:
     """Return whether the rank reports that it is armed as expected by the order."""
     return result.report is not None and result.report.armed == armed
-
-
-def _is_disarmed(result: OrderResult) -> bool:
-    """Return whether the rank has seen the fence and reports that it is not armed."""
-    if result.outcome not in _ACKNOWLEDGED or result.report is None:
-        return False
-    return result.report.armed is None
--- a/src/canvasyoke/experts/_direct_group.py
+++ b/src/canvasyoke/experts/_direct_group.py
@@ -16,7 +16,7 @@
 
 ResultT = TypeVar("ResultT")
 #: Milliseconds within which an engine's reports to other hosts reflect a change.
-_REPORT_LAG: Final = 500
+ENGINE_REPORT_LAG: Final = 500
 #: Maximum number of concurrent calls. This bounds the memory for threads in large groups.
 _MAX_THREADS: Final = 24
 
@@ -36,7 +36,7 @@
     @property
     def report_lag(self) -> int:
         """Return the milliseconds by which reports may lag behind executed orders."""
-        return _REPORT_LAG
+        return ENGINE_REPORT_LAG
 
     def send_orders(
         self, orders: Mapping[int, MapOrder], timeout: int
--- a/src/canvasyoke/experts/_group.py
+++ b/src/canvasyoke/experts/_group.py
@@ -31,6 +31,11 @@
         """Return the milliseconds by which reports may lag behind executed orders."""
         return 0
 
+    @property
+    def link_report_lag(self) -> int:
+        """Return the milliseconds by which reports may lag while some rank is not linked."""
+        return 0
+
     @property
     def owner_report_lag(self) -> int:
         """Return the milliseconds by which reports of the owner's rank alone may lag.
--- a/src/canvasyoke/experts/_linked_group.py
+++ b/src/canvasyoke/experts/_linked_group.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from canvasyoke._clock import SECOND, Clock
+from canvasyoke.experts._direct_group import ENGINE_REPORT_LAG
 from canvasyoke.experts._group import OrderResult, RankGroup
 from canvasyoke.experts._packing import PackingError, pack_layers, unpack_counts
 from canvasyoke.experts._rank_client import (
@@ -97,6 +98,11 @@
         with self._condition:
             return len(self._linked_ranks()) == self._size - 1
 
+    @property
+    def link_report_lag(self) -> int:
+        """Return the milliseconds by which reports may lag: those of unlinked ranks' engines."""
+        return 0 if self.is_linked else ENGINE_REPORT_LAG
+
     def _linked_ranks(self) -> set[int]:
         """Return the ranks whose processes are linked and in this epoch; call with the lock."""
         return {
--- a/src/canvasyoke/experts/_owner_link.py
+++ b/src/canvasyoke/experts/_owner_link.py
@@ -12,6 +12,7 @@
 from canvasyoke.experts._change_types import OWNER_RANK, OWNER_TIMEOUT
 from canvasyoke.experts._lookup_limiter import LookupLimiter
 from canvasyoke.experts._rank_client import RankClient, to_reading
+from canvasyoke.experts._rank_directory import RankNote
 from canvasyoke.experts._rank_port import RankReport
 from canvasyoke.experts._reading_schedule import intervals_per_round
 from canvasyoke.experts._relay import MAX_DIRECT_RANKS, Relay, members_of_relay
@@ -19,7 +20,6 @@
 from canvasyoke.experts._standby_link import StandbyLink
 from canvasyoke.observe import part_logger
 from canvasyoke.protocol import Message, RankOrder, RankOrders
-from canvasyoke.state import SocketAddress
 from canvasyoke.transport import LinkClient, Session
 
 _log = part_logger("ranks")
@@ -31,15 +31,6 @@
 _ROLE: Final = "rank"
 
 
-class RankNote(msgspec.Struct, frozen=True):
-    """Addresses of a rank process and its engine."""
-
-    peer: SocketAddress
-    engine: SocketAddress
-    #: Failure domain; empty in notes written by older versions.
-    domain: str = ""
-
-
 class OwnerLink:
     """A rank's connection to the owner. ``make_relay`` starts a relay for the failure domain."""
 
--- a/src/canvasyoke/experts/_process.py
+++ b/src/canvasyoke/experts/_process.py
@@ -6,7 +6,7 @@
 import secrets
 import signal
 import threading
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from typing import Any, Final
 
 import msgspec
@@ -19,12 +19,12 @@
 from canvasyoke.experts._lookup_limiter import LookupLimiter
 from canvasyoke.experts._note_keeper import NoteKeeper
 from canvasyoke.experts._owner import MapOwner
-from canvasyoke.experts._owner_link import OwnerLink, RankNote
+from canvasyoke.experts._owner_link import OwnerLink
 from canvasyoke.experts._rank_client import RankClient
+from canvasyoke.experts._rank_directory import NOTE_KIND, RankDirectory, RankNote
 from canvasyoke.experts._rank_port import (
     LOCAL_TIMEOUT,
     RANK_PORTS,
-    REMOTE_TIMEOUT,
     RankReport,
 )
 from canvasyoke.experts._reading_schedule import (
@@ -41,22 +41,17 @@
 from canvasyoke.state import (
     FLEET_STORES,
     Note,
-    RankGeometry,
     RanksSettings,
-    TableRead,
-    Unusable,
     WatchedFile,
     load_settings,
     read_link_key,
-    read_note,
 )
 from canvasyoke.transport import HttpServer, LinkServer, Session
 
 _log = part_logger("ranks")
 #: Milliseconds between ticks of the owner.
 _TICK_INTERVAL: Final = 100
-#: Kind of the rank notes, and name of the link key, in the store.
-_NOTE_KIND: Final = "map-ranks"
+#: Name of the link key in the store.
 _LINK_KEY_NAME: Final = "ranks"
 #: Limits of the metrics endpoint, which only operators call.
 _ADMIN_THREADS: Final = 1
@@ -76,14 +71,12 @@
         self._rng = random.Random(secrets.randbits(64))
         self._incarnation = secrets.token_hex(8)
         self._store = FLEET_STORES.get(settings.adapter)(settings.store)
-        self._make_port = RANK_PORTS.get(settings.adapter)
-        self._rank_client = RankClient(self._make_port(settings.engine, LOCAL_TIMEOUT))
+        make_port = RANK_PORTS.get(settings.adapter)
+        self._rank_client = RankClient(make_port(settings.engine, LOCAL_TIMEOUT))
         self._stop = threading.Event()
         self._reload = threading.Event()
         self._link_key = b""
-        self._notes: dict[int, RankNote] = {}
-        #: Clients of other ranks' engines with the addresses that they use.
-        self._remote_clients: dict[int, tuple[str, RankClient]] = {}
+        self._directory = RankDirectory(self._store, make_port)
         #: Group and rank for which the note in the store was written.
         self._registered: tuple[str, int] | None = None
         self._lookup_limiter = LookupLimiter(self._clock)
@@ -92,13 +85,13 @@
             self._incarnation,
             self._rank_client,
             self._lookup_limiter,
-            self._read_notes,
+            self._directory.read_notes,
             self._make_relay,
             self._clock,
             self._rng,
         )
         self._note_keeper = NoteKeeper(
-            self._store, _NOTE_KIND, _LINK_KEY_NAME, self._use_key, self._rng
+            self._store, NOTE_KIND, _LINK_KEY_NAME, self._use_key, self._rng
         )
         self._server: LinkServer | None = None
         self._group: LinkedGroup | None = None
@@ -116,8 +109,8 @@
         )
         self._standby = StandbyRole(
             self._rank_client,
-            self._remote_client,
-            self._read_notes,
+            self._directory.client,
+            self._directory.read_notes,
             self._make_owner,
             lambda: self._owner_link.silence,
             self._store,
@@ -220,7 +213,7 @@
             note = RankNote(self._settings.peer, self._settings.engine, self._settings.domain)
             body = msgspec.json.encode(note)
             name = f"{report.group}.{report.rank}"
-            if isinstance(self._store.put_note(_NOTE_KIND, name, body), Note):
+            if isinstance(self._store.put_note(NOTE_KIND, name, body), Note):
                 self._registered = place
                 self._note_keeper.keep(name, body, self._link_key)
                 _log.info("registered in the store", group=report.group, rank=report.rank)
@@ -233,23 +226,6 @@
         if self._server is not None:
             self._server.use_key(link_key)
 
-    def _read_notes(self, group: str) -> Mapping[int, RankNote]:
-        """Read the notes of the group's ranks, keeping known ones if the store is unavailable."""
-        notes = self._store.notes(_NOTE_KIND)
-        if not isinstance(notes, list):
-            _log.warning("could not list rank notes", cause=notes.detail)
-            return self._notes
-        for note in notes:
-            name, _, rank = note.name.rpartition(".")
-            if name != group or not (rank.isascii() and rank.isdigit()):
-                continue
-            rank_note = read_note(note, RankNote)
-            if isinstance(rank_note, Unusable):
-                _log.warning("ignored an invalid rank note", cause=rank_note.detail)
-            else:
-                self._notes[int(rank)] = rank_note
-        return self._notes
-
     def _make_relay(self) -> Relay:
         relay = Relay(
             self._settings.peer,
@@ -281,19 +257,25 @@
         self._owner_link.stop()
         self._start_server()
         if self._group is None or self._group.epoch != report.epoch:
-            self._group = LinkedGroup(self._rank_client, report, self._clock, self._remote_client)
+            self._group = LinkedGroup(
+                self._rank_client, report, self._clock, self._directory.client
+            )
             self._owner = None
             _log.info("group seen", group=report.group, epoch=report.epoch, size=report.size)
         pause = self._clock.now() - self._owner_ran_at
         if self._owner is not None and pause > OWNER_TIMEOUT:
-            _log.warning("did not run and takes ownership anew", pause=pause)
+            _log.warning("owner did not run, takes ownership anew", pause=pause)
             self._drop_ownership(self._group)
         self._group.add_own_counts(self._rank_client.read_counts())
         if self._owner is None:
             self._owner = self._make_owner(self._group)
         is_linked = self._group.is_linked
-        if is_linked and len(self._notes) < report.size and self._lookup_limiter.try_acquire():
-            self._read_notes(report.group)  # some registered after the owner was made
+        if (
+            is_linked
+            and len(self._directory.notes) < report.size
+            and self._lookup_limiter.try_acquire()
+        ):
+            self._directory.read_notes(report.group)  # some registered after the owner was made
         if self._owner is not None and not self._owner.tick():
             self._drop_ownership(self._group)
         self._owner_ran_at = self._clock.now()
@@ -310,8 +292,8 @@
     def _make_owner(self, group: LinkedGroup, pause: Pause | None = None) -> MapOwner | None:
         if not self._lookup_limiter.try_acquire():
             return None
-        self._read_notes(group.name)
-        geometry = self._geometry()
+        self._directory.read_notes(group.name)
+        geometry = self._directory.geometry()
         if geometry is None:
             return None
         if pause is not None:
@@ -327,33 +309,12 @@
             pause,
         )
 
-    def _geometry(self) -> RankGeometry | None:
-        """Return the geometry of the service's groups from the configuration."""
-        configuration = self._store.table()
-        if not isinstance(configuration, TableRead):
-            return None
-        geometries = [
-            s.geometry for s in configuration.table.services.values() if s.geometry is not None
-        ]
-        return geometries[0] if geometries else None
-
     def _on_message(self, session: Session, message: Message) -> None:
         if self._group is not None:
             self._group.on_message(session, message)
         else:
             self._standby.acting.on_message(session, message)
 
-    def _remote_client(self, rank: int) -> RankClient | None:
-        """Return a client for another rank's engine, or ``None`` if its address is unknown."""
-        note = self._notes.get(rank)
-        if note is None:
-            return None
-        client_entry = self._remote_clients.get(rank)
-        if client_entry is None or client_entry[0] != note.engine:
-            client_entry = (note.engine, RankClient(self._make_port(note.engine, REMOTE_TIMEOUT)))
-            self._remote_clients[rank] = client_entry
-        return client_entry[1]
-
     # Other ranks.
 
     def _run_follower(self, report: RankReport) -> None:
--- a/src/canvasyoke/experts/tests/test_acting_changes.py
+++ b/src/canvasyoke/experts/tests/test_acting_changes.py
@@ -32,15 +32,23 @@
 class _StandbysGroup(ModelRankGroup):
     """The group as the standby reaches it: the owner's rank by calls to its engine."""
 
-    def __init__(self, model: GroupModel) -> None:
+    def __init__(
+        self, model: GroupModel, lagging: frozenset[int] = frozenset(), link_lag: int = 0
+    ) -> None:
         super().__init__(model, own_rank=HOLD_RANK)
+        self._lagging = lagging | {OWNER_RANK}
+        self._link_lag = link_lag
+
+    @property
+    def link_report_lag(self) -> int:
+        return self._link_lag
 
     @property
     def owner_report_lag(self) -> int:
         return ALLOWED_LAG
 
     def _report(self, rank: Rank) -> RankReport:
-        return self._report_of(rank, LAG if rank.number == OWNER_RANK else 0)
+        return self._report_of(rank, LAG if rank.number in self._lagging else 0)
 
     def send_orders(
         self, orders: Mapping[int, MapOrder], timeout: int
@@ -255,3 +263,31 @@
             ActingChanges,
             settings=settings(_SETTINGS, max_examples=1_000, phases=[Phase.generate]),
         )
+
+
+class _DiesBeforeRelease(ModelRankGroup):
+    """All ranks are armed when the owner dies."""
+
+    def send_orders(
+        self, orders: Mapping[int, MapOrder], timeout: int
+    ) -> Mapping[int, OrderResult]:
+        if any(order.kind is MapOrderKind.RELEASE for order in orders.values()):
+            raise OwnerDiedError
+        return super().send_orders(orders, timeout)
+
+
+@pytest.mark.parametrize(("link_lag", "result"), [(500, True), (0, False)])
+def test_reports_of_ranks_without_a_link_are_waited_for(link_lag: int, result: bool) -> None:
+    """Guards against a rank's old report making the owner's rank count as not armed."""
+    model = GroupModel(4, random.Random(1), step_rate=0.0)
+    fences = FenceSequence(100_000)
+    owners = _DiesBeforeRelease(model)
+    with pytest.raises(OwnerDiedError):
+        MapChanger(owners, 1, fences, model.clock, owners.pause).change(
+            NewMap(fences.next(), ((),), copy_time=0)
+        )
+    group = _StandbysGroup(model, frozenset({2}), link_lag)
+    changer = MapChanger(group, 1, FenceSequence(200_000), model.clock, group.pause)
+    changer.recover()
+    armed = {rank.armed is None for rank in model.ranks}
+    assert (len(armed) == 1) is result
--- a/src/canvasyoke/experts/tests/test_owner_link.py
+++ b/src/canvasyoke/experts/tests/test_owner_link.py
@@ -12,8 +12,9 @@
 from canvasyoke.experts import RankPort, RankReport
 from canvasyoke.experts import _owner_link as link_module
 from canvasyoke.experts._lookup_limiter import LookupLimiter
-from canvasyoke.experts._owner_link import OwnerLink, RankNote
+from canvasyoke.experts._owner_link import OwnerLink
 from canvasyoke.experts._rank_client import RankClient
+from canvasyoke.experts._rank_directory import RankNote
 from canvasyoke.experts._relay import Relay
 
 RANKS = 96
--- a/src/canvasyoke/experts/tests/test_relay.py
+++ b/src/canvasyoke/experts/tests/test_relay.py
@@ -20,8 +20,9 @@
 from canvasyoke.experts import _relay as relay_module
 from canvasyoke.experts._linked_group import LinkedGroup
 from canvasyoke.experts._lookup_limiter import LookupLimiter
-from canvasyoke.experts._owner_link import OwnerLink, RankNote
+from canvasyoke.experts._owner_link import OwnerLink
 from canvasyoke.experts._rank_client import RankClient, to_reading
+from canvasyoke.experts._rank_directory import RankNote
 from canvasyoke.experts._relay import Relay, add_counts, members_of_relay
 from canvasyoke.protocol import Message, RankOrder, RankOrders, RankReading, encode_batch
 from canvasyoke.transport import Session
