--- a/fakes/rank_engines.py
+++ b/fakes/rank_engines.py
@@ -16,7 +16,7 @@
 
 #: Seconds of a step, and tokens of a rank and step in each layer.
 _STEP_SECONDS = 0.06
-_TOKENS = 400
+_TOKENS = 2_000
 
 
 @dataclass
--- a/src/canvasyoke/experts/_owner_link.py
+++ b/src/canvasyoke/experts/_owner_link.py
@@ -85,6 +85,11 @@
         """Return whether the link is up."""
         return self._session is not None and not self._session.closed
 
+    @property
+    def is_standby_linked(self) -> bool:
+        """Return whether the idle link to the standby is up."""
+        return self._standby_link.session is not None
+
     @property
     def is_relay(self) -> bool:
         """Return whether this process is a relay for other ranks."""
--- a/src/canvasyoke/experts/_process.py
+++ b/src/canvasyoke/experts/_process.py
@@ -138,6 +138,11 @@
             "1 while the owner, or a relay to it, is linked.",
             lambda: int(self._owner_link.is_linked),
         )
+        self._metrics.gauge(
+            "canvasyoke_standby_linked",
+            "1 while the idle link to the standby is up.",
+            lambda: int(self._owner_link.is_standby_linked),
+        )
 
     def _owns_map(self) -> int:
         return int(self._owner is not None and self._owner.owns_map)
--- a/src/canvasyoke/experts/_standby_link.py
+++ b/src/canvasyoke/experts/_standby_link.py
@@ -15,9 +15,10 @@
 from canvasyoke.protocol import Message
 from canvasyoke.transport import LinkClient, Session
 
-#: Milliseconds without a link after which the standby's address is looked up again. The standby is
-#: needed rarely, so that lookups for it are too.
+#: Milliseconds without a link after which the standby's address is looked up again, and while it
+#: has not registered yet. The standby is needed rarely, so that lookups for it are rare, too.
 _LOOKUP_INTERVAL: Final = 10 * SECOND
+_FIRST_LOOKUP_INTERVAL: Final = 2 * SECOND
 
 
 class StandbyLink:
@@ -54,7 +55,9 @@
         now = self._clock.now()
         if self.session is not None:
             self._waiting_since = now
-        return now - self._waiting_since >= _LOOKUP_INTERVAL
+        is_known = self._client is not None
+        interval = _LOOKUP_INTERVAL if is_known else _FIRST_LOOKUP_INTERVAL
+        return now - self._waiting_since >= interval
 
     def dial(self, address: str, link_key: bytes) -> None:
         """Link to the standby at ``address``; empty if it is not known."""
--- a/tests/test_standby.py
+++ b/tests/test_standby.py
@@ -91,7 +91,8 @@
 def test_maps_follow_demand_while_the_owner_stands_still(ranks: RankProcesses) -> None:
     wait_until(lambda: ranks.metric(0, "canvasyoke_owns_map"), "the owner has the map")
     ranks.follow(1)
-    time.sleep(1.0)
+    linked = "canvasyoke_standby_linked"
+    wait_until(lambda: all(ranks.metric(r, linked) for r in range(2, RANKS)), linked)
     assert not ranks.metric(1, "canvasyoke_acts_for_owner")
     ranks.processes[0].send_signal(signal.SIGSTOP)
     first = ranks.follow(2)
@@ -102,6 +103,6 @@
     resumed = ranks.follow(5)
     assert ranks.metric(0, "canvasyoke_owns_map")
     assert ranks.engines.mismatches == []
-    assert max(later) < 3.0
+    assert max(later) < 1.5
     print(f"first map after {first:.2f} s, then {later} s; the owner's after {resumed:.2f} s")
     assert ranks.logs[1].read_text().count("no longer acts for the owner") == 1
