Experts: an owner that resumes keeps its fences if nobody has acted

Cause: an owner that had stood still gave up the map, and could not take it again while the store was down. Change: it forgets the demand and raises its own fences; only a rejected order makes it take new ones.

--- a/src/canvasyoke/experts/_owner.py
+++ b/src/canvasyoke/experts/_owner.py
@@ -52,6 +52,8 @@
 _SHIFT_WINDOW: Final = 1_500
 _SHIFT_MIN_SAVINGS: Final = 0.12
 _MAX_COPY_FRACTION: Final = 0.02
+#: Version of no map: the ranks' layers are to be read.
+_UNKNOWN_VERSION: Final = -1
 #: Milliseconds that a change takes in addition to its copies, for orders, polling and arming.
 _CHANGE_OVERHEAD: Final = 100
 
@@ -85,6 +87,8 @@
         #: Version of the map in ``_layers``.
         self._version = 0
         self._estimator: DemandEstimator | None = None
+        #: Whether the process has not run for some time, so that a recovery is due.
+        self._has_paused = False
         #: Demand shifts when a change was last considered, and the time of the last shift.
         self._shift_count = 0
         self._shifted_at = -_SHIFT_WINDOW
@@ -111,6 +115,16 @@
         """Return the number below all of this owner's fences; 0 before it has any."""
         return self._fences.base if self._fences is not None else 0
 
+    def resume(self) -> None:
+        """Forget demand and map after a pause, in which the standby may have acted.
+
+        The next tick finds out by raising its own fences. They are enough if nobody else has acted,
+        so that a pause while the store is down does not end the ownership.
+        """
+        self._has_paused = True
+        self._estimator = None
+        self._version = _UNKNOWN_VERSION
+
     def tick(self) -> bool:
         """Do the work that is due; return false if the group no longer belongs to this owner."""
         if self._changer is None:
@@ -120,8 +134,11 @@
             return True
         if report.epoch != self._group.epoch:
             return False
-        if self._is_held(report) and not self._record_result(self._changer.recover()):
-            return False
+        if self._has_paused or self._is_held(report):
+            result = self._changer.recover()
+            if not self._record_result(result):
+                return False
+            self._has_paused = result is ChangeResult.NOT_HELD
         is_frame_complete = self._add_counts(self._group.take_counts())
         if not report.is_open or report.armed is not None:
             return True
--- a/src/canvasyoke/experts/_process.py
+++ b/src/canvasyoke/experts/_process.py
@@ -269,8 +269,9 @@
             _log.info("group seen", group=report.group, epoch=report.epoch, size=report.size)
         pause = self._clock.now() - self._owner_ran_at
         if self._owner is not None and pause > OWNER_TIMEOUT:
-            _log.warning("owner did not run, takes ownership anew", pause=pause)
-            self._drop_ownership(self._group)
+            _log.warning("owner did not run, forgets the demand", pause=pause)
+            self._owner.resume()
+            self._forget_demand(self._group)
         self._group.add_own_counts(self._rank_client.read_counts())
         if self._owner is None:
             self._owner = self._make_owner(self._group)
@@ -282,15 +283,15 @@
         ):
             self._directory.read_notes(report.group)  # some registered after the owner was made
         if self._owner is not None and not self._owner.tick():
-            self._drop_ownership(self._group)
+            self._owner = None
+            self._forget_demand(self._group)
         self._owner_ran_at = self._clock.now()
 
-    def _drop_ownership(self, group: LinkedGroup) -> None:
-        """Forget the map and the demand, which another process may have followed meanwhile.
+    def _forget_demand(self, group: LinkedGroup) -> None:
+        """Forget the demand, which another process may have followed meanwhile.
 
         The counts that the ranks had queued before this process fell silent are still to come.
         """
-        self._owner = None
         self._demand.forget_activation()
         group.discard_counts(READ_INTERVAL)
 
