--- a/src/canvasyoke/experts/_change.py
+++ b/src/canvasyoke/experts/_change.py
@@ -10,7 +10,8 @@
 delayed orders are rejected.
 
 A hold does not expire. Each new owner therefore starts with ``recover``, which completes or rolls
-back an interrupted change.
+back an interrupted change. It first raises the fences of all ranks: the earlier owner may resume at
+any time, and an order of it that arrived between the reports and a release would split the group.
 
 The owner's host can fail together with its rank. For this reason the hold is never placed on the
 owner's rank, and that rank is armed last and disarmed first: it can be armed only while all other
@@ -25,9 +26,16 @@
 from typing import Final
 
 from canvasyoke._clock import SECOND, Clock
-from canvasyoke.experts._change_types import HOLD_RANK, OWNER_RANK, ChangeResult, ChangeTimings
+from canvasyoke.experts._change_types import (
+    HOLD_RANK,
+    OWNER_RANK,
+    ChangeResult,
+    ChangeTimings,
+    OwnerReplacedError,
+)
 from canvasyoke.experts._fences import FenceSequence
 from canvasyoke.experts._group import NewMap, OrderResult, RankGroup
+from canvasyoke.experts._group_control import GroupControl, GroupReformedError
 from canvasyoke.experts._rank_port import (
     Armed,
     MapOrder,
@@ -39,11 +47,6 @@
 from canvasyoke.observe import part_logger
 
 _log = part_logger("map")
-#: Milliseconds for an order, its answer and the following report, plus an allowance per rank for
-#: the owner's processing. If it is too short, orders to large groups are repeated while their
-#: answers are on the way.
-_ORDER_TIMEOUT: Final = 200
-_ORDER_TIMEOUT_PER_RANK: Final = 3
 #: Milliseconds allowed for copying beyond the computed copy time.
 _COPY_SLACK: Final = 1_500
 #: Milliseconds between checks whether all ranks have finished copying.
@@ -56,25 +59,11 @@
 _STEPS_AHEAD_AFTER_TIMEOUT: Final = (5, 5, 6, 7, 8)
 #: Maximum attempts to arm the ranks while the group is held.
 _MAX_ARM_ATTEMPTS: Final = 5
-#: Milliseconds between retries of operations that must succeed before the group can continue.
-_RETRY_INTERVAL: Final = 50
 #: Maximum number of ranks listed in a log record.
 _MAX_LOGGED_RANKS: Final = 8
-#: Version for disarm orders that only raise the fence. No map has this version.
-_UNUSED_VERSION: Final = 1
-#: Outcomes after which a rank has seen the order's fence and needs no further attempt.
-_ACKNOWLEDGED: Final = frozenset({OrderOutcome.DONE, OrderOutcome.CONFLICT})
-
-
-class _OwnerReplaced(Exception):
-    """Raised when a rank has seen the fence of another owner."""
-
-
-class _GroupReformed(Exception):
-    """Raised when the group has entered another epoch."""
 
 
-class MapChanger:
+class MapChanger(GroupControl):
     """Executes map changes of one group, one at a time."""
 
     def __init__(
@@ -85,17 +74,13 @@
         clock: Clock,
         pause: Callable[[float], object] | None = None,
     ) -> None:
-        self._group = group
-        self._epoch = epoch
-        self._fences = fences
+        super().__init__(group, epoch, fences, pause or threading.Event().wait)
         self._clock = clock
-        self._pause = pause or threading.Event().wait
         #: Timings of the last change.
         self.timings = ChangeTimings()
         #: Whether an order of the current change has timed out.
         self._had_timeout = False
         self._timing = StepTiming(group.size)
-        self._order_timeout = _ORDER_TIMEOUT + _ORDER_TIMEOUT_PER_RANK * group.size
 
     def change(self, new_map: NewMap) -> ChangeResult:
         """Activate ``new_map`` on all ranks or on none; return the result."""
@@ -148,26 +133,6 @@
         self._release(held)
         return ChangeResult.ABANDONED
 
-    @property
-    def _non_owner_ranks(self) -> set[int]:
-        """Return all ranks except the owner's."""
-        return set(range(self._group.size)) - {OWNER_RANK}
-
-    def _raise_fences(self, ranks: Set[int]) -> bool:
-        """Make the ranks reject orders of earlier owners, and wait out the report lag.
-
-        Returns false if not every rank has acknowledged the new fence.
-        """
-        order = MapOrder(
-            MapOrderKind.DISARM, self._fences.next(), self._epoch, version=_UNUSED_VERSION
-        )
-        results = self._group.send_orders(dict.fromkeys(ranks, order), self._order_timeout)
-        self._check_results(results)
-        if any(result.outcome not in _ACKNOWLEDGED for result in results.values()):
-            return False
-        self._pause(self._group.report_lag / SECOND)
-        return True
-
     def _recover(self) -> ChangeResult:
         """Release holds, after completing or rolling back the change that they belong to.
 
@@ -176,9 +141,9 @@
         order to arm may still be in flight and must meet a higher fence before the hold is
         released. During this the group must not reach the step for which some ranks are armed.
         """
-        if self._group.report_lag and not self._raise_fences(set(range(self._group.size))):
+        if not self._raise_fences(set(range(self._group.size))):
             return ChangeResult.NOT_HELD
-        reports = self._all_reports()
+        reports = self._settled_reports()
         held = {r: report.held_step for r, report in reports.items() if report.held_step}
         armed = [report.armed for report in reports.values() if report.armed is not None]
         is_complete = len(armed) == self._group.size and len(set(armed)) == 1
@@ -206,15 +171,6 @@
             held[HOLD_RANK] = step
         return 0 < step <= first_step
 
-    def _all_reports(self) -> Mapping[int, RankReport]:
-        while True:
-            reports = self._group.fetch_reports(self._order_timeout)
-            self._check_epoch(reports.values())
-            if len(reports) == self._group.size:
-                return reports
-            self._check_own_epoch()
-            self._pause(_RETRY_INTERVAL / SECOND)
-
     def _prepare(self, new_map: NewMap) -> bool:
         """Have all ranks copy their experts; return whether all copies are complete."""
         fence = self._fences.next()
@@ -325,95 +281,14 @@
                 return False
         return False
 
-    def _disarm_all(self, armed: Mapping[int, int]) -> None:
-        """Disarm all ranks under a new fence until each reports that it is not armed.
-
-        ``armed`` maps ranks to the versions that they are known to be armed for.
-        """
-        self._disarm({OWNER_RANK}, armed)
-        self._disarm(self._non_owner_ranks, armed)
-
-    def _disarm(self, ranks: Set[int], armed: Mapping[int, int]) -> None:
-        versions = dict(armed)
-        pending = set(ranks)
-        while pending:
-            fence = self._fences.next()
-            orders = {
-                r: MapOrder(
-                    MapOrderKind.DISARM,
-                    fence,
-                    self._epoch,
-                    version=versions.get(r, _UNUSED_VERSION),
-                )
-                for r in pending
-            }
-            results = self._group.send_orders(orders, self._order_timeout)
-            self._check_results(results)
-            for rank, result in results.items():
-                if result.report is not None and result.report.armed is not None:
-                    versions[rank] = result.report.armed.version
-            pending = {r for r, order_result in results.items() if not _is_disarmed(order_result)}
-            if pending:
-                self._check_own_epoch()
-                self._pause(_RETRY_INTERVAL / SECOND)
-
-    def _release(self, held: Mapping[int, int]) -> None:
-        """Release the holds, retrying until every holding rank reports none."""
-        pending = dict(held)
-        while pending:
-            fence = self._fences.next()
-            orders = {
-                r: MapOrder(MapOrderKind.RELEASE, fence, self._epoch, step=step)
-                for r, step in pending.items()
-            }
-            results = self._group.send_orders(orders, self._order_timeout)
-            self._check_results(results)
-            for rank, result in results.items():
-                if result.report is not None and not result.report.held_step:
-                    del pending[rank]
-            if pending:
-                self._check_own_epoch()
-                self._pause(_RETRY_INTERVAL / SECOND)
-
-    def _own_report(self) -> RankReport:
-        """Return the report of this process's rank, retrying until it is available."""
-        while True:
-            report = self._group.own_report()
-            if report is not None:
-                self._check_epoch([report])
-                return report
-            self._pause(_RETRY_INTERVAL / SECOND)
-
-    def _check_own_epoch(self) -> None:
-        report = self._group.own_report()
-        if report is not None:
-            self._check_epoch([report])
-
-    def _check_results(self, results: Mapping[int, OrderResult]) -> None:
-        """Raise if the results show another owner or another epoch."""
-        if any(result.outcome is OrderOutcome.FENCED for result in results.values()):
-            raise _OwnerReplaced
-        self._check_epoch(
-            [
-                order_result.report
-                for order_result in results.values()
-                if order_result.report is not None
-            ]
-        )
-
-    def _check_epoch(self, reports: object) -> None:
-        for report in reports:  # type: ignore[attr-defined]
-            if report.epoch != self._epoch:
-                raise _GroupReformed
-
 
 def _run_to_result(operation: Callable[[], ChangeResult]) -> ChangeResult:
     """Run ``operation`` and translate a new owner or epoch into a result."""
     try:
         return operation()
-    except _OwnerReplaced:
+    except OwnerReplacedError:
         return ChangeResult.REPLACED
-    except _GroupReformed:
+    except GroupReformedError:
         return ChangeResult.REFORMED
 
 
@@ -426,10 +301,3 @@
 def _is_armed(result: OrderResult, armed: Armed) -> bool:
     """Return whether the rank reports that it is armed as expected by the order."""
     return result.report is not None and result.report.armed == armed
-
-
-def _is_disarmed(result: OrderResult) -> bool:
-    """Return whether the rank has seen the fence and reports that it is not armed."""
-    if result.outcome not in _ACKNOWLEDGED or result.report is None:
-        return False
-    return result.report.armed is None
