Cold backends get no more than they tolerate from all entries

An engine that has just started is the least loaded one, so all entries chose it at once (54 and 55 requests in a second where 44 are allowed). It crashed again with its group.

Entries now track which backends are cold and hold parts of each backend's rate, which each finds alone from the names of the entries. The same parts serve the limits that backends state, in fleets too large for shares by demand.

--- a/fakes/platform_engine.py
+++ b/fakes/platform_engine.py
@@ -29,6 +29,11 @@
     target: str
     headers: dict[str, str]
     body: bytes
+    #: Entry that sent it, if its caller named it, and its monotonic arrival time in seconds.
+    sender: str = ""
+    at: float = 0.0
+    #: Whether the engine was cold.
+    is_cold: bool = False
 
 
 @dataclass
@@ -45,6 +50,12 @@
     port: int = 0
     #: Request body that crashes the engine; empty for none.
     crash_body: bytes = b""
+    #: Arrivals within a second above which the engine crashes while it is cold; 0 for no limit.
+    crash_rate: float = 0.0
+    #: Monotonic time in seconds until which the engine is cold.
+    cold_until: float = 0.0
+    #: Start time in the store; 0 for none.
+    started: int = 0
     #: Seconds for which the port still accepts connections after a crash.
     port_close_delay: float = 0.0
     #: Set when the connections close after a crash, and when the port has closed.
@@ -83,9 +94,10 @@
                 if path == "/report":
                     engine.report(self)
                     return
-                engine.arrivals.append(Arrival(method, self.path, dict(self.headers), body))
+                engine.count_arrival(method, self, body)
                 engine.arrived.set()
-                if engine.crash_body and body == engine.crash_body:
+                is_fatal = engine.crash_body and body == engine.crash_body
+                if is_fatal or engine.is_overrun():
                     engine.crash()
                     self.close_connection = True
                     return
@@ -111,6 +123,31 @@
         self._server.shutdown()
         self._server.server_close()
 
+    @property
+    def cold_remaining(self) -> float:
+        """Milliseconds for which the engine remains cold."""
+        return max(0.0, self.cold_until - time.monotonic()) * 1_000
+
+    def turn_cold(self, seconds: float) -> None:
+        """Make the engine cold for ``seconds``; its object in the store is not changed."""
+        self.cold_until = time.monotonic() + seconds
+
+    def count_arrival(self, method: str, handler: Handler, body: bytes) -> None:
+        """Record a request, its sender and its time."""
+        headers, now = dict(handler.headers), time.monotonic()
+        sender = headers.get(SENDER_HEADER, "")
+        is_cold = now < self.cold_until
+        self.arrivals.append(Arrival(method, handler.path, headers, body, sender, now, is_cold))
+
+    def peak_while_cold(self) -> int:
+        """Return the most requests that arrived within a second while the engine was cold."""
+        times = sorted(arrival.at for arrival in list(self.arrivals) if arrival.is_cold)
+        return max((sum(at <= t < at + 1 for t in times) for at in times), default=0)
+
+    def is_overrun(self) -> bool:
+        """Return whether the engine is cold and gets more requests than it tolerates."""
+        return 0 < self.crash_rate < self.peak_while_cold()
+
     def crash(self) -> None:
         """Close the port and all connections, as the crash of a process does."""
         self.crashed.set()
@@ -151,16 +188,17 @@
         self, service: str, state: str = "ready", zone: str = "nbo-a"
     ) -> dict[str, object]:
         """Return the engine's object in the store."""
-        return {
+        entry: dict[str, object] = {
             "Service": service,
             "Address": self.address,
             "Zone": zone,
             "Version": "v1",
             "Slots": 6,
             "State": state,
-            "ColdRemainingMs": 0,
+            "ColdRemainingMs": self.cold_remaining,
             "Sequence": 1,
         }
+        return entry | ({"born": self.started} if self.started else {})
 
 
 def _seal_headers(handler: Handler, engine: PlatformEngine) -> dict[str, str]:
--- a/src/canvasyoke/direct/_backend_availability.py
+++ b/src/canvasyoke/direct/_backend_availability.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from canvasyoke.backend import BackendNotice
@@ -10,6 +10,7 @@
 from canvasyoke.direct._backend_limits import Share
 from canvasyoke.direct._backend_notices import NoticeChange, SharedNotice
 from canvasyoke.direct._backend_streams import BackendStreams
+from canvasyoke.direct._cold_backends import ColdChange, ColdRule
 from canvasyoke.direct._member import Member
 from canvasyoke.state import Endpoint, EndpointState
 
@@ -45,6 +46,31 @@
         with self._lock:
             self._notices.limits.share = share
 
+    def set_cold_rules(self, rules: Mapping[str, ColdRule]) -> None:
+        """Set the limits of cold backends, by service."""
+        with self._lock:
+            self._notices.limits.cold.rules = rules
+
+    def mark_domain_cold(self, domain: str) -> None:
+        """Count the backends of a domain as cold, after its evacuation was taken back."""
+        with self._lock:
+            self._notices.limits.cold.mark_domain(domain, "evacuated")
+
+    def cold_remaining(self, endpoint: Endpoint) -> int:
+        """Return the milliseconds for which a backend remains cold; 0 if it is warm."""
+        with self._lock:
+            return self._notices.cold_remaining(endpoint)
+
+    def cold_counts(self) -> dict[str, int]:
+        """Return the number of cold backends, by service whose cold backends are limited."""
+        with self._lock:
+            return self._notices.limits.cold.counts()
+
+    def take_cold_changes(self) -> list[ColdChange]:
+        """Return the backends that have turned cold or warm since the last call."""
+        with self._lock:
+            return self._notices.limits.cold.take_changes()
+
     @property
     def has_limits(self) -> bool:
         """Return whether any backend has a rate limit."""
@@ -66,7 +92,10 @@
             if member is None or member.endpoint.address != endpoint.address:
                 return False
             # The rate limit is not checked: the request has taken its token already.
-            return not self._is_leaving(member) and not self._notices.remaining_backoff(endpoint)
+            if self._is_leaving(member) or self._notices.remaining_backoff(endpoint):
+                return False
+            self._notices.record_written(endpoint)
+            return True
 
     def time_until_available(self, service: str) -> int:
         """Return the milliseconds until a backend of a service is available.
@@ -82,10 +111,11 @@
             return min((each.retry_after if each else 0 for each in found), default=0)
 
     def rate_limit_share(self, service: str) -> float:
-        """Return this entry's requests per second to a service's rate-limited backends."""
+        """Return this entry's requests per second to a service's rate-limited and cold backends."""
         with self._lock:
             return sum(
                 self._notices.limit_share(member.endpoint)
+                or self._notices.cold_share(member.endpoint)
                 for member in self._members.values()
                 if member.endpoint.service == service and not self._is_leaving(member)
             )
--- a/src/canvasyoke/direct/_backend_checks.py
+++ b/src/canvasyoke/direct/_backend_checks.py
@@ -50,7 +50,10 @@
 
 @UNAVAILABILITY_CHECKS.register("limit")
 def _is_limited(evidence: BackendEvidence, member: Member) -> Unavailability | None:
-    """Return the wait if this entry's share of the backend's rate limit is used up."""
+    """Return the wait if this entry's share of the backend's rate is used up.
+
+    The rate is a limit that the backend has stated, or that of a cold backend.
+    """
     wait = evidence.notices.limit_wait(member.endpoint)
     return Unavailability(Reason.LIMITED, wait) if wait else None
 
@@ -114,8 +117,12 @@
 
 def unavailability(evidence: BackendEvidence, member: Member) -> Unavailability | None:
     """Return the longest-lasting unavailability of a backend; ``None`` for none."""
-    found = (check(evidence, member) for check in _ORDERED_UNAVAILABILITY_CHECKS)
-    return max((each for each in found if each), key=lambda each: each.retry_after, default=None)
+    longest: Unavailability | None = None
+    for check in _ORDERED_UNAVAILABILITY_CHECKS:  # runs per backend and request
+        found = check(evidence, member)
+        if found and (longest is None or found.retry_after > longest.retry_after):
+            longest = found
+    return longest
 
 
 def is_suspect(evidence: BackendEvidence, member: Member) -> bool:
--- a/src/canvasyoke/direct/_backend_exchange.py
+++ b/src/canvasyoke/direct/_backend_exchange.py
@@ -46,7 +46,10 @@
 
     def share(self, change: BackendChange) -> None:
         """Send the other entries a change that was read from the store."""
-        self._broadcast(to_backend_news(change), None)
+        self._broadcast(self._to_news(change), None)
+
+    def _to_news(self, change: BackendChange) -> BackendUpdate:
+        return to_backend_news(change, self._roster.cold_remaining(change.endpoint))
 
     def handle_close(self, session: Session) -> None:
         """Forget a link that has ended."""
@@ -66,7 +69,7 @@
         """Return all backends, with the position up to which the list is complete."""
         position = self._roster.position
         changes = [BackendChange(e, False, e.position) for e in self._roster.endpoints()]
-        backends = [to_backend_news(change) for change in changes]
+        backends = [self._to_news(change) for change in changes]
         return BackendList(position, backends, self._roster.groups())
 
     def receive_list(self, session: Session, listed: BackendList) -> None:
@@ -83,7 +86,7 @@
             peer=session.peer,
         )
         for change in changes:
-            self._broadcast(to_backend_news(change), session)
+            self._broadcast(self._to_news(change), session)
         for backend, group in listed.groups.items():
             if self._roster.learn_group(backend, group):
                 self._broadcast(GroupUpdate(backend, group), session)
@@ -95,7 +98,7 @@
         if not self._roster.apply_change(change):
             answer = self._roster.refute(change)
             if answer is not None:
-                session.send(to_backend_news(answer))
+                session.send(self._to_news(answer))
             return
         self._broadcast(news, session)
         _log.info(
--- a/src/canvasyoke/direct/_backend_news.py
+++ b/src/canvasyoke/direct/_backend_news.py
@@ -20,8 +20,12 @@
     return CrashUpdate(fingerprint, case.cleared, runs, case.is_blamed, run_ages)
 
 
-def to_backend_news(change: BackendChange) -> BackendUpdate:
-    """Return the message for a change of a backend."""
+def to_backend_news(change: BackendChange, cold_remaining: int = 0) -> BackendUpdate:
+    """Return the message for a change of a backend.
+
+    ``cold_remaining`` is the number of milliseconds for which the backend remains cold. That of the
+    endpoint is as of its read from the store, which may be long ago.
+    """
     endpoint = change.endpoint
     return BackendUpdate(
         id=endpoint.id,
@@ -34,6 +38,7 @@
         revision=change.position,
         was_lost=change.was_lost,
         started=endpoint.started,
+        cold_remaining=cold_remaining,
     )
 
 
@@ -48,4 +53,5 @@
         state=EndpointState.LEAVING if news.leaving else EndpointState.READY,
         position=news.revision,
         started=news.started,
+        cold_remaining=news.cold_remaining,
     )
--- a/src/canvasyoke/direct/_backend_notices.py
+++ b/src/canvasyoke/direct/_backend_notices.py
@@ -84,13 +84,15 @@
     @property
     def has_any(self) -> bool:
         """Return whether any notice is kept, so that callers can skip the lookups if not."""
-        return bool(self._states) or self.limits.has_buckets
+        return bool(self._states) or self.limits.may_limit
 
     def apply(self, endpoint: Endpoint, notice: BackendNotice) -> NoticeChange:
         """Apply the notice in an answer of a backend, and return what it changes.
 
         The latest end of all backoffs wins, since answers can arrive out of order.
         """
+        if notice.is_limit_known:  # the head of an answer was received
+            self.limits.cold.record_answer(endpoint)
         limit = self._apply_limit(endpoint, notice)
         if not notice.backoff and not notice.is_leaving:
             return NoticeChange(limit=limit) if limit is not None else _NO_CHANGE
@@ -121,17 +123,29 @@
         """Return this entry's share of a backend's rate limit; 0 if it has none."""
         return self.limits.entry_rate(_key(endpoint), endpoint.service)
 
+    def cold_share(self, endpoint: Endpoint) -> float:
+        """Return the requests a second that this entry may send a cold backend; 0 if warm."""
+        return self.limits.cold.entry_rate(_key(endpoint))
+
+    def cold_remaining(self, endpoint: Endpoint) -> int:
+        """Return the milliseconds for which a backend remains cold; 0 if it is warm."""
+        return self.limits.cold.remaining(_key(endpoint))
+
     def record_sent(self, endpoint: Endpoint) -> None:
         """Count a request for which the backend was chosen against its rate limit."""
         self.limits.record_sent(_key(endpoint), endpoint.service)
 
+    def record_written(self, endpoint: Endpoint) -> None:
+        """Record that a request is written to the backend now."""
+        self.limits.record_written(_key(endpoint))
+
     def refund(self, endpoint: Endpoint) -> None:
         """Undo ``record_sent`` for a request that did not reach the backend."""
         self.limits.refund(_key(endpoint))
 
     def remaining_backoff(self, endpoint: Endpoint) -> int:
         """Return the milliseconds for which this entry must not send to a backend."""
-        state = self._states.get(_key(endpoint))
+        state = self._states.get(_key(endpoint)) if self._states else None
         return max(0, state.backoff_until - self.clock.now()) if state is not None else 0
 
     def apply_shared(self, notice: SharedNotice) -> bool:
--- a/src/canvasyoke/direct/_backend_records.py
+++ b/src/canvasyoke/direct/_backend_records.py
@@ -9,7 +9,7 @@
 import enum
 import random
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Final, TypeAlias
 
@@ -63,6 +63,8 @@
     domain_peers: frozenset[str] = frozenset()
     #: Whether entries exchange loads with all others or only within their domain.
     is_full_mesh: bool = True
+    #: Failure domains of all entries by name, including this one; empty if not known.
+    domains: Mapping[str, str] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -139,7 +141,8 @@
     def merge(self, endpoints: Iterable[Endpoint], position: StorePosition) -> list[BackendChange]:
         """Merge another entry's list as of a position and return the changes."""
         with self._lock:
-            return self._apply_changes(self._known.merge(endpoints, position))
+            is_first = not self._known.is_known
+            return self._apply_changes(self._known.merge(endpoints, position), is_first)
 
     def merge_from_store(
         self,
@@ -149,7 +152,9 @@
     ) -> list[BackendChange]:
         """Merge the store's list as of a position; keep those in ``keep`` even if missing."""
         with self._lock:
-            return self._apply_changes(self._known.merge_from_store(endpoints, position, keep))
+            is_first = not self._known.is_known
+            changes = self._known.merge_from_store(endpoints, position, keep)
+            return self._apply_changes(changes, is_first)
 
     def put(self, endpoint: Endpoint) -> list[BackendChange]:
         """Add or update one backend and return the changes."""
@@ -195,8 +200,11 @@
     def _list_age(self) -> int:
         return self.clock.now() - self._confirmed_at
 
-    def _apply_changes(self, changes: list[BackendChange]) -> list[BackendChange]:
+    def _apply_changes(
+        self, changes: list[BackendChange], is_first_list: bool = False
+    ) -> list[BackendChange]:
         """Create, update and remove members for changes of the list."""
+        limits = self._notices.limits
         for change in changes:
             endpoint = change.endpoint
             if change.gone or not self._is_same_run(endpoint):
@@ -205,6 +213,7 @@
                 continue
             now = self.clock.now()
             member = self._members.get(endpoint.run)
+            limits.cold.record_listed(endpoint, member is None, is_first_list)
             if member is None:
                 self._runs[endpoint.id] = endpoint.run
                 self._members[endpoint.run] = Member(endpoint, Ejection(self.clock), now)
@@ -215,6 +224,7 @@
                 self.on_run_change(endpoint, RunChange.LEAVING)
         if changes:
             self._assign_home_share()
+            limits.parts.set_backends(member.endpoint for member in self._members.values())
         return changes
 
     def _is_same_run(self, endpoint: Endpoint) -> bool:
@@ -231,7 +241,9 @@
     def _forget(self, endpoint_id: str) -> None:
         run = self._runs.pop(endpoint_id, None)
         if run is not None:
-            self.on_run_change(self._members.pop(run).endpoint, RunChange.REMOVED)
+            endpoint = self._members.pop(run).endpoint
+            self.on_run_change(endpoint, RunChange.REMOVED)
+            self._notices.limits.cold.record_removed(endpoint)
             self._groups.forget(run)
             self._health.forget(run)
 
@@ -242,6 +254,10 @@
                 name = _RANKER if fleet.is_full_mesh else _LARGE_FLEET_RANKER
                 self._ranker = RANKERS.get(name)(self.rng)
             self._fleet = fleet
+            if fleet.domains:
+                self._notices.limits.parts.set_entries(
+                    fleet.name, fleet.domains, fleet.is_full_mesh
+                )
             self._assign_home_share()
 
     def _assign_home_share(self) -> None:
--- a/src/canvasyoke/direct/_peers.py
+++ b/src/canvasyoke/direct/_peers.py
@@ -192,8 +192,15 @@
             self._domain_peers = frozenset(p.name for p in nodes if p.domain == self._own.domain)
             self._budget.entries = len(nodes) + 1
             self._shares.set_fleet(len(nodes) + 1, self._links.is_mesh)
+            domains = {node.name: node.domain for node in [self._own, *nodes]}
             self._roster.set_fleet(
-                FleetView(len(nodes) + 1, self._own.name, self._domain_peers, self._links.is_mesh)
+                FleetView(
+                    len(nodes) + 1,
+                    self._own.name,
+                    self._domain_peers,
+                    self._links.is_mesh,
+                    domains,
+                )
             )
             self.election.set_domain(self._domain_peers)
         self._links.reconcile()
--- a/src/canvasyoke/direct/_process.py
+++ b/src/canvasyoke/direct/_process.py
@@ -14,6 +14,7 @@
 from canvasyoke.direct._budget import FleetRetryBudget, RetryAllowance
 from canvasyoke.direct._caller_port import CALLER_PORTS
 from canvasyoke.direct._callers import MAX_CONCURRENT_REQUESTS, CallerApp
+from canvasyoke.direct._cold_monitor import ColdMonitor
 from canvasyoke.direct._crash_detector import CrashDetector
 from canvasyoke.direct._domains import DomainProber
 from canvasyoke.direct._endpoint_follower import EndpointFollower
@@ -82,6 +83,7 @@
         self._budget = FleetRetryBudget(_allowance(settings), self._clock)
         self._budget.entries = _ASSUMED_ENTRIES
         self._metrics = DirectMetrics()
+        self._cold_monitor = ColdMonitor(self._roster, self._metrics.all)
         self._quarantine = Quarantine(
             self._clock, lambda name, case: self._peers.announce_case(name, case)
         )
@@ -200,6 +202,7 @@
         if self._settings_file.has_changed() or self._reload_requested.is_set():
             self._reload_requested.clear()
             self._load_settings()
+        self._cold_monitor.update(self._view.current, self._settings)
         isolated = self._roster.is_isolated()
         if isolated != self._was_isolated:
             self._was_isolated = isolated
@@ -238,6 +241,7 @@
             self._peers.announce_unresponsive(backend)
 
     def _on_new_table(self, table: RoutingTable) -> None:
+        self._cold_monitor.update(table, self._settings)
         self._caller_server.set_limits(_server_limits(table.limits))
         self._peers.announce_table()
 
--- a/src/canvasyoke/direct/_roster.py
+++ b/src/canvasyoke/direct/_roster.py
@@ -106,6 +106,7 @@
     def record_connect_failure(self, endpoint: Endpoint) -> None:
         """Record a failure to connect to a backend."""
         with self._lock:
+            self._notices.limits.cold.record_unreachable(endpoint)
             if self._domains.record_failure(endpoint.domain, endpoint.run):
                 _log.warning("domain out of reach", domain=endpoint.domain, own=self.domain)
 
@@ -113,6 +114,7 @@
         """Record a successful connection to a backend of a domain."""
         with self._lock:
             if self._domains.record_success(domain):
+                self._notices.limits.cold.mark_domain(domain, "unreachable")
                 _log.info("domain in reach", domain=domain, own=self.domain)
 
     def probe_addresses(self) -> dict[str, str]:
--- a/src/canvasyoke/direct/tests/backoff_simulation.py
+++ b/src/canvasyoke/direct/tests/backoff_simulation.py
@@ -110,7 +110,10 @@
         self.roster = Roster("nbo-a", simulation.clock, rng)
         self.roster.merge([backend.endpoint for backend in simulation.backends.values()], 5)
         near = frozenset(f"entry-{n}" for n in range(scenario.entries)) - {name}
-        self.roster.set_fleet(FleetView(scenario.entries, name, near, is_mesh(scenario.entries)))
+        everyone = dict.fromkeys([f"entry-{n}" for n in range(scenario.entries)], "nbo-a")
+        self.roster.set_fleet(
+            FleetView(scenario.entries, name, near, is_mesh(scenario.entries), everyone)
+        )
         self.budget = FleetRetryBudget(RetryAllowance(0.2, 92, 10 * SECOND), simulation.clock)
         self.budget.entries = scenario.entries
         self.shares = DemandShares(self.budget.request_rate, simulation.clock)
--- a/src/canvasyoke/observe/__init__.py
+++ b/src/canvasyoke/observe/__init__.py
@@ -7,11 +7,12 @@
     configure_logging,
     part_logger,
 )
-from canvasyoke.observe._metrics import Counter, Gauge, Metrics, Timer
+from canvasyoke.observe._metrics import Counter, Gauge, LabelledGauge, Metrics, Timer
 
 __all__ = [
     "Counter",
     "Gauge",
+    "LabelledGauge",
     "LineWriter",
     "Metrics",
     "PartLogger",
--- a/src/canvasyoke/platform/_endpoints.py
+++ b/src/canvasyoke/platform/_endpoints.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import ipaddress
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Annotated, Final, Literal
@@ -31,6 +32,8 @@
 DECODE_ERRORS: Final = (msgspec.MsgspecError, JsonSplitError, RecursionError)
 #: Maximum length of a name or other text; messages between processes have the same limit.
 _MAX_TEXT_LENGTH: Final = 200
+#: Longest cold time in milliseconds that an entry can state.
+_MAX_COLD_REMAINING: Final = 3_600_000.0
 _STATES: Final = {"ready": EndpointState.READY, "draining": EndpointState.LEAVING}
 
 _Text = Annotated[str, msgspec.Meta(min_length=1, max_length=_MAX_TEXT_LENGTH)]
@@ -191,6 +194,7 @@
         state=_STATES[server.state],
         position=position,
         started=server.started,
+        cold_remaining=math.ceil(min(max(0.0, server.cold_remaining), _MAX_COLD_REMAINING)),
     )
 
 
--- a/src/canvasyoke/state/_fleet_store.py
+++ b/src/canvasyoke/state/_fleet_store.py
@@ -48,6 +48,9 @@
     #: Start time by the backend's clock, in milliseconds since 1970-01-01 UTC; 0 if unknown.
     #: It identifies a run and must not be used for ordering, because clocks can be set back.
     started: int = 0
+    #: Milliseconds for which it remains cold, as of when this was read. Not compared: a remaining
+    #: time that counts down is not a change of the backend.
+    cold_remaining: int = field(default=0, compare=False)
     #: Identifier of this run. Observations are stored per run, because those of an earlier run
     #: with the same name do not apply after a restart. Computed once, since backend selection
     #: reads it often.
