Tests of cold backends: retention, joining entries, use of stated limits

The retention test passed without the retention, because it read the parts before the time had passed; it now polls as the entry does and fails without it. New tests cover the decoded remainder, a third more entries that join unheard under a stated limit, and the use of limits at 100 and 300 entries.

--- a/src/canvasyoke/direct/_backend_availability.py
+++ b/src/canvasyoke/direct/_backend_availability.py
@@ -86,6 +86,7 @@
         """Return whether a chosen backend may still be sent its request.
 
         It may have asked for backoff, left the list or restarted while the connection was made.
+        If it may, the request counts as written now.
         """
         with self._lock:
             member = self._members.get(endpoint.run)
--- a/src/canvasyoke/direct/_backend_limits.py
+++ b/src/canvasyoke/direct/_backend_limits.py
@@ -39,7 +39,7 @@
 _MIN_RATE: Final = 0.05
 
 #: Fraction of the tolerated requests that is divided into parts in a large fleet. The rest is
-#: for entries that do not know the same division yet.
+#: for a third more entries that join, whom the others have not heard of.
 _DIVIDED_FRACTION: Final = 0.8
 #: Least length in milliseconds of the window of a part: the tolerance window, plus a margin for
 #: the resolution of the clock.
--- a/src/canvasyoke/direct/tests/test_backend_limits.py
+++ b/src/canvasyoke/direct/tests/test_backend_limits.py
@@ -270,6 +270,30 @@
     assert sum(utilization) / len(utilization) >= 0.85
 
 
+@pytest.mark.parametrize(("entries", "limit", "least"), [(100, 6.0, 0.4), (300, 20.0, 0.35)])
+def test_part_of_a_limit_is_used_in_large_fleets(entries: int, limit: float, least: float) -> None:
+    """Guards against equal shares in large fleets, which use 0.16 and 0.21."""
+    assert simulate(entries, limit).result.utilization >= least
+
+
+def test_entries_that_join_unheard_keep_to_a_stated_limit(clock: ManualClock) -> None:
+    """A third more entries join, which know all entries; the others do not know them."""
+    before = {f"e-{n}": "nbo-a" for n in range(100)}
+    after = before | {f"joined-{n}": "nbo-a" for n in range(34)}
+    held = 0
+    for name in after:
+        limits = BackendLimits(clock, random.Random(1))
+        limits.share = lambda _service: Share(0.01, 100)
+        limits.parts.set_backends([A])
+        limits.parts.set_entries(name, before if name in before else after, is_full_mesh=False)
+        limits.update(KEY, RateLimit(6.0))
+        clock.advance(60 * SECOND)
+        while not limits.wait(KEY, "ink"):
+            limits.record_sent(KEY, "ink")
+            held += 1
+    assert 32 <= held <= 41
+
+
 def test_few_callers_are_refused_below_the_limit() -> None:
     result = simulate(7, 20.0, load=0.6).result
     assert result.refused <= result.answered // 20
--- a/src/canvasyoke/direct/tests/test_cold_backends.py
+++ b/src/canvasyoke/direct/tests/test_cold_backends.py
@@ -121,8 +121,10 @@
     clock = ManualClock(start=1)
     parts = make_parts("entry-0", names(100), clock)
     held = [parts.part(e.run, RULE.requests) for e in engines()]
-    parts.set_entries("entry-0", names(50), is_full_mesh=False)
-    clock.advance(30 * SECOND)
+    for _ in range(3):
+        clock.advance(10 * SECOND)
+        parts.set_entries("entry-0", names(50), is_full_mesh=False)
+    clock.advance(10 * SECOND)
     assert [parts.part(e.run, RULE.requests) for e in engines()] == held
     clock.advance(60 * SECOND)
     parts.set_entries("entry-0", names(50), is_full_mesh=False)
--- a/src/canvasyoke/platform/tests/test_endpoints.py
+++ b/src/canvasyoke/platform/tests/test_endpoints.py
@@ -278,3 +278,12 @@
     (endpoint,) = read_list([stored(long, VALID_SPEC | {"Service": long})], 9).endpoints
     assert len(endpoint.id) == len(endpoint.service) == 200
     assert not read_list([stored(long + "x", VALID_SPEC)], 9).endpoints
+
+
+@pytest.mark.parametrize(
+    ("stated", "read"), [(0, 0), (2_999.2, 3_000), (-5, 0), (1e300, 3_600_000)]
+)
+def test_the_remaining_cold_time_is_read(stated: float, read: int) -> None:
+    """An absurd value must not keep a backend cold for ever."""
+    [endpoint] = read_list([stored("a", VALID_SPEC | {"ColdRemainingMs": stated})], 9).endpoints
+    assert endpoint.cold_remaining == read
