--- a/src/canvasyoke/direct/_evacuations.py
+++ b/src/canvasyoke/direct/_evacuations.py
@@ -89,6 +89,6 @@
     def _handle_taken_back(self, domain: str) -> None:
         """Prepare for requests to a domain whose evacuation is taken back.
 
-        Called right before its backends get requests again. They may be cold by now, so the
-        call of ``Roster.mark_domain_cold(domain)`` belongs here.
+        Called right before its backends get requests again; they may be cold by now.
         """
+        self._roster.mark_domain_cold(domain)
