Waiting and admission: order, decision and assignment of places, draft

Cause: a request takes the best backend at once or is refused, whatever its priority. Change: requests of single-group streams ask a queue for a place and may wait in their thread.

--- /dev/null
+++ b/src/canvasyoke/admission/_policy.py
@@ -0,0 +1,60 @@
+"""Decides whether a request gets a place, waits for one or is refused at once."""
+
+from __future__ import annotations
+
+import enum
+import math
+from typing import Final
+
+from canvasyoke._clock import SECOND
+from canvasyoke.admission._request import PendingRequest
+from canvasyoke.admission._room import ServiceRoom
+
+#: Standard deviations of the number of places that become free, assuming random ends, by which a
+#: new request's forecast must be met. A wait that ends refused costs more than a refusal at once.
+NEW_REQUEST_MARGIN: Final = 1.0
+
+
+class Decision(enum.Enum):
+    """What happens to a request."""
+
+    ADMIT = "admit"
+    WAIT = "wait"
+    REFUSE = "refuse"
+
+
+def decide(
+    request: PendingRequest,
+    ahead: int,
+    room: ServiceRoom,
+    now: int,
+    margin: float = NEW_REQUEST_MARGIN,
+) -> Decision:
+    """Decide on a request with ``ahead`` places to be given to others first.
+
+    ``margin`` is in standard deviations of the forecast; 0 for a request that already waits.
+    """
+    if room.is_open and ahead < room.places - room.in_use:
+        return Decision.ADMIT
+    wait = forecast_wait(ahead, room, margin)
+    if wait is None:
+        return Decision.REFUSE
+    starts_at = now + wait
+    is_in_time = starts_at <= request.patience_until
+    is_finished_in_time = starts_at + request.expected_duration <= request.deadline
+    return Decision.WAIT if is_in_time and is_finished_in_time else Decision.REFUSE
+
+
+def forecast_wait(ahead: int, room: ServiceRoom, margin: float = 0.0) -> int | None:
+    """Return the milliseconds until a request gets a place; ``None`` if that is unknown."""
+    opens_in = 0 if room.is_open else room.opens_in
+    if opens_in is None or room.entry_rate <= 0:
+        return None
+    needed = ahead + 1.0
+    if not room.is_open and room.places:
+        # By Little's law the rate times the duration is the number of places of this entry.
+        own_places = room.entry_rate * room.mean_duration / SECOND
+        needed -= own_places * max(0, room.places - room.in_use) / room.places
+    if needed <= 0:
+        return opens_in
+    return opens_in + round((needed + margin * math.sqrt(needed)) * SECOND / room.entry_rate)
--- a/src/canvasyoke/direct/_call.py
+++ b/src/canvasyoke/direct/_call.py
@@ -5,7 +5,7 @@
 import enum
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import TypeAlias
+from typing import Final, TypeAlias
 
 from canvasyoke.backend import NO_NOTICE, BackendNotice
 from canvasyoke.direct._choice import Chosen
@@ -13,6 +13,15 @@
 from canvasyoke.state import TableRoute, format_position
 from canvasyoke.transport import ExchangeHandle
 
+#: Shortest time in milliseconds that a caller waits for the next event of a stream, and how many
+#: objectives and longest pauses it waits if either is longer.
+_MIN_PATIENCE: Final = 2_000
+_PATIENCE_OBJECTIVES: Final = 4
+_PATIENCE_PAUSES: Final = 8
+#: Milliseconds from the assignment of a place to the first event, with connection and prefill. A
+#: group with a full batch takes one to two passes of 64 ms.
+_FIRST_EVENT_MARGIN: Final = 250
+
 
 @dataclass(frozen=True, slots=True)
 class AnswerHead:
@@ -168,6 +177,20 @@
             self._fingerprint = fingerprint(self.method, self.target, self.organisation, self.body)
         return self._fingerprint
 
+    @property
+    def patience_until(self) -> int:
+        """Return the clock time until which a place is of use to the caller.
+
+        The caller gives up if it waits too long for the first event or for the next one.
+        """
+        route = self.route
+        patience = max(
+            _MIN_PATIENCE,
+            _PATIENCE_OBJECTIVES * route.objective,
+            _PATIENCE_PAUSES * route.longest_pause,
+        )
+        return max(self.arrived_at, self.last_chunk_at) + patience - _FIRST_EVENT_MARGIN
+
     @property
     def lateness(self) -> Lateness:
         """Return why the response, now complete, was late, if it was."""
--- a/src/canvasyoke/direct/_forwarder.py
+++ b/src/canvasyoke/direct/_forwarder.py
@@ -32,6 +32,7 @@
 from canvasyoke.direct._refusals import MIN_ATTEMPT_TIME, RefusalPolicy
 from canvasyoke.direct._retries import RetryPolicy
 from canvasyoke.direct._roster import Roster
+from canvasyoke.direct._waiting import WaitingRequests
 from canvasyoke.protocol import Reason
 from canvasyoke.transport import ExchangeHandle
 
@@ -56,6 +57,7 @@
         exit_monitor: ExitMonitor,
         quarantine: Quarantine,
         notice_handler: NoticeHandler,
+        waiting: WaitingRequests,
         clock: Clock,
         rng: random.Random,
     ) -> None:
@@ -65,6 +67,7 @@
         self._quarantine = quarantine
         self._recorder = AttemptRecorder(roster, exit_monitor, quarantine)
         self._notice_handler = notice_handler
+        self._waiting = waiting
         self._clock = clock
         self._refusals = RefusalPolicy(roster, clock, rng)
         self._retries = RetryPolicy(roster, budget, clock)
@@ -79,6 +82,9 @@
                 return
             chosen = self._choose(call)
             if isinstance(chosen, NoneAvailable):
+                if chosen.reason is Reason.CANCELLED:
+                    yield CallerDisconnected()
+                    return
                 detail = f"no backend can take it: {chosen}"
                 yield from self._finish(call, self._refusals.final_answer(call, detail, chosen))
                 return
@@ -117,13 +123,14 @@
     def _choose(self, call: DirectCall) -> Chosen | NoneAvailable:
         if call.deadline - self._clock.now() < MIN_ATTEMPT_TIME:
             return NoneAvailable(Reason.DEADLINE)
-        return self._roster.choose(
-            BackendQuery(
-                service=call.service,
-                tried=call.attempted_runs,
-                max_wait=_max_wait(call),
-            )
+        query = BackendQuery(
+            service=call.service,
+            tried=call.attempted_runs,
+            max_wait=_max_wait(call),
         )
+        if self._waiting.applies_to(call):
+            return self._waiting.choose(call, query)
+        return self._roster.choose(query)
 
     def _attempt(
         self, call: DirectCall, chosen: Chosen
@@ -157,6 +164,9 @@
                 sent.close()
         duration = self._clock.now() - began
         self._recorder.record_attempt(call, chosen, duration, sent, failure)
+        if failure is None:
+            self._waiting.record_duration(call, duration)
+        self._waiting.on_change()
         return failure
 
     def _outbound(self, call: DirectCall) -> OutboundRequest:
--- a/src/canvasyoke/direct/_groups.py
+++ b/src/canvasyoke/direct/_groups.py
@@ -58,6 +58,10 @@
         """Return whether the backend's group, or that it has none, is known."""
         return backend in self._group_of
 
+    def group_of(self, backend: str) -> str:
+        """Return the backend's group; empty if it has none or none is known."""
+        return self._group_of.get(backend, "")
+
     def learned(self) -> dict[str, str]:
         """Return the known groups by backend."""
         return dict(self._group_of)
--- a/src/canvasyoke/direct/_member.py
+++ b/src/canvasyoke/direct/_member.py
@@ -29,3 +29,12 @@
     connection_lost_until: int = 0
     #: Time until which it is avoided because another run answered at its address.
     address_conflict_until: int = 0
+    #: Slots that requests of this entry left recently, and the time until which no other entry is
+    #: assumed to know of them.
+    freed: int = 0
+    freed_until: int = 0
+    #: Time until which the last draw for a free slot holds, and whether it was won.
+    draw_until: int = 0
+    draw_won: bool = False
+    #: Requests in its queue as last reported, less those of this entry that have ended since.
+    reported_queue: int = 0
--- a/src/canvasyoke/direct/_metrics.py
+++ b/src/canvasyoke/direct/_metrics.py
@@ -43,6 +43,28 @@
             "field",
         )
 
+        self._waits = self.all.timer(
+            "canvasyoke_wait_seconds", "Time that requests waited for a place."
+        )
+        self._admitted_after_wait = self.all.counter(
+            "canvasyoke_admitted_after_wait_total", "Requests that got a place after a wait."
+        )
+        self._places_refused = self.all.counter(
+            "canvasyoke_place_refused_total", "Requests that got no place, by cause.", "cause"
+        )
+
+    def record_wait(self, took: int) -> None:
+        """Time a wait for a place of ``took`` milliseconds."""
+        self._waits.record(took)
+
+    def count_admitted_after_wait(self) -> None:
+        """Count a request that got a place after a wait."""
+        self._admitted_after_wait.add()
+
+    def count_place_refused(self, cause: str) -> None:
+        """Count a request that got no place."""
+        self._places_refused.add(cause)
+
     def count_unreadable_field(self, field: str) -> None:
         """Count a field of a backend report that could not be parsed."""
         self._unreadable.add(field)
--- a/src/canvasyoke/direct/_peer_loads.py
+++ b/src/canvasyoke/direct/_peer_loads.py
@@ -11,6 +11,9 @@
 
 #: Milliseconds after which the load of another entry is dropped.
 _MAX_AGE: Final = 3 * SECOND
+#: Milliseconds after which the waiting requests of another entry no longer count. Shorter, since
+#: places are left free for them.
+_MAX_WAITING_AGE: Final = 1 * SECOND
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,6 +24,8 @@
     sent_at: int
     #: Requests in progress by backend.
     in_flight: Mapping[str, int]
+    #: Requests that wait for a place there, by service and priority.
+    waiting: Mapping[str, Mapping[int, int]] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -92,3 +97,25 @@
     def requests_at(self, backend: str) -> int:
         """Return the number of requests of other entries at ``backend``."""
         return self._sums.get(backend, 0)
+
+    def waiting_before(self, service: str, priority: int, now: int) -> int:
+        """Return the number of requests more urgent than ``priority`` that wait elsewhere."""
+        return sum(
+            count
+            for received in self._received.values()
+            if received.load.waiting and now - received.received_at <= _MAX_WAITING_AGE
+            for other, count in received.load.waiting.get(service, {}).items()
+            if other < priority
+        )
+
+    def waiting_entries(self, service: str, now: int) -> int:
+        """Return the number of other entries at which requests of a service wait."""
+        return sum(
+            1
+            for received in self._received.values()
+            if received.load.waiting.get(service) and now - received.received_at <= _MAX_WAITING_AGE
+        )
+
+    def oldest_report_at(self, now: int) -> int:
+        """Return when the oldest report in use was received; ``now`` if there is none."""
+        return min((received.received_at for received in self._received.values()), default=now)
--- a/src/canvasyoke/direct/_peers.py
+++ b/src/canvasyoke/direct/_peers.py
@@ -22,14 +22,15 @@
 from canvasyoke.direct._demand_shares import DemandShares
 from canvasyoke.direct._entry_notes import EntryNotes
 from canvasyoke.direct._known_backends import BackendChange
+from canvasyoke.direct._load_news import to_hashable, to_peer_load, to_relayed
 from canvasyoke.direct._load_schedule import LOAD_INTERVAL, MAX_INTERVAL, LoadSchedule
 from canvasyoke.direct._notice_exchange import NoticeExchange
-from canvasyoke.direct._peer_loads import PeerLoad
 from canvasyoke.direct._quarantine import Quarantine
 from canvasyoke.direct._quarantine_notes import QuarantineNotes
 from canvasyoke.direct._roster import FleetView, Roster
 from canvasyoke.direct._table_exchange import TableExchange
 from canvasyoke.direct._table_follower import TableView
+from canvasyoke.direct._waiting import WaitingRequests
 from canvasyoke.membership import Node, OverlayLinks, WatcherElection, WatcherStatus
 from canvasyoke.observe import part_logger
 from canvasyoke.protocol import (
@@ -77,6 +78,7 @@
         clock: Clock,
         rng: random.Random,
         is_store_reachable: Callable[[], bool],
+        waiting: WaitingRequests,
     ) -> None:
         self._own = Node(settings.instance, settings.peer, settings.domain)
         self._store = store
@@ -86,6 +88,7 @@
         self._quarantine = quarantine
         self._quarantine_notes = QuarantineNotes(store, quarantine, clock)
         self._clock = clock
+        self._waiting = waiting
         self._stop = threading.Event()
         self._notes = EntryNotes(self._own, store, clock, rng)
         #: Other entries of the same failure domain, from the notes in the store.
@@ -266,11 +269,11 @@
         if load.demands:
             self._shares.report_demand(session.peer, load.demands)
         if self._links.is_mesh or session.peer in self._domain_peers:
-            self._roster.update_peer_load(session.peer, PeerLoad(load.told_at, load.under_way))
+            self._roster.update_peer_load(session.peer, to_peer_load(load))
         for relayed in load.relayed:
             if relayed.entry != self._own.name:
-                peer_load = PeerLoad(relayed.told_at, relayed.under_way)
-                self._roster.update_peer_load(relayed.entry, peer_load)
+                self._roster.update_peer_load(relayed.entry, to_peer_load(relayed))
+        self._waiting.on_change()
         self.election.receive([WatcherStatus(w.name, w.age, w.is_lost) for w in load.watchers])
         self._tables.observe_version(load.config_version, session)
         self._backends.receive_position(load.backends_revision, load.backends_age, session)
@@ -292,6 +295,7 @@
             watchers=watchers,
             demands=self._demands(),
             relayed=relayed,
+            waiting=self._waiting.waiting() if includes_load else {},
         )
 
     def _demands(self) -> dict[str, float]:
@@ -323,15 +327,14 @@
                 session.send(load)
 
     def _load_state(self, includes_load: bool) -> Hashable:
-        in_flight = tuple(sorted(self._roster.own_load().items())) if includes_load else ()
+        load: Hashable = ()
+        if includes_load:
+            load = to_hashable(self._roster.own_load(), self._waiting.waiting())
         has_limits = self._roster.has_limits
-        return self._view.current.version, self._roster.position, in_flight, has_limits
+        return self._view.current.version, self._roster.position, load, has_limits
 
     def _unrelayed(self) -> list[RelayedLoad]:
-        return [
-            RelayedLoad(entry, load.sent_at, dict(load.in_flight))
-            for entry, load in self._roster.unrelayed_loads().items()
-        ]
+        return to_relayed(self._roster.unrelayed_loads())
 
     def _broadcast(self, message: Message, exclude: Session | None = None) -> None:
         for session in self._links.sessions():
--- a/src/canvasyoke/direct/_process.py
+++ b/src/canvasyoke/direct/_process.py
@@ -27,6 +27,7 @@
 from canvasyoke.direct._quarantine import Quarantine
 from canvasyoke.direct._roster import Roster
 from canvasyoke.direct._table_follower import TableFollower, TableView
+from canvasyoke.direct._waiting_gauges import build_waiting
 from canvasyoke.observe import LineWriter, part_logger
 from canvasyoke.state import (
     FLEET_STORES,
@@ -82,6 +83,7 @@
         self._budget = FleetRetryBudget(_allowance(settings), self._clock)
         self._budget.entries = _ASSUMED_ENTRIES
         self._metrics = DirectMetrics()
+        self._waiting = build_waiting(self._roster, self._clock, self._metrics)
         self._quarantine = Quarantine(
             self._clock, lambda name, case: self._peers.announce_case(name, case)
         )
@@ -97,6 +99,7 @@
             self._clock,
             rng,
             lambda: not (self._table_follower.is_lost or self._endpoint_follower.is_lost),
+            self._waiting,
         )
         self._table_follower = TableFollower(
             make_store(settings.store), self._view, self._peers.is_watching, self._clock, rng
@@ -122,6 +125,7 @@
             self._exit_monitor,
             self._quarantine,
             notice_handler,
+            self._waiting,
             self._clock,
             rng,
         )
--- a/src/canvasyoke/direct/_roster.py
+++ b/src/canvasyoke/direct/_roster.py
@@ -11,8 +11,8 @@
 from canvasyoke._clock import SECOND
 from canvasyoke.coordination import Candidate, RouteRequest, filter_candidates
 from canvasyoke.direct._admission import ADMISSIONS
-from canvasyoke.direct._backend_availability import BackendAvailability
 from canvasyoke.direct._backend_checks import is_suspect, unavailability
+from canvasyoke.direct._backend_places import ASSUMED_DURATION, BackendPlaces
 from canvasyoke.direct._backend_records import FleetView
 from canvasyoke.direct._choice import BackendQuery, Chosen, NoneAvailable
 from canvasyoke.direct._member import Member
@@ -28,8 +28,6 @@
 #: Milliseconds for which a backend is avoided after it closed the connection of a request, unless
 #: it completes another one.
 _CONNECTION_LOST_COOLDOWN: Final = 1 * SECOND
-#: Assumed duration of a request in milliseconds, until one of its service has finished.
-_ASSUMED_DURATION: Final = 1_000.0
 #: Weight of a new sample in the moving averages of durations.
 _DURATION_WEIGHT: Final = 0.2
 _ADMISSION: Final = "short_queue"
@@ -37,13 +35,16 @@
 
 
 @dataclass(slots=True)
-class Roster(BackendAvailability):
+class Roster(BackendPlaces):
     """All known backends, and selection among them; thread-safe."""
 
     def choose(self, query: BackendQuery) -> Chosen | NoneAvailable:
         """Select the backend for a request and count the request as in flight."""
         with self._lock:
             self._peers.forget_stale(self.clock.now())
+            members = self._members_for(query)
+            if not members and query.needs_free_slot:
+                return self._explain_no_place(query)
             req = RouteRequest(
                 query.service,
                 self.domain,
@@ -54,26 +55,41 @@
             fastest = self._groups.fastest_pause()
             has_notices = self._notices.has_any
             found = filter_candidates(
-                [
-                    self._candidate(m, fastest, has_notices)
-                    for m in self._members.values()
-                    if m.endpoint.service == query.service
-                ],
-                req,
+                [self._candidate(m, fastest, has_notices) for m in members], req
             )
             if not found.candidates:
                 return NoneAvailable(found.reason, found.retry_after)
             best = self._ranker.choose(found.candidates, req)
             member = self._members[best.instance]
-            duration = self._durations.get(query.service, _ASSUMED_DURATION)
+            duration = self._durations.get(query.service, ASSUMED_DURATION)
             if not ADMISSIONS.get(_ADMISSION)(best, duration, query.max_wait):
                 return NoneAvailable(Reason.OVERLOADED)
             member.own_requests += 1
+            self._record_use(member)
             member.ejection.record_request()
             self._notices.record_sent(member.endpoint)
             update_age = self.clock.now() - member.updated_at
             return Chosen(member.endpoint, best.load, update_age, self._list_age())
 
+    def _members_for(self, query: BackendQuery) -> list[Member]:
+        if query.needs_free_slot:
+            return self._members_with_room(query)
+        return [m for m in self._members.values() if m.endpoint.service == query.service]
+
+    def _explain_no_place(self, query: BackendQuery) -> NoneAvailable:
+        """Return why no backend has a free slot for a request."""
+        members = [
+            m
+            for m in self._members.values()
+            if m.endpoint.service == query.service and m.endpoint.run not in query.tried
+        ]
+        if any(self._takes_requests(member) for member in members):
+            return NoneAvailable(Reason.OVERLOADED)
+        fastest = self._groups.fastest_pause()
+        candidates = [self._candidate(m, fastest, self._notices.has_any) for m in members]
+        found = filter_candidates(candidates, RouteRequest(query.service, self.domain))
+        return NoneAvailable(found.reason, found.retry_after)
+
     def _candidate(self, member: Member, fastest: float, has_notices: bool) -> Candidate:
         endpoint = member.endpoint
         return Candidate(
@@ -152,6 +168,7 @@
             if member is None:
                 return
             member.own_requests = max(0, member.own_requests - 1)
+            self._record_freed(member, None if failed else duration)
             if failed:
                 member.ejection.record_failure()
                 return
@@ -178,6 +195,7 @@
             member = self._members.get(run)
             if member is not None:
                 member.own_requests = max(0, member.own_requests - 1)
+                self._record_freed(member, None)
 
     def record_not_sent(self, run: str) -> None:
         """Record that a request was not sent to the backend chosen for it."""
--- a/src/canvasyoke/direct/tests/calls.py
+++ b/src/canvasyoke/direct/tests/calls.py
@@ -16,6 +16,7 @@
 from canvasyoke.direct._notice_handler import NoticeHandler
 from canvasyoke.direct._quarantine import Quarantine
 from canvasyoke.direct._roster import Roster
+from canvasyoke.direct._waiting_gauges import build_waiting
 from canvasyoke.state import Endpoint, Repeatability, ServiceShare, TableRoute
 from canvasyoke.transport import ExchangeHandle, ProbeResult
 
@@ -72,7 +73,15 @@
     )
     notice_handler = NoticeHandler(roster, metrics, lambda _notice: None)
     return Forwarder(
-        port, roster, budget, exit_monitor, quarantine, notice_handler, clock, random.Random(1)
+        port,
+        roster,
+        budget,
+        exit_monitor,
+        quarantine,
+        notice_handler,
+        build_waiting(roster, clock, metrics),
+        clock,
+        random.Random(1),
     )
 
 
--- a/src/canvasyoke/direct/tests/fleet_model.py
+++ b/src/canvasyoke/direct/tests/fleet_model.py
@@ -12,10 +12,12 @@
 from canvasyoke._clock import SECOND, ManualClock
 from canvasyoke.direct._budget import FleetRetryBudget, RetryAllowance
 from canvasyoke.direct._known_backends import BackendChange
+from canvasyoke.direct._metrics import DirectMetrics
 from canvasyoke.direct._peers import EntryPeers
 from canvasyoke.direct._quarantine import Quarantine
 from canvasyoke.direct._roster import Roster
 from canvasyoke.direct._table_follower import TableView
+from canvasyoke.direct._waiting_gauges import build_waiting
 from canvasyoke.membership import Node, choose_peers, is_mesh
 from canvasyoke.protocol import Message, decode_batch, encode_batch
 from canvasyoke.state import DirectSettings, Endpoint, EndpointState, FleetStore, Note
@@ -129,6 +131,7 @@
             clock,
             rng,
             lambda: True,
+            build_waiting(self.roster, clock, DirectMetrics()),
         )
 
     @property
--- a/src/canvasyoke/observe/_metrics.py
+++ b/src/canvasyoke/observe/_metrics.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Final
 
 from hdrh.histogram import HdrHistogram
@@ -68,6 +68,31 @@
         return [*head, f"{self.name} {self._read():g}"]
 
 
+class LabelledGauge:
+    """Values by label that are read from a callback when rendered."""
+
+    def __init__(
+        self,
+        name: str,
+        help_text: str,
+        labels: tuple[str, ...],
+        read: Callable[[], Mapping[tuple[str, ...], float]],
+    ) -> None:
+        self.name = name
+        self._help = help_text
+        self._labels = labels
+        self._read = read
+
+    def render(self) -> list[str]:
+        """Return this metric in the text format."""
+        lines = [f"# HELP {self.name} {self._help}", f"# TYPE {self.name} gauge"]
+        for values, value in sorted(self._read().items())[:_MAX_SERIES]:
+            pairs = zip(self._labels, values, strict=True)
+            labels = ",".join(f'{label}="{_escape(text)}"' for label, text in pairs)
+            lines.append(f"{self.name}{{{labels}}} {value:g}")
+        return lines
+
+
 class Timer:
     """A distribution of durations, given in milliseconds."""
 
@@ -114,7 +139,7 @@
     """Registry of a process's metrics."""
 
     def __init__(self) -> None:
-        self._metrics: list[Counter | Gauge | Timer] = []
+        self._metrics: list[Counter | Gauge | LabelledGauge | Timer] = []
 
     def counter(self, name: str, help_text: str, label: str = "") -> Counter:
         """Create and register a counter."""
@@ -128,6 +153,18 @@
         self._metrics.append(gauge)
         return gauge
 
+    def labelled_gauge(
+        self,
+        name: str,
+        help_text: str,
+        labels: tuple[str, ...],
+        read: Callable[[], Mapping[tuple[str, ...], float]],
+    ) -> LabelledGauge:
+        """Create and register a gauge with one series per combination of labels."""
+        gauge = LabelledGauge(name, help_text, labels, read)
+        self._metrics.append(gauge)
+        return gauge
+
     def timer(self, name: str, help_text: str) -> Timer:
         """Create and register a timer."""
         timer = Timer(name, help_text)
