Waiting and admission: entries fill an opening group by their own parts

Change: until a second after the opening, entries use their own part, then draw for free slots, and leave other domains to their own entries.

--- a/src/canvasyoke/direct/_backend_places.py
+++ b/src/canvasyoke/direct/_backend_places.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import defaultdict
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import Final
@@ -41,17 +42,24 @@
 
     #: Mean duration of the last requests in milliseconds and their number, by service.
     _mean_durations: dict[str, tuple[float, int]] = field(default_factory=dict)
-    #: Pace of requests to backends outside the home share, in this domain and in others.
-    _near_use: ForeignUse = field(default_factory=ForeignUse)
-    _remote_use: ForeignUse = field(default_factory=ForeignUse)
+    #: Pace of requests to backends outside the home share, by service and by whether they are in
+    #: this domain.
+    _foreign_uses: defaultdict[tuple[str, bool], ForeignUse] = field(
+        default_factory=lambda: defaultdict(ForeignUse)
+    )
 
     def is_single_group(self, service: str) -> bool:
-        """Return whether all available backends of a service belong to one known group."""
+        """Return whether all available backends of a service belong to one known group.
+
+        Backends whose group is not known yet are left out: they have just started.
+        """
         with self._lock:
             groups = {
                 self._groups.group_of(member.endpoint.run)
                 for member in self._members.values()
-                if member.endpoint.service == service and not self._is_leaving(member)
+                if member.endpoint.service == service
+                and self._groups.is_learned(member.endpoint.run)
+                and not self._is_leaving(member)
             }
             return len(groups) == 1 and "" not in groups
 
@@ -140,9 +148,11 @@
             and self._takes_requests(member)
         ]
         free = [m for m in free if not is_suspect(self._evidence, m)] or free
-        if self.clock.now() - query.opened_at < _OPENING_TIME:
-            free = self._after_opening(free, query)
-        usable = self._usable(free, query.service)
+        is_opening = self.clock.now() - query.opened_at < _OPENING_TIME
+        if is_opening and not self._have_others_reported(query):
+            usable = self._own_part(free, query)
+        else:
+            usable = self._usable(free, query.service, is_opening)
         if sum(self._free_slots(m) for m in usable) <= query.reserved:
             return []
         return usable
@@ -150,7 +160,7 @@
     def _free_slots(self, member: Member) -> int:
         return max(0, member.endpoint.slots - self._load(member))
 
-    def _usable(self, free: Sequence[Member], service: str) -> list[Member]:
+    def _usable(self, free: Sequence[Member], service: str, is_opening: bool) -> list[Member]:
         """Return the backends whose free slots this entry may use without a conflict.
 
         Several entries that see the same free slot would overload the backend. So an entry uses
@@ -163,15 +173,27 @@
             return own
         near = [m for m in free if self._fleet.is_full_mesh or m.endpoint.domain == self.domain]
         contenders = self._peers.waiting_entries(service, now) + 1
-        if sum(self._free_slots(m) for m in near) >= _AMPLE_SLOTS * self._entries_in_reach():
+        ample = _AMPLE_SLOTS * self._entries_in_reach()
+        if not is_opening and sum(self._free_slots(m) for m in near) >= ample:
             return near
         won: list[Member] = []
-        if self._fleet.is_full_mesh or self._near_use.is_allowed(now):
+        if self._fleet.is_full_mesh or self._foreign_uses[service, True].is_allowed(now):
             won = [m for m in near if self._draw(m, contenders, now)]
-        if won or self._fleet.is_full_mesh or not self._remote_use.is_allowed(now):
+        if won or self._fleet.is_full_mesh:
             return won
+        # The loads of other domains are not known, and their own entries fill them first.
+        is_left_to_others = is_opening and self._has_own_places(service)
+        if is_left_to_others or not self._foreign_uses[service, False].is_allowed(now):
+            return []
         return [m for m in free if m.endpoint.domain != self.domain]
 
+    def _has_own_places(self, service: str) -> bool:
+        """Return whether backends of a service are in the failure domain of this entry."""
+        return any(
+            m.endpoint.service == service and m.endpoint.domain == self.domain
+            for m in self._members.values()
+        )
+
     def _draw(self, member: Member, contenders: int, now: int) -> bool:
         """Draw for a free slot, once for each load report of the others."""
         if now >= member.draw_until:
@@ -188,7 +210,7 @@
             self._foreign_use(member.endpoint).record_sent(now)
 
     def _foreign_use(self, endpoint: Endpoint) -> ForeignUse:
-        return self._near_use if endpoint.domain == self.domain else self._remote_use
+        return self._foreign_uses[endpoint.service, endpoint.domain == self.domain]
 
     def _record_freed(self, member: Member, duration: int | None) -> None:
         """Record that a request of this entry left its slot, after ``duration`` if it is known."""
@@ -218,14 +240,16 @@
                     self._foreign_use(endpoint).record_answer(load, endpoint.slots)
         return super(BackendPlaces, self).record_notice(endpoint, notice)
 
-    def _after_opening(self, pool: Sequence[Member], query: BackendQuery) -> list[Member]:
+    def _have_others_reported(self, query: BackendQuery) -> bool:
+        """Return whether all load reports in use are from after the opening of the group."""
+        return self._peers.oldest_report_at(self.clock.now()) >= query.opened_at
+
+    def _own_part(self, pool: Sequence[Member], query: BackendQuery) -> list[Member]:
         """Return the backends to use right after the opening of their group.
 
         Load reports from before the opening show all of them as idle. Until the other entries
         have reported again, an entry uses its home share, or its equal part of all places.
         """
-        if self._peers.oldest_report_at(self.clock.now()) >= query.opened_at:
-            return list(pool)
         service = [m for m in self._members.values() if m.endpoint.service == query.service]
         if any(member.endpoint.run in self._home_share for member in service):
             return [member for member in pool if member.endpoint.run in self._home_share]
--- a/src/canvasyoke/direct/_roster.py
+++ b/src/canvasyoke/direct/_roster.py
@@ -65,7 +65,8 @@
             if not ADMISSIONS.get(_ADMISSION)(best, duration, query.max_wait):
                 return NoneAvailable(Reason.OVERLOADED)
             member.own_requests += 1
-            self._record_use(member)
+            if query.needs_free_slot:
+                self._record_use(member)
             member.ejection.record_request()
             self._notices.record_sent(member.endpoint)
             update_age = self.clock.now() - member.updated_at
--- a/src/canvasyoke/direct/tests/test_spread.py
+++ b/src/canvasyoke/direct/tests/test_spread.py
@@ -225,6 +225,20 @@
     assert all(e.roster._peers.requests_at("b-1") == 2 for e in near)
 
 
+def test_waiting_requests_are_told_within_the_domain_only(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Without these reports no entry leaves a place to a more urgent request elsewhere."""
+    fleet = started(SIZES)
+    first = fleet.entries[fleet.nodes[0].name]
+    monkeypatch.setattr(first.peers._waiting, "waiting", lambda: {"ink": {0: 30}})
+    fleet.run_steps(SETTLE_STEPS // 2)
+    others = [e for e in fleet.entries.values() if e is not first]
+    heard = {e.node.domain for e in others if e.roster.reserved_places("ink", 1)}
+    assert heard == {"domain-0"}
+    near = [e for e in others if e.node.domain == "domain-0"]
+    assert all(e.roster.reserved_places("ink", 1) == -(-30 // (len(near) + 1)) for e in near)
+    assert not any(e.roster.reserved_places("ink", 0) for e in near)
+
+
 def test_outdated_change_is_ignored() -> None:
     fleet = started(SIZES)
     entry = fleet.entries[fleet.nodes[3].name]
--- a/src/canvasyoke/direct/tests/test_waiting.py
+++ b/src/canvasyoke/direct/tests/test_waiting.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from canvasyoke._clock import SystemClock
+from canvasyoke._clock import ManualClock, SystemClock
 from canvasyoke.admission import PendingRequest, ServiceRoom
 from canvasyoke.direct import _waiting
 from canvasyoke.direct._call import DirectCall
@@ -18,8 +18,9 @@
 from canvasyoke.direct._group_states import ServiceState
 from canvasyoke.direct._metrics import DirectMetrics
 from canvasyoke.direct._peer_loads import PeerLoad
-from canvasyoke.direct._roster import Roster
+from canvasyoke.direct._roster import FleetView, Roster
 from canvasyoke.direct._waiting import WaitingRequests
+from canvasyoke.direct._waiting_gauges import build_waiting
 from canvasyoke.direct.tests.calls import ROUTE, make_call
 from canvasyoke.protocol import Reason
 from canvasyoke.state import Endpoint, EndpointState
@@ -207,3 +208,41 @@
     assert isinstance(first.result(1), Chosen)
     assert not second.done()
     assert isinstance(second.result(1), Chosen)
+
+
+def test_gauges_by_service(place: Place) -> None:
+    waiting = build_waiting(place.roster, place.clock, place.metrics)
+    place.roster.learn_group("e", "g-1")
+    assert isinstance(waiting.choose(place.call(), BackendQuery("ink")), Chosen)
+    lines = place.metrics.all.render().splitlines()
+    assert f'canvasyoke_places{{service="ink"}} {SLOTS}' in lines
+    assert 'canvasyoke_places_in_use{service="ink"} 1' in lines
+    assert 'canvasyoke_places_reserved{service="ink"} 0' in lines
+
+
+def test_a_backend_of_unknown_group_does_not_end_the_waiting(place: Place) -> None:
+    """A rank that has just started must not switch the admission of its whole group."""
+    joined = Endpoint("f", "ink", "f:1", "d", SLOTS, EndpointState.READY, 2)
+    place.roster.merge([*place.roster.endpoints(), joined], 2)
+    assert place.roster.is_single_group("ink")
+    place.roster.learn_group("f", "g-2")
+    assert not place.roster.is_single_group("ink")
+
+
+def test_after_an_opening_an_entry_uses_its_part_until_others_have_reported() -> None:
+    clock = ManualClock(start=10_000)
+    roster = Roster("d", clock, random.Random(1))
+    roster.merge(
+        [Endpoint(f"e-{n}", "ink", f"{n}:1", "d", 2, EndpointState.READY, 1) for n in range(4)], 1
+    )
+    for peer in "xyz":
+        roster.update_peer_load(peer, PeerLoad(1, {}))
+    roster.set_fleet(FleetView(4, "a", frozenset("xyz")))
+    clock.advance(500)
+    query = BackendQuery("ink", needs_free_slot=True, opened_at=clock.now() - 100)
+    results = [roster.choose(query) for _ in range(4)]
+    assert [isinstance(each, Chosen) for each in results] == [True, True, False, False]
+    for peer in "xyz":
+        roster.update_peer_load(peer, PeerLoad(2, {}))
+    clock.advance(1_000)
+    assert isinstance(roster.choose(query), Chosen)
--- a/src/canvasyoke/direct/tests/test_waiting_load.py
+++ b/src/canvasyoke/direct/tests/test_waiting_load.py
@@ -38,3 +38,14 @@
 def test_a_single_queue_serves_urgent_requests_as_if_alone() -> None:
     urgent = simulate(1).kinds[_URGENT]
     assert urgent.on_time / urgent.asked >= 0.98
+
+
+@pytest.mark.parametrize("entries", [3, 18])
+def test_a_group_that_opens_is_soon_full_and_not_overloaded(entries: int) -> None:
+    """Load reports from before the opening show all engines as idle."""
+    kind = Kind(1, 1.2 * _CAPACITY)
+    scenario = replace(_SCENARIO, kinds=(kind,), entries=entries, closes=True)
+    outcome = WaitingSimulation(scenario).run()
+    assert outcome.in_use_after >= 0.8 * 105
+    assert outcome.counts["rejected by an engine"] == 0
+    assert outcome.queued_after <= 0.2 * 105
--- a/src/canvasyoke/direct/tests/waiting_model.py
+++ b/src/canvasyoke/direct/tests/waiting_model.py
@@ -14,14 +14,14 @@
 from dataclasses import dataclass, field
 
 from canvasyoke._clock import ManualClock
-from canvasyoke.admission import PendingRequest
+from canvasyoke.admission import PendingRequest, ServiceRoom
 from canvasyoke.backend import BackendNotice, ReportedLoad
 from canvasyoke.direct._choice import BackendQuery, Chosen
 from canvasyoke.direct._group_states import ServiceState
 from canvasyoke.direct._load_schedule import LOAD_INTERVAL
 from canvasyoke.direct._peer_loads import PeerLoad
 from canvasyoke.direct._place_queue import PlaceQueue, Settled
-from canvasyoke.direct._plans import NoWaitPlanner
+from canvasyoke.direct._plans import PlannedWait
 from canvasyoke.direct._roster import FleetView, Roster
 from canvasyoke.direct._waiting import MAX_WAITING
 from canvasyoke.membership._overlay import MESH_LIMIT
@@ -66,6 +66,8 @@
     slowdown: float = 1.0
     #: Whether half of the entries end in the middle of the burst.
     loses_half: bool = False
+    #: Whether the group is closed during the burst, with a known time of opening.
+    closes: bool = False
     seed: int = 1
 
 
@@ -85,12 +87,29 @@
     counts: Counter[str] = field(default_factory=Counter)
     #: Slot-milliseconds in use during the burst.
     used: float = 0.0
+    #: Slots in use and requests in engines' queues one second after the burst.
+    in_use_after: int = 0
+    queued_after: int = 0
 
     @property
     def refused_waits(self) -> float:
         return self.counts["wait refused"] / max(1, self.counts["waited"])
 
 
+@dataclass(frozen=True)
+class _Plan:
+    wait: int
+    return_after: int = 0
+
+
+class _Planner:
+    """Lets callers wait that are still there when the group opens."""
+
+    def plan(self, request: PendingRequest, room: ServiceRoom, now: int) -> PlannedWait:
+        patience = request.patience_until - now
+        return _Plan(patience if room.opens_in is not None and room.opens_in < patience else 0)
+
+
 @dataclass
 class _Caller:
     kind: Kind
@@ -157,7 +176,7 @@
         )
         name = f"f-{n}"
         roster.set_fleet(FleetView(self.scenario.entries, name, peers - {name}, self.is_mesh))
-        queue = PlaceQueue(SERVICE, roster, lambda _: _OPEN, NoWaitPlanner())
+        queue = PlaceQueue(SERVICE, roster, lambda _: self._state(), _Planner())
         return _Entry(name, domain, roster, queue)
 
     def run(self) -> Outcome:
@@ -167,6 +186,7 @@
             self._schedule(self.rng.uniform(0, self.report_interval), self._reporter(entry))
         if self.scenario.loses_half:
             self._schedule(sum(self.scenario.burst) / 2, self._lose_half)
+        self._schedule(self.scenario.burst[1] + 1_000, self._count_in_use)
         while self.events:
             time, _, action = heapq.heappop(self.events)
             if time > self.scenario.length:
@@ -179,6 +199,16 @@
     def _schedule(self, delay: float, action: Callable[[], None]) -> None:
         heapq.heappush(self.events, (self.now + delay, next(self.order), action))
 
+    def _state(self) -> ServiceState:
+        if not (self.scenario.closes and self._is_burst()):
+            return _OPEN
+        first, last = self.scenario.burst
+        return ServiceState(False, _START + first, round(last - self.now), True)
+
+    def _count_in_use(self) -> None:
+        self.outcome.in_use_after = self.busy
+        self.outcome.queued_after = sum(len(e.waiting) for e in self.engines.values())
+
     def _is_burst(self) -> bool:
         first, last = self.scenario.burst
         return first <= self.now < last
