--- a/src/canvasyoke/direct/tests/test_waiting_load.py
+++ b/src/canvasyoke/direct/tests/test_waiting_load.py
@@ -11,7 +11,8 @@
 
 import pytest
 
-from canvasyoke.direct.tests.waiting_model import Kind, Outcome, Scenario, WaitingSimulation
+from canvasyoke.direct.tests.waiting_model import WaitingSimulation
+from canvasyoke.direct.tests.waiting_scenario import Kind, Outcome, Scenario
 
 #: Requests a second that 21 engines with 5 slots serve.
 _CAPACITY = 105 / 1.6
--- a/src/canvasyoke/direct/tests/waiting_model.py
+++ b/src/canvasyoke/direct/tests/waiting_model.py
@@ -9,7 +9,6 @@
 import heapq
 import itertools
 import random
-from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
@@ -24,6 +23,7 @@
 from canvasyoke.direct._plans import PlannedWait
 from canvasyoke.direct._roster import FleetView, Roster
 from canvasyoke.direct._waiting import MAX_WAITING
+from canvasyoke.direct.tests.waiting_scenario import Kind, KindOutcome, Outcome, Scenario
 from canvasyoke.membership._overlay import MESH_LIMIT
 from canvasyoke.state import Endpoint, EndpointState
 
@@ -35,67 +35,6 @@
 _OPEN = ServiceState(True, 0, None, True)
 
 
-@dataclass(frozen=True)
-class Kind:
-    """Requests of one priority and organisation; rates per second, times in milliseconds."""
-
-    priority: int
-    rate: float
-    organisation: str = "o-1"
-    #: Rate from ``BURST`` on for the length of the burst.
-    burst_rate: float | None = None
-    objective: int = 500
-    patience: int = 2_000
-
-
-@dataclass(frozen=True)
-class Scenario:
-    """Parameters of a simulation; times in milliseconds."""
-
-    kinds: tuple[Kind, ...]
-    entries: int = 40
-    engines: int = 63
-    slots: int = 5
-    mean_duration: float = 1_600.0
-    deadline: int = 8_000
-    burst: tuple[int, int] = (4_000, 9_700)
-    length: int = 16_000
-    #: Milliseconds after which a refused caller returns once.
-    returns_after: tuple[int, int] = (800, 2_400)
-    #: Factor by which durations grow during the burst.
-    slowdown: float = 1.0
-    #: Whether half of the entries end in the middle of the burst.
-    loses_half: bool = False
-    #: Whether the group is closed during the burst, with a known time of opening.
-    closes: bool = False
-    seed: int = 1
-
-
-@dataclass
-class KindOutcome:
-    """Results of the requests of one kind that arrived during the burst."""
-
-    asked: int = 0
-    on_time: int = 0
-    served: int = 0
-    lost: int = 0
-
-
-@dataclass
-class Outcome:
-    kinds: dict[Kind, KindOutcome] = field(default_factory=dict)
-    counts: Counter[str] = field(default_factory=Counter)
-    #: Slot-milliseconds in use during the burst.
-    used: float = 0.0
-    #: Slots in use and requests in engines' queues one second after the burst.
-    in_use_after: int = 0
-    queued_after: int = 0
-
-    @property
-    def refused_waits(self) -> float:
-        return self.counts["wait refused"] / max(1, self.counts["waited"])
-
-
 @dataclass(frozen=True)
 class _Plan:
     wait: int
