--- a/src/canvasyoke/admission/_returns.py
+++ b/src/canvasyoke/admission/_returns.py
@@ -11,12 +11,9 @@
 from typing import Final
 
 from canvasyoke._clock import SECOND
-from canvasyoke.admission._request import PendingRequest
+from canvasyoke.admission._request import FIRST_EVENT_MARGIN, PendingRequest
 from canvasyoke.admission._room import ServiceRoom
 
-#: Milliseconds before the end of a caller's patience at which a wait ends, so that a place assigned
-#: last still yields its first event in time, or the refusal arrives.
-FIRST_EVENT_MARGIN: Final = 250
 #: Longest return time as a fraction of the caller's remaining time. Callers ignore a third or more;
 #: the remaining time shrinks while the refusal is on its way.
 _RETURN_FRACTION: Final = 0.32
@@ -53,7 +50,7 @@
         the second window by two thirds of a millisecond, and an opening may come sooner than
         forecast.
         """
-        wait = _longest_wait(request, request.patience_until, now)
+        wait = max(0, request.latest_start - now)
         longest = _longest_return(request, now + wait)
         window = _second_window(request, now + wait + longest)
         covered = wait + longest + window if window else wait
--- a/src/canvasyoke/direct/_backend_records.py
+++ b/src/canvasyoke/direct/_backend_records.py
@@ -327,7 +327,8 @@
     def own_observations(self, service: str) -> dict[str, OwnObservation]:
         """Return what this entry's traffic shows of a service's groups, by group.
 
-        The empty name stands for backends without a group or of an unknown one.
+        The empty name stands for backends without a group. Backends of an unknown group are left
+        out: they have just started.
         """
         with self._lock:
             names = {
@@ -335,6 +336,7 @@
                 for member in self._members.values()
                 if member.endpoint.service == service
                 and member.endpoint.state is not EndpointState.LEAVING
+                and self._groups.is_learned(member.endpoint.run)
             }
             return {name: self._groups.observation(name) for name in names}
 
--- a/src/canvasyoke/direct/_cold_monitor.py
+++ b/src/canvasyoke/direct/_cold_monitor.py
@@ -18,8 +18,8 @@
         metrics.labelled_gauge(
             "canvasyoke_backends_cold",
             "Backends that count as cold, so that this entry sends them only its part.",
-            "service",
-            roster.cold_counts,
+            ("service",),
+            lambda: {(name,): count for name, count in roster.cold_counts().items()},
         )
 
     def update(self, table: RoutingTable, settings: DirectSettings) -> None:
--- a/src/canvasyoke/direct/_group_states.py
+++ b/src/canvasyoke/direct/_group_states.py
@@ -133,7 +133,7 @@
     ) -> None:
         self._clock = clock
         #: Returns what this entry has observed of the groups of a service's backends, by group;
-        #: the empty name stands for backends without a group or of an unknown one.
+        #: the empty name stands for backends without a group.
         self._own_by_service = own_by_service
         self._own_by_group = own_by_group
         #: Returns the milliseconds in which a service's group forms; 0 if unknown.
--- a/src/canvasyoke/direct/_groups.py
+++ b/src/canvasyoke/direct/_groups.py
@@ -69,6 +69,10 @@
         """Return whether the backend's group, or that it has none, is known."""
         return backend in self._group_of
 
+    def group_of(self, backend: str) -> str:
+        """Return the backend's group; empty if it has none or none is known."""
+        return self._group_of.get(backend, "")
+
     def learned(self) -> dict[str, str]:
         """Return the known groups by backend."""
         return dict(self._group_of)
@@ -101,10 +105,6 @@
         names = {name for name in self._group_of.values() if name}
         return {name: self.observation(name) for name in names}
 
-    def group_of(self, backend: str) -> str:
-        """Return the backend's group; empty for none and for an unknown one."""
-        return self._group_of.get(backend, "")
-
     def observation(self, group: str) -> OwnObservation:
         """Return what the traffic of this entry shows of a group."""
         found = self._groups.get(group)
--- a/src/canvasyoke/direct/_process.py
+++ b/src/canvasyoke/direct/_process.py
@@ -29,8 +29,10 @@
 from canvasyoke.direct._pace_monitor import PaceMonitor
 from canvasyoke.direct._peers import EntryPeers
 from canvasyoke.direct._quarantine import Quarantine
+from canvasyoke.direct._return_times import ReturnTimes
 from canvasyoke.direct._roster import Roster
 from canvasyoke.direct._table_follower import TableFollower, TableView
+from canvasyoke.direct._waiting_gauges import build_waiting
 from canvasyoke.observe import LineWriter, part_logger
 from canvasyoke.state import (
     FLEET_STORES,
@@ -80,6 +82,8 @@
         self._budget.entries = _ASSUMED_ENTRIES
         self._metrics = DirectMetrics()
         self._cold_monitor = ColdMonitor(self._roster, self._metrics.all)
+        return_times = ReturnTimes(self._roster, self._clock)
+        self._waiting = build_waiting(self._roster, return_times, self._clock, self._metrics)
         self._quarantine = Quarantine(
             self._clock, lambda name, case: self._peers.announce_case(name, case)
         )
@@ -95,6 +99,7 @@
             self._clock,
             rng,
             lambda: not self._is_store_lost(),
+            self._waiting,
         )
         self._table_follower = TableFollower(
             make_store(settings.store), self._view, self._peers.is_watching, self._clock, rng
@@ -130,6 +135,8 @@
             self._exit_monitor,
             self._quarantine,
             notice_handler,
+            self._waiting,
+            return_times,
             self._clock,
             rng,
         )
--- a/src/canvasyoke/direct/_refusals.py
+++ b/src/canvasyoke/direct/_refusals.py
@@ -68,13 +68,14 @@
 class RefusalPolicy:
     """Chooses the final response to a request from the state of the backends."""
 
-    def __init__(self, roster: Roster, clock: Clock, rng: random.Random) -> None:
+    def __init__(
+        self, roster: Roster, return_times: ReturnTimes, clock: Clock, rng: random.Random
+    ) -> None:
         self._roster = roster
         self._clock = clock
         self._rng = rng
         self._scheduler = RetryScheduler(clock)
-        #: Shared with requests that wait, so that no place is assigned twice.
-        self.return_times = ReturnTimes(roster, clock)
+        self._return_times = return_times
 
     def final_answer(
         self, call: DirectCall, detail: str, cause: NotRun | MayHaveRun | NoneAvailable
@@ -105,8 +106,8 @@
             return wait + self._rng.randint(
                 1, max(_MIN_BACKOFF_SPREAD, round(wait * _BACKOFF_SPREAD))
             )
-        if self.return_times.applies(call) and not _is_moved(cause):
-            return self.return_times.assign(call)
+        if self._return_times.applies(call) and not _is_moved(cause):
+            return self._return_times.assign(call)
         bounds = _RETRY_FULL
         is_stalled = self._roster.is_service_stalled(call.service)
         if is_evacuated or is_stalled or _recovers_slowly(call, cause):
--- a/src/canvasyoke/direct/_return_times.py
+++ b/src/canvasyoke/direct/_return_times.py
@@ -2,19 +2,10 @@
 
 from __future__ import annotations
 
-from typing import Final
-
-from canvasyoke._clock import SECOND, Clock
-from canvasyoke.admission import PendingRequest, ReturnPlanner, ServiceRoom
+from canvasyoke._clock import Clock
+from canvasyoke.admission import PendingRequest, ReturnPlanner
 from canvasyoke.direct._call import DirectCall
 from canvasyoke.direct._roster import Roster
-from canvasyoke.state import TableRoute
-
-#: A caller waits for an event at most this long in milliseconds, or these multiples of the route's
-#: objective and of its longest pause, if they are longer.
-_MIN_PATIENCE: Final = 2 * SECOND
-_OBJECTIVE_PATIENCE: Final = 4
-_PAUSE_PATIENCE: Final = 8
 
 
 class ReturnTimes:
@@ -34,47 +25,20 @@
         """Return whether the call's service has one group and its route limits pauses."""
         if not (call.route.is_stream and call.route.longest_pause):
             return False
-        return self._roster.group_states.service_state(call.service).is_single_group
+        return self._roster.is_single_group(call.service)
 
     def assign(self, call: DirectCall) -> int:
         """Return the milliseconds after which a caller returns; 0 if it cannot be served then."""
-        room = service_room(self._roster, call.service)
-        now = self._clock.now()
-        request = pending_request(call, room.mean_duration)
-        return self.planner(call.service).assign_return(request, room, now)
-
-
-def caller_patience(route: TableRoute) -> int:
-    """Return the milliseconds for which a caller waits for the next event of a stream."""
-    return max(
-        _MIN_PATIENCE,
-        _OBJECTIVE_PATIENCE * route.objective,
-        _PAUSE_PATIENCE * route.longest_pause,
-    )
-
-
-def pending_request(call: DirectCall, duration: int) -> PendingRequest:
-    """Return what a call brings to the admission decision."""
-    return PendingRequest(
-        priority=call.priority,
-        organisation=call.organisation,
-        arrived_at=call.arrived_at,
-        deadline=call.deadline,
-        patience_until=call.arrived_at + caller_patience(call.route),
-        expected_duration=duration,
-    )
-
-
-def service_room(roster: Roster, service: str) -> ServiceRoom:
-    """Return what this entry knows of the places of a service."""
-    state = roster.group_states.service_state(service)
-    load = roster.service_load(service)
-    rate = load.places * SECOND / load.mean_duration / load.entries
-    return ServiceRoom(
-        places=load.places,
-        in_use=load.in_use,
-        is_open=state.is_open,
-        opens_in=state.opens_in,
-        entry_rate=rate,
-        mean_duration=load.mean_duration,
-    )
+        room = self._roster.room(
+            call.service, self._roster.group_states.service_state(call.service)
+        )
+        request = PendingRequest(
+            priority=call.priority,
+            organisation=call.organisation,
+            arrived_at=call.arrived_at,
+            deadline=call.deadline,
+            patience_until=call.patience_until,
+            expected_duration=room.mean_duration,
+        )
+        planner = self.planner(call.service)
+        return planner.assign_return(request, room, self._clock.now())
--- a/src/canvasyoke/direct/_roster.py
+++ b/src/canvasyoke/direct/_roster.py
@@ -11,8 +11,8 @@
 from canvasyoke._clock import SECOND
 from canvasyoke.coordination import Candidate, RouteRequest, filter_candidates
 from canvasyoke.direct._admission import ADMISSIONS
-from canvasyoke.direct._backend_availability import BackendAvailability
 from canvasyoke.direct._backend_checks import is_suspect, unavailability
+from canvasyoke.direct._backend_places import ASSUMED_DURATION, BackendPlaces
 from canvasyoke.direct._backend_records import FleetView
 from canvasyoke.direct._choice import BackendQuery, Chosen, NoneAvailable
 from canvasyoke.direct._member import Member
@@ -20,7 +20,7 @@
 from canvasyoke.protocol import Reason
 from canvasyoke.state import Endpoint
 
-__all__ = ["FleetView", "Roster", "ServiceLoad"]
+__all__ = ["FleetView", "Roster"]
 
 #: Milliseconds for which a backend is avoided after another run answered at its address; the
 #: list is updated by then.
@@ -28,36 +28,24 @@
 #: Milliseconds for which a backend is avoided after it closed the connection of a request, unless
 #: it completes another one.
 _CONNECTION_LOST_COOLDOWN: Final = 1 * SECOND
-#: Assumed duration of a request in milliseconds, until one of its service has finished.
-_ASSUMED_DURATION: Final = 1_000.0
 #: Weight of a new sample in the moving averages of durations.
 _DURATION_WEIGHT: Final = 0.2
 _ADMISSION: Final = "short_queue"
 _log = part_logger("roster")
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceLoad:
-    """Load of the backends of a service."""
-
-    #: Slots of the backends that neither leave nor are in evacuated domains.
-    places: int
-    #: Estimated requests of all entries in progress there.
-    in_use: int
-    #: Mean duration of a request in milliseconds; at least 1.
-    mean_duration: int
-    #: Known entries, including this one.
-    entries: int
-
-
 @dataclass(slots=True)
-class Roster(BackendAvailability):
+class Roster(BackendPlaces):
     """All known backends, and selection among them; thread-safe."""
 
     def choose(self, query: BackendQuery) -> Chosen | NoneAvailable:
         """Select the backend for a request and count the request as in flight."""
         with self._lock:
             self._peers.forget_stale(self.clock.now())
+            # Left out here: the checks of unavailability would add 0.17 ms for 64 backends.
+            members = [m for m in self._members_for(query) if not self._is_evacuated(m.endpoint)]
+            if not members:
+                return self._explain_no_place(query)
             req = RouteRequest(
                 query.service,
                 self.domain,
@@ -67,27 +55,46 @@
             )
             fastest = self._groups.fastest_pause()
             has_notices = self._notices.has_any
-            members = [m for m in self._members.values() if m.endpoint.service == query.service]
-            # Left out here: the checks of unavailability would add 0.17 ms for 64 backends.
-            staying = [m for m in members if not self._is_evacuated(m.endpoint)]
-            if members and not staying:
-                return NoneAvailable(Reason.EVACUATED)
             found = filter_candidates(
-                [self._candidate(m, fastest, has_notices) for m in staying], req
+                [self._candidate(m, fastest, has_notices) for m in members], req
             )
             if not found.candidates:
                 return NoneAvailable(found.reason, found.retry_after)
             best = self._ranker.choose(found.candidates, req)
             member = self._members[best.instance]
-            duration = self._durations.get(query.service, _ASSUMED_DURATION)
+            duration = self._durations.get(query.service, ASSUMED_DURATION)
             if not ADMISSIONS.get(_ADMISSION)(best, duration, query.max_wait):
                 return NoneAvailable(Reason.OVERLOADED)
             member.own_requests += 1
+            if query.needs_free_slot:
+                self._record_use(member)
             member.ejection.record_request()
             self._notices.record_sent(member.endpoint)
             update_age = self.clock.now() - member.updated_at
             return Chosen(member.endpoint, best.load, update_age, self._list_age())
 
+    def _members_for(self, query: BackendQuery) -> list[Member]:
+        if query.needs_free_slot:
+            return self._members_with_room(query)
+        return [m for m in self._members.values() if m.endpoint.service == query.service]
+
+    def _explain_no_place(self, query: BackendQuery) -> NoneAvailable:
+        """Return why no backend can be used for a request."""
+        members = [
+            m
+            for m in self._members.values()
+            if m.endpoint.service == query.service and m.endpoint.run not in query.tried
+        ]
+        staying = [m for m in members if not self._is_evacuated(m.endpoint)]
+        if members and not staying:
+            return NoneAvailable(Reason.EVACUATED)
+        if query.needs_free_slot and any(self._takes_requests(member) for member in staying):
+            return NoneAvailable(Reason.OVERLOADED)
+        fastest = self._groups.fastest_pause()
+        candidates = [self._candidate(m, fastest, self._notices.has_any) for m in staying]
+        found = filter_candidates(candidates, RouteRequest(query.service, self.domain))
+        return NoneAvailable(found.reason, found.retry_after)
+
     def _candidate(self, member: Member, fastest: float, has_notices: bool) -> Candidate:
         endpoint = member.endpoint
         return Candidate(
@@ -117,23 +124,6 @@
             ready = [m for m in self._members.values() if m.endpoint.service == service]
             return bool(ready) and all(self._groups.is_stalled(m.endpoint.run) for m in ready)
 
-    def service_load(self, service: str) -> ServiceLoad:
-        """Return the load of a service's backends."""
-        with self._lock:
-            members = [
-                m
-                for m in self._members.values()
-                if m.endpoint.service == service
-                and not self._is_leaving(m)
-                and not self._is_evacuated(m.endpoint)
-            ]
-            return ServiceLoad(
-                places=sum(m.endpoint.slots for m in members),
-                in_use=sum(self._load(m) for m in members),
-                mean_duration=max(1, round(self._durations.get(service, _ASSUMED_DURATION))),
-                entries=self._fleet.entries,
-            )
-
     def record_connect_failure(self, endpoint: Endpoint) -> None:
         """Record a failure to connect to a backend."""
         with self._lock:
@@ -190,6 +180,7 @@
             if member is None:
                 return
             member.own_requests = max(0, member.own_requests - 1)
+            self._record_freed(member, None if failed else duration)
             if failed:
                 member.ejection.record_failure()
                 return
@@ -216,6 +207,7 @@
             member = self._members.get(run)
             if member is not None:
                 member.own_requests = max(0, member.own_requests - 1)
+                self._record_freed(member, None)
 
     def record_not_sent(self, run: str) -> None:
         """Record that a request was not sent to the backend chosen for it."""
--- a/src/canvasyoke/direct/tests/backoff_simulation.py
+++ b/src/canvasyoke/direct/tests/backoff_simulation.py
@@ -22,6 +22,7 @@
 from canvasyoke.direct._demand_shares import DemandShares
 from canvasyoke.direct._peer_loads import PeerLoad
 from canvasyoke.direct._refusals import RefusalPolicy
+from canvasyoke.direct._return_times import ReturnTimes
 from canvasyoke.direct._roster import FleetView, Roster
 from canvasyoke.direct.tests.calls import ROUTE, make_call
 from canvasyoke.membership import is_mesh
@@ -119,7 +120,9 @@
         self.shares = DemandShares(self.budget.request_rate, simulation.clock)
         self.shares.set_fleet(scenario.entries, is_mesh(scenario.entries))
         self.roster.set_share(self.shares.share)
-        self.refusals = RefusalPolicy(self.roster, simulation.clock, rng)
+        self.refusals = RefusalPolicy(
+            self.roster, ReturnTimes(self.roster, simulation.clock), simulation.clock, rng
+        )
 
 
 class BackoffSimulation:
--- a/src/canvasyoke/direct/tests/calls.py
+++ b/src/canvasyoke/direct/tests/calls.py
@@ -15,7 +15,9 @@
 from canvasyoke.direct._metrics import DirectMetrics
 from canvasyoke.direct._notice_handler import NoticeHandler
 from canvasyoke.direct._quarantine import Quarantine
+from canvasyoke.direct._return_times import ReturnTimes
 from canvasyoke.direct._roster import Roster
+from canvasyoke.direct._waiting_gauges import build_waiting
 from canvasyoke.state import Endpoint, Repeatability, ServiceShare, TableRoute
 from canvasyoke.transport import ExchangeHandle, ProbeResult
 
@@ -69,13 +71,23 @@
     """Return a forwarder whose crash probe returns ``reach`` for every failed backend."""
     quarantine = quarantine or Quarantine(clock, lambda _name, _case: None)
     metrics = DirectMetrics()
+    return_times = ReturnTimes(roster, clock)
     crash_detector = CrashDetector(roster, metrics, lambda _address, _timeout: reach)
     exit_monitor = ExitMonitor(
         crash_detector, roster, quarantine, metrics, clock, lambda _address, _timeout: reach
     )
     notice_handler = NoticeHandler(roster, metrics, lambda _notice: None)
     return Forwarder(
-        port, roster, budget, exit_monitor, quarantine, notice_handler, clock, random.Random(1)
+        port,
+        roster,
+        budget,
+        exit_monitor,
+        quarantine,
+        notice_handler,
+        build_waiting(roster, return_times, clock, metrics),
+        return_times,
+        clock,
+        random.Random(1),
     )
 
 
--- a/src/canvasyoke/direct/tests/test_group_states.py
+++ b/src/canvasyoke/direct/tests/test_group_states.py
@@ -15,6 +15,7 @@
 from canvasyoke.direct._group_exchange import GroupExchange
 from canvasyoke.direct._group_monitor import GroupMonitor
 from canvasyoke.direct._refusals import RefusalPolicy
+from canvasyoke.direct._return_times import ReturnTimes
 from canvasyoke.direct._roster import Roster
 from canvasyoke.direct.tests.calls import ROUTE, CannedPort, make_call
 from canvasyoke.protocol import GroupStateUpdate, Message, Reason
@@ -312,7 +313,9 @@
     """Return times drawn at random bring callers back into the same outage."""
     if closed:
         report_closed(group)
-    policy = RefusalPolicy(group.roster, group.clock, random.Random(1))
+    policy = RefusalPolicy(
+        group.roster, ReturnTimes(group.roster, group.clock), group.clock, random.Random(1)
+    )
     call = make_call(dataclasses.replace(ROUTE, longest_pause=pause))
     refusal = policy.final_answer(call, "full", NoneAvailable(Reason.OVERLOADED))
     assert isinstance(refusal, ErrorAnswer)
--- a/src/canvasyoke/observe/_metrics.py
+++ b/src/canvasyoke/observe/_metrics.py
@@ -69,21 +69,28 @@
 
 
 class LabelledGauge:
-    """Values by a label, read from a callback when rendered."""
+    """Values by label that are read from a callback when rendered."""
 
     def __init__(
-        self, name: str, help_text: str, label: str, read: Callable[[], Mapping[str, float]]
+        self,
+        name: str,
+        help_text: str,
+        labels: tuple[str, ...],
+        read: Callable[[], Mapping[tuple[str, ...], float]],
     ) -> None:
         self.name = name
         self._help = help_text
-        self._label = label
+        self._labels = labels
         self._read = read
 
     def render(self) -> list[str]:
         """Return this metric in the text format."""
         lines = [f"# HELP {self.name} {self._help}", f"# TYPE {self.name} gauge"]
-        values = sorted(self._read().items())
-        return lines + [f'{self.name}{{{self._label}="{_escape(k)}"}} {v:g}' for k, v in values]
+        for values, value in sorted(self._read().items())[:_MAX_SERIES]:
+            pairs = zip(self._labels, values, strict=True)
+            labels = ",".join(f'{label}="{_escape(text)}"' for label, text in pairs)
+            lines.append(f"{self.name}{{{labels}}} {value:g}")
+        return lines
 
 
 class Timer:
@@ -147,10 +154,14 @@
         return gauge
 
     def labelled_gauge(
-        self, name: str, help_text: str, label: str, read: Callable[[], Mapping[str, float]]
+        self,
+        name: str,
+        help_text: str,
+        labels: tuple[str, ...],
+        read: Callable[[], Mapping[tuple[str, ...], float]],
     ) -> LabelledGauge:
-        """Create and register a gauge with one value per label value."""
-        gauge = LabelledGauge(name, help_text, label, read)
+        """Create and register a gauge with one series per combination of labels."""
+        gauge = LabelledGauge(name, help_text, labels, read)
         self._metrics.append(gauge)
         return gauge
 
