Waiting requests may join short queues where not all loads are heard

Cause: entries of a large fleet do not hear the loads of other domains. Change: there a request joins a short queue as before this work; with a backlog no faster than the entry's part of the places becomes free. A request is expected to take 1.3 times the mean.

--- a/src/canvasyoke/direct/_backend_places.py
+++ b/src/canvasyoke/direct/_backend_places.py
@@ -33,7 +33,7 @@
 #: Number of requests over which the mean duration is taken.
 _DURATION_SAMPLES: Final = 100
 #: Milliseconds after the opening of a group during which load reports from before it mislead.
-_OPENING_TIME: Final = 1 * SECOND
+OPENING_TIME: Final = 1 * SECOND
 
 
 @dataclass(slots=True)
@@ -48,6 +48,12 @@
         default_factory=lambda: defaultdict(ForeignUse)
     )
 
+    @property
+    def knows_all_loads(self) -> bool:
+        """Return whether all other entries report their loads to this one."""
+        with self._lock:
+            return self._fleet.is_full_mesh
+
     def is_single_group(self, service: str) -> bool:
         """Return whether all available backends of a service belong to one known group.
 
@@ -148,7 +154,7 @@
             and self._takes_requests(member)
         ]
         free = [m for m in free if not is_suspect(self._evidence, m)] or free
-        is_opening = self.clock.now() - query.opened_at < _OPENING_TIME
+        is_opening = self.clock.now() - query.opened_at < OPENING_TIME
         if is_opening and not self._have_others_reported(query):
             usable = self._own_part(free, query)
         else:
--- a/src/canvasyoke/direct/_place_queue.py
+++ b/src/canvasyoke/direct/_place_queue.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, replace
 from typing import Final
 
+from canvasyoke._clock import SECOND
 from canvasyoke.admission import (
     NEW_REQUEST_MARGIN,
     WAITING_MARGIN,
@@ -19,6 +20,7 @@
     decide,
     forecast_wait,
 )
+from canvasyoke.direct._backend_places import OPENING_TIME
 from canvasyoke.direct._choice import BackendQuery, Chosen, NoneAvailable, PlaceForecast
 from canvasyoke.direct._group_states import ServiceState
 from canvasyoke.direct._plans import WaitPlanner
@@ -70,6 +72,8 @@
         self._was_open = True
         self._opened_at = 0
         self._probed_at = 0
+        #: Clock time from which on a request may join a backend's queue again.
+        self._next_queued_at = 0
 
     def __len__(self) -> int:
         """Return the number of waiting requests."""
@@ -108,7 +112,7 @@
             ticket = self._queue.next(now)
             if ticket is None:
                 return
-            chosen = self._choose(ticket)
+            chosen = self._choose(ticket, now)
             if isinstance(chosen, Chosen):
                 self._queue.record_admitted(ticket, now)
                 del self._waiters[ticket]
@@ -161,16 +165,30 @@
         is_unknown = state.opens_in is None and now - state.closed_since >= _PROBE_AFTER
         return is_unknown and now - self._probed_at >= _PROBE_INTERVAL
 
-    def _choose(self, ticket: int) -> Chosen | NoneAvailable:
+    def _choose(self, ticket: int, now: int) -> Chosen | NoneAvailable:
+        """Choose a backend for a request, with a free slot where the slots in use are known.
+
+        Entries of a large fleet do not hear the loads of other domains. Keeping to free slots that
+        they know of, they refused requests while a third of all slots was free. So there a request
+        may also join a short queue of a backend, except right after an opening, when all backends
+        look idle, and while more urgent requests wait at other entries.
+        """
         waiter = self._waiters[ticket]
         reserved = 0
         if not self._queue.is_owed(ticket):
             reserved = self._roster.reserved_places(self._service, waiter.request.priority)
-        return self._roster.choose(
-            replace(
-                waiter.query, needs_free_slot=True, reserved=reserved, opened_at=self._opened_at
+        is_opening = now - self._opened_at < OPENING_TIME
+        if self._roster.knows_all_loads or reserved or is_opening or now < self._next_queued_at:
+            return self._roster.choose(
+                replace(
+                    waiter.query, needs_free_slot=True, reserved=reserved, opened_at=self._opened_at
+                )
             )
-        )
+        chosen = self._roster.choose(waiter.query)
+        if len(self._queue) > 1 and isinstance(chosen, Chosen):
+            # With a backlog at all entries, their sum must not exceed what the group serves.
+            self._next_queued_at = now + round(SECOND / max(1.0, self.room().entry_rate))
+        return chosen
 
     def _is_final(self, ticket: int, refused: NoneAvailable, now: int) -> bool:
         """Return whether waiting cannot help a request for which no backend was found."""
@@ -212,7 +230,7 @@
         )
 
     def _refuse(self, ticket: int, ahead: int, room: ServiceRoom) -> Settled:
-        """Remove a request and return its refusal, with the forecast."""
+        """Remove a request that would wait in vain, and return its refusal with the forecast."""
         waiter = self._waiters[ticket]
         forecast = PlaceForecast(
             waiter.request, room, ahead, forecast_wait(ahead, room), waiter.return_after
--- a/src/canvasyoke/direct/_waiting.py
+++ b/src/canvasyoke/direct/_waiting.py
@@ -14,7 +14,6 @@
 
 from canvasyoke._clock import SECOND, Clock
 from canvasyoke.admission import PendingRequest
-from canvasyoke.direct._backend_places import ASSUMED_DURATION
 from canvasyoke.direct._call import DirectCall
 from canvasyoke.direct._choice import BackendQuery, Chosen, NoneAvailable
 from canvasyoke.direct._group_states import ServiceState
@@ -32,8 +31,14 @@
 _REVIEW_INTERVAL: Final = 50
 #: Milliseconds after the end of its patience at which a waiting thread gives up on its own.
 _OVERDUE: Final = 1 * SECOND
+#: Duration of a stream in milliseconds until one of its route has finished.
+_ASSUMED_DURATION: Final = 1_500.0
 #: Weight of a new sample in the mean duration of a route's requests.
 _DURATION_WEIGHT: Final = 0.1
+#: Multiple of the mean duration that a request is expected to take at most. The lengths of streams
+#: spread widely; three in four stay below it. With the mean, half of those that started last would
+#: reach the deadline of their callers.
+_DURATION_MARGIN: Final = 1.3
 
 
 @dataclass(slots=True)
@@ -130,14 +135,14 @@
         return {name: (room.places, room.in_use, kept) for name, (room, kept) in rooms.items()}
 
     def _pending(self, call: DirectCall) -> PendingRequest:
-        duration = self._durations.get(call.route.name, ASSUMED_DURATION)
+        duration = self._durations.get(call.route.name, _ASSUMED_DURATION)
         return PendingRequest(
             priority=call.priority,
             organisation=call.organisation,
             arrived_at=self._clock.now(),
             deadline=call.deadline,
             patience_until=call.patience_until,
-            expected_duration=round(duration),
+            expected_duration=round(duration * _DURATION_MARGIN),
         )
 
     def _wait(self, service: str, ticket: int, holder: _Holder) -> Chosen | NoneAvailable:
