Free the place of a request whose caller leaves between two events

The server closes the response generator when a write to the caller fails. The attempt was recorded only after the response had ended, so GeneratorExit, like any other exception, skipped it.

The forwarder now records the attempt as cancelled when an exception passes.

Tests: test_a_caller_that_leaves_between_events_frees_its_place and test_an_error_while_sending_frees_the_place fail without the change (own load {'b-1': 1}).

--- a/src/canvasyoke/direct/_forwarder.py
+++ b/src/canvasyoke/direct/_forwarder.py
@@ -12,7 +12,7 @@
 from typing import Final
 
 from canvasyoke._clock import Clock
-from canvasyoke.backend import DirectBackendPort, MayHaveRun, NotRun, OutboundRequest
+from canvasyoke.backend import DirectBackendPort, MayHaveRun, NotRun, OutboundRequest, SendResult
 from canvasyoke.direct._admission import NO_LIMIT
 from canvasyoke.direct._answer_relay import AnswerRelay
 from canvasyoke.direct._attempt_recorder import AttemptRecorder
@@ -35,6 +35,7 @@
 from canvasyoke.direct._roster import Roster
 from canvasyoke.direct._waiting import WaitingRequests
 from canvasyoke.protocol import Reason
+from canvasyoke.state import Endpoint
 from canvasyoke.transport import ExchangeHandle
 
 #: Connect timeout in milliseconds. Shorter than the retransmission timeout of a lost SYN packet,
@@ -148,28 +149,39 @@
         call.has_begun = call.is_unresponsive = call.is_moved = False
         if call.is_disconnected():
             call.slot.cancel()
-        sent = self._port.send(endpoint, self._outbound(call), _CONNECT_TIMEOUT, call.slot)
+        try:
+            sent, failure = yield from self._exchange(call, endpoint, call.slot)
+        except BaseException:
+            # Includes GeneratorExit: the server closes the response if it cannot write to the
+            # caller. Without this, the backend would count the request as in progress for good.
+            self._roster.record_cancelled(endpoint.run)
+            self._waiting.on_change()
+            raise
+        duration = self._clock.now() - began
+        self._recorder.record_attempt(call, chosen, duration, sent, failure)
+        if failure is None:
+            self._waiting.record_duration(call, duration)
+        self._waiting.on_change()
+        return failure
+
+    def _exchange(
+        self, call: DirectCall, endpoint: Endpoint, handle: ExchangeHandle
+    ) -> Generator[AnswerPart, None, tuple[SendResult, NotRun | MayHaveRun | None]]:
+        """Send a request and relay the response; return the result and the failure, if any."""
+        sent = self._port.send(endpoint, self._outbound(call), _CONNECT_TIMEOUT, handle)
         self._notice_handler.handle(endpoint, sent.notice)
         self._recorder.record_connection(call, endpoint, sent)
         if isinstance(sent, NotRun) and not sent.was_received:
             self._roster.record_not_sent(endpoint.run)
         else:
             call.sent_to.add(endpoint.run)
-        failure: NotRun | MayHaveRun | None
         if isinstance(sent, NotRun | MayHaveRun):
-            failure = sent
-        else:
-            call.may_have_run = True
-            try:
-                failure = yield from self._relay.relay(call, sent)
-            finally:
-                sent.close()
-        duration = self._clock.now() - began
-        self._recorder.record_attempt(call, chosen, duration, sent, failure)
-        if failure is None:
-            self._waiting.record_duration(call, duration)
-        self._waiting.on_change()
-        return failure
+            return sent, sent
+        call.may_have_run = True
+        try:
+            return sent, (yield from self._relay.relay(call, sent))
+        finally:
+            sent.close()
 
     def _outbound(self, call: DirectCall) -> OutboundRequest:
         return OutboundRequest(
--- a/src/canvasyoke/direct/tests/test_forwarder.py
+++ b/src/canvasyoke/direct/tests/test_forwarder.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Generator, Iterator
 from dataclasses import replace
 
 import pytest
@@ -182,3 +182,28 @@
     last.sent_to.add("a")
     last.sent_to.add("c")
     assert not forwarder.close_if_unresponsive(last)
+
+
+def test_a_caller_that_leaves_between_events_frees_its_place(roster: Roster) -> None:
+    """The server closes the response when a write fails; a place kept then is lost for good."""
+    clock = ManualClock(start=10_000)
+    budget = FleetRetryBudget(RetryAllowance(0.2, 10, 10_000), clock)
+    port = CannedPort(lambda: _Stream(range(1, 4)))
+    response = make_forwarder(port, roster, budget, clock).run(make_call())
+    next(response)
+    next(response)
+    assert sum(roster.own_load().values()) == 1
+    assert isinstance(response, Generator)
+    response.close()
+    assert roster.own_load() == {}
+
+
+def test_an_error_while_sending_frees_the_place(roster: Roster) -> None:
+    """An unexpected exception ends the request, and its backend must not look busy after it."""
+
+    def fail() -> SendResult:
+        raise ValueError("bad header")
+
+    with pytest.raises(ValueError, match="bad header"):
+        run(roster, fail)
+    assert roster.own_load() == {}
