Forget that a group is closed once none of its backends is listed

Operators would have seen canvasyoke_groups_closed and canvasyoke_group_closed_seconds rise forever after a closed group was replaced by one with another name, or removed.

GroupStates.check judges only groups with listed backends, so the last judgement of others stayed. It now resets their judgement.

Test: test_a_closed_group_without_backends_is_forgotten fails without the change (closed() still has the group 10 s after its last backend left).

--- a/src/canvasyoke/direct/_group_states.py
+++ b/src/canvasyoke/direct/_group_states.py
@@ -225,6 +225,9 @@
             if self._checked_at and now - self._checked_at > _MAX_CHECK_GAP:
                 self._resumed_at = now
             self._checked_at = now
+            for group in self._records.keys() - own.keys():
+                # None of its backends is listed any more.
+                self._records[group].last = GroupState(is_open=True)
             for group, observation in own.items():
                 record = self._records.setdefault(group, _Record())
                 state = self._judge(group, observation, 0, now)
--- a/src/canvasyoke/direct/tests/test_group_states.py
+++ b/src/canvasyoke/direct/tests/test_group_states.py
@@ -320,3 +320,15 @@
     refusal = policy.final_answer(call, "full", NoneAvailable(Reason.OVERLOADED))
     assert isinstance(refusal, ErrorAnswer)
     assert least <= refusal.retry_after <= most
+
+
+def test_a_closed_group_without_backends_is_forgotten(group: Fixture) -> None:
+    """Otherwise a group that is replaced under another name shows as closed forever."""
+    report_closed(group)
+    group.states.check()
+    assert set(group.states.closed()) == {"g"}
+    for endpoint in group.roster.endpoints():
+        group.roster.remove(endpoint.id, 9)
+    group.clock.advance(10_000)
+    group.states.check()
+    assert group.states.closed() == {}
