Refuse requests at once when a closed group's service is evacuated

Callers would have waited up to their patience (2 to 4 s) for a service all of whose domains are evacuated, and been refused then, if its group was closed.

While a group is closed no backend is chosen, so the queue did not learn that all are evacuated. It now checks this itself while the group is closed.

Test: test_no_request_waits_for_an_evacuated_service fails without the change (still waiting after 1 s).

--- a/src/canvasyoke/direct/_place_queue.py
+++ b/src/canvasyoke/direct/_place_queue.py
@@ -107,6 +107,12 @@
     def assign(self, now: int) -> Iterator[Settled]:
         """Assign free places in order of the queue."""
         state = self._observe_state(now)
+        if not state.is_open and self._roster.is_service_evacuated(self._service):
+            # An opening of the group would not make its backends available.
+            for ticket in list(self._waiters):
+                self.leave(ticket)
+                yield Settled(ticket, NoneAvailable(Reason.EVACUATED))
+            return
         is_probe = not state.is_open and self._is_probe_due(state, now)
         while state.is_open or is_probe:
             ticket = self._queue.next(now)
--- a/src/canvasyoke/direct/tests/test_waiting.py
+++ b/src/canvasyoke/direct/tests/test_waiting.py
@@ -205,6 +205,20 @@
     assert isinstance(second.result(1), Chosen)
 
 
+def test_no_request_waits_for_an_evacuated_service(place: Place) -> None:
+    """No opening of the group would give such a request a place."""
+    place.state = ServiceState(False, place.clock.now(), 500, True)
+    place.planner.result = WaitPlan(1_500, 300)
+    waiting = place.ask_later(place.call())
+    assert not waiting.done()
+    place.roster.set_evacuated(frozenset({"d"}))
+    place.waiting.on_change()
+    assert waiting.result(1) == NoneAvailable(Reason.EVACUATED)
+    began = place.clock.now()
+    assert place.ask(place.call()) == NoneAvailable(Reason.EVACUATED)
+    assert place.clock.now() - began < 500
+
+
 def test_gauges_by_service(place: Place) -> None:
     waiting = build_waiting(
         place.roster, ReturnTimes(place.roster, place.clock), place.clock, place.metrics
