Take a request out of the queue when choosing its backend fails

An unexpected exception during the choice left the request in the order of waiting requests without a thread. It counted as waiting at other entries, and could be given a place that nobody used or freed.

The request now leaves the queue, and its place is freed if it has one, before the exception passes.

Test: test_a_request_whose_choice_fails_leaves_the_queue fails without the change (waiting() is {'ink': {1: 1}}).

--- a/src/canvasyoke/direct/_waiting.py
+++ b/src/canvasyoke/direct/_waiting.py
@@ -97,11 +97,11 @@
             ticket = queue.ask(self._pending(call), query, began)
             holder = _Holder(call, began)
             self._holders[service, ticket] = holder
-            self._settle(service, queue.assign(began))
-            self._settle(service, queue.review_new(ticket, began))
-            if len(self._holders) > MAX_WAITING:
-                last = queue.refuse_last(began)
-                self._settle(service, [last] if last is not None else [])
+            try:
+                self._decide(service, queue, ticket, began)
+            except Exception:
+                self._withdraw(service, ticket, holder)
+                raise
             result = holder.result
             if result is None and not self._thread.is_alive():
                 self._thread.start()
@@ -111,6 +111,23 @@
         self._changed.set()
         return self._wait(service, ticket, holder)
 
+    def _decide(self, service: str, queue: PlaceQueue, ticket: int, now: int) -> None:
+        """Assign places after a new request has come, and refuse it if it would wait in vain."""
+        self._settle(service, queue.assign(now))
+        self._settle(service, queue.review_new(ticket, now))
+        if len(self._holders) > MAX_WAITING:
+            last = queue.refuse_last(now)
+            self._settle(service, [last] if last is not None else [])
+
+    def _withdraw(self, service: str, ticket: int, holder: _Holder) -> None:
+        """Remove a request whose thread does not wait for its result, and free its place."""
+        self._queues[service].leave(ticket)
+        self._holders.pop((service, ticket), None)
+        if isinstance(holder.result, Chosen):
+            run = holder.result.endpoint.run
+            self._roster.record_not_sent(run)
+            self._roster.record_cancelled(run)
+
     def on_change(self) -> None:
         """Assign places again: a request has ended, or a load or a state has changed."""
         if self._holders:
--- a/src/canvasyoke/direct/tests/test_waiting.py
+++ b/src/canvasyoke/direct/tests/test_waiting.py
@@ -219,6 +219,21 @@
     assert place.clock.now() - began < 500
 
 
+def test_a_request_whose_choice_fails_leaves_the_queue(
+    place: Place, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Otherwise its place in the order stays taken, and it may get a place that nobody uses."""
+
+    def fail(_roster: Roster, _query: BackendQuery) -> Chosen:
+        raise RuntimeError("scripted")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(Roster, "choose", fail)
+        with pytest.raises(RuntimeError, match="scripted"):
+            place.ask(place.call())
+    assert place.waiting.waiting() == {}
+
+
 def test_gauges_by_service(place: Place) -> None:
     waiting = build_waiting(
         place.roster, ReturnTimes(place.roster, place.clock), place.clock, place.metrics
