Send callers of an evacuated group back as late as they may return

Callers of a service with one group, all of whose domains are evacuated, were told to return after half the mean duration of a request (500 ms), while those of other services get 2.4 to 2.6 s. Such a caller is refused a second time and lost if the evacuation is taken back later than that.

The planner of return times was asked first; it sees an open group without places. It is not asked any more while the service is evacuated.

Test: test_callers_of_an_evacuated_group_return_as_late_as_they_may fails without the change (500).

--- a/src/canvasyoke/direct/_refusals.py
+++ b/src/canvasyoke/direct/_refusals.py
@@ -106,7 +106,7 @@
             return wait + self._rng.randint(
                 1, max(_MIN_BACKOFF_SPREAD, round(wait * _BACKOFF_SPREAD))
             )
-        if self._return_times.applies(call) and not _is_moved(cause):
+        if not is_evacuated and self._return_times.applies(call) and not _is_moved(cause):
             return self._return_times.assign(call)
         bounds = _RETRY_FULL
         is_stalled = self._roster.is_service_stalled(call.service)
--- a/src/canvasyoke/direct/tests/test_group_states.py
+++ b/src/canvasyoke/direct/tests/test_group_states.py
@@ -332,3 +332,15 @@
     group.clock.advance(10_000)
     group.states.check()
     assert group.states.closed() == {}
+
+
+def test_callers_of_an_evacuated_group_return_as_late_as_they_may(group: Fixture) -> None:
+    """The evacuation outlasts a running request; an early return is refused again and is lost."""
+    group.roster.set_evacuated(frozenset(e.domain for e in group.roster.endpoints()))
+    policy = RefusalPolicy(
+        group.roster, ReturnTimes(group.roster, group.clock), group.clock, random.Random(1)
+    )
+    call = make_call(dataclasses.replace(ROUTE, longest_pause=120))
+    refusal = policy.final_answer(call, "evacuated", NoneAvailable(Reason.EVACUATED))
+    assert isinstance(refusal, ErrorAnswer)
+    assert refusal.retry_after >= 2_400
