Give no place to a caller whose patience has ended

After a stall of its process an entry would have sent engines the requests of callers that had long given up, in front of those that still wait.

Places are assigned before the review that refuses such requests. The assignment now refuses them itself.

Test: test_a_place_is_not_given_to_a_caller_that_has_given_up fails without the change (Chosen). The loop over evacuated requests gets a variable of its own, as mypy requires.

--- a/src/canvasyoke/direct/_place_queue.py
+++ b/src/canvasyoke/direct/_place_queue.py
@@ -109,15 +109,20 @@
         state = self._observe_state(now)
         if not state.is_open and self._roster.is_service_evacuated(self._service):
             # An opening of the group would not make its backends available.
-            for ticket in list(self._waiters):
-                self.leave(ticket)
-                yield Settled(ticket, NoneAvailable(Reason.EVACUATED))
+            for waiting in list(self._waiters):
+                self.leave(waiting)
+                yield Settled(waiting, NoneAvailable(Reason.EVACUATED))
             return
         is_probe = not state.is_open and self._is_probe_due(state, now)
         while state.is_open or is_probe:
             ticket = self._queue.next(now)
             if ticket is None:
                 return
+            request = self._waiters[ticket].request
+            if now >= min(request.patience_until, request.deadline):
+                # The reviews were missed: this process has not run in between.
+                yield self._refuse(ticket, 0, self.room())
+                continue
             chosen = self._choose(ticket, now)
             if isinstance(chosen, Chosen):
                 self._queue.record_admitted(ticket, now)
--- a/src/canvasyoke/direct/tests/test_waiting.py
+++ b/src/canvasyoke/direct/tests/test_waiting.py
@@ -18,6 +18,7 @@
 from canvasyoke.direct._group_states import ServiceState
 from canvasyoke.direct._metrics import DirectMetrics
 from canvasyoke.direct._peer_loads import PeerLoad
+from canvasyoke.direct._place_queue import PlaceQueue
 from canvasyoke.direct._return_times import ReturnTimes
 from canvasyoke.direct._roster import FleetView, Roster
 from canvasyoke.direct._waiting import WaitingRequests
@@ -255,6 +256,24 @@
     assert not place.roster.is_single_group("ink")
 
 
+def test_a_place_is_not_given_to_a_caller_that_has_given_up() -> None:
+    """An entry that resumes after a stall would fill the places with requests of such callers."""
+    clock = ManualClock(start=10_000)
+    roster = Roster("d", clock, random.Random(1))
+    roster.merge([Endpoint("e", "ink", "e:1", "d", 1, EndpointState.READY, 1)], 1)
+    queue = PlaceQueue("ink", roster, lambda _: OPEN, FixedPlanner())
+    tickets = []
+    for patience in (20_000, 12_000, 30_000):
+        request = PendingRequest(1, "", clock.now(), 40_000, patience, 1_000)
+        tickets.append(queue.ask(request, BackendQuery("ink"), clock.now()))
+    assert [each.ticket for each in queue.assign(clock.now())] == tickets[:1]
+    clock.advance(4_000)
+    roster.record_finished("e", 1_000, failed=False)
+    settled = {each.ticket: each.result for each in queue.assign(clock.now())}
+    assert isinstance(settled[tickets[1]], NoneAvailable)
+    assert isinstance(settled[tickets[2]], Chosen)
+
+
 def test_after_an_opening_an_entry_uses_its_part_until_others_have_reported() -> None:
     clock = ManualClock(start=10_000)
     roster = Roster("d", clock, random.Random(1))
