Hold home shares by run, as they are looked up

Entries of fleets above 12 would have used none of their home share where backends state a start time (born in the store), since their runs then have other names than their store entries. Each use of an own backend counted as one of a foreign backend, with a pause from 1.6 s up to 8 s, so entries refused requests although slots were free; after an opening, entries used any backends instead of their own.

Shares were stored by id and looked up by run. They are still assigned by id, and stored by run.

Test: test_an_entry_fills_its_home_share_without_pauses[200] fails without the change (one request at each of four backends, where two at each of the two own ones are expected). The models of load and waiting have backends without start times, so their figures are not affected.

--- a/src/canvasyoke/direct/_backend_records.py
+++ b/src/canvasyoke/direct/_backend_records.py
@@ -76,7 +76,7 @@
     clock: Clock
     rng: random.Random
     _fleet: FleetView = FleetView()
-    #: Backends assigned to this entry as its home share.
+    #: Runs of the backends assigned to this entry as its home share.
     _home_share: frozenset[str] = frozenset()
     #: Whether the groups of the backends execute steps; has a lock of its own.
     group_states: GroupStates = field(init=False)
@@ -275,9 +275,11 @@
                 for member in self._members.values()
                 if not self._is_evacuated(member.endpoint)
             ]
-            self._home_share = assign_home_share(
+            # Assigned by id, so that a restarted backend stays in the share of the same entry.
+            ids = assign_home_share(
                 self._fleet.name, self.domain, self._fleet.domain_peers, endpoints
             )
+            self._home_share = frozenset(self._runs[endpoint_id] for endpoint_id in ids)
 
     @property
     def evacuated(self) -> frozenset[str]:
--- a/src/canvasyoke/direct/tests/test_waiting.py
+++ b/src/canvasyoke/direct/tests/test_waiting.py
@@ -274,6 +274,25 @@
     assert isinstance(settled[tickets[2]], Chosen)
 
 
+@pytest.mark.parametrize("started", [0, 200])
+def test_an_entry_fills_its_home_share_without_pauses(started: int) -> None:
+    """Backends that state a start time have runs with other names than their store entries."""
+    clock = ManualClock(start=10_000)
+    roster = Roster("d", clock, random.Random(1))
+    roster.merge(
+        [
+            Endpoint(f"e-{n}", "ink", f"{n}:1", "d", 2, EndpointState.READY, 1, started)
+            for n in range(4)
+        ],
+        1,
+    )
+    roster.set_fleet(FleetView(40, "a", frozenset("b"), is_full_mesh=False))
+    query = BackendQuery("ink", needs_free_slot=True)
+    results = [roster.choose(query) for _ in range(4)]
+    assert all(isinstance(each, Chosen) for each in results)
+    assert sorted(roster.own_load().values()) == [2, 2]
+
+
 def test_after_an_opening_an_entry_uses_its_part_until_others_have_reported() -> None:
     clock = ManualClock(start=10_000)
     roster = Roster("d", clock, random.Random(1))
