Do not count refused requests against those behind them

After a stall of an entry, one review would have refused requests that still had time and a place, because it counted as ahead of them the requests that it refused itself.

The review computed the positions once for all. It now goes through the order and leaves out those that it has refused.

Test: test_refused_requests_do_not_count_against_those_behind_them fails without the change (31 refused, of which 30 have expired).

--- a/src/canvasyoke/direct/_place_queue.py
+++ b/src/canvasyoke/direct/_place_queue.py
@@ -150,9 +150,13 @@
         """Refuse waiting requests that will not get a place in time."""
         room = self._room_left(now)
         positions = self._queue.positions(now)
-        for ticket in list(self._waiters):
-            if not self._may_wait(ticket, positions[ticket], room, now, WAITING_MARGIN):
-                yield self._refuse(ticket, positions[ticket], room)
+        refused = 0
+        for ticket in sorted(self._waiters, key=positions.__getitem__):
+            # Those refused before it no longer get a place first.
+            ahead = max(0, positions[ticket] - refused)
+            if not self._may_wait(ticket, ahead, room, now, WAITING_MARGIN):
+                refused += 1
+                yield self._refuse(ticket, ahead, room)
 
     def refuse_last(self, now: int) -> Settled | None:
         """Refuse the last request in the order."""
--- a/src/canvasyoke/direct/tests/test_waiting.py
+++ b/src/canvasyoke/direct/tests/test_waiting.py
@@ -274,6 +274,28 @@
     assert isinstance(settled[tickets[2]], Chosen)
 
 
+def test_refused_requests_do_not_count_against_those_behind_them() -> None:
+    """A review after a stall of the entry would refuse requests that have time and a place."""
+    clock = ManualClock(start=10_000)
+    roster = Roster("d", clock, random.Random(1))
+    roster.merge([Endpoint("e", "ink", "e:1", "d", 1, EndpointState.READY, 1)], 1)
+    queue = PlaceQueue("ink", roster, lambda _: OPEN, FixedPlanner())
+
+    def ask(patience: int, deadline: int) -> int:
+        request = PendingRequest(1, "", clock.now(), deadline, patience, 1_000)
+        return queue.ask(request, BackendQuery("ink"), clock.now())
+
+    ask(20_000, 20_000)
+    assert len(list(queue.assign(clock.now()))) == 1
+    expired = [ask(12_000, 30_000) for _ in range(30)]
+    behind = ask(20_000, 40_000)
+    clock.advance(4_000)
+    refused = [each.ticket for each in queue.review(clock.now())]
+    assert sorted(refused) == expired
+    assert queue.waiting() == {1: 1}
+    assert behind not in refused
+
+
 @pytest.mark.parametrize("started", [0, 200])
 def test_an_entry_fills_its_home_share_without_pauses(started: int) -> None:
     """Backends that state a start time have runs with other names than their store entries."""
