--- a/src/canvasyoke/direct/_place_queue.py
+++ b/src/canvasyoke/direct/_place_queue.py
@@ -107,11 +107,22 @@
     def assign(self, now: int) -> Iterator[Settled]:
         """Assign free places in order of the queue."""
         state = self._observe_state(now)
+        if not state.is_open and self._roster.is_service_evacuated(self._service):
+            # An opening of the group would not make its backends available.
+            for waiting in list(self._waiters):
+                self.leave(waiting)
+                yield Settled(waiting, NoneAvailable(Reason.EVACUATED))
+            return
         is_probe = not state.is_open and self._is_probe_due(state, now)
         while state.is_open or is_probe:
             ticket = self._queue.next(now)
             if ticket is None:
                 return
+            request = self._waiters[ticket].request
+            if now >= min(request.patience_until, request.deadline):
+                # The reviews were missed: this process has not run in between.
+                yield self._refuse(ticket, 0, self.room())
+                continue
             chosen = self._choose(ticket, now)
             if isinstance(chosen, Chosen):
                 self._queue.record_admitted(ticket, now)
@@ -139,9 +150,13 @@
         """Refuse waiting requests that will not get a place in time."""
         room = self._room_left(now)
         positions = self._queue.positions(now)
-        for ticket in list(self._waiters):
-            if not self._may_wait(ticket, positions[ticket], room, now, WAITING_MARGIN):
-                yield self._refuse(ticket, positions[ticket], room)
+        refused = 0
+        for ticket in sorted(self._waiters, key=positions.__getitem__):
+            # Those refused before it no longer get a place first.
+            ahead = max(0, positions[ticket] - refused)
+            if not self._may_wait(ticket, ahead, room, now, WAITING_MARGIN):
+                refused += 1
+                yield self._refuse(ticket, ahead, room)
 
     def refuse_last(self, now: int) -> Settled | None:
         """Refuse the last request in the order."""
--- a/src/canvasyoke/direct/tests/test_group_states.py
+++ b/src/canvasyoke/direct/tests/test_group_states.py
@@ -320,3 +320,27 @@
     refusal = policy.final_answer(call, "full", NoneAvailable(Reason.OVERLOADED))
     assert isinstance(refusal, ErrorAnswer)
     assert least <= refusal.retry_after <= most
+
+
+def test_a_closed_group_without_backends_is_forgotten(group: Fixture) -> None:
+    """Otherwise a group that is replaced under another name shows as closed forever."""
+    report_closed(group)
+    group.states.check()
+    assert set(group.states.closed()) == {"g"}
+    for endpoint in group.roster.endpoints():
+        group.roster.remove(endpoint.id, 9)
+    group.clock.advance(10_000)
+    group.states.check()
+    assert group.states.closed() == {}
+
+
+def test_callers_of_an_evacuated_group_return_as_late_as_they_may(group: Fixture) -> None:
+    """The evacuation outlasts a running request; an early return is refused again and is lost."""
+    group.roster.set_evacuated(frozenset(e.domain for e in group.roster.endpoints()))
+    policy = RefusalPolicy(
+        group.roster, ReturnTimes(group.roster, group.clock), group.clock, random.Random(1)
+    )
+    call = make_call(dataclasses.replace(ROUTE, longest_pause=120))
+    refusal = policy.final_answer(call, "evacuated", NoneAvailable(Reason.EVACUATED))
+    assert isinstance(refusal, ErrorAnswer)
+    assert refusal.retry_after >= 2_400
--- a/src/canvasyoke/direct/tests/test_waiting.py
+++ b/src/canvasyoke/direct/tests/test_waiting.py
@@ -18,6 +18,7 @@
 from canvasyoke.direct._group_states import ServiceState
 from canvasyoke.direct._metrics import DirectMetrics
 from canvasyoke.direct._peer_loads import PeerLoad
+from canvasyoke.direct._place_queue import PlaceQueue
 from canvasyoke.direct._return_times import ReturnTimes
 from canvasyoke.direct._roster import FleetView, Roster
 from canvasyoke.direct._waiting import WaitingRequests
@@ -205,6 +206,35 @@
     assert isinstance(second.result(1), Chosen)
 
 
+def test_no_request_waits_for_an_evacuated_service(place: Place) -> None:
+    """No opening of the group would give such a request a place."""
+    place.state = ServiceState(False, place.clock.now(), 500, True)
+    place.planner.result = WaitPlan(1_500, 300)
+    waiting = place.ask_later(place.call())
+    assert not waiting.done()
+    place.roster.set_evacuated(frozenset({"d"}))
+    place.waiting.on_change()
+    assert waiting.result(1) == NoneAvailable(Reason.EVACUATED)
+    began = place.clock.now()
+    assert place.ask(place.call()) == NoneAvailable(Reason.EVACUATED)
+    assert place.clock.now() - began < 500
+
+
+def test_a_request_whose_choice_fails_leaves_the_queue(
+    place: Place, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Otherwise its place in the order stays taken, and it may get a place that nobody uses."""
+
+    def fail(_roster: Roster, _query: BackendQuery) -> Chosen:
+        raise RuntimeError("scripted")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(Roster, "choose", fail)
+        with pytest.raises(RuntimeError, match="scripted"):
+            place.ask(place.call())
+    assert place.waiting.waiting() == {}
+
+
 def test_gauges_by_service(place: Place) -> None:
     waiting = build_waiting(
         place.roster, ReturnTimes(place.roster, place.clock), place.clock, place.metrics
@@ -226,6 +256,65 @@
     assert not place.roster.is_single_group("ink")
 
 
+def test_a_place_is_not_given_to_a_caller_that_has_given_up() -> None:
+    """An entry that resumes after a stall would fill the places with requests of such callers."""
+    clock = ManualClock(start=10_000)
+    roster = Roster("d", clock, random.Random(1))
+    roster.merge([Endpoint("e", "ink", "e:1", "d", 1, EndpointState.READY, 1)], 1)
+    queue = PlaceQueue("ink", roster, lambda _: OPEN, FixedPlanner())
+    tickets = []
+    for patience in (20_000, 12_000, 30_000):
+        request = PendingRequest(1, "", clock.now(), 40_000, patience, 1_000)
+        tickets.append(queue.ask(request, BackendQuery("ink"), clock.now()))
+    assert [each.ticket for each in queue.assign(clock.now())] == tickets[:1]
+    clock.advance(4_000)
+    roster.record_finished("e", 1_000, failed=False)
+    settled = {each.ticket: each.result for each in queue.assign(clock.now())}
+    assert isinstance(settled[tickets[1]], NoneAvailable)
+    assert isinstance(settled[tickets[2]], Chosen)
+
+
+def test_refused_requests_do_not_count_against_those_behind_them() -> None:
+    """A review after a stall of the entry would refuse requests that have time and a place."""
+    clock = ManualClock(start=10_000)
+    roster = Roster("d", clock, random.Random(1))
+    roster.merge([Endpoint("e", "ink", "e:1", "d", 1, EndpointState.READY, 1)], 1)
+    queue = PlaceQueue("ink", roster, lambda _: OPEN, FixedPlanner())
+
+    def ask(patience: int, deadline: int) -> int:
+        request = PendingRequest(1, "", clock.now(), deadline, patience, 1_000)
+        return queue.ask(request, BackendQuery("ink"), clock.now())
+
+    ask(20_000, 20_000)
+    assert len(list(queue.assign(clock.now()))) == 1
+    expired = [ask(12_000, 30_000) for _ in range(30)]
+    behind = ask(20_000, 40_000)
+    clock.advance(4_000)
+    refused = [each.ticket for each in queue.review(clock.now())]
+    assert sorted(refused) == expired
+    assert queue.waiting() == {1: 1}
+    assert behind not in refused
+
+
+@pytest.mark.parametrize("started", [0, 200])
+def test_an_entry_fills_its_home_share_without_pauses(started: int) -> None:
+    """Backends that state a start time have runs with other names than their store entries."""
+    clock = ManualClock(start=10_000)
+    roster = Roster("d", clock, random.Random(1))
+    roster.merge(
+        [
+            Endpoint(f"e-{n}", "ink", f"{n}:1", "d", 2, EndpointState.READY, 1, started)
+            for n in range(4)
+        ],
+        1,
+    )
+    roster.set_fleet(FleetView(40, "a", frozenset("b"), is_full_mesh=False))
+    query = BackendQuery("ink", needs_free_slot=True)
+    results = [roster.choose(query) for _ in range(4)]
+    assert all(isinstance(each, Chosen) for each in results)
+    assert sorted(roster.own_load().values()) == [2, 2]
+
+
 def test_after_an_opening_an_entry_uses_its_part_until_others_have_reported() -> None:
     clock = ManualClock(start=10_000)
     roster = Roster("d", clock, random.Random(1))
