Cold backends: records of listed backends are never dropped

After 10,000 runs of any backends an entry dropped the oldest records first, which are those of the backends that run longest. Such a backend was then sent without limit after an evacuation or an unreachable time. All 10,000 records were also visited, under the roster's lock, each time changes of cold backends were looked for. Now only records of runs that are no longer listed are dropped, and 1,000 of them are kept.

test_a_listed_backend_is_tracked_after_many_restarts_of_another fails without it: the backend is warm after its domain's evacuation is taken back.

--- a/src/canvasyoke/direct/_cold_backends.py
+++ b/src/canvasyoke/direct/_cold_backends.py
@@ -31,8 +31,9 @@
 _UNREACHABLE_TIME: Final = 10 * SECOND
 #: Longest cold time in milliseconds that the store can state. Bounds the effect of a wrong value.
 _MAX_STATED: Final = 600 * SECOND
-#: Runs that are tracked; the oldest are dropped first.
-_MAX_RUNS: Final = 10_000
+#: Runs that are tracked although they are no longer listed; the oldest are dropped first. Their
+#: entries in the store may have expired during an outage and are written again after it.
+_MAX_REMOVED: Final = 1_000
 
 #: A run of a backend and its address, as in ``BackendNotices``.
 _Key: TypeAlias = tuple[str, str]
@@ -108,6 +109,8 @@
     #: Rules by service; services without one are not limited.
     rules: Mapping[str, ColdRule] = field(default_factory=dict)
     _records: dict[_Key, _ColdRecord] = field(default_factory=dict)
+    #: Keys of the records that are not listed, in the order of their removal.
+    _removed: dict[_Key, None] = field(default_factory=dict)
     #: Clock time at which this entry started. What it sent before is not known.
     _started_at: int = field(init=False)
     #: Latest times of all records. After them, and the cold time, no backend is cold.
@@ -132,8 +135,10 @@
         backends of any age, so those that it states as warm count as warm.
         """
         now = self.clock.now()
-        record = self._find(endpoint)
+        key = _key(endpoint)
+        record = self._records.setdefault(key, _ColdRecord(endpoint))
         record.endpoint, record.is_listed = endpoint, True
+        self._removed.pop(key, None)
         stated = min(endpoint.cold_remaining, _MAX_STATED)
         if stated or record.stated_until > now:
             record.stated_until = now + stated
@@ -145,9 +150,15 @@
 
     def record_removed(self, endpoint: Endpoint) -> None:
         """Record that a backend is no longer listed."""
-        record = self._records.get(_key(endpoint))
-        if record is not None:
-            record.is_listed = False
+        key = _key(endpoint)
+        record = self._records.get(key)
+        if record is None:
+            return
+        record.is_listed = False
+        self._removed[key] = None
+        while len(self._removed) > _MAX_REMOVED:
+            oldest = next(iter(self._removed))
+            del self._removed[oldest], self._records[oldest]
 
     def record_unreachable(self, endpoint: Endpoint) -> None:
         """Record a failure to connect: the backend counts as cold until it has returned."""
@@ -249,12 +260,6 @@
                 changes.append(ColdChange(record.endpoint, bool(remaining), source, remaining))
         return changes
 
-    def _find(self, endpoint: Endpoint) -> _ColdRecord:
-        record = self._records.setdefault(_key(endpoint), _ColdRecord(endpoint))
-        while len(self._records) > _MAX_RUNS:
-            del self._records[next(iter(self._records))]
-        return record
-
 
 def _key(endpoint: Endpoint) -> _Key:
     return endpoint.run, endpoint.address
--- a/src/canvasyoke/direct/tests/test_cold_backends.py
+++ b/src/canvasyoke/direct/tests/test_cold_backends.py
@@ -323,3 +323,13 @@
     window.reserve(1_000, 1_400)
     window.refund()
     assert window.wait(1, 1_000, 1_400) == 0
+
+
+def test_a_listed_backend_is_tracked_after_many_restarts_of_another(roster: Roster) -> None:
+    """Guards against records that grow with runs, and that are dropped while still listed."""
+    other = engines()[1]
+    for run in range(10_010):
+        roster.put(replace(other, position=6 + run, started=10 + run))
+    roster.mark_domain_cold(A.domain)
+    assert remaining(roster)
+    assert len(roster._notices.limits.cold._records) <= 1_002
