Backends: a cold time stated after a restore of the store is applied

After a restore all backends write their entries again, and entries skip those that differ only in their position. The remaining cold time is not compared, so an engine that was cold at that time counted as warm and could be overrun. An update that states a cold time is a change now.

test_an_entry_rewritten_after_a_restore_of_the_store_may_state_a_cold_time fails without it.

--- a/src/canvasyoke/direct/_known_backends.py
+++ b/src/canvasyoke/direct/_known_backends.py
@@ -127,7 +127,8 @@
         self._endpoints[endpoint.id] = endpoint
         if override is not None:
             return [override]
-        if known is not None and _is_only_relisted(endpoint, known):
+        # The remaining cold time is not compared, and may be news as well.
+        if known is not None and not endpoint.cold_remaining and _is_only_relisted(endpoint, known):
             return []
         return [BackendChange(endpoint, False, endpoint.position)]
 
--- a/src/canvasyoke/direct/tests/test_cold_backends.py
+++ b/src/canvasyoke/direct/tests/test_cold_backends.py
@@ -34,6 +34,7 @@
     EndpointState,
     RoutingTable,
     TableService,
+    store_position,
 )
 
 LIMIT = 44
@@ -333,3 +334,12 @@
     roster.mark_domain_cold(A.domain)
     assert remaining(roster)
     assert len(roster._notices.limits.cold._records) <= 1_002
+
+
+def test_an_entry_rewritten_after_a_restore_of_the_store_may_state_a_cold_time(
+    roster: Roster,
+) -> None:
+    """Guards against a cold time that is ignored because only the position seems to differ."""
+    rewritten = replace(A, position=store_position(1, 3), cold_remaining=2_500)
+    assert roster.put(rewritten)
+    assert remaining(roster) == 2_500
