Parts of backends: removed backends count for the retention time, and no longer

Removed backends were dropped only with the next change of the list. Where no change followed a scale-down, entries could hold parts only of backends that are gone: with 75 entries and 63 backends reduced to 3, some entries could send no cold backend anything. The time of a removed backend also began with the last change of the list, so that after a quiet minute it did not count any more at once and the division followed the loss, which the retention is to prevent. Listed backends are now renewed before a removal, and removed ones are dropped with each set of entries too.

Two tests fail without it: test_removed_backends_stop_counting_without_a_change_of_the_list and test_a_removed_backend_counts_for_a_while_after_a_long_time_without_changes.

--- a/src/canvasyoke/direct/_backend_parts.py
+++ b/src/canvasyoke/direct/_backend_parts.py
@@ -74,6 +74,8 @@
     #: Listed and recently listed backends by id, and the clock time until which they count.
     _backends: dict[str, Endpoint] = field(default_factory=dict)
     _backends_until: dict[str, int] = field(default_factory=dict)
+    #: Ids of the backends that are listed at present.
+    _listed: frozenset[str] = frozenset()
     #: Ids of the backends by run.
     _ids: dict[str, str] = field(default_factory=dict)
     _assignments: dict[str, _Assignment] = field(default_factory=dict)
@@ -106,24 +108,38 @@
         known = {**self._entries, **entries}
         ordered = sorted(self._entries_until, key=_cached_order)
         found = {name: known[name] for name in ordered}
+        has_changed = self._drop_removed_backends(now)
         if found != self._entries or own != self._own:
             self._own, self._entries = own, found
             self.is_known = own in found
+            has_changed = True
+        if has_changed:
             self._assign()
 
     def set_backends(self, endpoints: Iterable[Endpoint]) -> None:
         """Set the listed backends."""
         now = self.clock.now()
         before = {e.id: (e.service, e.domain) for e in self._backends.values()}
-        for endpoint in endpoints:
-            self._backends[endpoint.id] = endpoint
-            self._backends_until[endpoint.id] = now + _RETENTION_TIME
-        self._backends_until = {i: at for i, at in self._backends_until.items() if now < at}
-        self._backends = {i: self._backends[i] for i in self._backends_until}
+        self._drop_removed_backends(now)
+        listed = {endpoint.id: endpoint for endpoint in endpoints}
+        self._listed = frozenset(listed)
+        self._backends |= listed
+        self._backends_until |= dict.fromkeys(listed, now + _RETENTION_TIME)
         self._ids = {endpoint.run: i for i, endpoint in self._backends.items()}
         if {e.id: (e.service, e.domain) for e in self._backends.values()} != before:
             self._assign()
 
+    def _drop_removed_backends(self, now: int) -> bool:
+        """Drop backends that were removed a retention time ago; return whether there were any.
+
+        The list is only set when it changes, so this is also done with each set of entries.
+        """
+        self._backends_until |= dict.fromkeys(self._listed, now + _RETENTION_TIME)
+        dropped = [i for i, until in self._backends_until.items() if now >= until]
+        for backend in dropped:
+            del self._backends_until[backend], self._backends[backend]
+        return bool(dropped)
+
     def _assign(self) -> None:
         """Compute the places of this entry, and keep the earlier ones until they have settled."""
         if not self.is_known:
--- a/src/canvasyoke/direct/tests/test_cold_backends.py
+++ b/src/canvasyoke/direct/tests/test_cold_backends.py
@@ -343,3 +343,33 @@
     rewritten = replace(A, position=store_position(1, 3), cold_remaining=2_500)
     assert roster.put(rewritten)
     assert remaining(roster) == 2_500
+
+
+def test_removed_backends_stop_counting_without_a_change_of_the_list() -> None:
+    """Guards against entries that hold parts only of backends that have been removed."""
+    clock = ManualClock(start=1)
+    entries = names(75)
+    parts = {name: make_parts(name, entries, clock) for name in entries}
+    left = engines(3)
+    for each in parts.values():
+        each.set_backends(left)
+    clock.advance(61_000)
+    for name, each in parts.items():
+        each.set_entries(name, entries, is_full_mesh=False)
+    clock.advance(3_000)
+    held = [
+        sum(each.part(e.run, RULE.requests, RULE.max_requests) for e in left)
+        for each in parts.values()
+    ]
+    assert min(held) > 0
+
+
+def test_a_removed_backend_counts_for_a_while_after_a_long_time_without_changes() -> None:
+    """Guards against a division that follows a loss at once if the list has long been the same."""
+    clock = ManualClock(start=1)
+    parts = make_parts("entry-0", names(100), clock)
+    before = [parts.part(e.run, RULE.requests) for e in engines()]
+    clock.advance(600_000)
+    parts.set_backends(engines(51))
+    clock.advance(3_000)
+    assert [parts.part(e.run, RULE.requests) for e in engines()] == before
