Choose without checking unavailable backends for suspicion

A choice left out unavailable backends only after all suspicion checks had run for them, which made a choice among cold backends at their limit the most expensive one.

--- a/src/canvasyoke/direct/_roster.py
+++ b/src/canvasyoke/direct/_roster.py
@@ -97,6 +97,7 @@
 
     def _candidate(self, member: Member, fastest: float, has_notices: bool) -> Candidate:
         endpoint = member.endpoint
+        unavailable = unavailability(self._evidence, member) if has_notices else None
         return Candidate(
             instance=endpoint.run,
             domain=endpoint.domain,
@@ -104,8 +105,9 @@
             connected=True,
             leaving=self._is_leaving(member),
             healthy=True,
-            ejected=is_suspect(self._evidence, member),
-            unavailable=unavailability(self._evidence, member) if has_notices else None,
+            # Unavailable backends are left out anyway; the checks would add an eighth to a choice.
+            ejected=unavailable is None and is_suspect(self._evidence, member),
+            unavailable=unavailable,
             slots=endpoint.slots,
             queue_limit=0,
             reported_load=self._load(member),
