Queries of engines end when their domain is evacuated

Engines are queried for their group or pace one after the other, 80 ms each if they do not answer. The list was checked for evacuated domains only when it was made, so that with 63 engines queries could reach a domain up to 5 s after this entry knew of its evacuation. Each query is checked now.

test_queries_end_when_a_domain_is_evacuated and test_queries_for_groups_end_when_a_domain_is_evacuated fail without it.

--- a/src/canvasyoke/direct/_backend_streams.py
+++ b/src/canvasyoke/direct/_backend_streams.py
@@ -26,6 +26,14 @@
                 and self._may_query(m.endpoint)
             ]
 
+    def may_query(self, endpoint: Endpoint) -> bool:
+        """Return whether a backend may be queried now.
+
+        Checked before each of several queries, since they can take seconds together.
+        """
+        with self._lock:
+            return self._may_query(endpoint)
+
     def _may_query(self, endpoint: Endpoint) -> bool:
         """Return whether a backend may be queried about itself, which is a request too."""
         is_backing_off = self._notices.remaining_backoff(endpoint) > 0
--- a/src/canvasyoke/direct/_group_learner.py
+++ b/src/canvasyoke/direct/_group_learner.py
@@ -53,13 +53,19 @@
 
     def _run(self) -> None:
         while not self._stop.wait(_POLL_INTERVAL / SECOND):
-            services = self._table().services.values()
-            grouped = frozenset(s.name for s in services if s.geometry is not None)
-            for endpoint in self._due(self._roster.with_unknown_group(grouped)):
-                group = self._port.group_of(endpoint)
-                if group is not None and self._roster.learn_group(endpoint.run, group):
-                    self._on_learned(endpoint.run, group)
-                    _log.info("group learned", backend=endpoint.run, group=group)
+            self.poll()
+
+    def poll(self) -> None:
+        """Query the backends whose group is unknown, as far as this entry is to do so."""
+        services = self._table().services.values()
+        grouped = frozenset(s.name for s in services if s.geometry is not None)
+        for endpoint in self._due(self._roster.with_unknown_group(grouped)):
+            if not self._roster.may_query(endpoint):
+                continue
+            group = self._port.group_of(endpoint)
+            if group is not None and self._roster.learn_group(endpoint.run, group):
+                self._on_learned(endpoint.run, group)
+                _log.info("group learned", backend=endpoint.run, group=group)
 
     def _due(self, missing: list[Endpoint]) -> list[Endpoint]:
         """Return the backends that this entry should query now."""
--- a/src/canvasyoke/direct/_pace_monitor.py
+++ b/src/canvasyoke/direct/_pace_monitor.py
@@ -57,6 +57,8 @@
         """Query the engines of this domain whose groups are late or that are known to be slow."""
         for service, longest in self._pause_limits():
             for endpoint in self._roster.in_slow_groups(service, longest):
+                if not self._roster.may_query(endpoint):
+                    continue
                 pace = self._port.slowdown_of(endpoint)
                 was_slow = self._roster.is_slow(endpoint.run)
                 if pace is None or (pace < _SLOW_PACE and not was_slow):
--- a/src/canvasyoke/direct/tests/test_backend_health.py
+++ b/src/canvasyoke/direct/tests/test_backend_health.py
@@ -9,6 +9,7 @@
 from canvasyoke._clock import ManualClock
 from canvasyoke.backend import DirectBackendPort
 from canvasyoke.direct._choice import BackendQuery, Chosen
+from canvasyoke.direct._group_learner import GroupLearner
 from canvasyoke.direct._pace_monitor import PaceMonitor
 from canvasyoke.direct._peer_loads import PeerLoad
 from canvasyoke.direct._roster import Roster
@@ -186,3 +187,47 @@
     for name in RANKS:
         roster.learn_pace(name, 12.0)
     assert sorted(choose_many(roster, 6)) == RANKS
+
+
+class _EvacuatingPort(_PacePort):
+    """A port whose first query is answered after the domain has been evacuated."""
+
+    def __init__(self, roster: Roster) -> None:
+        super().__init__({})
+        self._roster = roster
+
+    def slowdown_of(self, endpoint: Endpoint) -> float | None:
+        self._roster.set_evacuated(frozenset({endpoint.domain}))
+        return super().slowdown_of(endpoint)
+
+    def group_of(self, endpoint: Endpoint) -> str | None:
+        self._roster.set_evacuated(frozenset({endpoint.domain}))
+        self.queried.append(endpoint.id)
+        return None
+
+
+def test_queries_end_when_a_domain_is_evacuated(roster: Roster, clock: ManualClock) -> None:
+    """Guards against queries of a list that was made before the evacuation."""
+    port = _EvacuatingPort(roster)
+    record_events(roster, clock, 300, 40)
+    make_monitor(port, roster, []).poll()
+    assert len(port.queried) == 1
+
+
+def test_queries_for_groups_end_when_a_domain_is_evacuated(clock: ManualClock) -> None:
+    """Guards against queries of a list that was made before the evacuation."""
+    roster = Roster("nbo-a", clock, random.Random(1))
+    roster.merge(
+        [
+            Endpoint(name, "ink", f"b:{n}", "nbo-a", 6, EndpointState.READY, 1)
+            for n, name in enumerate(RANKS)
+        ],
+        5,
+    )
+    port = _EvacuatingPort(roster)
+    table = RoutingTable(version=1, services={"ink": TableService("ink", 100, GEOMETRY)})
+    learner = GroupLearner(
+        port, roster, lambda: table, lambda: True, lambda _run, _group: None, clock
+    )
+    learner.poll()
+    assert len(port.queried) == 1
