Comments: reasons and figures behind constants are back

Compared constant by constant; put back in one or two sentences, in today's names, where still true. No code changes.

--- a/src/canvasyoke/coordination/_demand_estimate.py
+++ b/src/canvasyoke/coordination/_demand_estimate.py
@@ -19,12 +19,14 @@
 #: Factor applied to the accumulated weights when a frame arrives. A smaller factor would leave
 #: too few samples in small groups.
 _DECAY: Final = 0.45
-#: A frame marks a shift if its distance from the estimate reaches this minimum and this multiple
-#: of the mean distance between stable frames.
+#: A frame marks a shift if its distance from the estimate reaches this minimum and this multiple of
+#: the mean distance between stable frames. Both lie between the distances recorded without a shift
+#: and those recorded with one.
 _MIN_SHIFT_DISTANCE: Final = 0.06
 _NOISE_FACTOR: Final = 2.0
-#: Fraction of the mean shift distance from which a frame is assumed to hold only demand from
-#: after the shift. Such a frame can be used without waiting for the next one.
+#: Fraction of the mean shift distance from which a frame is assumed to hold only demand from after
+#: the shift. Such a frame can be used without waiting for the next one. A frame can begin at any
+#: time after a shift; three in ten hold too little of the new demand to show the shift.
 _FULL_SHIFT_RATIO: Final = 0.8
 #: Weight of a new sample in the exponential moving averages.
 _SMOOTHING: Final = 0.2
--- a/src/canvasyoke/coordination/_demand_stability.py
+++ b/src/canvasyoke/coordination/_demand_stability.py
@@ -14,8 +14,8 @@
 _MAX_DURATION: Final = 60 * SECOND
 #: Weight of a new sample in the exponential moving average.
 _SMOOTHING: Final = 0.4
-#: Increase over a map's lowest skew from which the map counts as outdated. It exceeds the
-#: sampling noise of a single reading.
+#: Increase over a map's lowest skew from which the map counts as outdated. It exceeds the sampling
+#: noise of a single reading. One reading's counts vary the skew by about 0.1.
 _OUTDATED_SKEW_INCREASE: Final = 0.4
 
 
--- a/src/canvasyoke/coordination/_layer_plan.py
+++ b/src/canvasyoke/coordination/_layer_plan.py
@@ -12,7 +12,8 @@
 Layer: TypeAlias = tuple[tuple[int, ...], ...]
 #: Least loaded ranks considered as destinations for a copy.
 _MAX_DESTINATIONS: Final = 4
-#: Least loaded ranks considered for swaps, which take two copies each.
+#: Least loaded ranks considered for swaps, which take two copies each. Four took 40% of the
+#: planner's time for no better maps.
 _MAX_SWAP_DESTINATIONS: Final = 2
 #: Most loaded experts of the slowest rank considered for a change.
 _MAX_SOURCE_EXPERTS: Final = 4
--- a/src/canvasyoke/coordination/_map_update.py
+++ b/src/canvasyoke/coordination/_map_update.py
@@ -18,13 +18,17 @@
 #: Relative slowdown of steps while experts are being copied.
 _COPY_SLOWDOWN: Final = 0.15
 #: Duration of the part of a step that is independent of the map, relative to that of a balanced
-#: expert computation.
+#: expert computation. Engines with half of their slots in use need about as long for the step
+#: itself as for its tokens.
 _FIXED_STEP_COST: Final = 1.0
-#: Fraction of the cost over the horizon that an update must save to be applied.
+#: Fraction of the cost over the horizon that an update must save to be applied. This leaves skews
+#: below about 1.75 alone. As plain limits on skew, 1.0, 1.25, 1.5 and 1.75 each served callers
+#: better than the one before.
 MIN_SAVINGS: Final = 0.25
 #: Fraction of a layer's mean rank load by which each copy must reduce the peak.
 _MIN_GAIN: Final = 0.06
-#: Limits on the copies per rank, tried in this order.
+#: Limits on the copies per rank, tried in this order. Each further limit takes the planner as long
+#: as the copies that it allows.
 _COPY_LIMITS: Final = (1, 2, 3, 5, 8)
 
 
--- a/src/canvasyoke/direct/_backend_health.py
+++ b/src/canvasyoke/direct/_backend_health.py
@@ -11,11 +11,12 @@
 
 from canvasyoke._clock import SECOND, Clock
 
-#: Milliseconds for which a backend is avoided that does not answer although its group is
-#: making progress.
+#: Milliseconds for which a backend is avoided that does not answer although its group is making
+#: progress. Each further attempt at it costs a caller half a second.
 _UNRESPONSIVE_COOLDOWN: Final = 5 * SECOND
-#: The first event of a stream is overdue after this multiple of the mean wait, and no
-#: earlier than the minimum in milliseconds.
+#: The first event of a stream is overdue after this multiple of the mean wait, and no earlier than
+#: the minimum in milliseconds. Of the streams at engines that answered, one in a hundred began
+#: after 540 ms, at a mean of 190 ms.
 _OVERDUE_FACTOR: Final = 4.0
 _MIN_OVERDUE_WAIT: Final = 600
 #: Milliseconds for which a reported pace is valid, and after which an unchanged pace is
--- a/src/canvasyoke/direct/_backend_places.py
+++ b/src/canvasyoke/direct/_backend_places.py
@@ -20,7 +20,8 @@
 from canvasyoke.direct._member import Member
 from canvasyoke.state import Endpoint
 
-#: Duration of a request in milliseconds, until one of its service has finished.
+#: Duration of a request in milliseconds, until one of its service has finished. A stream takes
+#: somewhat longer, a short response much less.
 ASSUMED_DURATION: Final = 1_000.0
 #: Part of an entry's equal share of all places that it counts on even if it holds none now.
 _MIN_OWN_SHARE: Final = 0.5
--- a/src/canvasyoke/direct/_backend_records.py
+++ b/src/canvasyoke/direct/_backend_records.py
@@ -29,7 +29,8 @@
 from canvasyoke.direct._store_restore import StoreRestore
 from canvasyoke.state import Endpoint, EndpointState, StorePosition
 
-#: Milliseconds over which the weight of a load report decays linearly to zero.
+#: Milliseconds over which the weight of a load report decays linearly to zero. The requests that a
+#: report counted have ended by then, and others have started since.
 _REPORT_DECAY: Final = 2 * SECOND
 #: Milliseconds by which another entry's confirmation of the list must be newer than the last
 #: one. Without this threshold entries would keep confirming each other's list, and none
--- a/src/canvasyoke/direct/_crash_cases.py
+++ b/src/canvasyoke/direct/_crash_cases.py
@@ -18,15 +18,17 @@
 from typing import Final
 
 #: Number of backends that must have ended under a request without another explanation. Two could be
-#: a coincidence: a harmless request that is retried may meet a second failure.
+#: a coincidence: a harmless request that is retried may meet a second failure. The operator
+#: tolerates three backends ended by one request.
 MIN_ENDED_RUNS: Final = 3
 #: Backends that end within this many milliseconds of one another are assumed to have one external
 #: cause, such as the loss of a machine or failure domain.
 _SIMULTANEITY_WINDOW: Final = 100
 #: Milliseconds to wait for a response to another copy of a request whose backends all ended at the
-#: same time.
+#: same time. The operator allows 3 s until the cause of the ends must be known.
 _ANSWER_WAIT: Final = 2_000
-#: Only ends within this many milliseconds of those under a request count as background.
+#: Only ends within this many milliseconds of those under a request count as background. Repetitions
+#: of one request were 4.2 to 4.7 s apart.
 _BACKGROUND_WINDOW: Final = 5_000
 
 
--- a/src/canvasyoke/direct/_crash_detector.py
+++ b/src/canvasyoke/direct/_crash_detector.py
@@ -19,7 +19,8 @@
 from canvasyoke.transport import ProbeResult, probe_address
 
 _log = part_logger("breaks")
-#: Connect timeout of the probe in milliseconds. A retry of the request waits for it.
+#: Connect timeout of the probe in milliseconds. A retry of the request waits for it. A round trip
+#: takes 1 to 3 ms; only a lost packet or a partition takes all of this.
 _PROBE_TIMEOUT: Final = 30
 
 
--- a/src/canvasyoke/direct/_entry_notes.py
+++ b/src/canvasyoke/direct/_entry_notes.py
@@ -29,7 +29,8 @@
 #: Milliseconds between polls after that.
 _SETTLED_POLL_INTERVAL: Final = 15 * SECOND
 #: Milliseconds per entry of the fleet over which rewrites are spread after a restore, to stay
-#: within the rate of calls that the store accepts.
+#: within the rate of calls that the store accepts. Two calls per entry, at 200 calls a second, are
+#: half of what the store accepts from a small fleet.
 _REWRITE_SPREAD: Final = 10
 _KIND: Final = "entries"
 _KEY_NAME: Final = "entries"
--- a/src/canvasyoke/direct/_forwarder.py
+++ b/src/canvasyoke/direct/_forwarder.py
@@ -39,10 +39,12 @@
 from canvasyoke.transport import ExchangeHandle
 
 #: Connect timeout in milliseconds. Shorter than the retransmission timeout of a lost SYN packet,
-#: since trying another backend is faster.
+#: since trying another backend is faster. A round trip takes 3 ms, and a backend accepts a
+#: connection within 1 ms.
 _CONNECT_TIMEOUT: Final = 100
 #: Longest wait for a slot, as a fraction of the route's objective: for a new request, and for a
-#: stream that resumes on another backend.
+#: stream that resumes on another backend. A request that waits longer is answered late. With 3.0
+#: for resumed streams, these filled the queues and every answer was late.
 _WAIT_FRACTION: Final = 0.5
 _RESUMED_WAIT_FRACTION: Final = 0.75
 _BAD_GATEWAY: Final = 502
--- a/src/canvasyoke/direct/_group_learner.py
+++ b/src/canvasyoke/direct/_group_learner.py
@@ -20,7 +20,8 @@
 _log = part_logger("groups")
 #: Milliseconds between rounds of queries. A query costs an engine as much as a health probe.
 _POLL_INTERVAL: Final = 1 * SECOND
-#: Milliseconds after which any entry queries an engine whose group is still unknown.
+#: Milliseconds after which any entry queries an engine whose group is still unknown. This is five
+#: rounds of the entries that should have queried it.
 _FALLBACK_DELAY: Final = 5 * SECOND
 
 
--- a/src/canvasyoke/direct/_group_states.py
+++ b/src/canvasyoke/direct/_group_states.py
@@ -16,6 +16,7 @@
 from canvasyoke.admission import OutageForecast
 
 #: Milliseconds without an event on any stream of a group after which it is considered stalled.
+#: On-time events are at most 120 ms apart.
 STALL_TIMEOUT: Final = 400
 #: Milliseconds for which a report or a refusal counts without confirmation.
 _REPORT_TTL: Final = 1 * SECOND
--- a/src/canvasyoke/direct/_groups.py
+++ b/src/canvasyoke/direct/_groups.py
@@ -15,11 +15,13 @@
 from canvasyoke._clock import SECOND, Clock
 from canvasyoke.direct._group_states import STALL_TIMEOUT, GroupStates, OwnObservation
 
-#: Milliseconds for which a group is avoided after a rank reported that another is missing;
-#: doubled with each further report up to the maximum.
+#: Milliseconds for which a group is avoided after a rank reported that another is missing; doubled
+#: with each further report up to the maximum. A group takes half a second to form, and one that has
+#: lost a rank stays away longer.
 _COOLDOWN: Final = 250
 _MAX_COOLDOWN: Final = 1 * SECOND
-#: Weight of a new sample in a group's moving average of pauses between events.
+#: Weight of a new sample in a group's moving average of pauses between events. An entry sees about
+#: 50 pauses a second of each group, so the mean follows within a second.
 _PAUSE_WEIGHT: Final = 0.05
 #: Milliseconds for which a mean pause stays valid after the last event.
 _PAUSE_TTL: Final = 1 * SECOND
--- a/src/canvasyoke/direct/_load_schedule.py
+++ b/src/canvasyoke/direct/_load_schedule.py
@@ -7,9 +7,10 @@
 
 from canvasyoke._clock import Clock
 
-#: Milliseconds between load updates among up to ``_ENTRIES_PER_INTERVAL`` entries. Stale loads
-#: make several entries choose the same backend. With more entries the interval grows in
-#: proportion, since the number of messages grows quadratically.
+#: Milliseconds between load updates among up to ``_ENTRIES_PER_INTERVAL`` entries. Stale loads make
+#: several entries choose the same backend. With more entries the interval grows in proportion,
+#: since the number of messages grows quadratically. 32 entries that update all others every 150 ms
+#: would send 6,600 messages a second, each with an acknowledgement.
 LOAD_INTERVAL: Final = 150
 _ENTRIES_PER_INTERVAL: Final = 8
 #: Milliseconds after which an unchanged load is sent again.
--- a/src/canvasyoke/direct/_pace_monitor.py
+++ b/src/canvasyoke/direct/_pace_monitor.py
@@ -19,7 +19,7 @@
 from canvasyoke.state import RoutingTable
 
 _log = part_logger("pace")
-#: Milliseconds between rounds of queries.
+#: Milliseconds between rounds of queries. Up to 63 engines are queried by two entries each.
 _POLL_INTERVAL: Final = 1 * SECOND
 #: Slowdown factor from which an engine is reported as slow.
 _SLOW_PACE: Final = 1.2
--- a/src/canvasyoke/direct/_quarantine.py
+++ b/src/canvasyoke/direct/_quarantine.py
@@ -21,9 +21,11 @@
 #: Milliseconds for which a complete response exonerates a request. Protects frequently repeated
 #: requests when several backends end together.
 _ANSWER_TTL: Final = 30 * SECOND
-#: Maximum number of answered requests that are remembered.
+#: Maximum number of answered requests that are remembered. An entry answers as many in 30 s at 130
+#: requests a second; each takes about 200 bytes.
 _ANSWERED_LIMIT: Final = 4_096
-#: Milliseconds after which a case without a verdict expires if it is not updated.
+#: Milliseconds after which a case without a verdict expires if it is not updated. A request that
+#: comes back less often than that can end three more backends each time.
 _CASE_TTL: Final = 600 * SECOND
 #: Maximum number of cases. Those with the fewest ended runs are evicted first, the oldest before
 #: the others, so that a quarantined request cannot be displaced by suspects with fewer.
--- a/src/canvasyoke/direct/_store_follower.py
+++ b/src/canvasyoke/direct/_store_follower.py
@@ -18,9 +18,10 @@
 from canvasyoke.state import CALL_TIMEOUT, Unavailable, Unusable
 
 _log = part_logger("store")
-#: Milliseconds for which a watch waits for changes. Shorter watches make more calls; longer
-#: ones take longer to detect a dead connection. The watches of all entries run in step, since
-#: the same changes end them, so peers do not hide the delay.
+#: Milliseconds for which a watch waits for changes. Shorter watches make more calls; longer ones
+#: take longer to detect a dead connection. The watches of all entries run in step, since the same
+#: changes end them, so peers do not hide the delay. At 5 s, with a timeout 2 s later, a leaving
+#: backend stayed unknown to all entries for 7 s.
 WATCH_TIMEOUT: Final = 1_800
 #: Milliseconds between checks whether an entry that does not watch has to start.
 IDLE_INTERVAL: Final = 100
@@ -33,9 +34,10 @@
 #: bursts, for example when backends start; the pause batches them.
 PAUSE_AFTER_CHANGES: Final = 120
 #: Shortest timeout in milliseconds of a call while the store is lost; the longest is
-#: ``CALL_TIMEOUT``. Random timeouts desynchronize the entries, so that one of them detects
-#: early that the store is back and informs the others. Calls started during an outage are
-#: never answered.
+#: ``CALL_TIMEOUT``. Random timeouts desynchronize the entries, so that one of them detects early
+#: that the store is back and informs the others. Calls started during an outage are never answered.
+#: In simulated outages of seven entries, the first of them was up to 2,145 ms late with 2 s for
+#: each call, and up to 1,149 ms with random timeouts.
 _MIN_TIMEOUT: Final = 400
 #: Milliseconds of an outage after which entries of backends may have expired. They expire
 #: after three missed heartbeats, one of which may precede the outage.
--- a/src/canvasyoke/experts/_change.py
+++ b/src/canvasyoke/experts/_change.py
@@ -52,12 +52,14 @@
 #: Milliseconds between checks whether all ranks have finished copying.
 _POLL_INTERVAL: Final = 25
 #: Distances from the current step at which a hold is attempted, in order. A near step usually has
-#: not begun by the time the hold arrives.
+#: not begun by the time the hold arrives. A step takes 50 ms or more, and arming takes one round
+#: trip.
 _STEPS_AHEAD: Final = (1, 1, 2, 3, 5)
 #: Distances used after an order has timed out: arming then takes several timeouts, and a more
 #: distant step shortens the time for which the group is stopped.
 _STEPS_AHEAD_AFTER_TIMEOUT: Final = (5, 5, 6, 7, 8)
-#: Maximum attempts to arm the ranks while the group is held.
+#: Maximum attempts to arm the ranks while the group is held. With a third of the orders unanswered,
+#: all of eight ranks had answered after five attempts in 24 of 25 changes.
 _MAX_ARM_ATTEMPTS: Final = 5
 #: Maximum number of ranks listed in a log record.
 _MAX_LOGGED_RANKS: Final = 8
--- a/src/canvasyoke/experts/_direct_group.py
+++ b/src/canvasyoke/experts/_direct_group.py
@@ -15,9 +15,12 @@
 from canvasyoke.experts._rank_port import MapOrder, OrderOutcome, RankReport
 
 ResultT = TypeVar("ResultT")
-#: Milliseconds within which an engine's reports to other hosts reflect a change.
+#: Milliseconds within which an engine's reports to other hosts reflect a change. The platform
+#: states some hundred milliseconds; its deployments have 200.
 ENGINE_REPORT_LAG: Final = 500
-#: Maximum number of concurrent calls. This bounds the memory for threads in large groups.
+#: Maximum number of concurrent calls. This bounds the memory for threads in large groups. An
+#: unanswered call takes 80 ms, so 96 lost ranks take a third of a second. A thread for each of them
+#: took a third of the memory that the process may use.
 _MAX_THREADS: Final = 24
 
 
--- a/src/canvasyoke/experts/_group_control.py
+++ b/src/canvasyoke/experts/_group_control.py
@@ -18,7 +18,8 @@
 
 #: Milliseconds for an order, its answer and the following report, plus an allowance per rank for
 #: the owner's processing. If it is too short, orders to large groups are repeated while their
-#: answers are on the way.
+#: answers are on the way. The farthest rank usually answers within 10 ms, and each rank takes the
+#: owner's process up to 3 ms.
 _ORDER_TIMEOUT: Final = 200
 _ORDER_TIMEOUT_PER_RANK: Final = 3
 #: Milliseconds between retries of operations that must succeed before the group can continue.
--- a/src/canvasyoke/experts/_lookup_limiter.py
+++ b/src/canvasyoke/experts/_lookup_limiter.py
@@ -9,7 +9,8 @@
 #: Milliseconds after which another lookup is allowed.
 _REFILL_INTERVAL: Final = 1 * SECOND
 #: Lookups allowed in quick succession: a starting process registers, finds the other processes and
-#: reads the configuration.
+#: reads the configuration. With one lookup a second a process was linked 1.0 s later than
+#: necessary, and the first map came as much later.
 _BURST: Final = 3
 
 
--- a/src/canvasyoke/experts/_note_keeper.py
+++ b/src/canvasyoke/experts/_note_keeper.py
@@ -17,7 +17,8 @@
 
 _log = part_logger("ranks")
 #: Mean milliseconds between checks. A check accepts an outdated answer, which the platform's store
-#: serves at a fraction of the cost of a regular call.
+#: serves at a fraction of the cost of a regular call. With 10,000 processes these are 333 checks a
+#: second.
 _CHECK_INTERVAL: Final = 30 * SECOND
 
 
--- a/src/canvasyoke/experts/_owner.py
+++ b/src/canvasyoke/experts/_owner.py
@@ -42,19 +42,23 @@
 #: Minimum total of the counts, over all layers and experts, for planning.
 _MIN_COUNTS: Final = 20_000
 #: Milliseconds without planning after no worthwhile change was found, and the rise in skew that
-#: ends this interval early. Planning is too expensive to repeat at every tick.
+#: ends this interval early. Planning is too expensive to repeat at every tick. A plan for 24 ranks
+#: and 16 layers takes a quarter of a second of processor time.
 _REPLAN_INTERVAL: Final = 2_000
 _REPLAN_SKEW_RISE: Final = 0.1
 #: Milliseconds after a demand shift during which a change with smaller savings is accepted, and
 #: those savings: a map planned right after a shift may be based in part on counts from before it.
 #: Applies only if a copy takes at most ``_MAX_COPY_FRACTION`` of the expected duration of the
-#: demand, as otherwise the additional copies cost more than they save.
+#: demand, as otherwise the additional copies cost more than they save. On one simulated day each,
+#: 568 callers were late instead of 606 with copies of 14 ms, but 329 instead of 225 with copies of
+#: 400 ms.
 _SHIFT_WINDOW: Final = 1_500
 _SHIFT_MIN_SAVINGS: Final = 0.12
 _MAX_COPY_FRACTION: Final = 0.02
 #: Version of no map: the ranks' layers are to be read.
 _UNKNOWN_VERSION: Final = -1
-#: Milliseconds that a change takes in addition to its copies, for orders, polling and arming.
+#: Milliseconds that a change takes in addition to its copies, for orders, polling and arming. 12 of
+#: 13 changes of 12 ranks took 46 to 144 ms, one 179 ms.
 _CHANGE_OVERHEAD: Final = 100
 
 
--- a/src/canvasyoke/experts/_rank_port.py
+++ b/src/canvasyoke/experts/_rank_port.py
@@ -126,7 +126,8 @@
 
 
 #: Timeouts in milliseconds for the local engine and for engines on other hosts. They are short
-#: because unanswered orders are repeated while the group is stopped.
+#: because unanswered orders are repeated while the group is stopped. The local engine answers
+#: within 1 ms, the farthest one within 10 ms.
 LOCAL_TIMEOUT: Final = 30
 REMOTE_TIMEOUT: Final = 80
 
--- a/src/canvasyoke/experts/_relay.py
+++ b/src/canvasyoke/experts/_relay.py
@@ -28,12 +28,13 @@
 from canvasyoke.transport import LinkServer, Session
 
 _log = part_logger("relay")
-#: Maximum size of a group in which all ranks link directly to the owner.
+#: Maximum size of a group in which all ranks link directly to the owner. Readings of 32 ranks with
+#: 1,536 numbers each take 1.2 Mbit/s.
 MAX_DIRECT_RANKS: Final = 32
 #: Number of ranks that never use a relay: the owner and its standby.
 _DIRECT_RANKS: Final = 2
 #: Maximum number of ranks per relay, including itself. It bounds the bandwidth for sending them a
-#: map.
+#: map. A map of 2 KB to each of 24 ranks takes 0.13 s at 3 Mbit/s.
 _MAX_RELAY_RANKS: Final = 24
 #: First number of the standby's orders. The owner counts from 1, so that a relay can tell from an
 #: answer whose order it answers.
--- a/src/canvasyoke/membership/_links.py
+++ b/src/canvasyoke/membership/_links.py
@@ -13,8 +13,9 @@
 from canvasyoke.protocol import Message
 from canvasyoke.transport import LinkClient, LinkServer, Session
 
-#: Milliseconds without a link after which a dialled process is considered unavailable, and
-#: for which the overlay then leaves it out. A killed process restarts within 3 s.
+#: Milliseconds without a link after which a dialled process is considered unavailable, and for
+#: which the overlay then leaves it out. A killed process restarts within 3 s. Connecting takes
+#: about 5 ms.
 _UNAVAILABLE_AFTER: Final = 3 * SECOND
 _UNAVAILABLE_FOR: Final = 5 * SECOND
 #: Milliseconds for which, in a mesh, the process whose name sorts last waits for the other
--- a/src/canvasyoke/membership/_overlay.py
+++ b/src/canvasyoke/membership/_overlay.py
@@ -23,8 +23,9 @@
 
 from canvasyoke.membership._nodes import Node, hash_order
 
-#: Largest fleet that is a full mesh. A larger mesh needs more links per process than the
-#: sparse overlay.
+#: Largest fleet that is a full mesh. A larger mesh needs more links per process than the sparse
+#: overlay. A dozen links cost a process 24 threads, about as many as the overlay of a hundred
+#: processes does.
 MESH_LIMIT: Final = 12
 #: Largest number of processes of one remote domain that dial the same process. With two, the
 #: death of one process does not cut the only link between two domains.
--- a/src/canvasyoke/membership/_watcher_election.py
+++ b/src/canvasyoke/membership/_watcher_election.py
@@ -26,13 +26,16 @@
 from canvasyoke._clock import Clock
 from canvasyoke.membership._nodes import hash_order
 
-#: Milliseconds without a report after which a watcher is considered failed. Reports are
-#: relayed every 300 ms and take several hops in a large domain.
+#: Milliseconds without a report after which a watcher is considered failed. Reports are relayed
+#: every 300 ms and take several hops in a large domain. In a domain of 44 processes they take six
+#: hops.
 _WATCHER_TIMEOUT: Final = 2_500
 #: Milliseconds between the starts of successive processes in order.
 _START_STAGGER: Final = 700
-#: Watchers per domain. Two, so that a store that rejects some machines is unlikely to leave
-#: the whole fleet without a watcher.
+#: Watchers per domain. Two, so that a store that rejects some machines is unlikely to leave the
+#: whole fleet without a watcher. If the store rejects a third of all machines, a fleet of three
+#: domains is without any watcher once in 24 times with one watcher per domain, and once in 500 with
+#: two.
 _WATCHERS_PER_DOMAIN: Final = 2
 #: Most active watchers in one report: the elected ones and others that are about to stop.
 _MAX_REPORTED: Final = 4
--- a/src/canvasyoke/target/_slot_manager.py
+++ b/src/canvasyoke/target/_slot_manager.py
@@ -31,8 +31,8 @@
 _TABLE_PREFIX: Final = "homes/"
 #: Milliseconds between reads of the slot table.
 POLL_INTERVAL: Final = 1 * SECOND
-#: The same while slots are expected from other holders. Requests for a released slot wait until
-#: its next holder reads the table.
+#: The same while slots are expected from other holders. Requests for a released slot wait until its
+#: next holder reads the table. With reads a second apart that took up to 1.1 s.
 _FAST_POLL_INTERVAL: Final = 200
 #: Milliseconds between reads of all leases while the slot assignment is unchanged.
 _LEASE_SCAN_INTERVAL: Final = 3 * SECOND
--- a/src/canvasyoke/transport/_exchange.py
+++ b/src/canvasyoke/transport/_exchange.py
@@ -20,8 +20,9 @@
 
 from canvasyoke._clock import SECOND
 
-#: TCP keep-alive detects a dead peer behind a silent connection: two probes, one second
-#: apart, after one second without traffic.
+#: TCP keep-alive detects a dead peer behind a silent connection: two probes, one second apart,
+#: after one second without traffic. Shorter intervals would add wake-ups. With longer ones a stream
+#: that could resume elsewhere would wait past the 2 s after which callers give up.
 _KEEPALIVE_IDLE_S: Final = 1
 _KEEPALIVE_INTERVAL_S: Final = 1
 _KEEPALIVE_PROBES: Final = 2
--- a/src/canvasyoke/transport/_link_client.py
+++ b/src/canvasyoke/transport/_link_client.py
@@ -23,8 +23,9 @@
 from canvasyoke.transport._receiver import Receiver
 from canvasyoke.transport._session import Session
 
-#: Connect timeout in milliseconds. The operating system retries after 1, 2 and 4 s, which
-#: would delay reconnecting after a network partition.
+#: Connect timeout in milliseconds. The operating system retries after 1, 2 and 4 s, which would
+#: delay reconnecting after a network partition. The farthest peer answers within 0.2 s. Without
+#: this limit, a link that was dialled during a partition came back 1.9 s after its end.
 _DIAL_TIMEOUT: Final = 500
 #: Timeout of each step of the handshake, in milliseconds.
 _HANDSHAKE_TIMEOUT: Final = 2 * SECOND
