Log which segments of prompts a broken exchange had, and how far its answer was

Callers saw: streams refused while engines ended one after the other. Cause: not shown by the logs so far. A line of a broken exchange names a digest of the whole request, so that requests with a common segment of their prompts look unrelated, and it does not tell a request that had just begun from one with events for a second. Conclusion: Prompt-Prefix is decoded in platform/ into the ids of all segments but the last. No decision reads them.

--- a/src/canvasyoke/direct/_answer_relay.py
+++ b/src/canvasyoke/direct/_answer_relay.py
@@ -78,7 +78,7 @@
                     if last_event_at:
                         self._roster.record_stream_event(backend, now - last_event_at)
                     else:
-                        call.has_begun = True
+                        call.begun_at = now
                         self._roster.record_stream_start(backend, now - call.sent_at)
                     last_event_at = now
                     current_id = event_id(event)
--- a/src/canvasyoke/direct/_call.py
+++ b/src/canvasyoke/direct/_call.py
@@ -132,6 +132,8 @@
     is_disconnected: Callable[[], bool]
     #: Id of the last event that the caller received.
     last_event: str = ""
+    #: Ids of the segments of its prompt that other requests may contain too.
+    shared_segments: tuple[str, ...] = ()
     #: Whether any part of the response body has been delivered.
     delivered: bool = False
     #: Error response of a backend, kept while another one is tried.
@@ -153,8 +155,10 @@
     #: Run id of the backend of the current exchange, and when the exchange began.
     backend: str = ""
     sent_at: int = 0
-    #: Whether the current exchange has delivered an event.
-    has_begun: bool = False
+    #: Whether the backend of the current exchange has sent a response head, and the clock time of
+    #: its first event; 0 before it.
+    has_head: bool = False
+    begun_at: int = 0
     #: Whether the exchange was closed because the backend did not respond.
     is_unresponsive: bool = False
     #: Whether the exchange was closed because the backend is too slow.
@@ -162,6 +166,11 @@
     #: Cached fingerprint; empty until first used.
     _fingerprint: str = ""
 
+    @property
+    def has_begun(self) -> bool:
+        """Return whether the current exchange has delivered an event."""
+        return self.begun_at > 0
+
     @property
     def attempted_runs(self) -> frozenset[str]:
         """Return the run ids of the backends that were tried."""
--- a/src/canvasyoke/direct/_caller_port.py
+++ b/src/canvasyoke/direct/_caller_port.py
@@ -25,6 +25,9 @@
     api_key: str
     #: Id of the last event that the caller received of a stream; empty if it does not resume one.
     resume_after: str
+    #: Ids of the segments of its prompt that other requests may contain too, in order. The last
+    #: segment of a prompt belongs to the request itself and is not among them.
+    shared_segments: tuple[str, ...]
     #: Headers that are forwarded to the backend.
     headers: tuple[tuple[str, str], ...]
 
--- a/src/canvasyoke/direct/_callers.py
+++ b/src/canvasyoke/direct/_callers.py
@@ -232,6 +232,7 @@
             deadline=now + min(timeout, route.timeout),
             is_disconnected=environ.get("waitress.client_disconnected", lambda: False),
             last_event=request.resume_after,
+            shared_segments=request.shared_segments,
         )
 
     def _pick_service(self, shares: tuple[ServiceShare, ...]) -> str:
--- a/src/canvasyoke/direct/_crash_detector.py
+++ b/src/canvasyoke/direct/_crash_detector.py
@@ -57,8 +57,11 @@
         self._metrics = metrics
         self._probe_port = probe_port
 
-    def check(self, call: DirectCall, endpoint: Endpoint, detail: str) -> BackendLiveness:
-        """Return the state of the backend that ``call`` was sent to, and log it."""
+    def check(self, call: DirectCall, endpoint: Endpoint, detail: str, now: int) -> BackendLiveness:
+        """Return the state of the backend that ``call`` was sent to, and log it.
+
+        ``now`` is the clock time at which the exchange failed.
+        """
         liveness = self._check_port(endpoint)
         self._metrics.record_exchange_failure(liveness)
         _log.warning(
@@ -67,6 +70,9 @@
             fingerprint=call.fingerprint,
             backend=endpoint.run,
             fate=liveness.value,
+            segments=list(call.shared_segments),
+            head=call.has_head,
+            begun_before=now - call.begun_at if call.has_begun else None,
             detail=detail,
         )
         return liveness
--- a/src/canvasyoke/direct/_exit_monitor.py
+++ b/src/canvasyoke/direct/_exit_monitor.py
@@ -137,7 +137,7 @@
         """Record that the connection of an exchange was lost, and probe its backend."""
         # Opened before the probe, so that no change of the run is missed meanwhile.
         is_new = self._open_failure(endpoint, call.fingerprint)
-        liveness = self._crash_detector.check(call, endpoint, detail)
+        liveness = self._crash_detector.check(call, endpoint, detail, self._clock.now())
         if liveness is BackendLiveness.LEAVING:
             if is_new:
                 self._withdraw(endpoint.run, call.fingerprint)
--- a/src/canvasyoke/direct/_forwarder.py
+++ b/src/canvasyoke/direct/_forwarder.py
@@ -148,7 +148,8 @@
         call.slot = ExchangeHandle(lambda: self._roster.may_send(endpoint))
         call.retry_charged = False
         call.backend, call.sent_at = endpoint.run, began
-        call.has_begun = call.is_unresponsive = call.is_moved = False
+        call.has_head = call.is_unresponsive = call.is_moved = False
+        call.begun_at = 0
         if call.is_disconnected():
             call.slot.cancel()
         try:
@@ -179,7 +180,7 @@
             call.sent_to.add(endpoint.run)
         if isinstance(sent, NotRun | MayHaveRun):
             return sent, sent
-        call.may_have_run = True
+        call.may_have_run = call.has_head = True
         try:
             return sent, (yield from self._relay.relay(call, sent))
         finally:
--- a/src/canvasyoke/direct/tests/test_crash_detector.py
+++ b/src/canvasyoke/direct/tests/test_crash_detector.py
@@ -47,7 +47,7 @@
     roster.merge([READY, LEAVING], 1)
     metrics = DirectMetrics()
     crash_detector = CrashDetector(roster, metrics, lambda _address, _timeout: probe_result)
-    assert crash_detector.check(make_call(), backend, "broke off") is expected
+    assert crash_detector.check(make_call(), backend, "broke off", 10_500) is expected
     assert f'broken_exchanges_total{{backend="{expected}"}} 1' in metrics.all.render()
 
 
--- a/src/canvasyoke/platform/_callers.py
+++ b/src/canvasyoke/platform/_callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Mapping
 from typing import Final
 
@@ -12,6 +13,11 @@
 _DEADLINE: Final = "request-deadline"
 _RESUME_AFTER: Final = "last-event-id"
 _BEARER_PREFIX: Final = "bearer "
+#: Segments of the prompt in order, as ``ID:TOKENS`` separated by commas; ids are hexadecimal.
+_SEGMENTS: Final = "prompt-prefix"
+_SEGMENT_ID: Final = re.compile(r"[0-9a-fA-F]{1,32}")
+#: Maximum number of segments that are read, which bounds what is remembered for a request.
+_MAX_SEGMENTS: Final = 32
 #: Hop-by-hop headers, and headers that the load balancer reads or sets itself.
 _NOT_FORWARDED: Final = frozenset(
     {
@@ -63,5 +69,15 @@
             timeout=int(patience),
             api_key=credentials[len(_BEARER_PREFIX) :].strip() if is_bearer else "",
             resume_after=headers.get(_RESUME_AFTER, ""),
+            shared_segments=_shared_segments(headers.get(_SEGMENTS, "")),
             headers=tuple((n.title(), v) for n, v in headers.items() if n not in _NOT_FORWARDED),
         )
+
+
+def _shared_segments(value: str) -> tuple[str, ...]:
+    """Return the ids of all segments but the last; unreadable ones are left out.
+
+    The header is forwarded as it is, so that an unreadable one is for the backend to reject.
+    """
+    ids = (item.partition(":")[0].strip() for item in value.split(",", _MAX_SEGMENTS)[:-1])
+    return tuple(dict.fromkeys(each for each in ids if _SEGMENT_ID.fullmatch(each)))
