--- a/fakes/platform_engine.py
+++ b/fakes/platform_engine.py
@@ -57,6 +57,10 @@
     port: int = 0
     #: Request body that crashes the engine; empty for none.
     crash_body: bytes = b""
+    #: Segment of prompts on which the engine crashes as it begins to answer; empty for none.
+    crash_segment: str = ""
+    #: Whether responses have neither a length nor chunks, so that they end with the connection.
+    is_unframed: bool = False
     #: Arrivals within a second above which the engine crashes while it is cold; 0 for no limit.
     crash_rate: float = 0.0
     #: Monotonic time in seconds until which the engine is cold.
@@ -109,6 +113,9 @@
                     engine.crash()
                     self.close_connection = True
                     return
+                if engine.crash_segment in shared_segments(self.headers.get("Prompt-Prefix", "")):
+                    crash_while_answering(self, engine)
+                    return
                 behaviour = engine.behaviours.popleft() if engine.behaviours else answer
                 if engine.is_shedding:
                     behaviour = overloaded
@@ -218,6 +225,11 @@
         return entry | ({"born": self.started} if self.started else {})
 
 
+def shared_segments(prompt: str) -> list[str]:
+    """Return the ids of all segments of a ``Prompt-Prefix`` but the last."""
+    return [item.partition(":")[0] for item in prompt.split(",")[:-1]]
+
+
 def _seal_headers(handler: Handler, engine: PlatformEngine) -> dict[str, str]:
     return {
         "Attempt-Id": handler.headers["Attempt-Id"],
@@ -231,24 +243,57 @@
     """Answer successfully: a stream for stream paths, a short body otherwise."""
     if "/stream" in handler.path:
         stream(handler, engine, engine.events)
-        handler.write_chunk(b"")
+        if not engine.is_unframed:
+            handler.write_chunk(b"")
+        return
+    body = f"answer of {engine.id}".encode()
+    if engine.is_unframed:
+        _begin_answer(handler, engine, {})
+        handler.wfile.write(body)
         return
-    handler.reply(200, f"answer of {engine.id}".encode(), _seal_headers(handler, engine))
+    handler.reply(200, body, _seal_headers(handler, engine))
 
 
-def stream(handler: Handler, engine: PlatformEngine, until: int) -> None:
-    """Send the events after ``Last-Event-Id`` up to number ``until``."""
+def _begin_answer(handler: Handler, engine: PlatformEngine, framing: dict[str, str]) -> None:
+    """Send the head of a response; without ``framing``, the response ends with the connection."""
     handler.send_response(200)
-    for name, value in _seal_headers(handler, engine).items():
+    for name, value in {**_seal_headers(handler, engine), **framing}.items():
         handler.send_header(name, value)
-    handler.send_header("Content-Type", "text/event-stream")
-    handler.send_header("Transfer-Encoding", "chunked")
+    if "/stream" in handler.path:
+        handler.send_header("Content-Type", "text/event-stream")
     handler.end_headers()
+    handler.close_connection = not framing
+
+
+def _write_piece(handler: Handler, engine: PlatformEngine, data: bytes) -> None:
+    if engine.is_unframed:
+        handler.wfile.write(data)
+    else:
+        handler.write_chunk(data)
+
+
+def crash_while_answering(handler: Handler, engine: PlatformEngine) -> None:
+    """Send the head of a response and its first bytes, then crash."""
+    is_stream = "/stream" in handler.path
+    framing = {"Transfer-Encoding": "chunked"} if is_stream else {"Content-Length": "100"}
+    _begin_answer(handler, engine, {} if engine.is_unframed else framing)
+    if is_stream:
+        _write_piece(handler, engine, event(1)[:6])
+    else:
+        handler.wfile.write(b"answ")
+    engine.crash()
+    handler.close_connection = True
+
+
+def stream(handler: Handler, engine: PlatformEngine, until: int) -> None:
+    """Send the events after ``Last-Event-Id`` up to number ``until``."""
+    framing = {} if engine.is_unframed else {"Transfer-Encoding": "chunked"}
+    _begin_answer(handler, engine, framing)
     first = int(handler.headers.get("Last-Event-Id") or 0) + 1
     for number in range(first, until + 1):
         engine.running.wait()
         try:
-            handler.write_chunk(event(number))
+            _write_piece(handler, engine, event(number))
         except OSError:
             engine.cancelled.set()
             raise
--- a/tests/crash_traffic.py
+++ b/tests/crash_traffic.py
@@ -11,7 +11,7 @@
 from fakes import platform_engine
 from fakes.http_base import Handler
 from fakes.platform_engine import PlatformEngine
-from tests.direct import DirectEntry, wait_until
+from tests.direct import DirectEntry, Reply, wait_until
 from tests.test_crashing_requests import CRASHING_BODY, CrashingFleet
 
 ENTRIES = 3
@@ -20,6 +20,8 @@
 #: Seconds between two ordinary requests of a caller, and that an engine takes for one.
 _CALLER_PAUSE = 0.04
 _SERVICE_TIME = 0.03
+#: Ordinary requests that are answered before the first crashing one.
+_WARM_UP = 40
 #: Seconds between two repetitions of the crashing request.
 _REPEAT_INTERVAL = 1.0
 #: Seconds from the exit of an engine until the next one is started at its address.
@@ -39,6 +41,8 @@
     sent: int = 0
     #: Statuses of ordinary requests that failed.
     failures: list[int] = field(default_factory=list)
+    #: Times at which ordinary requests were answered, and whether with success.
+    answered_at: list[tuple[float, bool]] = field(default_factory=list)
 
     @property
     def late_crashes(self) -> int:
@@ -81,25 +85,34 @@
         threads += [threading.Thread(target=self._watch, args=(n,)) for n in range(ENGINES)]
         for thread in threads:
             thread.start()
-        wait_until(lambda: self._result.sent > _CALLERS, "ordinary requests are answered")
+        wait_until(lambda: self._result.sent >= _WARM_UP, "ordinary requests are answered")
         for number in range(repeats):
             entry = entries[number % ENTRIES]
-            entry.call("/safe/1", body=CRASHING_BODY, request_id=f"crashing-{number}")
+            self.call_crashing(entry, number)
             time.sleep(_REPEAT_INTERVAL)
         self._stop.set()
         for thread in threads:
             thread.join()
         return self._result
 
+    def call_crashing(self, entry: DirectEntry, number: int) -> None:
+        """Send one crashing request."""
+        entry.call("/safe/1", body=CRASHING_BODY, request_id=f"crashing-{number}")
+
+    def call_ordinary(self, entry: DirectEntry, name: str) -> Reply:
+        """Send one ordinary request."""
+        return entry.call("/safe/1", body=name.encode(), request_id=name)
+
     def _call(self, entries: list[DirectEntry], caller: int) -> None:
         rng = random.Random(caller)
         number = 0
         while not self._stop.wait(_CALLER_PAUSE):
             number += 1
             name = f"ordinary-{caller}-{number}"
-            reply = rng.choice(entries).call("/safe/1", body=name.encode(), request_id=name)
+            reply = self.call_ordinary(rng.choice(entries), name)
             with self._lock:
                 self._result.sent += 1
+                self._result.answered_at.append((time.monotonic(), reply.status == 200))
                 if reply.status != 200:
                     self._result.failures.append(reply.status)
 
--- a/tests/direct.py
+++ b/tests/direct.py
@@ -66,6 +66,7 @@
     route("save", "shelf", MaxAttempts=1),
     route("safe", "shelf", "safe"),
     route("stream", "ink", "streaming"),
+    route("shelf-stream", "shelf", "streaming"),
     route("once", "ink", "streaming", StreamResume=False),
     route("short", "shelf", TimeoutMs=400),
     route("open", "shelf", AllowAnonymous=True),
