Crash detection, attribution and quarantine are a package of their own

Cause: they stood among 71 files of direct/, and took its call, roster and metrics as they were. The package crashes/ takes protocols and a BrokenExchange in their place; the exchange of cases leaves _peers for a module of its own.

--- a/src/canvasyoke/direct/_crash_detector.py
+++ b/src/canvasyoke/crashes/_crash_detector.py
@@ -11,9 +11,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from canvasyoke.direct._call import DirectCall
-from canvasyoke.direct._metrics import DirectMetrics
-from canvasyoke.direct._roster import Roster
+from canvasyoke.crashes._runs import BrokenExchange, CrashMetrics, RunDirectory
 from canvasyoke.observe import part_logger
 from canvasyoke.state import Endpoint
 from canvasyoke.transport import ProbeResult, probe_address
@@ -49,35 +47,32 @@
 
     def __init__(
         self,
-        roster: Roster,
-        metrics: DirectMetrics,
+        runs: RunDirectory,
+        metrics: CrashMetrics,
         probe_port: Callable[[str, int], ProbeResult] = probe_address,
     ) -> None:
-        self._roster = roster
+        self._runs = runs
         self._metrics = metrics
         self._probe_port = probe_port
 
-    def check(self, call: DirectCall, endpoint: Endpoint, detail: str, now: int) -> BackendLiveness:
-        """Return the state of the backend that ``call`` was sent to, and log it.
-
-        ``now`` is the clock time at which the exchange failed.
-        """
-        liveness = self._check_port(endpoint)
+    def check(self, exchange: BrokenExchange) -> BackendLiveness:
+        """Return the state of the backend of a broken exchange, and log it."""
+        liveness = self._check_port(exchange.endpoint)
         self._metrics.record_exchange_failure(liveness)
         _log.warning(
             "exchange broke",
-            request_id=call.request_id,
-            fingerprint=call.fingerprint,
-            backend=endpoint.run,
+            request_id=exchange.request_id,
+            traits=list(exchange.traits),
+            backend=exchange.endpoint.run,
             fate=liveness.value,
-            segments=list(call.shared_segments),
-            head=call.has_head,
-            begun_before=now - call.begun_at if call.has_begun else None,
-            detail=detail,
+            segments=list(exchange.segments),
+            head=exchange.has_head,
+            begun_before=exchange.begun_before,
+            detail=exchange.detail,
         )
         return liveness
 
     def _check_port(self, endpoint: Endpoint) -> BackendLiveness:
-        if not self._roster.is_ready(endpoint.run):
+        if not self._runs.is_ready(endpoint.run):
             return BackendLiveness.LEAVING
         return _LIVENESS_BY_REACH[self._probe_port(endpoint.address, _PROBE_TIMEOUT)]
--- a/src/canvasyoke/direct/_exit_monitor.py
+++ b/src/canvasyoke/crashes/_exit_monitor.py
@@ -22,12 +22,9 @@
 from typing import Final
 
 from canvasyoke._clock import SECOND, Clock
-from canvasyoke.direct._backend_records import RunChange
-from canvasyoke.direct._call import DirectCall
-from canvasyoke.direct._crash_detector import BackendLiveness, CrashDetector
-from canvasyoke.direct._metrics import DirectMetrics
-from canvasyoke.direct._quarantine import Quarantine
-from canvasyoke.direct._roster import Roster
+from canvasyoke.crashes._crash_detector import BackendLiveness, CrashDetector
+from canvasyoke.crashes._quarantine import Quarantine
+from canvasyoke.crashes._runs import BrokenExchange, CrashMetrics, RunChange, RunDirectory
 from canvasyoke.observe import part_logger
 from canvasyoke.state import Endpoint
 from canvasyoke.transport import ProbeResult, probe_address
@@ -44,10 +41,10 @@
 #: Milliseconds after which the cause of a failure stays unknown. Covers the expiry of a store entry
 #: and the start of the next run.
 _MAX_OPEN_TIME: Final = 10 * SECOND
-#: Maximum number of runs with open failures, and of requests for each. The oldest runs are dropped
+#: Maximum number of runs with open failures, and of traits for each. The oldest runs are dropped
 #: first.
 _MAX_RUNS: Final = 1_000
-_MAX_REQUESTS: Final = 1_000
+_MAX_TRAITS: Final = 4_000
 
 
 class ExitEvidence(enum.StrEnum):
@@ -68,8 +65,8 @@
     endpoint: Endpoint
     #: Clock time of the first of them.
     failed_at: int
-    #: Fingerprints of the requests.
-    requests: set[str] = field(default_factory=set)
+    #: Traits of the requests.
+    traits: set[str] = field(default_factory=set)
     #: Number of probes since the one right after the failure.
     probes: int = 0
     #: Whether a removal from the list calls for a probe at once.
@@ -99,14 +96,14 @@
     def __init__(
         self,
         crash_detector: CrashDetector,
-        roster: Roster,
+        runs: RunDirectory,
         quarantine: Quarantine,
-        metrics: DirectMetrics,
+        metrics: CrashMetrics,
         clock: Clock,
         probe_port: Callable[[str, int], ProbeResult] = probe_address,
     ) -> None:
         self._crash_detector = crash_detector
-        self._roster = roster
+        self._runs = runs
         self._quarantine = quarantine
         self._metrics = metrics
         self._clock = clock
@@ -122,7 +119,7 @@
         #: Changes of listed runs that the monitor has not processed yet.
         self._run_changes: deque[tuple[Endpoint, RunChange]] = deque()
         self._thread = threading.Thread(target=self._run, name="exits", daemon=True)
-        roster.on_run_change = self._queue_run_change
+        runs.watch_runs(self._queue_run_change)
 
     def start(self) -> None:
         """Start the monitoring thread."""
@@ -133,45 +130,48 @@
         """Return the number of runs with failures whose cause is open."""
         return len(self._open)
 
-    def record_failure(self, call: DirectCall, endpoint: Endpoint, detail: str) -> None:
+    def record_failure(self, exchange: BrokenExchange) -> None:
         """Record that the connection of an exchange was lost, and probe its backend."""
+        run = exchange.endpoint.run
         # Opened before the probe, so that no change of the run is missed meanwhile.
-        is_new = self._open_failure(endpoint, call.fingerprint)
-        liveness = self._crash_detector.check(call, endpoint, detail, self._clock.now())
+        opened = self._open_failure(exchange)
+        liveness = self._crash_detector.check(exchange)
         if liveness is BackendLiveness.LEAVING:
-            if is_new:
-                self._withdraw(endpoint.run, call.fingerprint)
+            self._withdraw(run, opened)
             return
-        ended_at = self._ended.get(endpoint.run)
+        ended_at = self._ended.get(run)
         if ended_at is not None:
-            self._quarantine.record_end(call.fingerprint, endpoint.run, ended_at)
+            for trait in exchange.traits:
+                self._quarantine.record_end(trait, run, ended_at)
         elif liveness is BackendLiveness.ENDED:
-            self._confirm(endpoint.run)
+            self._confirm(run)
 
-    def _open_failure(self, endpoint: Endpoint, fingerprint: str) -> bool:
-        """Open a failure of a request; return false if the same one is open or decided."""
+    def _open_failure(self, exchange: BrokenExchange) -> set[str]:
+        """Open a failure; return the traits for which none with this run is open or decided."""
+        run = exchange.endpoint.run
         with self._condition:
-            if endpoint.run in self._ended:
-                return False
-            if endpoint.run not in self._open:
-                self._open[endpoint.run] = _OpenFailure(endpoint, self._clock.now())
+            if run in self._ended:
+                return set()
+            if run not in self._open:
+                self._open[run] = _OpenFailure(exchange.endpoint, self._clock.now())
                 if len(self._open) > _MAX_RUNS:
                     self._open.popitem(last=False)
-            requests = self._open[endpoint.run].requests
-            if fingerprint in requests or len(requests) >= _MAX_REQUESTS:
-                return False
-            requests.add(fingerprint)
+            traits = self._open[run].traits
+            if len(traits) >= _MAX_TRAITS:
+                return set()
+            new = set(exchange.traits) - traits
+            traits |= new
             self._condition.notify()
-            return True
+            return new
 
-    def _withdraw(self, run: str, fingerprint: str) -> None:
-        """Remove a request from the open failures of a run."""
+    def _withdraw(self, run: str, traits: set[str]) -> None:
+        """Remove traits from the open failures of a run."""
         with self._condition:
             failure = self._open.get(run)
             if failure is None:
                 return
-            failure.requests.discard(fingerprint)
-            if not failure.requests:
+            failure.traits -= traits
+            if not failure.traits:
                 del self._open[run]
 
     def record_answer(self, run: str, sent_at: int) -> None:
@@ -196,7 +196,7 @@
             self._confirm_late(failure, ExitEvidence.ADDRESS_TAKEN)
 
     def _queue_run_change(self, endpoint: Endpoint, change: RunChange) -> None:
-        """Queue a change of a run; called with the roster's lock held."""
+        """Queue a change of a run; called with the list's lock held."""
         if not self._open:
             return
         with self._condition:
@@ -274,23 +274,23 @@
     def _confirm_late(self, failure: _OpenFailure, evidence: ExitEvidence) -> None:
         """Count the end of a run against its requests, unless it had announced that it leaves."""
         endpoint = failure.endpoint
-        if self._roster.is_leaving(endpoint):
+        if self._runs.is_leaving(endpoint):
             with self._condition:
                 self._open.pop(endpoint.run, None)
             return
-        requests = self._confirm(endpoint.run)
-        if requests:
+        traits = self._confirm(endpoint.run)
+        if traits:
             self._metrics.record_late_exit(evidence)
             _log.warning(
                 "backend had ended",
                 backend=endpoint.run,
                 evidence=evidence.value,
                 after_ms=self._clock.now() - failure.failed_at,
-                fingerprints=sorted(requests),
+                traits=sorted(traits),
             )
 
     def _confirm(self, run: str) -> frozenset[str]:
-        """Count the end of a run; return the fingerprints of the requests that failed with it."""
+        """Count the end of a run; return the traits of the requests that failed with it."""
         with self._condition:
             failure = self._open.pop(run, None)
             if failure is None:
@@ -298,6 +298,6 @@
             self._ended[run] = failure.failed_at
             if len(self._ended) > _MAX_RUNS:
                 self._ended.popitem(last=False)
-        for fingerprint in sorted(failure.requests):
-            self._quarantine.record_end(fingerprint, run, failure.failed_at)
-        return frozenset(failure.requests)
+        for trait in sorted(failure.traits):
+            self._quarantine.record_end(trait, run, failure.failed_at)
+        return frozenset(failure.traits)
--- a/src/canvasyoke/direct/_quarantine.py
+++ b/src/canvasyoke/crashes/_quarantine.py
@@ -14,7 +14,7 @@
 from typing import Final
 
 from canvasyoke._clock import SECOND, Clock
-from canvasyoke.direct._crash_cases import MIN_ENDED_RUNS, CrashCase, find_responsible
+from canvasyoke.crashes._cases import MIN_ENDED_RUNS, CrashCase, find_responsible
 from canvasyoke.observe import part_logger
 
 _log = part_logger("quarantine")
--- a/src/canvasyoke/direct/_quarantine_notes.py
+++ b/src/canvasyoke/crashes/_quarantine_notes.py
@@ -12,8 +12,8 @@
 import msgspec
 
 from canvasyoke._clock import SECOND, Clock
-from canvasyoke.direct._crash_cases import CrashCase
-from canvasyoke.direct._quarantine import Quarantine
+from canvasyoke.crashes._cases import CrashCase
+from canvasyoke.crashes._quarantine import Quarantine
 from canvasyoke.observe import part_logger
 from canvasyoke.state import FleetStore, Note, Unusable, read_note
 
--- a/src/canvasyoke/direct/tests/test_crash_detector.py
+++ b/src/canvasyoke/crashes/tests/test_crash_detector.py
@@ -8,8 +8,8 @@
 import pytest
 
 from canvasyoke._clock import ManualClock
-from canvasyoke.direct._crash_detector import BackendLiveness, CrashDetector
-from canvasyoke.direct._fingerprint import fingerprint
+from canvasyoke.crashes._crash_detector import BackendLiveness, CrashDetector
+from canvasyoke.crashes._fingerprint import fingerprint
 from canvasyoke.direct._metrics import DirectMetrics
 from canvasyoke.direct._roster import Roster
 from canvasyoke.direct.tests.calls import make_call
@@ -47,7 +47,9 @@
     roster.merge([READY, LEAVING], 1)
     metrics = DirectMetrics()
     crash_detector = CrashDetector(roster, metrics, lambda _address, _timeout: probe_result)
-    assert crash_detector.check(make_call(), backend, "broke off", 10_500) is expected
+    assert (
+        crash_detector.check(make_call().broken_exchange(backend, "broke off", 10_500)) is expected
+    )
     assert f'broken_exchanges_total{{backend="{expected}"}} 1' in metrics.all.render()
 
 
--- a/src/canvasyoke/direct/tests/test_exit_monitor.py
+++ b/src/canvasyoke/crashes/tests/test_exit_monitor.py
@@ -20,12 +20,12 @@
     NotRunCause,
     SendResult,
 )
-from canvasyoke.direct import _exit_monitor
+from canvasyoke.crashes import _exit_monitor
+from canvasyoke.crashes._crash_detector import CrashDetector
+from canvasyoke.crashes._exit_monitor import ExitMonitor
+from canvasyoke.crashes._quarantine import Quarantine
 from canvasyoke.direct._budget import FleetRetryBudget, RetryAllowance
-from canvasyoke.direct._crash_detector import CrashDetector
-from canvasyoke.direct._exit_monitor import ExitMonitor
 from canvasyoke.direct._metrics import DirectMetrics
-from canvasyoke.direct._quarantine import Quarantine
 from canvasyoke.direct._roster import Roster
 from canvasyoke.direct.tests.calls import ROUTE, CannedPort, make_call, make_forwarder
 from canvasyoke.state import Endpoint, EndpointState, Repeatability
@@ -62,7 +62,7 @@
         """Lose the connection of a request; return its fingerprint."""
         call = make_call()
         call.body = body
-        self.monitor.record_failure(call, endpoint, "broke off")
+        self.monitor.record_failure(call.broken_exchange(endpoint, "broke off", self.clock.now()))
         return call.fingerprint
 
     def wait(self, duration: int) -> None:
@@ -280,7 +280,7 @@
 
 def test_open_failures_take_bounded_memory(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(_exit_monitor, "_MAX_RUNS", 10)
-    monkeypatch.setattr(_exit_monitor, "_MAX_REQUESTS", 5)
+    monkeypatch.setattr(_exit_monitor, "_MAX_TRAITS", 5)
     entry = Entry()
     runs = [replace(RUN, id=f"m-{n}", address=f"10.0.1.{n}:1") for n in range(40)]
     entry.roster.merge(runs, 5)
--- a/src/canvasyoke/direct/tests/test_quarantine.py
+++ b/src/canvasyoke/crashes/tests/test_quarantine.py
@@ -13,12 +13,12 @@
 
 from canvasyoke._clock import SECOND, ManualClock
 from canvasyoke.backend import BackendAnswer, MayHaveRun, SendResult
-from canvasyoke.direct import _quarantine
+from canvasyoke.crashes import _quarantine
+from canvasyoke.crashes._cases import CrashCase, find_responsible
+from canvasyoke.crashes._quarantine import Quarantine
+from canvasyoke.crashes._quarantine_notes import QuarantineNotes
 from canvasyoke.direct._budget import FleetRetryBudget, RetryAllowance
 from canvasyoke.direct._call import AnswerEnd, AnswerHead, AnswerPart, DirectCall, ErrorAnswer
-from canvasyoke.direct._crash_cases import CrashCase, find_responsible
-from canvasyoke.direct._quarantine import Quarantine
-from canvasyoke.direct._quarantine_notes import QuarantineNotes
 from canvasyoke.direct._roster import Roster
 from canvasyoke.direct.tests.calls import ROUTE, CannedPort, make_call, make_forwarder
 from canvasyoke.platform._store import ObjectsFleetStore
--- a/src/canvasyoke/direct/tests/test_quarantine_fleet.py
+++ b/src/canvasyoke/crashes/tests/test_quarantine_fleet.py
@@ -12,9 +12,9 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from canvasyoke._clock import SECOND, ManualClock
+from canvasyoke.crashes._cases import MIN_ENDED_RUNS
+from canvasyoke.crashes._quarantine import Quarantine
 from canvasyoke.direct import _peers
-from canvasyoke.direct._crash_cases import MIN_ENDED_RUNS
-from canvasyoke.direct._quarantine import Quarantine
 from canvasyoke.direct.tests.fleet_model import SETTLE_STEPS, SimFleet, SimLinks
 
 CRASHING = "deadly"
--- a/src/canvasyoke/direct/_admin.py
+++ b/src/canvasyoke/direct/_admin.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from canvasyoke.direct._quarantine import Quarantine
+from canvasyoke.crashes import Quarantine
 from canvasyoke.observe import Metrics
 from canvasyoke.protocol import QuarantinedRequest
 
--- a/src/canvasyoke/direct/_attempt_recorder.py
+++ b/src/canvasyoke/direct/_attempt_recorder.py
@@ -4,11 +4,11 @@
 
 from typing import Final
 
+from canvasyoke._clock import Clock
 from canvasyoke.backend import BackendAnswer, MayHaveRun, NotRun, NotRunCause, SendResult
+from canvasyoke.crashes import ExitMonitor, Quarantine
 from canvasyoke.direct._call import Attempt, DirectCall
 from canvasyoke.direct._choice import Chosen
-from canvasyoke.direct._exit_monitor import ExitMonitor
-from canvasyoke.direct._quarantine import Quarantine
 from canvasyoke.direct._roster import Roster
 from canvasyoke.state import Endpoint
 
@@ -20,7 +20,10 @@
 class AttemptRecorder:
     """Passes the results of attempts on to the roster and to the quarantine."""
 
-    def __init__(self, roster: Roster, exit_monitor: ExitMonitor, quarantine: Quarantine) -> None:
+    def __init__(
+        self, roster: Roster, exit_monitor: ExitMonitor, quarantine: Quarantine, clock: Clock
+    ) -> None:
+        self._clock = clock
         self._roster = roster
         self._exit_monitor = exit_monitor
         self._quarantine = quarantine
@@ -110,7 +113,8 @@
         ):
             return
         self._roster.record_connection_lost(endpoint.run)
-        self._exit_monitor.record_failure(call, endpoint, failure.detail)
+        exchange = call.broken_exchange(endpoint, failure.detail, self._clock.now())
+        self._exit_monitor.record_failure(exchange)
 
 
 def _is_withdrawn(failure: NotRun | MayHaveRun | None) -> bool:
--- a/src/canvasyoke/direct/_backend_news.py
+++ b/src/canvasyoke/direct/_backend_news.py
@@ -1,25 +1,12 @@
-"""Converts changes of backends and crash cases to and from messages between entries."""
+"""Converts changes of backends to and from messages between entries."""
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-
-from canvasyoke.direct._crash_cases import CrashCase
 from canvasyoke.direct._known_backends import BackendChange
-from canvasyoke.protocol import BackendUpdate, CrashUpdate
+from canvasyoke.protocol import BackendUpdate
 from canvasyoke.state import Endpoint, EndpointState
 
 
-def to_crash_news(fingerprint: str, case: CrashCase, ages: Mapping[str, int]) -> CrashUpdate:
-    """Return the message for a request that may have crashed backends.
-
-    ``ages`` maps each run to the milliseconds since it crashed.
-    """
-    runs = sorted(case.runs)
-    run_ages = [ages.get(run, 0) for run in runs]
-    return CrashUpdate(fingerprint, case.cleared, runs, case.is_blamed, run_ages)
-
-
 def to_backend_news(change: BackendChange, cold_remaining: int = 0) -> BackendUpdate:
     """Return the message for a change of a backend.
 
--- a/src/canvasyoke/direct/_backend_records.py
+++ b/src/canvasyoke/direct/_backend_records.py
@@ -6,15 +6,15 @@
 
 from __future__ import annotations
 
-import enum
 import random
 import threading
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
-from typing import Final, TypeAlias
+from typing import Final
 
 from canvasyoke._clock import SECOND, Clock
 from canvasyoke.coordination import RANKERS, Ejection, Ranker
+from canvasyoke.crashes import OnRunChange, RunChange
 from canvasyoke.direct._backend_checks import BackendEvidence
 from canvasyoke.direct._backend_health import BackendHealth
 from canvasyoke.direct._backend_limits import BackendLimits
@@ -41,19 +41,6 @@
 _LARGE_FLEET_RANKER: Final = "near_paced"
 
 
-class RunChange(enum.Enum):
-    """Change of a run in the list of backends."""
-
-    ADDED = enum.auto()
-    #: The store lists it as leaving.
-    LEAVING = enum.auto()
-    REMOVED = enum.auto()
-
-
-#: Called with a run and its change, with the lock of the records held.
-OnRunChange: TypeAlias = Callable[[Endpoint, RunChange], None]
-
-
 @dataclass(frozen=True, slots=True)
 class FleetView:
     """The known entries that share the same backends."""
@@ -101,7 +88,7 @@
     #: creation.
     _confirmed_at: int = field(init=False)
     #: Observer of runs that are added, leave or are removed.
-    on_run_change: OnRunChange = lambda _endpoint, _change: None
+    _on_run_change: OnRunChange = lambda _endpoint, _change: None
     #: Moving average of request durations in milliseconds, by service.
     _durations: dict[str, float] = field(default_factory=dict)
 
@@ -225,11 +212,11 @@
             if member is None:
                 self._runs[endpoint.id] = endpoint.run
                 self._members[endpoint.run] = Member(endpoint, Ejection(self.clock), now)
-                self.on_run_change(endpoint, RunChange.ADDED)
+                self._on_run_change(endpoint, RunChange.ADDED)
             else:
                 member.endpoint, member.updated_at = endpoint, now
             if endpoint.state is EndpointState.LEAVING:
-                self.on_run_change(endpoint, RunChange.LEAVING)
+                self._on_run_change(endpoint, RunChange.LEAVING)
         if changes:
             self._assign_home_share()
             limits.parts.set_backends(member.endpoint for member in self._members.values())
@@ -250,11 +237,15 @@
         run = self._runs.pop(endpoint_id, None)
         if run is not None:
             endpoint = self._members.pop(run).endpoint
-            self.on_run_change(endpoint, RunChange.REMOVED)
+            self._on_run_change(endpoint, RunChange.REMOVED)
             self._notices.limits.cold.record_removed(endpoint)
             self._groups.forget(run)
             self._health.forget(run)
 
+    def watch_runs(self, on_change: OnRunChange) -> None:
+        """Set what is called on each change of a run, with the lock held."""
+        self._on_run_change = on_change
+
     def set_fleet(self, fleet: FleetView) -> None:
         """Set the entries that share the same backends."""
         with self._lock:
--- a/src/canvasyoke/direct/_call.py
+++ b/src/canvasyoke/direct/_call.py
@@ -8,9 +8,9 @@
 from typing import Final, TypeAlias
 
 from canvasyoke.backend import NO_NOTICE, BackendNotice
+from canvasyoke.crashes import BrokenExchange, fingerprint
 from canvasyoke.direct._choice import Chosen
-from canvasyoke.direct._fingerprint import fingerprint
-from canvasyoke.state import TableRoute, format_position
+from canvasyoke.state import Endpoint, TableRoute, format_position
 from canvasyoke.transport import ExchangeHandle
 
 #: Shortest time in milliseconds that a caller waits for the next event of a stream, and how many
@@ -183,6 +183,18 @@
             self._fingerprint = fingerprint(self.method, self.target, self.organisation, self.body)
         return self._fingerprint
 
+    def broken_exchange(self, endpoint: Endpoint, detail: str, now: int) -> BrokenExchange:
+        """Return the current exchange after its connection was lost."""
+        return BrokenExchange(
+            request_id=self.request_id,
+            endpoint=endpoint,
+            traits=(self.fingerprint,),
+            detail=detail,
+            has_head=self.has_head,
+            begun_before=now - self.begun_at if self.has_begun else None,
+            segments=self.shared_segments,
+        )
+
     @property
     def patience_until(self) -> int:
         """Return the clock time at which the caller gives up without a further event."""
--- a/src/canvasyoke/direct/_forwarder.py
+++ b/src/canvasyoke/direct/_forwarder.py
@@ -13,6 +13,7 @@
 
 from canvasyoke._clock import Clock
 from canvasyoke.backend import DirectBackendPort, MayHaveRun, NotRun, OutboundRequest, SendResult
+from canvasyoke.crashes import ExitMonitor, Quarantine
 from canvasyoke.direct._admission import NO_LIMIT
 from canvasyoke.direct._answer_relay import AnswerRelay
 from canvasyoke.direct._attempt_recorder import AttemptRecorder
@@ -26,9 +27,7 @@
     IncompleteAnswer,
 )
 from canvasyoke.direct._choice import BackendQuery, Chosen, NoneAvailable
-from canvasyoke.direct._exit_monitor import ExitMonitor
 from canvasyoke.direct._notice_handler import NoticeHandler
-from canvasyoke.direct._quarantine import Quarantine
 from canvasyoke.direct._refusals import MIN_ATTEMPT_TIME, RefusalPolicy
 from canvasyoke.direct._retries import RetryPolicy
 from canvasyoke.direct._return_times import ReturnTimes
@@ -70,7 +69,7 @@
         self._roster = roster
         self._budget = budget
         self._quarantine = quarantine
-        self._recorder = AttemptRecorder(roster, exit_monitor, quarantine)
+        self._recorder = AttemptRecorder(roster, exit_monitor, quarantine, clock)
         self._notice_handler = notice_handler
         self._waiting = waiting
         self._clock = clock
--- a/src/canvasyoke/direct/_peers.py
+++ b/src/canvasyoke/direct/_peers.py
@@ -14,11 +14,10 @@
 from typing import Final
 
 from canvasyoke._clock import SECOND, Clock
+from canvasyoke.crashes import CrashCase, CrashExchange, Quarantine, QuarantineNotes
 from canvasyoke.direct._backend_exchange import BackendExchange
-from canvasyoke.direct._backend_news import to_crash_news
 from canvasyoke.direct._backend_notices import SharedNotice
 from canvasyoke.direct._budget import FleetRetryBudget
-from canvasyoke.direct._crash_cases import CrashCase
 from canvasyoke.direct._demand_shares import DemandShares
 from canvasyoke.direct._entry_notes import EntryNotes
 from canvasyoke.direct._evacuation_exchange import EvacuationExchange
@@ -27,8 +26,6 @@
 from canvasyoke.direct._load_news import to_hashable, to_peer_load, to_relayed
 from canvasyoke.direct._load_schedule import LOAD_INTERVAL, MAX_INTERVAL, LoadSchedule
 from canvasyoke.direct._notice_exchange import NoticeExchange
-from canvasyoke.direct._quarantine import Quarantine
-from canvasyoke.direct._quarantine_notes import QuarantineNotes
 from canvasyoke.direct._roster import FleetView, Roster
 from canvasyoke.direct._table_exchange import TableExchange
 from canvasyoke.direct._table_follower import TableView
@@ -122,6 +119,7 @@
             roster.group_states, lambda: self._links.is_mesh, self._broadcast
         )
         self._notice_exchange = NoticeExchange(roster, self._broadcast)
+        self._crash_exchange = CrashExchange(quarantine, self._broadcast)
         #: Last result of the discovery, until the exchange thread takes it.
         self._discovered: list[Node] | None = None
         self._discovery_thread = threading.Thread(
@@ -169,7 +167,7 @@
 
     def announce_case(self, fingerprint: str, case: CrashCase) -> None:
         """Announce a request during which backends have crashed."""
-        self._broadcast(self._crash_news(fingerprint, case))
+        self._crash_exchange.share(fingerprint, case)
 
     def _run_discovery(self) -> None:
         """Poll the store for the other entries until stopped.
@@ -231,9 +229,7 @@
         self.evacuations.handle_open(session)  # first, see ``EvacuationFollower.is_settled``
         session.send(self._build_load(is_local=session.peer in self._domain_peers, relayed=[]))
         self._notice_exchange.handle_open(session)
-        cases = self._quarantine.cases()
-        if cases:
-            session.send(CrashList([self._crash_news(name, case) for name, case in cases.items()]))
+        self._crash_exchange.handle_open(session)
 
     def _handle_close(self, session: Session) -> None:
         self._backends.handle_close(session)
@@ -270,23 +266,11 @@
                 self._notice_exchange.receive(session, message)
             case EvacuationList():
                 self.evacuations.receive(session, message)
-            case CrashUpdate():
-                self._handle_crash_news(message)
-            case CrashList():
-                for news in message.cases:
-                    self._handle_crash_news(news)
+            case CrashUpdate() | CrashList():
+                self._crash_exchange.receive(message)
             case _:
                 _log.warning("unexpected message", peer=session.peer, kind=type(message).__name__)
 
-    def _crash_news(self, fingerprint: str, case: CrashCase) -> CrashUpdate:
-        return to_crash_news(fingerprint, case, self._quarantine.time_since_end(case.runs))
-
-    def _handle_crash_news(self, news: CrashUpdate) -> None:
-        case = CrashCase(news.cleared, frozenset(news.runs), news.is_blamed)
-        self._quarantine.merge(
-            news.fingerprint, case, dict(zip(news.runs, news.ages, strict=False))
-        )
-
     def _handle_load(self, session: Session, load: EntryLoad) -> None:
         self.evacuations.record_report()
         if load.demands:
--- a/src/canvasyoke/direct/_process.py
+++ b/src/canvasyoke/direct/_process.py
@@ -10,17 +10,16 @@
 
 from canvasyoke._clock import SECOND, Clock, SystemClock
 from canvasyoke.backend import DIRECT_BACKENDS
+from canvasyoke.crashes import CrashDetector, ExitMonitor, Quarantine
 from canvasyoke.direct._admin import AdminApp
 from canvasyoke.direct._budget import FleetRetryBudget, retry_allowance
 from canvasyoke.direct._caller_port import CALLER_PORTS
 from canvasyoke.direct._callers import MAX_CONCURRENT_REQUESTS, CallerApp
 from canvasyoke.direct._cold_monitor import ColdMonitor
-from canvasyoke.direct._crash_detector import CrashDetector
 from canvasyoke.direct._domains import DomainProber
 from canvasyoke.direct._drain import drain
 from canvasyoke.direct._endpoint_follower import EndpointFollower
 from canvasyoke.direct._evacuation_follower import EvacuationFollower
-from canvasyoke.direct._exit_monitor import ExitMonitor
 from canvasyoke.direct._forwarder import Forwarder
 from canvasyoke.direct._group_learner import GroupLearner
 from canvasyoke.direct._group_monitor import GroupMonitor
@@ -28,7 +27,6 @@
 from canvasyoke.direct._notice_handler import NoticeHandler
 from canvasyoke.direct._pace_monitor import PaceMonitor
 from canvasyoke.direct._peers import EntryPeers
-from canvasyoke.direct._quarantine import Quarantine
 from canvasyoke.direct._return_times import ReturnTimes
 from canvasyoke.direct._roster import Roster
 from canvasyoke.direct._table_follower import TableFollower, TableView
--- a/src/canvasyoke/direct/tests/calls.py
+++ b/src/canvasyoke/direct/tests/calls.py
@@ -7,14 +7,12 @@
 
 from canvasyoke._clock import Clock
 from canvasyoke.backend import DirectBackendPort, GroupReport, OutboundRequest, SendResult
+from canvasyoke.crashes import CrashDetector, ExitMonitor, Quarantine
 from canvasyoke.direct._budget import FleetRetryBudget
 from canvasyoke.direct._call import DirectCall
-from canvasyoke.direct._crash_detector import CrashDetector
-from canvasyoke.direct._exit_monitor import ExitMonitor
 from canvasyoke.direct._forwarder import Forwarder
 from canvasyoke.direct._metrics import DirectMetrics
 from canvasyoke.direct._notice_handler import NoticeHandler
-from canvasyoke.direct._quarantine import Quarantine
 from canvasyoke.direct._return_times import ReturnTimes
 from canvasyoke.direct._roster import Roster
 from canvasyoke.direct._waiting_gauges import build_waiting
--- a/src/canvasyoke/direct/tests/fleet_model.py
+++ b/src/canvasyoke/direct/tests/fleet_model.py
@@ -10,11 +10,11 @@
 import msgspec
 
 from canvasyoke._clock import SECOND, ManualClock
+from canvasyoke.crashes import Quarantine
 from canvasyoke.direct._budget import FleetRetryBudget, RetryAllowance
 from canvasyoke.direct._known_backends import BackendChange
 from canvasyoke.direct._metrics import DirectMetrics
 from canvasyoke.direct._peers import EntryPeers
-from canvasyoke.direct._quarantine import Quarantine
 from canvasyoke.direct._return_times import ReturnTimes
 from canvasyoke.direct._roster import Roster
 from canvasyoke.direct._table_follower import TableView
--- a/src/canvasyoke/tests/test_layers.py
+++ b/src/canvasyoke/tests/test_layers.py
@@ -15,6 +15,7 @@
     "admission",
     "observe",
     "membership",
+    "crashes",
     "backend",
     "entry",
     "target",
