Attribute crashes to segments of prompts that requests have in common

Callers saw: streams refused for seconds at a time, while requests with one segment in their prompts ended 14 engines of a group one after the other. Cause: ends of backends were filed under the digest of the whole request, and forgotten with it. Requests that differ in anything else were new each time, so that their ends never added up to a verdict. An answer without length or chunks that its backend's end cut off was handed on as whole, and counted for nobody. What changed: traits of a request (its digest, each shared segment) are kinds in a registry, and each has a case. Shared traits are in sound requests too: their answers are counted over the fleet, a response that goes on for 300 ms counts as one, requests with events for that long are no suspects of an end, segments never answered are blamed before others, and one in a twentieth of all answers is never blamed. The verdict holds before each choice and each write; what waits in a backend's queue is withdrawn. The end of an unframed answer is checked by a probe of its backend. Conclusion: the set of ends under a segment holds those of all its requests, so that three are known after three, whichever entry and request they came with.

--- a/src/canvasyoke/crashes/__init__.py
+++ b/src/canvasyoke/crashes/__init__.py
@@ -4,10 +4,10 @@
 from canvasyoke.crashes._crash_detector import BackendLiveness, CrashDetector
 from canvasyoke.crashes._exchange import CrashExchange
 from canvasyoke.crashes._exit_monitor import ExitMonitor
-from canvasyoke.crashes._fingerprint import fingerprint
 from canvasyoke.crashes._quarantine import Quarantine
 from canvasyoke.crashes._quarantine_notes import QuarantineNotes
 from canvasyoke.crashes._runs import BrokenExchange, OnRunChange, RunChange
+from canvasyoke.crashes._traits import RequestIdentity, find_traits, is_shared
 
 __all__ = [
     "BackendLiveness",
@@ -19,6 +19,8 @@
     "OnRunChange",
     "Quarantine",
     "QuarantineNotes",
+    "RequestIdentity",
     "RunChange",
-    "fingerprint",
+    "find_traits",
+    "is_shared",
 ]
--- /dev/null
+++ b/src/canvasyoke/crashes/_attribution.py
@@ -0,0 +1,207 @@
+"""Attribution of ended backends to the traits of requests that caused them.
+
+When a backend ends, all requests that it was running fail, and most of them are harmless. A trait
+is held responsible if:
+
+- requests with it have not been answered, or fewer of them than backends ended under it;
+- backends ended with it more often than without it;
+- the ended runs are not attributed to another trait, as each end has one cause.
+
+A request that crashes its backends has other segments in its prompt, which are under each of these
+ends too, and under those that other requests caused. Of traits that explain the same ends, those
+are blamed first whose requests were never answered.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+from typing import Final
+
+from canvasyoke.crashes._cases import CrashCase
+from canvasyoke.crashes._traits import is_shared
+
+#: Number of backends that must have ended under a trait without another explanation. Two could be
+#: a coincidence: a harmless request that is retried may meet a second failure. The operator
+#: tolerates three backends ended by one request.
+MIN_ENDED_RUNS: Final = 3
+#: The same for a shared trait that is not the only one to explain its ends, or whose requests were
+#: answered before. The operator tolerates five backends ended by one segment.
+_MIN_RUNS_IN_DOUBT: Final = 5
+#: Number of different moments in which backends must have ended under a shared trait whose requests
+#: were answered before.
+_MIN_MOMENTS_AFTER_ANSWERS: Final = 3
+#: Largest part of all answered requests that may have a shared trait to blame. Of a dozen requests
+#: that a backend runs, every second dozen has one with such a trait, so that a more common one is
+#: under most ends whatever their cause.
+_MAX_PREVALENCE: Final = 0.05
+#: Milliseconds for which reports on an ended run are awaited before it counts against a shared
+#: trait. Until then, that of a harmless request beside it may be the only one known.
+_REPORT_TIME: Final = 300
+#: Backends that end within this many milliseconds of one another are assumed to have one external
+#: cause, such as the loss of a machine or failure domain.
+_SIMULTANEITY_WINDOW: Final = 100
+#: Milliseconds to wait for a response to another copy of a request whose backends all ended at the
+#: same time. The operator allows 3 s until the cause of the ends must be known.
+_ANSWER_WAIT: Final = 2_000
+#: Only ends within this many milliseconds of those under a request count as background. Repetitions
+#: of one request were 4.2 to 4.7 s apart.
+_BACKGROUND_WINDOW: Final = 5_000
+
+
+@dataclass(frozen=True, slots=True)
+class Ends:
+    """When backends ended, and what is already explained."""
+
+    #: Clock time at which each run ended.
+    at: Mapping[str, int]
+    #: Current clock time.
+    now: int
+    #: Runs attributed to traits that were released since; they count neither way.
+    released: frozenset[str] = frozenset()
+
+    def reported(self, runs: frozenset[str]) -> frozenset[str]:
+        """Return the runs on whose ends all reports should have arrived."""
+        return frozenset(run for run in runs if self.now - self.at[run] >= _REPORT_TIME)
+
+
+def find_responsible(
+    cases: Mapping[str, CrashCase],
+    ends: Ends,
+    prevalence: Callable[[str], float] = lambda _name: 0.0,
+) -> frozenset[str]:
+    """Return the names of traits newly found responsible.
+
+    ``prevalence`` returns the part of the requests answered lately that have a trait, from 0 to 1.
+    Runs of cleared traits count as ends without the trait for every other suspect.
+    """
+    suspects = {
+        n: c
+        for n, c in cases.items()
+        if len(c.runs) >= MIN_ENDED_RUNS and not c.is_blamed and not _is_exonerated(c)
+    }
+    if not suspects:
+        return frozenset()
+    segments = {
+        n: c for n, c in suspects.items() if is_shared(n) and prevalence(n) <= _MAX_PREVALENCE
+    }
+    requests = {n: c.runs for n, c in suspects.items() if not is_shared(n)}
+    unanswered = {n: ends.reported(c.runs) for n, c in segments.items() if not c.was_answered}
+    answered = {n: ends.reported(c.runs) for n, c in segments.items() if c.was_answered}
+    blamed_segments = {n: c.runs for n, c in cases.items() if c.is_blamed and is_shared(n)}
+    blamed_requests = {n: c.runs for n, c in cases.items() if c.is_blamed and not is_shared(n)}
+    explained = ends.released | _union(blamed_segments.values())
+    # A segment is wider than a request that has it. Ends under several such requests speak for the
+    # segment, even if one of the requests was blamed first.
+    wider = {
+        n: runs
+        for n, runs in unanswered.items()
+        if not any(runs <= blamed for blamed in blamed_requests.values())
+    }
+    found = _blame(wider, ends, explained, rivals=requests)
+    explained |= _union(blamed_requests.values()) | _union(cases[n].runs for n in found)
+    found |= _blame(requests, ends, explained, rivals=unanswered)
+    explained |= _union(cases[n].runs for n in found)
+    return found | _blame_answered(answered, ends, explained)
+
+
+def _is_exonerated(case: CrashCase) -> bool:
+    return case.answer_count >= max(1, len(case.runs))
+
+
+def _blame(
+    suspects: Mapping[str, frozenset[str]],
+    ends: Ends,
+    explained: frozenset[str],
+    rivals: Mapping[str, frozenset[str]],
+) -> frozenset[str]:
+    """Return the suspects found responsible, those with the most unexplained ends first.
+
+    Ends that a rival may have caused do not count as ends without the suspect.
+    """
+    responsible: set[str] = set()
+    others = _union(_above_threshold(rivals).values())
+    while True:
+        suspects = _above_threshold({n: runs - explained for n, runs in suspects.items()})
+        if not suspects:
+            return frozenset(responsible)
+        most = max(len(runs) for runs in suspects.values())
+        leading = {n: runs for n, runs in suspects.items() if len(runs) == most}
+        if _is_in_doubt(leading):
+            return frozenset(responsible)
+        for name, runs in leading.items():
+            beside = _union(r for n, r in suspects.items() if n != name) | others
+            background = ends.at.keys() - runs - beside - explained
+            if _exceeds_background(runs, background, ends):
+                responsible.add(name)
+        explained |= _union(leading[name] for name in responsible & leading.keys())
+        suspects = {n: runs for n, runs in suspects.items() if n not in leading}
+
+
+def _is_in_doubt(leading: Mapping[str, frozenset[str]]) -> bool:
+    """Return whether further ends may show which of several shared traits caused those so far."""
+    shared = [runs for name, runs in leading.items() if is_shared(name)]
+    distinct = _union(shared)
+    is_ambiguous = sum(len(runs) for runs in shared) > len(distinct)
+    return is_ambiguous and len(shared[0]) < _MIN_RUNS_IN_DOUBT
+
+
+def _blame_answered(
+    suspects: Mapping[str, frozenset[str]], ends: Ends, explained: frozenset[str]
+) -> frozenset[str]:
+    """Return the suspects found responsible although their requests were answered before.
+
+    Where backends end for another reason, popular segments together are under nearly all ends.
+    Therefore such suspects do not explain ends for one another.
+    """
+    responsible = set()
+    for name, runs in suspects.items():
+        unexplained = runs - explained
+        if (
+            len(unexplained) >= _MIN_RUNS_IN_DOUBT
+            and len(_group_by_time(unexplained, ends.at)) >= _MIN_MOMENTS_AFTER_ANSWERS
+            and _exceeds_background(unexplained, ends.at.keys() - unexplained - explained, ends)
+        ):
+            responsible.add(name)
+    return frozenset(responsible)
+
+
+def _above_threshold(suspects: Mapping[str, frozenset[str]]) -> dict[str, frozenset[str]]:
+    return {name: runs for name, runs in suspects.items() if len(runs) >= MIN_ENDED_RUNS}
+
+
+def _union(sets: Iterable[frozenset[str]]) -> frozenset[str]:
+    return frozenset[str]().union(*sets)
+
+
+def _exceeds_background(runs: frozenset[str], background: Iterable[str], ends: Ends) -> bool:
+    """Return whether backends ended with a trait more often than without it.
+
+    Backends that ended at the same time without running such a request indicate an external cause.
+    So does each other group of ends shortly before or after; it counts once, since the loss of a
+    failure domain ends many backends at a time.
+    """
+    times = [ends.at[run] for run in runs]
+    groups_with, groups_without = 0, 0
+    for group in _group_by_time({*runs, *background}, ends.at):
+        unrelated = [run for run in group if run not in runs]
+        if len(unrelated) < len(group):
+            groups_with += 1
+            groups_without += len(unrelated)
+        elif any(abs(ends.at[group[0]] - at) <= _BACKGROUND_WINDOW for at in times):
+            groups_without += 1
+    if groups_with == 1 and (groups_without or ends.now - max(times) < _ANSWER_WAIT):
+        return False
+    return len(runs) > groups_without
+
+
+def _group_by_time(runs: Iterable[str], ended_at: Mapping[str, int]) -> list[list[str]]:
+    """Return runs grouped by the time at which they ended."""
+    groups: list[list[str]] = []
+    last_at = 0
+    for run in sorted(runs, key=lambda run: (ended_at[run], run)):
+        if not groups or ended_at[run] - last_at > _SIMULTANEITY_WINDOW:
+            groups.append([])
+        groups[-1].append(run)
+        last_at = ended_at[run]
+    return groups
--- a/src/canvasyoke/crashes/_crash_detector.py
+++ b/src/canvasyoke/crashes/_crash_detector.py
@@ -72,6 +72,10 @@
         )
         return liveness
 
+    def has_ended(self, endpoint: Endpoint) -> bool:
+        """Return whether a backend has ended without an announcement."""
+        return self._check_port(endpoint) is BackendLiveness.ENDED
+
     def _check_port(self, endpoint: Endpoint) -> BackendLiveness:
         if not self._runs.is_ready(endpoint.run):
             return BackendLiveness.LEAVING
--- a/src/canvasyoke/crashes/_exchange.py
+++ b/src/canvasyoke/crashes/_exchange.py
@@ -40,8 +40,18 @@
 def _to_message(name: str, case: CrashCase, ages: Mapping[str, int]) -> CrashUpdate:
     """Return the message; ``ages`` maps each run to the milliseconds since it ended."""
     runs = sorted(case.runs)
-    return CrashUpdate(name, case.cleared, runs, case.is_blamed, [ages.get(run, 0) for run in runs])
+    return CrashUpdate(
+        fingerprint=name,
+        cleared=case.cleared,
+        runs=runs,
+        is_blamed=case.is_blamed,
+        ages=[ages.get(run, 0) for run in runs],
+        was_answered=case.was_answered,
+        answers=dict(case.answers),
+    )
 
 
 def _to_case(news: CrashUpdate) -> CrashCase:
-    return CrashCase(news.cleared, frozenset(news.runs), news.is_blamed)
+    return CrashCase(
+        news.cleared, frozenset(news.runs), news.is_blamed, news.was_answered, news.answers
+    )
--- a/src/canvasyoke/crashes/_exit_monitor.py
+++ b/src/canvasyoke/crashes/_exit_monitor.py
@@ -130,6 +130,10 @@
         """Return the number of runs with failures whose cause is open."""
         return len(self._open)
 
+    def has_ended(self, endpoint: Endpoint) -> bool:
+        """Return whether a run has ended without an announcement; probes its port."""
+        return endpoint.run in self._ended or self._crash_detector.has_ended(endpoint)
+
     def record_failure(self, exchange: BrokenExchange) -> None:
         """Record that the connection of an exchange was lost, and probe its backend."""
         run = exchange.endpoint.run
--- a/src/canvasyoke/crashes/_quarantine.py
+++ b/src/canvasyoke/crashes/_quarantine.py
@@ -1,20 +1,24 @@
-"""Quarantine for requests that crash the backends that run them.
+"""Quarantine for traits of requests that crash the backends that run them.
 
-Such a request returns as a retry of the entry and, with another request id, as a retry of its
-caller at another entry. Entries therefore share what they observe by fingerprint. A request that is
-only suspected is still served, since most requests under which a backend ended are harmless.
+A request with such a trait returns as a retry of the entry, as a retry of its caller at another
+entry, or as another request that has the trait too. Entries therefore share what they observe by
+trait. Requests with a trait that is only suspected are still served, since most of those under
+which a backend ended are harmless.
 """
 
 from __future__ import annotations
 
 import threading
 from collections import OrderedDict
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from types import MappingProxyType
 from typing import Final
 
 from canvasyoke._clock import SECOND, Clock
-from canvasyoke.crashes._cases import MIN_ENDED_RUNS, CrashCase, find_responsible
+from canvasyoke.crashes._answer_counts import AnswerCounts
+from canvasyoke.crashes._attribution import MIN_ENDED_RUNS, Ends, find_responsible
+from canvasyoke.crashes._cases import CrashCase
+from canvasyoke.crashes._traits import is_shared
 from canvasyoke.observe import part_logger
 
 _log = part_logger("quarantine")
@@ -32,20 +36,28 @@
 _CASE_LIMIT: Final = 4_096
 _EVICTION_BATCH: Final = 512
 
-#: Publishes an updated case: the fingerprint and everything known about it.
+#: Answers to requests with a shared trait, for each backend that ended under it, beyond which no
+#: more are told to other entries. Bounds the messages for a trait that thousands of requests have.
+_ANSWERS_PER_END: Final = 4
+_MIN_ANSWERS_TOLD: Final = 20
+
+#: Publishes an updated case: the name of the trait and everything known about it.
 Publish = Callable[[str, CrashCase], None]
 
 
 class Quarantine:
     """The crash cases known to one entry; thread-safe."""
 
-    def __init__(self, clock: Clock, publish: Publish) -> None:
+    def __init__(self, clock: Clock, publish: Publish, entry: str = "") -> None:
         self._clock = clock
         self._publish = publish
+        #: Name of this entry.
+        self._entry = entry
         self._lock = threading.Lock()
         self._cases: dict[str, CrashCase] = {}
         #: Clock time of the last update of each case.
         self._updated_at: dict[str, int] = {}
+        self._answer_counts = AnswerCounts(clock)
         #: All runs that ended under a request, with the clock time at which they ended, or at which
         #: this entry learned of it if the time is not known.
         self._ended_at: dict[str, int] = {}
@@ -59,61 +71,89 @@
 
     @property
     def quarantined(self) -> frozenset[str]:
-        """Return the fingerprints of the quarantined requests."""
+        """Return the names of the quarantined traits."""
         return self._quarantined
 
     @property
     def suspects(self) -> int:
-        """Return the number of suspected requests that are not quarantined."""
+        """Return the number of suspected traits that are not quarantined."""
         with self._lock:
             return sum(1 for c in self._cases.values() if c.runs) - len(self._quarantined)
 
     def cases(self) -> dict[str, CrashCase]:
-        """Return all known cases by fingerprint."""
+        """Return all known cases by trait."""
         with self._lock:
             return dict(self._cases)
 
-    def is_quarantined(self, fingerprint: str) -> bool:
-        """Return whether a request is quarantined."""
-        return fingerprint in self._quarantined
+    def is_quarantined(self, name: str) -> bool:
+        """Return whether a trait is quarantined."""
+        return name in self._quarantined
+
+    def find_quarantined(self, traits: Iterable[str]) -> str:
+        """Return the first of ``traits`` that is quarantined, or an empty string."""
+        quarantined = self._quarantined
+        return next((name for name in traits if name in quarantined), "")
 
-    def record_end(self, fingerprint: str, run: str, at: int | None = None) -> None:
-        """Record that the run of a backend ended while it ran a request.
+    def record_end(self, name: str, run: str, at: int | None = None) -> None:
+        """Record that the run of a backend ended while it ran a request with a trait.
 
         ``at`` is the clock time at which it ended, which may be known only later; ``None`` for now.
         """
         with self._lock:
             self._record_end_time(run, self._clock.now() if at is None else at)
-            if self._was_answered(fingerprint):
+            if not is_shared(name) and self._was_answered(name):
                 return
-            known = self._cases.get(fingerprint, CrashCase())
-            self._merge(fingerprint, known.with_end(run))
+            known = self._cases.get(name, CrashCase())
+            self._merge(name, known.with_end(run))
             changes = self._take_changes()
         self._publish_all(changes)
 
-    def record_answer(self, fingerprint: str) -> None:
-        """Record a complete response to a request, which clears it."""
+    def record_answer(self, name: str) -> None:
+        """Record a complete response to a request, which clears its fingerprint."""
         with self._lock:
-            self._answered[fingerprint] = self._clock.now()
-            self._answered.move_to_end(fingerprint)
+            self._answered[name] = self._clock.now()
+            self._answered.move_to_end(name)
             if len(self._answered) > _ANSWERED_LIMIT:
                 self._answered.popitem(last=False)
-            self._clear(fingerprint)
+            self._clear(name)
             changes = self._take_changes()
         self._publish_all(changes)
 
-    def release(self, fingerprint: str) -> bool:
-        """Release a quarantined request; return false if it is not quarantined.
+    def record_shared_answer(self, names: Collection[str], sent_at: int) -> None:
+        """Record that a backend goes on with its response to a request with shared traits.
+
+        ``sent_at`` is the clock time at which the request was sent. A single response clears
+        nothing: not each request with such a trait has to crash its backend.
+        """
+        if not names:
+            return
+        with self._lock:
+            self._answer_counts.record(names)
+            for name in names:
+                case = self._cases.get(name)
+                if case is not None and case.runs and not case.is_blamed:
+                    self._count_answer(name, case, sent_at)
+
+    def _count_answer(self, name: str, case: CrashCase, sent_at: int) -> None:
+        enough = max(_MIN_ANSWERS_TOLD, _ANSWERS_PER_END * len(case.runs))
+        first_end = min(self._ended_at[run] for run in case.runs)
+        if sent_at <= first_end and not case.was_answered:
+            self._update(name, case.with_earlier_answers())
+        elif sent_at > first_end and case.answer_count < enough:
+            self._update(name, case.with_answer(self._entry))
+
+    def release(self, name: str) -> bool:
+        """Release a quarantined trait; return false if it is not quarantined.
 
         The case of a suspect is kept: without it, the ended runs would be attributed to other
         requests that were running at the time.
         """
         with self._lock:
-            was_released = fingerprint in self._quarantined and self._clear(fingerprint)
+            was_released = name in self._quarantined and self._clear(name)
             changes = self._take_changes()
         self._publish_all(changes)
         if was_released:
-            _log.info("request released from quarantine", fingerprint=fingerprint)
+            _log.info("released from quarantine", trait=name)
         return was_released
 
     def time_since_end(self, runs: Iterable[str]) -> dict[str, int]:
@@ -122,18 +162,16 @@
         with self._lock:
             return {run: max(0, now - self._ended_at.get(run, now)) for run in runs}
 
-    def merge(
-        self, fingerprint: str, case: CrashCase, ages: Mapping[str, int] | None = None
-    ) -> None:
+    def merge(self, name: str, case: CrashCase, ages: Mapping[str, int] | None = None) -> None:
         """Merge a case from another entry or from the store, and publish changes.
 
-        ``ages`` maps runs to the milliseconds since they ended, where known. The request is cleared
+        ``ages`` maps runs to the milliseconds since they ended, where known. A request is cleared
         if it was answered here recently.
         """
         with self._lock:
-            self._merge(fingerprint, case, ages or {})
-            if self._was_answered(fingerprint):
-                self._clear(fingerprint)
+            self._merge(name, case, ages or {})
+            if self._was_answered(name):
+                self._clear(name)
             changes = self._take_changes()
         self._publish_all(changes)
 
@@ -143,7 +181,7 @@
             if not self._ended_at:
                 return
             self._expire()
-            if any(len(case.runs) >= MIN_ENDED_RUNS for case in self._cases.values()):
+            if any(_is_pending(case) for case in self._cases.values()):
                 self._evaluate()
             changes = self._take_changes()
         self._publish_all(changes)
@@ -154,8 +192,8 @@
 
     def _publish_all(self, changes: dict[str, CrashCase]) -> None:
         """Publish changed cases. Called without the lock, since a receiver may call back."""
-        for fingerprint, case in changes.items():
-            self._publish(fingerprint, case)
+        for name, case in changes.items():
+            self._publish(name, case)
 
     def _take_changes(self) -> dict[str, CrashCase]:
         """Return and reset the cases that have changed."""
@@ -163,23 +201,25 @@
         self._changed.clear()
         return changes
 
-    def _was_answered(self, fingerprint: str) -> bool:
-        at = self._answered.get(fingerprint)
+    def _was_answered(self, name: str) -> bool:
+        at = self._answered.get(name)
         return at is not None and self._clock.now() - at < _ANSWER_TTL
 
-    def _clear(self, fingerprint: str) -> bool:
-        """Clear a request; return false if no ended runs are recorded for it."""
-        known = self._cases.get(fingerprint)
+    def _clear(self, name: str) -> bool:
+        """Clear a trait; return false if no ended runs are recorded for it."""
+        known = self._cases.get(name)
         if known is None or not known.runs:
             return False
-        self._merge(fingerprint, known.with_clearance())
+        self._merge(name, known.with_clearance())
         return True
 
     def _merge(
-        self, fingerprint: str, case: CrashCase, ages: Mapping[str, int] = MappingProxyType({})
+        self, name: str, case: CrashCase, ages: Mapping[str, int] = MappingProxyType({})
     ) -> None:
         """Merge ``case`` into the known one and re-evaluate all cases if necessary."""
-        known = self._cases.get(fingerprint)
+        known = self._cases.get(name)
+        if known is None and is_shared(name) and self._answer_counts.has(name):
+            case = case.with_earlier_answers()
         merged = case if known is None else known.merged(case)
         now = self._clock.now()
         for run in merged.runs:
@@ -188,35 +228,39 @@
             return
         if known is not None and known.is_blamed and merged.cleared > known.cleared:
             self._released_runs |= known.runs
-        self._update(fingerprint, merged)
+        self._update(name, merged)
         # A case below the threshold cannot change a verdict. Skipping it matters when a new link
         # transfers thousands of cases.
-        if len(merged.runs) >= MIN_ENDED_RUNS or fingerprint in self._quarantined:
+        if len(merged.runs) >= MIN_ENDED_RUNS or name in self._quarantined:
             self._evaluate()
         if len(self._cases) > _CASE_LIMIT:
             self._evict()
 
     def _evaluate(self) -> None:
-        for name in find_responsible(
-            self._cases, self._ended_at, self._clock.now(), self._released_runs
-        ):
+        ends = Ends(self._ended_at, self._clock.now(), self._released_runs)
+        for name in find_responsible(self._cases, ends, self._answer_counts.prevalence):
             self._update(name, self._cases[name].with_verdict())
         self._update_quarantined()
 
-    def _update(self, fingerprint: str, case: CrashCase) -> None:
-        self._cases[fingerprint] = case
-        self._updated_at[fingerprint] = self._clock.now()
-        self._changed.add(fingerprint)
+    def _update(self, name: str, case: CrashCase) -> None:
+        self._cases[name] = case
+        self._updated_at[name] = self._clock.now()
+        self._changed.add(name)
 
     def _update_quarantined(self) -> None:
         before = self._quarantined
         self._quarantined = frozenset(n for n, case in self._cases.items() if case.is_blamed)
         for name in self._quarantined - before:
+            case = self._cases[name]
             _log.warning(
-                "request quarantined", fingerprint=name, runs=sorted(self._cases[name].runs)
+                "quarantined",
+                trait=name,
+                runs=sorted(case.runs),
+                was_answered=case.was_answered,
+                answers=case.answer_count,
             )
         for name in before - self._quarantined:
-            _log.warning("request no longer quarantined", fingerprint=name)
+            _log.warning("no longer quarantined", trait=name)
 
     def _expire(self) -> None:
         oldest = self._clock.now() - _CASE_TTL
@@ -237,3 +281,7 @@
 
     def _remove(self, name: str) -> None:
         del self._cases[name], self._updated_at[name]
+
+
+def _is_pending(case: CrashCase) -> bool:
+    return len(case.runs) >= MIN_ENDED_RUNS and not case.is_blamed
--- a/src/canvasyoke/crashes/tests/test_crash_detector.py
+++ b/src/canvasyoke/crashes/tests/test_crash_detector.py
@@ -9,7 +9,7 @@
 
 from canvasyoke._clock import ManualClock
 from canvasyoke.crashes._crash_detector import BackendLiveness, CrashDetector
-from canvasyoke.crashes._fingerprint import fingerprint
+from canvasyoke.crashes._traits import fingerprint
 from canvasyoke.direct._metrics import DirectMetrics
 from canvasyoke.direct._roster import Roster
 from canvasyoke.direct.tests.calls import make_call
--- a/src/canvasyoke/direct/_answer_relay.py
+++ b/src/canvasyoke/direct/_answer_relay.py
@@ -2,15 +2,22 @@
 
 from __future__ import annotations
 
-from collections.abc import Generator
+from collections.abc import Callable, Generator
 from typing import Final
 
 from canvasyoke._clock import Clock
 from canvasyoke.backend import BackendAnswer, MayHaveRun
-from canvasyoke.direct._call import AnswerHead, AnswerPart, DirectCall, SavedFailure
+from canvasyoke.direct._call import (
+    BEGIN_TIME,
+    AnswerHead,
+    AnswerPart,
+    DirectCall,
+    SavedFailure,
+)
 from canvasyoke.direct._events import EventSplitter, event_id, is_after
 from canvasyoke.direct._retries import RetryPolicy
 from canvasyoke.direct._roster import Roster
+from canvasyoke.state import Endpoint
 from canvasyoke.transport import ExchangeError
 
 #: Milliseconds past the deadline in which the backend may report its own timeout.
@@ -24,13 +31,24 @@
 class AnswerRelay:
     """Relays streams event by event and buffers other responses."""
 
-    def __init__(self, roster: Roster, retries: RetryPolicy, clock: Clock) -> None:
+    def __init__(
+        self,
+        roster: Roster,
+        retries: RetryPolicy,
+        has_ended: Callable[[Endpoint], bool],
+        on_established: Callable[[DirectCall], None],
+        clock: Clock,
+    ) -> None:
         self._roster = roster
         self._retries = retries
+        #: Returns whether the process of a backend has ended, unplanned.
+        self._has_ended = has_ended
+        #: Called once a backend has survived the beginning of its response.
+        self._on_established = on_established
         self._clock = clock
 
     def relay(
-        self, call: DirectCall, answer: BackendAnswer
+        self, call: DirectCall, endpoint: Endpoint, answer: BackendAnswer
     ) -> Generator[AnswerPart, None, MayHaveRun | None]:
         """Relay a response; return why it is incomplete, or ``None`` if it is complete."""
         is_stream = call.route.is_stream and any(
@@ -38,13 +56,20 @@
             for name, value in answer.headers
         )
         if is_stream:
-            return (yield from self._relay_stream(call, answer))
+            return (yield from self._relay_stream(call, endpoint, answer))
         if call.delivered:
             return MayHaveRun("the backend did not go on with the stream")
-        return (yield from self._relay_buffered(call, answer))
+        return (yield from self._relay_buffered(call, endpoint, answer))
+
+    def _is_cut_off(self, endpoint: Endpoint, answer: BackendAnswer) -> bool:
+        """Return whether the end of a response may be the end of its backend.
+
+        Without framing, the response of a backend that ends looks complete.
+        """
+        return not answer.is_framed and self._has_ended(endpoint)
 
     def _relay_buffered(
-        self, call: DirectCall, answer: BackendAnswer
+        self, call: DirectCall, endpoint: Endpoint, answer: BackendAnswer
     ) -> Generator[AnswerPart, None, MayHaveRun | None]:
         """Buffer a response, so that the request can be retried if the response is truncated."""
         body = bytearray()
@@ -56,6 +81,8 @@
                 answer.wait_at_most(self._time_left(call))
         except ExchangeError as exc:
             return MayHaveRun(f"the answer broke off: {exc}", is_connection_lost=not exc.is_timeout)
+        if self._is_cut_off(endpoint, answer):
+            return MayHaveRun("the backend ended with its answer", is_connection_lost=True)
         head = AnswerHead(answer.status, answer.headers, len(body))
         if answer.status >= _SERVER_ERROR and self._retries.should_retry_failure(call):
             call.saved_failure = SavedFailure(head, bytes(body))
@@ -65,7 +92,7 @@
         return None
 
     def _relay_stream(
-        self, call: DirectCall, answer: BackendAnswer
+        self, call: DirectCall, endpoint: Endpoint, answer: BackendAnswer
     ) -> Generator[AnswerPart, None, MayHaveRun | None]:
         """Relay complete events as they arrive, skipping those the caller already has."""
         backend = call.backend
@@ -81,6 +108,9 @@
                         call.begun_at = now
                         self._roster.record_stream_start(backend, now - call.sent_at)
                     last_event_at = now
+                    if not call.is_established and now - call.begun_at > BEGIN_TIME:
+                        call.is_established = True
+                        self._on_established(call)
                     current_id = event_id(event)
                     if not is_after(current_id, call.last_event):
                         continue
@@ -100,6 +130,10 @@
                 self._roster.record_stream_end(backend)
         if splitter.has_partial_event:
             return MayHaveRun("the stream ended within an event", is_connection_lost=True)
+        if not (answer.is_framed or last_event_at):
+            return MayHaveRun("the stream ended before its first event", is_connection_lost=True)
+        if self._is_cut_off(endpoint, answer):
+            return MayHaveRun("the backend ended with its stream", is_connection_lost=True)
         if not call.delivered:
             yield AnswerHead(answer.status, answer.headers, None)
         return None
--- a/src/canvasyoke/direct/_attempt_recorder.py
+++ b/src/canvasyoke/direct/_attempt_recorder.py
@@ -78,6 +78,7 @@
             _is_withdrawn(failure)
             or call.is_moved
             or call.is_unresponsive
+            or call.is_withdrawn
             or (failure is not None and call.is_disconnected())
         ):
             self._roster.record_cancelled(backend)
@@ -103,8 +104,8 @@
     ) -> None:
         """Record whether the attempt cleared the request or crashed its backend."""
         if failure is None:
-            if isinstance(sent, BackendAnswer) and sent.status in _SUCCESS and sent.is_framed:
-                self._quarantine.record_answer(call.fingerprint)
+            if isinstance(sent, BackendAnswer) and sent.status in _SUCCESS:
+                self._record_success(call, sent)
             return
         if (
             not isinstance(failure, MayHaveRun)
@@ -116,6 +117,18 @@
         exchange = call.broken_exchange(endpoint, failure.detail, self._clock.now())
         self._exit_monitor.record_failure(exchange)
 
+    def record_established(self, call: DirectCall) -> None:
+        """Record that a backend has survived the beginning of its response."""
+        self._quarantine.record_shared_answer(call.shared_traits, call.sent_at)
+
+    def _record_success(self, call: DirectCall, answer: BackendAnswer) -> None:
+        if not call.is_established:
+            self.record_established(call)
+        # Nothing proves that an answer without framing was complete, and one clears its request.
+        if answer.is_framed:
+            for name in call.own_traits:
+                self._quarantine.record_answer(name)
+
 
 def _is_withdrawn(failure: NotRun | MayHaveRun | None) -> bool:
     return isinstance(failure, NotRun) and failure.cause is NotRunCause.WITHDRAWN
@@ -123,4 +136,4 @@
 
 def _closed_by_entry(call: DirectCall) -> bool:
     """Return whether this entry closed the exchange, which is no evidence of a backend failure."""
-    return call.is_moved or call.is_unresponsive or call.is_disconnected()
+    return call.is_moved or call.is_unresponsive or call.is_withdrawn or call.is_disconnected()
--- a/src/canvasyoke/direct/_call.py
+++ b/src/canvasyoke/direct/_call.py
@@ -8,7 +8,7 @@
 from typing import Final, TypeAlias
 
 from canvasyoke.backend import NO_NOTICE, BackendNotice
-from canvasyoke.crashes import BrokenExchange, fingerprint
+from canvasyoke.crashes import BrokenExchange, RequestIdentity, find_traits, is_shared
 from canvasyoke.direct._choice import Chosen
 from canvasyoke.state import Endpoint, TableRoute, format_position
 from canvasyoke.transport import ExchangeHandle
@@ -18,6 +18,9 @@
 _MIN_PATIENCE: Final = 2_000
 _PATIENCE_OBJECTIVES: Final = 4
 _PATIENCE_PAUSES: Final = 8
+#: Milliseconds from the first event of a response in which its backend still begins to write it.
+#: Covers a few steps of the backend, and the time until the loss of the connection is noticed.
+BEGIN_TIME: Final = 300
 
 
 @dataclass(frozen=True, slots=True)
@@ -159,12 +162,16 @@
     #: its first event; 0 before it.
     has_head: bool = False
     begun_at: int = 0
+    #: Whether events of the current exchange have come for longer than ``BEGIN_TIME``.
+    is_established: bool = False
     #: Whether the exchange was closed because the backend did not respond.
     is_unresponsive: bool = False
     #: Whether the exchange was closed because the backend is too slow.
     is_moved: bool = False
-    #: Cached fingerprint; empty until first used.
-    _fingerprint: str = ""
+    #: Whether the exchange was closed because the request was quarantined meanwhile.
+    is_withdrawn: bool = False
+    #: Cached traits; empty until first used.
+    _traits: tuple[str, ...] = ()
 
     @property
     def has_begun(self) -> bool:
@@ -177,21 +184,40 @@
         return frozenset(attempt.run for attempt in self.attempts)
 
     @property
-    def fingerprint(self) -> str:
-        """Return the fingerprint of the request, which is the same for each repetition."""
-        if not self._fingerprint:
-            self._fingerprint = fingerprint(self.method, self.target, self.organisation, self.body)
-        return self._fingerprint
+    def traits(self) -> tuple[str, ...]:
+        """Return the names of the traits by which crashes of backends are attributed."""
+        if not self._traits:
+            self._traits = find_traits(
+                RequestIdentity(
+                    self.method, self.target, self.organisation, self.body, self.shared_segments
+                )
+            )
+        return self._traits
+
+    @property
+    def own_traits(self) -> tuple[str, ...]:
+        """Return the traits that only repetitions of this request have."""
+        return tuple(name for name in self.traits if not is_shared(name))
+
+    @property
+    def shared_traits(self) -> tuple[str, ...]:
+        """Return the traits that different requests have too."""
+        return tuple(name for name in self.traits if is_shared(name))
 
     def broken_exchange(self, endpoint: Endpoint, detail: str, now: int) -> BrokenExchange:
-        """Return the current exchange after its connection was lost."""
+        """Return the current exchange after its connection was lost.
+
+        A shared trait crashes a backend as it begins its response, so that those of a response that
+        had been going on for some time are not among the suspects.
+        """
+        begun_before = now - self.begun_at if self.has_begun else None
         return BrokenExchange(
             request_id=self.request_id,
             endpoint=endpoint,
-            traits=(self.fingerprint,),
+            traits=self.own_traits if self.is_established else self.traits,
             detail=detail,
             has_head=self.has_head,
-            begun_before=now - self.begun_at if self.has_begun else None,
+            begun_before=begun_before,
             segments=self.shared_segments,
         )
 
--- a/src/canvasyoke/direct/_callers.py
+++ b/src/canvasyoke/direct/_callers.py
@@ -252,6 +252,8 @@
             for call in active_calls:
                 if call.slot is not None and not call.slot.is_cancelled and call.is_disconnected():
                     call.slot.cancel()
+                elif self._forwarder.close_if_quarantined(call):
+                    continue
                 elif self._forwarder.close_if_unresponsive(call):
                     self._on_unresponsive(call.backend)
 
--- a/src/canvasyoke/direct/_forwarder.py
+++ b/src/canvasyoke/direct/_forwarder.py
@@ -75,14 +75,17 @@
         self._clock = clock
         self._refusals = RefusalPolicy(roster, return_times, clock, rng)
         self._retries = RetryPolicy(roster, budget, clock)
-        self._relay = AnswerRelay(roster, self._retries, clock)
+        self._relay = AnswerRelay(
+            roster, self._retries, exit_monitor.has_ended, self._recorder.record_established, clock
+        )
 
     def run(self, call: DirectCall) -> Iterator[AnswerPart]:
         """Yield the parts of the response; the last one tells how it ended."""
         self._budget.record_request(call.service)
         while True:
-            if self._is_quarantined(call):
-                yield from self._finish(call, self._refuse_quarantined(call))
+            trait = self._quarantined_trait(call)
+            if trait:
+                yield from self._finish(call, self._refuse_quarantined(call, trait))
                 return
             chosen = self._choose(call)
             if isinstance(chosen, NoneAvailable):
@@ -99,29 +102,31 @@
             if call.is_disconnected():
                 yield CallerDisconnected()
                 return
+            if self._quarantined_trait(call):
+                continue
             denial_reason = self._retries.denial_reason(call, failure)
             if denial_reason:
                 detail = f"{failure.detail}; no retry: {denial_reason}"
                 yield from self._finish(call, self._refusals.final_answer(call, detail, failure))
                 return
 
-    def _is_quarantined(self, call: DirectCall) -> bool:
-        """Return whether a request is quarantined.
+    def _quarantined_trait(self, call: DirectCall) -> str:
+        """Return the trait for which a request is quarantined, or an empty string.
 
-        Checked before each attempt, since other entries may report it between two attempts. The
-        fingerprint is computed only while any request is quarantined.
+        Checked before each attempt and again before each write, since other entries may report it
+        meanwhile. The traits are computed only while any is quarantined.
         """
-        return bool(self._quarantine.quarantined) and self._quarantine.is_quarantined(
-            call.fingerprint
-        )
+        if not self._quarantine.quarantined:
+            return ""
+        return self._quarantine.find_quarantined(call.traits)
 
-    def _refuse_quarantined(self, call: DirectCall) -> ErrorAnswer | IncompleteAnswer:
+    def _refuse_quarantined(self, call: DirectCall, trait: str) -> ErrorAnswer | IncompleteAnswer:
         """Return the final response to a quarantined request.
 
         It is a 502: a 503 would invite a retry and a 4xx would blame the caller, while the request
         may have run and the crash is a fault of the backend.
         """
-        detail = f"backends ended under this request; quarantined as {call.fingerprint}"
+        detail = f"backends ended under this request; quarantined as {trait}"
         return IncompleteAnswer(detail) if call.delivered else ErrorAnswer(_BAD_GATEWAY, detail)
 
     def _choose(self, call: DirectCall) -> Chosen | NoneAvailable:
@@ -142,12 +147,11 @@
         """Make one attempt; return the failure, or ``None`` if the response is complete."""
         began = self._clock.now()
         endpoint = chosen.endpoint
-        # Checked again before the request is written: the backend may have asked for a backoff
-        # while the connection was being established.
-        call.slot = ExchangeHandle(lambda: self._roster.may_send(endpoint))
+        call.slot = ExchangeHandle(lambda: self._may_send(call, endpoint))
         call.retry_charged = False
         call.backend, call.sent_at = endpoint.run, began
-        call.has_head = call.is_unresponsive = call.is_moved = False
+        call.has_head = call.is_established = False
+        call.is_unresponsive = call.is_moved = call.is_withdrawn = False
         call.begun_at = 0
         if call.is_disconnected():
             call.slot.cancel()
@@ -166,6 +170,13 @@
         self._waiting.on_change()
         return failure
 
+    def _may_send(self, call: DirectCall, endpoint: Endpoint) -> bool:
+        """Return whether a request may be written to a backend once it is connected.
+
+        Meanwhile the backend may have asked for a backoff, or the request may be quarantined.
+        """
+        return self._roster.may_send(endpoint) and not self._quarantined_trait(call)
+
     def _exchange(
         self, call: DirectCall, endpoint: Endpoint, handle: ExchangeHandle
     ) -> Generator[AnswerPart, None, tuple[SendResult, NotRun | MayHaveRun | None]]:
@@ -181,7 +192,7 @@
             return sent, sent
         call.may_have_run = call.has_head = True
         try:
-            return sent, (yield from self._relay.relay(call, sent))
+            return sent, (yield from self._relay.relay(call, endpoint, sent))
         finally:
             sent.close()
 
@@ -209,6 +220,18 @@
         yield call.saved_failure.body
         yield AnswerEnd()
 
+    def close_if_quarantined(self, call: DirectCall) -> bool:
+        """Close an exchange whose request was quarantined before its response has begun.
+
+        It may still be in the queue of its backend. Returns true if the exchange was closed.
+        """
+        slot = call.slot
+        if slot is None or slot.is_cancelled or call.has_begun or not self._quarantined_trait(call):
+            return False
+        call.is_withdrawn = True
+        slot.cancel()
+        return True
+
     def close_if_unresponsive(self, call: DirectCall) -> bool:
         """Close an exchange whose backend does not respond, so that another one is tried.
 
--- a/src/canvasyoke/direct/_process.py
+++ b/src/canvasyoke/direct/_process.py
@@ -83,7 +83,9 @@
         return_times = ReturnTimes(self._roster, self._clock)
         self._waiting = build_waiting(self._roster, return_times, self._clock, self._metrics)
         self._quarantine = Quarantine(
-            self._clock, lambda name, case: self._peers.announce_case(name, case)
+            self._clock,
+            lambda name, case: self._peers.announce_case(name, case),
+            settings.instance,
         )
         make_store = FLEET_STORES.get(settings.adapter)
         self._peers = EntryPeers(
--- a/src/canvasyoke/protocol/_messages.py
+++ b/src/canvasyoke/protocol/_messages.py
@@ -464,9 +464,9 @@
 
 
 class CrashUpdate(msgspec.Struct, frozen=True, tag="crash_news"):
-    """Direct entry to entry: backends crashed during a request, or the request was cleared."""
+    """Direct entry to entry: backends crashed during requests with a trait, or it was cleared."""
 
-    #: Digest of the request.
+    #: Digest of the whole request, or the name of another trait.
     fingerprint: Annotated[str, msgspec.Meta(max_length=64)]
     #: Number of times that the request was cleared.
     cleared: Count
@@ -476,6 +476,10 @@
     is_blamed: bool = False
     #: Milliseconds since each of ``runs`` crashed; empty if the sender does not know.
     ages: Annotated[list[Count], msgspec.Meta(max_length=10_000)] = []
+    #: Whether requests with the trait were answered before the first crash.
+    was_answered: bool = False
+    #: Answers to requests with the trait that were sent after the first crash, by entry.
+    answers: Annotated[dict[Name, Count], msgspec.Meta(max_length=10_000)] = {}
 
 
 class CrashList(msgspec.Struct, frozen=True, tag="crash_list"):
