Close new connections unread at an entry that is nearly full

Callers saw: nothing yet; read in the code for an entry that gets nearly all new connections. It read up to 600 requests and refused what came after with a 503, which costs the caller an attempt, though a connection that is closed unread sends it to another entry. Ruled out: places. Conclusion: from nine tenths of the limit on connections are closed at once; the rest is for requests on open ones. The limit itself is reached in the new test of the server only.

--- a/src/canvasyoke/direct/_callers.py
+++ b/src/canvasyoke/direct/_callers.py
@@ -38,6 +38,9 @@
 _RETRY_AFTER_STOPPING: Final = 20
 #: Limit of concurrent requests. Bounds the memory used by their threads.
 MAX_CONCURRENT_REQUESTS: Final = 600
+#: Part of that limit from which on new connections are closed unread. Requests on open connections
+#: and on those accepted just before may still use the rest.
+_FULL_FRACTION: Final = 0.9
 #: Timeout in milliseconds of a caller that gives none; the route's timeout applies instead.
 _DEFAULT_TIMEOUT: Final = 3_600 * SECOND
 #: Milliseconds between checks for callers that have disconnected.
@@ -93,6 +96,10 @@
         """Return the number of requests in progress."""
         return self._active_requests
 
+    def is_full(self) -> bool:
+        """Return whether new callers should go to another entry."""
+        return self._active_requests >= _FULL_FRACTION * MAX_CONCURRENT_REQUESTS
+
     def __call__(self, environ: dict[str, Any], start: StartResponse) -> Iterable[bytes]:
         """Handle one request."""
         with self._lock:
--- a/src/canvasyoke/direct/_process.py
+++ b/src/canvasyoke/direct/_process.py
@@ -184,6 +184,7 @@
             self._clock,
             _server_limits(self._view.current.limits),
         )
+        self._caller_server.set_full_check(self._caller_app.is_full)
         admin = AdminApp(self._metrics.all, self._quarantine, self._not_ready)
         self._readiness_server = CallerServer(
             admin, settings.ready, _ADMIN_THREADS, self._clock, _ADMIN_LIMITS
--- a/src/canvasyoke/direct/tests/test_waiting_load.py
+++ b/src/canvasyoke/direct/tests/test_waiting_load.py
@@ -50,3 +50,15 @@
     assert outcome.in_use_after >= 0.8 * 105
     assert outcome.counts["rejected by an engine"] == 0
     assert outcome.queued_after <= 0.2 * 105
+
+
+@pytest.mark.parametrize("entries", [3, 8, 40, 99])
+@pytest.mark.parametrize("concentration", [0.4, 0.95])
+def test_an_entry_that_gets_most_callers_serves_them(entries: int, concentration: float) -> None:
+    """Places that other entries do not use must not stay free for them."""
+    kind = Kind(1, 0.8 * _CAPACITY)
+    even = replace(_SCENARIO, kinds=(kind,), entries=entries)
+    before = WaitingSimulation(even).run().kinds[kind]
+    during = WaitingSimulation(replace(even, concentration=concentration)).run().kinds[kind]
+    ratio = (during.served_first / during.asked) / (before.served_first / before.asked)
+    assert ratio >= 0.75
--- a/src/canvasyoke/direct/tests/waiting_model.py
+++ b/src/canvasyoke/direct/tests/waiting_model.py
@@ -165,8 +165,11 @@
 
     def _connect(self, caller: _Caller, where: float) -> None:
         entries = [entry for entry in self.entries if not entry.is_gone]
+        concentration = self.scenario.concentration
         # Callers are distributed unevenly over the entries.
         entry = entries[min(len(entries) - 1, int(len(entries) * where**1.2))]
+        if not caller.is_retry and self._is_burst() and self.rng.random() < concentration:
+            entry = entries[0]
         now, kind = self.clock.now(), caller.kind
         request = PendingRequest(
             priority=kind.priority,
@@ -238,6 +241,7 @@
         outcome = self.outcome.kinds[caller.kind]
         if caller.is_counted:
             outcome.served += 1
+            outcome.served_first += not caller.is_retry
             elapsed = self.now + _FIRST_EVENT - caller.started
             outcome.on_time += elapsed <= caller.kind.objective
 
--- a/src/canvasyoke/direct/tests/waiting_scenario.py
+++ b/src/canvasyoke/direct/tests/waiting_scenario.py
@@ -37,6 +37,8 @@
     slowdown: float = 1.0
     #: Whether half of the entries end in the middle of the burst.
     loses_half: bool = False
+    #: Part of the new callers that one entry gets during the burst, beside its own.
+    concentration: float = 0.0
     #: Whether the group is closed during the burst, with a known time of opening.
     closes: bool = False
     seed: int = 1
@@ -49,6 +51,8 @@
     asked: int = 0
     on_time: int = 0
     served: int = 0
+    #: Served at the first attempt.
+    served_first: int = 0
     lost: int = 0
 
 
--- a/src/canvasyoke/transport/_caller_server.py
+++ b/src/canvasyoke/transport/_caller_server.py
@@ -133,8 +133,22 @@
         self.limits = limits
         #: Whether each response closes its connection.
         self.is_draining = False
+        #: Returns whether new connections are closed at once.
+        self.is_full: Callable[[], bool] = lambda: False
         super().__init__(*args, **kw)
 
+    def handle_accept(self) -> None:
+        """Accept a connection; close it unread if the application is full.
+
+        The caller then knows that its request was not read, and tries another entry at once.
+        """
+        if not self.is_full():
+            super().handle_accept()
+            return
+        accepted = self.accept()
+        if accepted is not None:
+            accepted[0].close()
+
     def maintenance(self, _now: float) -> None:
         """Close idle connections and time out slow requests."""
         now = self.clock.now()
@@ -199,6 +213,10 @@
         self._server.adj.max_request_header_size = limits.header_bytes + 1
         self._server.adj.max_request_body_size = limits.body_bytes + 1
 
+    def set_full_check(self, is_full: Callable[[], bool]) -> None:
+        """Set what tells whether new connections are closed unread."""
+        self._server.is_full = is_full
+
     def set_draining(self, is_draining: bool) -> None:
         """Set whether each response closes its connection."""
         self._server.is_draining = is_draining
--- a/src/canvasyoke/transport/tests/test_caller_server.py
+++ b/src/canvasyoke/transport/tests/test_caller_server.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any
@@ -104,3 +105,19 @@
     connection.server._server.maintenance(0)
     connection.send(b"d" if sent else b"abcd")
     assert connection.socket.recv(4_096).startswith(b"HTTP/1.1 200 ")
+
+
+def test_a_full_server_closes_new_connections_unread(connection: Connection) -> None:
+    """A caller whose request was read and refused has lost an attempt."""
+    connection.server.set_full_check(lambda: True)
+    with socket.create_connection(connection.socket.getpeername(), EVENT_TIMEOUT) as new:
+        with contextlib.suppress(ConnectionError):
+            new.sendall(REQUEST + b"page")
+            assert new.recv(4_096) == b""
+    connection.send(REQUEST + b"page")
+    connection.wait_served()
+    assert connection.socket.recv(4_096).startswith(b"HTTP/1.1 200")
+    connection.server.set_full_check(lambda: False)
+    with socket.create_connection(connection.socket.getpeername(), EVENT_TIMEOUT) as new:
+        new.sendall(REQUEST + b"page")
+        assert new.recv(4_096).startswith(b"HTTP/1.1 200")
