An entry admits requests once it knows what is quarantined

An entry that had its configuration and backends admitted requests before it had read which are quarantined. Cause: the quarantine was no part of readiness, and a new link delivered it after the first report. Ruled out: a long wait. The store or a link answers it; after 3 s without either the entry goes on. Conclusion: cases come with a link before the report that makes an entry ready, as evacuations do. Without any answer for a minute a segment counts as rare: where nothing is served, nothing is lost.

--- a/src/canvasyoke/crashes/_answer_counts.py
+++ b/src/canvasyoke/crashes/_answer_counts.py
@@ -20,7 +20,7 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._began = clock.now()
+        self._created = self._began = clock.now()
         self._current: Counter[str] = Counter()
         self._previous: Counter[str] = Counter()
         #: Answers in both intervals, whatever their traits.
@@ -39,10 +39,16 @@
         return trait in self._current or trait in self._previous
 
     def prevalence(self, trait: str) -> float:
-        """Return the part of all answers whose requests had a trait; 1 without any answer."""
+        """Return the part of all answers whose requests had a trait, from 0 to 1.
+
+        Without any answer it is 1 in the first interval, in which others may know better, and 0
+        afterwards: nothing is served that a quarantine could keep away.
+        """
         self._advance()
         total = self._current_total + self._previous_total
-        return (self._current[trait] + self._previous[trait]) / total if total else 1.0
+        if not total:
+            return 0.0 if self._clock.now() - self._created >= _INTERVAL else 1.0
+        return (self._current[trait] + self._previous[trait]) / total
 
     def _advance(self) -> None:
         now = self._clock.now()
--- a/src/canvasyoke/crashes/_quarantine_notes.py
+++ b/src/canvasyoke/crashes/_quarantine_notes.py
@@ -44,7 +44,8 @@
         self._clock = clock
         self._read_at = -_FIRST_READ_INTERVAL
         self._written_at = -_WRITE_INTERVAL
-        self._has_read = False
+        #: Whether the cases were read since the start, or since the store was last restored.
+        self.has_read = False
         #: Store era that ``_stored`` belongs to.
         self._era = 0
         #: Cases that the store is known to hold.
@@ -56,10 +57,10 @@
         now = self._clock.now()
         if era > self._era:
             self._era = era
-            self._has_read = False
+            self.has_read = False
             self._read_at = now - _FIRST_READ_INTERVAL
             self._stored.clear()
-        if now - self._read_at >= (_READ_INTERVAL if self._has_read else _FIRST_READ_INTERVAL):
+        if now - self._read_at >= (_READ_INTERVAL if self.has_read else _FIRST_READ_INTERVAL):
             self._read_at = now
             self._read()
         unwritten = self._unwritten()
@@ -68,11 +69,11 @@
             self._write(unwritten)
 
     def _read(self) -> None:
-        notes = self._store.notes(_KIND, allow_stale=self._has_read)
+        notes = self._store.notes(_KIND, allow_stale=self.has_read)
         if not isinstance(notes, list):
             _log.warning("reading quarantine cases from the store failed", cause=notes.detail)
             return
-        self._has_read = True
+        self.has_read = True
         for note in notes:
             self._apply(note)
 
--- a/src/canvasyoke/direct/_peers.py
+++ b/src/canvasyoke/direct/_peers.py
@@ -61,6 +61,8 @@
 #: Milliseconds between load updates in a sparse overlay if nothing has changed; they also
 #: relay the reports of the watcher election.
 _MAX_RELAY_INTERVAL: Final = 300
+#: Milliseconds after the start for which an entry waits until it knows what is quarantined.
+_MAX_QUARANTINE_WAIT: Final = 3 * SECOND
 _ROLE: Final = "direct"
 
 
@@ -89,6 +91,7 @@
         self._quarantine = quarantine
         self._quarantine_notes = QuarantineNotes(store, quarantine, clock)
         self._clock = clock
+        self._started_at = clock.now()
         self._waiting = waiting
         self._stop = threading.Event()
         self._notes = EntryNotes(self._own, store, clock, rng)
@@ -141,6 +144,18 @@
         """Return whether this entry watches the store for its domain."""
         return self.election.is_watching
 
+    def knows_quarantine(self) -> bool:
+        """Return whether this entry knows which requests are quarantined, as far as it can.
+
+        They are in the store and at the other entries. Without an answer of either, an entry does
+        not wait for long: most requests are not quarantined.
+        """
+        return (
+            self._quarantine_notes.has_read
+            or self.evacuations.has_heard_peer
+            or self._clock.now() - self._started_at >= _MAX_QUARANTINE_WAIT
+        )
+
     def announce_table(self) -> None:
         """Announce the version of the configuration in force."""
         self._send_load_now()
@@ -226,10 +241,11 @@
 
     def _handle_open(self, session: Session) -> None:
         _log.info("linked", peer=session.peer, incarnation=session.incarnation)
-        self.evacuations.handle_open(session)  # first, see ``EvacuationFollower.is_settled``
+        # Both before the first report, after which a peer admits requests.
+        self.evacuations.handle_open(session)
+        self._crash_exchange.handle_open(session)
         session.send(self._build_load(is_local=session.peer in self._domain_peers, relayed=[]))
         self._notice_exchange.handle_open(session)
-        self._crash_exchange.handle_open(session)
 
     def _handle_close(self, session: Session) -> None:
         self._backends.handle_close(session)
--- a/src/canvasyoke/direct/_process.py
+++ b/src/canvasyoke/direct/_process.py
@@ -169,7 +169,7 @@
         )
         self._caller_app = CallerApp(
             CALLER_PORTS.get(settings.adapter)(),
-            lambda: self._view.current if self._knows_evacuations() else RoutingTable(),
+            lambda: self._view.current if self._may_admit() else RoutingTable(),
             forwarder,
             self._clock,
             rng,
@@ -262,6 +262,10 @@
         has_heard_peer = self._peers.evacuations.has_heard_peer
         return self._evacuation_follower.is_settled(has_rest, has_heard_peer)
 
+    def _may_admit(self) -> bool:
+        """Return whether this entry knows what is kept from backends."""
+        return self._knows_evacuations() and self._peers.knows_quarantine()
+
     def _not_ready(self) -> str:
         if self._stopping.is_set():
             return "stopping"
@@ -271,6 +275,8 @@
             return "no list of backends yet"
         if not self._knows_evacuations():
             return "no list of evacuations yet"
+        if not self._peers.knows_quarantine():
+            return "no list of quarantined requests yet"
         if self._roster.is_isolated():
             return "cut off from the backends"
         return ""
--- a/tests/direct.py
+++ b/tests/direct.py
@@ -67,6 +67,7 @@
     route("safe", "shelf", "safe"),
     route("stream", "ink", "streaming"),
     route("shelf-stream", "shelf", "streaming"),
+    route("held", "held", "safe"),
     route("once", "ink", "streaming", StreamResume=False),
     route("short", "shelf", TimeoutMs=400),
     route("open", "shelf", AllowAnonymous=True),
@@ -78,7 +79,11 @@
     return {
         "Version": version,
         "Routes": routes,
-        "Services": [{"Name": "shelf", "MaxConnections": 100}, {"Name": "ink", "Engine": ENGINE}],
+        "Services": [
+            {"Name": "shelf", "MaxConnections": 100},
+            {"Name": "held", "MaxConnections": 100},
+            {"Name": "ink", "Engine": ENGINE},
+        ],
         "Limits": LIMITS,
         "Tenants": [{"Name": "kibanda", "ApiKeys": [KEY], "Priority": 2}],
     }
--- a/tests/test_crashing_segments.py
+++ b/tests/test_crashing_segments.py
@@ -6,9 +6,12 @@
 
 from __future__ import annotations
 
+import time
+
+from fakes import platform_engine
 from fakes.platform_engine import PlatformEngine, shared_segments
 from tests.crash_traffic import CrashTraffic
-from tests.direct import DirectEntry, Reply
+from tests.direct import TIMEOUT_SECONDS, DirectEntry, Reply, read_reply, wait_until
 
 SEED = 1
 REPEATS = 14
@@ -24,6 +27,8 @@
 #: fraction of their success before.
 RECOVERY_TIME = 2 * PROPAGATION_TIME
 MIN_SUCCESS = 0.5
+#: Seconds between crashes that are not taken for simultaneous ones.
+MOMENT = 0.2
 #: Least number of ordinary requests that a comparison takes.
 MIN_SAMPLE = 20
 
@@ -54,6 +59,17 @@
         number = int(name.rsplit("-", 1)[1])
         return self._send(entry, name, [FIRST_SEGMENT, LATER_SEGMENT, f"beef{number:x}"])
 
+    def warm_up(self, entries: list[DirectEntry]) -> None:
+        """Have ordinary requests answered at each entry."""
+        for number in range(MIN_SAMPLE):
+            self.call_ordinary(entries[number % len(entries)], f"ordinary-{number}")
+
+    def crash_backends(self, entry: DirectEntry) -> None:
+        """Send crashing requests in different moments."""
+        for number in range(TOLERATED_CRASHES):
+            self.call_crashing(entry, number)
+            time.sleep(MOMENT)
+
     def _send(self, entry: DirectEntry, name: str, segments: list[str]) -> Reply:
         return entry.call(
             self._path, body=name.encode(), request_id=name, Prompt_Prefix=prompt(*segments)
@@ -108,3 +124,47 @@
 
 def test_a_crash_during_a_stream_without_length_or_chunks_counts() -> None:
     check_crash_limit("/shelf-stream/stream", is_unframed=True)
+
+
+def test_requests_in_queues_are_withdrawn_when_their_segment_is_quarantined() -> None:
+    """A backend that begins such a request later would crash too."""
+    traffic = SegmentTraffic("/safe/1", is_unframed=False, port_close_delay=0.0)
+    try:
+        entries = traffic.add_linked(2)
+        traffic.warm_up(entries)
+        held = PlatformEngine("held-1")
+        held.behaviours.append(platform_engine.silent)
+        traffic.shelf.append(held)
+        traffic.store.put("servers", held.id, held.store_entry("held"))
+        queued = entries[0].send(
+            "/held/1",
+            body=b"queued",
+            request_id="queued",
+            Prompt_Prefix=prompt(CRASHING_SEGMENT, "1"),
+        )
+        assert held.arrived.wait(TIMEOUT_SECONDS)
+        traffic.crash_backends(entries[1])
+        assert read_reply(queued).status == 502
+        assert held.cancelled.wait(TIMEOUT_SECONDS)
+    finally:
+        traffic.close()
+
+
+def test_a_restarted_entry_knows_the_quarantine_before_it_admits_requests() -> None:
+    traffic = SegmentTraffic("/safe/1", is_unframed=False, port_close_delay=0.0)
+    try:
+        (entry,) = traffic.add_linked(1)
+        traffic.warm_up([entry])
+        traffic.crash_backends(entry)
+        wait_until(lambda: traffic.store.get("quarantine"), "it stands in the store")
+        entry.process.kill()
+        entry.process.wait()
+        again = traffic.add_entry()
+        again.wait_ready()
+        arrivals = len(traffic.arrivals_with_segment())
+        again.call(
+            "/safe/1", body=b"late", request_id="late", Prompt_Prefix=prompt(CRASHING_SEGMENT, "2")
+        )
+        assert len(traffic.arrivals_with_segment()) == arrivals
+    finally:
+        traffic.close()
