--- /dev/null
+++ b/src/canvasyoke/crashes/tests/test_segments.py
@@ -0,0 +1,292 @@
+"""Attribution of ended backends to segments that requests have in common."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+import pytest
+
+from canvasyoke._clock import SECOND, ManualClock
+from canvasyoke.backend import MayHaveRun, NotRun, NotRunCause, OutboundRequest, SendResult
+from canvasyoke.crashes._answer_counts import _INTERVAL, _MAX_TRAITS, AnswerCounts
+from canvasyoke.crashes._attribution import Ends, find_responsible
+from canvasyoke.crashes._cases import CrashCase
+from canvasyoke.crashes._exchange import CrashExchange
+from canvasyoke.crashes._quarantine import Quarantine
+from canvasyoke.crashes._traits import TRAITS, RequestIdentity, find_traits, is_shared
+from canvasyoke.direct._budget import FleetRetryBudget, RetryAllowance
+from canvasyoke.direct._call import BEGIN_TIME, ErrorAnswer
+from canvasyoke.direct._roster import Roster
+from canvasyoke.direct.tests.calls import ROUTE, CannedPort, make_call, make_forwarder
+from canvasyoke.protocol import CrashUpdate, Message
+from canvasyoke.state import Endpoint, EndpointState, Repeatability
+from canvasyoke.transport import ExchangeHandle
+
+CRASHING, FIRST, LATER = "segment-c0ffee", "segment-f1", "segment-1a"
+
+
+def case(runs: str, *, answered: bool = False, answers: int = 0, blamed: bool = False) -> CrashCase:
+    """Return a case; each letter of ``runs`` is the id of an ended run."""
+    return CrashCase(0, frozenset(runs), blamed, answered, {"e": answers} if answers else {})
+
+
+#: Description, known cases, common segments, and the traits to blame. Runs end a second apart.
+ATTRIBUTION_CASES = [
+    ("two ends are not enough", {CRASHING: case("ab")}, "", set(), set()),
+    ("three are", {CRASHING: case("abc")}, "", set(), {CRASHING}),
+    (
+        "what all share explains more, but was answered before",
+        {CRASHING: case("abc"), FIRST: case("abcd", answered=True)},
+        "",
+        set(),
+        {CRASHING},
+    ),
+    (
+        "two that crash, and what both share",
+        {CRASHING: case("abc"), LATER: case("def"), FIRST: case("abcdef", answered=True)},
+        "",
+        set(),
+        {CRASHING, LATER},
+    ),
+    (
+        "as many answers as ends",
+        {CRASHING: case("abcd", answers=4)},
+        "",
+        set(),
+        set(),
+    ),
+    ("fewer answers than ends", {CRASHING: case("abcd", answers=3)}, "", set(), {CRASHING}),
+    ("a common one", {CRASHING: case("abcdefg")}, "", {CRASHING}, set()),
+    (
+        "two under the same three ends",
+        {CRASHING: case("abc"), LATER: case("abc")},
+        "",
+        set(),
+        set(),
+    ),
+    (
+        "two under the same five ends",
+        {CRASHING: case("abcde"), LATER: case("abcde")},
+        "",
+        set(),
+        {CRASHING, LATER},
+    ),
+    ("four ends of an answered one", {CRASHING: case("abcd", answered=True)}, "", set(), set()),
+    (
+        "five ends of an answered one",
+        {CRASHING: case("abcde", answered=True)},
+        "",
+        set(),
+        {CRASHING},
+    ),
+    (
+        "an answered one with as many ends beside it",
+        {CRASHING: case("abcde", answered=True)},
+        "vwxyz",
+        set(),
+        set(),
+    ),
+    (
+        "ends of one request that was blamed first",
+        {"f": case("abc", blamed=True), CRASHING: case("abc")},
+        "",
+        set(),
+        set(),
+    ),
+    (
+        "ends of such a request and of another one",
+        {"f": case("abc", blamed=True), CRASHING: case("abcd")},
+        "",
+        set(),
+        {CRASHING},
+    ),
+    (
+        "a request beside segments that were answered",
+        {"f": case("abc"), CRASHING: case("abc", answered=True)},
+        "",
+        set(),
+        {"f"},
+    ),
+]
+
+
+@pytest.mark.parametrize(
+    ("known", "beside", "common", "blamed"),
+    [c[1:] for c in ATTRIBUTION_CASES],
+    ids=[c[0] for c in ATTRIBUTION_CASES],
+)
+def test_the_narrowest_unanswered_trait_is_blamed(
+    known: dict[str, CrashCase], beside: str, common: set[str], blamed: set[str]
+) -> None:
+    runs = sorted({*beside}.union(*(each.runs for each in known.values())))
+    ends = Ends({run: 100_000 + 1_000 * n for n, run in enumerate(runs)}, now=120_000)
+    found = find_responsible(known, ends, lambda name: 1.0 if name in common else 0.0)
+    assert found == blamed
+
+
+def quarantine_of(clock: ManualClock) -> Quarantine:
+    """Return a quarantine in which requests without the segments above were answered."""
+    quarantine = Quarantine(clock, lambda _name, _case: None, "e")
+    for number in range(100):
+        quarantine.record_shared_answer([f"segment-{number}"], clock.now())
+    return quarantine
+
+
+def test_reports_of_other_entries_are_awaited() -> None:
+    """The report on a harmless request may be the first to arrive."""
+    clock = ManualClock(start=100_000)
+    quarantine = quarantine_of(clock)
+    for run in "abc":
+        quarantine.record_end(LATER, run)
+        clock.advance(200 if run != "c" else 0)
+    assert not quarantine.quarantined
+    for run, age in (("a", 400), ("b", 200), ("c", 0), ("d", 0)):
+        quarantine.merge(CRASHING, CrashCase(0, frozenset(run)), {run: age})
+    clock.advance(400)
+    quarantine.refresh()
+    assert quarantine.quarantined == {CRASHING}
+
+
+def test_an_answer_clears_no_segment() -> None:
+    clock = ManualClock(start=100_000)
+    quarantine = quarantine_of(clock)
+    for run in "abc":
+        quarantine.record_end(CRASHING, run)
+        clock.advance(400)
+    quarantine.record_shared_answer([CRASHING], clock.now())
+    quarantine.refresh()
+    assert quarantine.quarantined == {CRASHING}
+
+
+def test_answers_are_counted_over_all_entries_and_bounded() -> None:
+    clock = ManualClock(start=100_000)
+    told: list[CrashCase] = []
+    quarantine = Quarantine(clock, lambda _name, known: told.append(known), "e")
+    quarantine.record_end(FIRST, "a")
+    clock.advance(1)
+    for _ in range(500):
+        quarantine.record_shared_answer([FIRST], clock.now())
+        quarantine.refresh()
+    assert len(told) == 1 + 20
+    quarantine.merge(FIRST, CrashCase(0, frozenset("a"), answers={"e": 3, "other": 4}))
+    assert quarantine.cases()[FIRST].answer_count == 24
+
+
+def test_a_case_reaches_another_entry_whole() -> None:
+    clock = ManualClock(start=100_000)
+    sent: list[Message] = []
+    quarantines = [Quarantine(clock, lambda _name, _case: None, name) for name in ("e-1", "e-2")]
+    exchanges = [CrashExchange(each, sent.append) for each in quarantines]
+    quarantines[0].record_shared_answer([CRASHING], clock.now())
+    quarantines[0].record_end(CRASHING, "a")
+    clock.advance(700)
+    quarantines[0].record_shared_answer([CRASHING], clock.now())
+    exchanges[0].share(CRASHING, quarantines[0].cases()[CRASHING])
+    (message,) = sent
+    assert isinstance(message, CrashUpdate)
+    exchanges[1].receive(message)
+    assert quarantines[1].cases() == quarantines[0].cases()
+    assert quarantines[1].cases()[CRASHING] == CrashCase(
+        0, frozenset("a"), was_answered=True, answers={"e-1": 1}
+    )
+    assert quarantines[1].time_since_end(["a"]) == {"a": 700}
+
+
+def test_a_released_segment_is_quarantined_again_after_further_ends() -> None:
+    clock = ManualClock(start=100_000)
+    quarantine = quarantine_of(clock)
+    for runs in ("abc", "def"):
+        for run in runs:
+            quarantine.record_end(CRASHING, run)
+            clock.advance(400)
+        quarantine.refresh()
+        assert quarantine.quarantined == {CRASHING}
+        assert quarantine.release(CRASHING)
+        assert not quarantine.quarantined
+
+
+def test_answer_counts_expire_and_take_bounded_memory() -> None:
+    clock = ManualClock(start=100_000)
+    counts = AnswerCounts(clock)
+    counts.record([FIRST, LATER])
+    counts.record([FIRST])
+    assert (counts.prevalence(LATER), counts.prevalence(FIRST)) == (0.5, 1.0)
+    clock.advance(_INTERVAL)
+    assert counts.has(LATER)
+    clock.advance(_INTERVAL)
+    assert not counts.has(LATER)
+    assert counts.prevalence(LATER) == 0.0
+    for number in range(3 * _MAX_TRAITS):
+        counts.record([f"segment-{number}"])
+    assert len(counts._current) + len(counts._previous) <= 2 * _MAX_TRAITS
+
+
+def test_a_fresh_entry_judges_no_segment_before_any_answer() -> None:
+    assert AnswerCounts(ManualClock(start=100_000)).prevalence(FIRST) == 1.0
+
+
+def test_the_traits_of_a_request_are_its_digest_and_its_shared_segments() -> None:
+    traits = find_traits(RequestIdentity("POST", "/a", "o", b"body", ("c0ffee", "f1")))
+    assert TRAITS.names() == ["request", "segment"]
+    assert [is_shared(name) for name in traits] == [False, True, True]
+    assert traits[1:] == (CRASHING, FIRST)
+
+
+@pytest.mark.parametrize(("begun_before", "is_suspect"), [(None, True), (1, True), (301, False)])
+def test_segments_of_a_response_that_went_on_are_no_suspects(
+    begun_before: int | None, is_suspect: bool
+) -> None:
+    call = make_call()
+    call.shared_segments = ("c0ffee",)
+    now = 20_000
+    call.begun_at = now - begun_before if begun_before is not None else 0
+    call.is_established = begun_before is not None and begun_before > BEGIN_TIME
+    exchange = call.broken_exchange(RUN, "broke off", now)
+    assert (CRASHING in exchange.traits) is is_suspect
+    assert exchange.segments == ("c0ffee",)
+
+
+RUN = Endpoint("b-1", "ink", "10.0.0.1:1", "nbo-a", 6, EndpointState.READY, 1)
+
+
+class JudgingPort(CannedPort):
+    """A port whose connections take long enough for a verdict to arrive."""
+
+    def __init__(self, quarantine: Quarantine) -> None:
+        super().__init__(lambda: MayHaveRun("sent"))
+        self.quarantine = quarantine
+        self.written = 0
+
+    def send(
+        self,
+        endpoint: Endpoint,
+        request: OutboundRequest,
+        connect_timeout: int,
+        slot: ExchangeHandle,
+    ) -> SendResult:
+        verdict = CrashCase(0, frozenset("abc"), is_blamed=True)
+        self.quarantine.merge(CRASHING, verdict)
+        reason = slot.attach(None)
+        if reason:
+            return NotRun(NotRunCause.WITHDRAWN, reason)
+        self.written += 1
+        return super().send(endpoint, request, connect_timeout, slot)
+
+
+def test_a_verdict_between_choice_and_write_keeps_a_request_from_its_backend() -> None:
+    clock = ManualClock(start=100_000)
+    quarantine = Quarantine(clock, lambda _name, _case: None)
+    roster = Roster("nbo-a", clock, random.Random(1))
+    roster.merge([RUN], 1)
+    budget = FleetRetryBudget(RetryAllowance(0.2, 1_000, 10 * SECOND), clock)
+    port = JudgingPort(quarantine)
+    forwarder = make_forwarder(port, roster, budget, clock, quarantine=quarantine)
+    route = dataclasses.replace(ROUTE, is_stream=False, repeatability=Repeatability.SAFE)
+    call = make_call(route)
+    call.arrived_at, call.deadline, call.shared_segments = 100_000, 108_000, ("c0ffee",)
+    (answer,) = forwarder.run(call)
+    assert port.written == 0
+    assert isinstance(answer, ErrorAnswer)
+    assert (answer.status, answer.retry_after) == (502, 0)
+    assert roster.own_load() == {}
