--- a/fakes/platform_engine.py
+++ b/fakes/platform_engine.py
@@ -57,8 +57,8 @@
     port: int = 0
     #: Request body that crashes the engine; empty for none.
     crash_body: bytes = b""
-    #: Segment of prompts on which the engine crashes as it begins to answer; empty for none.
-    crash_segment: str = ""
+    #: Segments of prompts on which the engine crashes as it begins to answer.
+    crash_segments: frozenset[str] = frozenset()
     #: Whether responses have neither a length nor chunks, so that they end with the connection.
     is_unframed: bool = False
     #: Arrivals within a second above which the engine crashes while it is cold; 0 for no limit.
@@ -113,7 +113,8 @@
                     engine.crash()
                     self.close_connection = True
                     return
-                if engine.crash_segment in shared_segments(self.headers.get("Prompt-Prefix", "")):
+                segments = shared_segments(self.headers.get("Prompt-Prefix", ""))
+                if not engine.crash_segments.isdisjoint(segments):
                     crash_while_answering(self, engine)
                     return
                 behaviour = engine.behaviours.popleft() if engine.behaviours else answer
--- a/tests/crash_traffic.py
+++ b/tests/crash_traffic.py
@@ -75,9 +75,12 @@
         self._engines.append(engine)
         return engine
 
-    def run(self, repeats: int) -> TrafficResult:
-        """Send the crashing request ``repeats`` times, with ordinary traffic before and after."""
-        entries = self.add_linked(ENTRIES)
+    def run(self, repeats: int, entries: list[DirectEntry] | None = None) -> TrafficResult:
+        """Send the crashing request ``repeats`` times, with ordinary traffic before and after.
+
+        ``entries`` is the fleet; by default, entries are started.
+        """
+        entries = entries or self.add_linked(ENTRIES)
         threads = [
             threading.Thread(target=self._call, args=(entries, number))
             for number in range(_CALLERS)
--- a/tests/test_crashing_segments.py
+++ b/tests/test_crashing_segments.py
@@ -47,7 +47,7 @@
 
     def _start(self, port: int = 0) -> PlatformEngine:
         engine = super()._start(port)
-        engine.crash_segment = CRASHING_SEGMENT
+        engine.crash_segments = frozenset({CRASHING_SEGMENT})
         engine.is_unframed = self._is_unframed
         return engine
 
