Evaluate crash cases only when a verdict may have become possible

Cause: every refresh evaluated all cases while any had three ends, also when nothing had changed; ends were sorted anew for each suspect, and what others explain was summed for each. Answers told by others wait for it.

--- a/src/canvasyoke/crashes/_attribution.py
+++ b/src/canvasyoke/crashes/_attribution.py
@@ -14,10 +14,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Set
 from dataclasses import dataclass
+from functools import cached_property
 from typing import Final
 
+from canvasyoke._clock import SECOND
 from canvasyoke.crashes._cases import CrashCase
 from canvasyoke.crashes._traits import is_shared
 
@@ -44,12 +46,14 @@
 #: Milliseconds to wait for a response to another copy of a request whose backends all ended at the
 #: same time. The operator allows 3 s until the cause of the ends must be known.
 _ANSWER_WAIT: Final = 2_000
+#: Milliseconds after the last end for which time alone can make a verdict possible.
+MAX_VERDICT_DELAY: Final = _REPORT_TIME + _ANSWER_WAIT + SECOND
 #: Only ends within this many milliseconds of those under a request count as background. Repetitions
 #: of one request were 4.2 to 4.7 s apart.
 _BACKGROUND_WINDOW: Final = 5_000
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class Ends:
     """When backends ended, and what is already explained."""
 
@@ -60,6 +64,11 @@
     #: Runs attributed to traits that were released since; they count neither way.
     released: frozenset[str] = frozenset()
 
+    @cached_property
+    def in_order(self) -> list[str]:
+        """Return all runs in the order in which they ended."""
+        return sorted(self.at, key=lambda run: (self.at[run], run))
+
     def reported(self, runs: frozenset[str]) -> frozenset[str]:
         """Return the runs on whose ends all reports should have arrived."""
         return frozenset(run for run in runs if self.now - self.at[run] >= _REPORT_TIME)
@@ -129,9 +138,8 @@
         leading = {n: runs for n, runs in suspects.items() if len(runs) == most}
         if _is_in_doubt(leading):
             return frozenset(responsible)
+        background = ends.at.keys() - _union(suspects.values()) - others - explained
         for name, runs in leading.items():
-            beside = _union(r for n, r in suspects.items() if n != name) | others
-            background = ends.at.keys() - runs - beside - explained
             if _exceeds_background(runs, background, ends):
                 responsible.add(name)
         explained |= _union(leading[name] for name in responsible & leading.keys())
@@ -159,7 +167,7 @@
         unexplained = runs - explained
         if (
             len(unexplained) >= _MIN_RUNS_IN_DOUBT
-            and len(_group_by_time(unexplained, ends.at)) >= _MIN_MOMENTS_AFTER_ANSWERS
+            and len(_group_by_time(unexplained, ends)) >= _MIN_MOMENTS_AFTER_ANSWERS
             and _exceeds_background(unexplained, ends.at.keys() - unexplained - explained, ends)
         ):
             responsible.add(name)
@@ -183,7 +191,7 @@
     """
     times = [ends.at[run] for run in runs]
     groups_with, groups_without = 0, 0
-    for group in _group_by_time({*runs, *background}, ends.at):
+    for group in _group_by_time({*runs, *background}, ends):
         unrelated = [run for run in group if run not in runs]
         if len(unrelated) < len(group):
             groups_with += 1
@@ -195,13 +203,15 @@
     return len(runs) > groups_without
 
 
-def _group_by_time(runs: Iterable[str], ended_at: Mapping[str, int]) -> list[list[str]]:
+def _group_by_time(runs: Set[str], ends: Ends) -> list[list[str]]:
     """Return runs grouped by the time at which they ended."""
     groups: list[list[str]] = []
     last_at = 0
-    for run in sorted(runs, key=lambda run: (ended_at[run], run)):
-        if not groups or ended_at[run] - last_at > _SIMULTANEITY_WINDOW:
+    for run in ends.in_order:
+        if run not in runs:
+            continue
+        if not groups or ends.at[run] - last_at > _SIMULTANEITY_WINDOW:
             groups.append([])
         groups[-1].append(run)
-        last_at = ended_at[run]
+        last_at = ends.at[run]
     return groups
--- a/src/canvasyoke/crashes/_quarantine.py
+++ b/src/canvasyoke/crashes/_quarantine.py
@@ -11,12 +11,18 @@
 import threading
 from collections import OrderedDict
 from collections.abc import Callable, Collection, Iterable, Mapping
+from dataclasses import replace
 from types import MappingProxyType
 from typing import Final
 
 from canvasyoke._clock import SECOND, Clock
 from canvasyoke.crashes._answer_counts import AnswerCounts
-from canvasyoke.crashes._attribution import MIN_ENDED_RUNS, Ends, find_responsible
+from canvasyoke.crashes._attribution import (
+    MAX_VERDICT_DELAY,
+    MIN_ENDED_RUNS,
+    Ends,
+    find_responsible,
+)
 from canvasyoke.crashes._cases import CrashCase
 from canvasyoke.crashes._traits import is_shared
 from canvasyoke.observe import part_logger
@@ -36,6 +42,8 @@
 _CASE_LIMIT: Final = 4_096
 _EVICTION_BATCH: Final = 512
 
+#: Least milliseconds between two evaluations that no new end calls for.
+_EVALUATION_INTERVAL: Final = 300
 #: Answers to requests with a shared trait, for each backend that ended under it, beyond which no
 #: more are told to other entries. Bounds the messages for a trait that thousands of requests have.
 _ANSWERS_PER_END: Final = 4
@@ -64,6 +72,11 @@
         #: Those of them that were attributed to a request that has been cleared since.
         self._released_runs: frozenset[str] = frozenset()
         self._quarantined: frozenset[str] = frozenset()
+        #: Clock times of the last evaluation of all cases, and of the last change of ended runs.
+        self._evaluated_at = 0
+        self._last_end_at = 0
+        #: Whether any case has changed since the last evaluation.
+        self._has_changed = False
         #: Changed cases that have not been published yet.
         self._changed: set[str] = set()
         #: Recently answered requests with the clock time of the response, oldest first.
@@ -181,11 +194,24 @@
             if not self._ended_at:
                 return
             self._expire()
-            if any(_is_pending(case) for case in self._cases.values()):
+            if self._is_evaluation_due():
                 self._evaluate()
             changes = self._take_changes()
         self._publish_all(changes)
 
+    def _is_evaluation_due(self) -> bool:
+        """Return whether a verdict may have become possible since the last evaluation.
+
+        Besides changes, time makes one possible: reports and answers are awaited.
+        """
+        now = self._clock.now()
+        if now - self._evaluated_at < _EVALUATION_INTERVAL:
+            return False
+        is_settled = self._evaluated_at - self._last_end_at > MAX_VERDICT_DELAY
+        if is_settled and not self._has_changed:
+            return False
+        return any(_is_pending(case) for case in self._cases.values())
+
     def _record_end_time(self, run: str, at: int) -> None:
         """Record when a run ended; of several reports the earliest is the closest."""
         self._ended_at[run] = min(at, self._ended_at.get(run, at))
@@ -230,19 +256,26 @@
             self._released_runs |= known.runs
         self._update(name, merged)
         # A case below the threshold cannot change a verdict. Skipping it matters when a new link
-        # transfers thousands of cases.
-        if len(merged.runs) >= MIN_ENDED_RUNS or name in self._quarantined:
+        # transfers thousands of cases. Answers can wait for the next refresh.
+        has_changed = known is None or replace(merged, answers=known.answers) != known
+        if has_changed and (len(merged.runs) >= MIN_ENDED_RUNS or name in self._quarantined):
             self._evaluate()
         if len(self._cases) > _CASE_LIMIT:
             self._evict()
 
     def _evaluate(self) -> None:
+        self._evaluated_at = self._clock.now()
+        self._has_changed = False
         ends = Ends(self._ended_at, self._clock.now(), self._released_runs)
         for name in find_responsible(self._cases, ends, self._answer_counts.prevalence):
             self._update(name, self._cases[name].with_verdict())
         self._update_quarantined()
 
     def _update(self, name: str, case: CrashCase) -> None:
+        known = self._cases.get(name)
+        if known is None or known.runs != case.runs:
+            self._last_end_at = self._clock.now()
+        self._has_changed = True
         self._cases[name] = case
         self._updated_at[name] = self._clock.now()
         self._changed.add(name)
