Quarantine speaks of traits where it spoke of fingerprints

Cause: notes, admin pages, help and gauges name whole requests only. No behaviour changes; stored forms, message fields and JSON keys keep their names.

--- a/src/canvasyoke/cli/_operator.py
+++ b/src/canvasyoke/cli/_operator.py
@@ -214,10 +214,10 @@
 
 @COMMANDS.register("quarantine")
 def quarantine(*, entry: str, release: str = "", output: str = "text") -> int:
-    """Show quarantined requests, which are blocked because they crash backends.
+    """Show quarantined requests and segments, which are blocked because they crash backends.
 
     --entry IP:PORT        metrics address of any direct entry
-    --release FINGERPRINT  release this request from quarantine at all entries
+    --release TRAIT        release this request or segment from quarantine at all entries
     --output text|json     output format
     """
     if output not in _OUTPUTS:
--- a/src/canvasyoke/crashes/_attribution.py
+++ b/src/canvasyoke/crashes/_attribution.py
@@ -97,18 +97,18 @@
     requests = {n: c.runs for n, c in suspects.items() if not is_shared(n)}
     unanswered = {n: ends.reported(c.runs) for n, c in segments.items() if not c.was_answered}
     answered = {n: ends.reported(c.runs) for n, c in segments.items() if c.was_answered}
-    blamed_segments = {n: c.runs for n, c in cases.items() if c.is_blamed and is_shared(n)}
-    blamed_requests = {n: c.runs for n, c in cases.items() if c.is_blamed and not is_shared(n)}
-    explained = ends.released | _union(blamed_segments.values())
+    blamed = {n: c.runs for n, c in cases.items() if c.is_blamed}
+    blamed_requests = [runs for n, runs in blamed.items() if not is_shared(n)]
+    explained = ends.released | _union(runs for n, runs in blamed.items() if is_shared(n))
     # A segment is wider than a request that has it. Ends under several such requests speak for the
     # segment, even if one of the requests was blamed first.
     wider = {
         n: runs
         for n, runs in unanswered.items()
-        if not any(runs <= blamed for blamed in blamed_requests.values())
+        if not any(runs <= of_request for of_request in blamed_requests)
     }
     found = _blame(wider, ends, explained, rivals=requests)
-    explained |= _union(blamed_requests.values()) | _union(cases[n].runs for n in found)
+    explained |= _union(blamed_requests) | _union(cases[n].runs for n in found)
     found |= _blame(requests, ends, explained, rivals=unanswered)
     explained |= _union(cases[n].runs for n in found)
     return found | _blame_answered(answered, ends, explained)
--- a/src/canvasyoke/crashes/_quarantine_notes.py
+++ b/src/canvasyoke/crashes/_quarantine_notes.py
@@ -1,6 +1,6 @@
-"""Persists quarantined requests in the platform's store.
+"""Persists quarantined traits in the platform's store.
 
-Machines have no disk and all entries may stop at once, so quarantined requests are written to the
+Machines have no disk and all entries may stop at once, so quarantined traits are written to the
 store; suspects are not. After the store was restored from an older copy, its cases are read again
 and missing ones rewritten.
 """
@@ -28,7 +28,7 @@
 
 
 class _CaseNote(msgspec.Struct, frozen=True):
-    """Stored form of a case; the note is named by the fingerprint."""
+    """Stored form of a case; the note is named by the trait."""
 
     cleared: Annotated[int, msgspec.Meta(ge=0)]
     runs: Annotated[list[str], msgspec.Meta(max_length=1_000)] = []
@@ -109,7 +109,7 @@
             if not isinstance(result, Note):
                 _log.warning(
                     "writing a quarantine case to the store failed",
-                    fingerprint=name,
+                    trait=name,
                     cause=result.detail,
                 )
                 return
--- a/src/canvasyoke/direct/_admin.py
+++ b/src/canvasyoke/direct/_admin.py
@@ -1,4 +1,4 @@
-"""Admin endpoints of a direct entry: readiness, metrics and quarantined requests.
+"""Admin endpoints of a direct entry: readiness, metrics and quarantined traits of requests.
 
 They are served on addresses that only the balancer and operators use.
 """
@@ -15,7 +15,7 @@
 from canvasyoke.protocol import QuarantinedRequest
 
 _METRICS_PATH: Final = "/metrics"
-#: ``GET`` lists quarantined and suspected requests; ``DELETE`` of a path below it releases one.
+#: ``GET`` lists quarantined and suspected traits; ``DELETE`` of a path below it releases one.
 _QUARANTINE_PATH: Final = "/quarantine"
 
 StartResponse = Callable[..., Any]
@@ -53,10 +53,10 @@
             if case.runs
         ]
 
-    def _release(self, method: str, fingerprint: str, start: StartResponse) -> Iterable[bytes]:
+    def _release(self, method: str, trait: str, start: StartResponse) -> Iterable[bytes]:
         if method != "DELETE":
             return _reply(start, "405 Method Not Allowed", b"only DELETE\n")
-        if not self._quarantine.release(fingerprint):
+        if not self._quarantine.release(trait):
             return _reply(start, "404 Not Found", b"it is not kept from backends\n")
         return _reply(start, "200 OK", b"released\n")
 
--- a/src/canvasyoke/direct/_peers.py
+++ b/src/canvasyoke/direct/_peers.py
@@ -180,9 +180,9 @@
         """Announce what a backend has reported about itself."""
         self._notice_exchange.share(notice)
 
-    def announce_case(self, fingerprint: str, case: CrashCase) -> None:
-        """Announce a request during which backends have crashed."""
-        self._crash_exchange.share(fingerprint, case)
+    def announce_case(self, trait: str, case: CrashCase) -> None:
+        """Announce a trait of requests during which backends have crashed."""
+        self._crash_exchange.share(trait, case)
 
     def _run_discovery(self) -> None:
         """Poll the store for the other entries until stopped.
--- a/src/canvasyoke/direct/_process.py
+++ b/src/canvasyoke/direct/_process.py
@@ -276,7 +276,7 @@
         if not self._knows_evacuations():
             return "no list of evacuations yet"
         if not self._peers.knows_quarantine():
-            return "no list of quarantined requests yet"
+            return "nothing known of what is quarantined yet"
         if self._roster.is_isolated():
             return "cut off from the backends"
         return ""
@@ -317,12 +317,12 @@
         )
         gauge(
             "canvasyoke_requests_quarantined",
-            "Requests that are kept from all backends because backends ended under them.",
+            "Requests and segments kept from all backends because backends ended under them.",
             lambda: len(self._quarantine.quarantined),
         )
         gauge(
             "canvasyoke_requests_suspected",
-            "Requests under which a backend has ended, and that are not to blame so far.",
+            "Requests and segments under which a backend has ended, not to blame so far.",
             lambda: self._quarantine.suspects,
         )
         gauge(
--- a/src/canvasyoke/protocol/_status.py
+++ b/src/canvasyoke/protocol/_status.py
@@ -60,8 +60,9 @@
 
 
 class QuarantinedRequest(msgspec.Struct, frozen=True):
-    """A request during which backends have crashed, as reported by a direct entry."""
+    """A trait of requests during which backends have crashed, as reported by a direct entry."""
 
+    #: Digest of the whole request, or the name of another trait.
     fingerprint: str
     #: Whether it is blocked from backends.
     is_blamed: bool
