Verdicts on segments have a field of their own in messages and notes

Callers saw: nothing yet; read while reviewing the change. While a fleet is upgraded, an entry of an earlier release takes the case of a segment for one of a whole request: it hears no answers for it, and blames what all requests share after three ends. Its verdict reached the new entries, which refused all of them. Cause: one field for the verdict of both kinds of trait. Evidence: by reading; the new test gives an entry such a verdict, which it ignores, in a message and in a stored note, and gives it one of this release, which it takes. Conclusion: earlier releases do not read the new field, and what they say of segments in the old one is not read.

--- a/src/canvasyoke/crashes/_exchange.py
+++ b/src/canvasyoke/crashes/_exchange.py
@@ -6,6 +6,7 @@
 
 from canvasyoke.crashes._cases import CrashCase
 from canvasyoke.crashes._quarantine import Quarantine
+from canvasyoke.crashes._traits import is_shared
 from canvasyoke.protocol import CrashList, CrashUpdate, Message
 from canvasyoke.transport import Session
 
@@ -44,7 +45,8 @@
         fingerprint=name,
         cleared=case.cleared,
         runs=runs,
-        is_blamed=case.is_blamed,
+        is_blamed=case.is_blamed and not is_shared(name),
+        is_shared_blamed=case.is_blamed and is_shared(name),
         ages=[ages.get(run, 0) for run in runs],
         was_answered=case.was_answered,
         answers=dict(case.answers),
@@ -52,6 +54,5 @@
 
 
 def _to_case(news: CrashUpdate) -> CrashCase:
-    return CrashCase(
-        news.cleared, frozenset(news.runs), news.is_blamed, news.was_answered, news.answers
-    )
+    is_blamed = news.is_shared_blamed if is_shared(news.fingerprint) else news.is_blamed
+    return CrashCase(news.cleared, frozenset(news.runs), is_blamed, news.was_answered, news.answers)
--- a/src/canvasyoke/crashes/_quarantine_notes.py
+++ b/src/canvasyoke/crashes/_quarantine_notes.py
@@ -14,6 +14,7 @@
 from canvasyoke._clock import SECOND, Clock
 from canvasyoke.crashes._cases import CrashCase
 from canvasyoke.crashes._quarantine import Quarantine
+from canvasyoke.crashes._traits import is_shared
 from canvasyoke.observe import part_logger
 from canvasyoke.state import FleetStore, Note, Unusable, read_note
 
@@ -33,6 +34,8 @@
     cleared: Annotated[int, msgspec.Meta(ge=0)]
     runs: Annotated[list[str], msgspec.Meta(max_length=1_000)] = []
     is_blamed: bool = False
+    #: Whether a shared trait was found responsible; see ``CrashUpdate``.
+    is_shared_blamed: bool = False
 
 
 class QuarantineNotes:
@@ -86,7 +89,8 @@
                     "ignored an invalid quarantine case in the store", cause=stored_case.detail
                 )
             return
-        case = CrashCase(stored_case.cleared, frozenset(stored_case.runs), stored_case.is_blamed)
+        is_blamed = stored_case.is_shared_blamed if is_shared(note.name) else stored_case.is_blamed
+        case = CrashCase(stored_case.cleared, frozenset(stored_case.runs), is_blamed)
         known = self._stored.get(note.name)
         self._stored[note.name] = case if known is None else known.merged(case)
         self._quarantine.merge(note.name, case)
@@ -104,7 +108,12 @@
 
     def _write(self, cases: dict[str, CrashCase]) -> None:
         for name, case in cases.items():
-            note = _CaseNote(case.cleared, sorted(case.runs), case.is_blamed)
+            note = _CaseNote(
+                case.cleared,
+                sorted(case.runs),
+                is_blamed=case.is_blamed and not is_shared(name),
+                is_shared_blamed=case.is_blamed and is_shared(name),
+            )
             result = self._store.put_note(_KIND, name, msgspec.json.encode(note))
             if not isinstance(result, Note):
                 _log.warning(
--- a/src/canvasyoke/crashes/tests/test_segments.py
+++ b/src/canvasyoke/crashes/tests/test_segments.py
@@ -14,14 +14,18 @@
 from canvasyoke.crashes._cases import CrashCase
 from canvasyoke.crashes._exchange import CrashExchange
 from canvasyoke.crashes._quarantine import Quarantine
+from canvasyoke.crashes._quarantine_notes import QuarantineNotes
 from canvasyoke.crashes._traits import TRAITS, RequestIdentity, find_traits, is_shared
 from canvasyoke.direct._budget import FleetRetryBudget, RetryAllowance
 from canvasyoke.direct._call import BEGIN_TIME, ErrorAnswer
 from canvasyoke.direct._roster import Roster
 from canvasyoke.direct.tests.calls import ROUTE, CannedPort, make_call, make_forwarder
+from canvasyoke.platform._store import ObjectsFleetStore
 from canvasyoke.protocol import CrashUpdate, Message
 from canvasyoke.state import Endpoint, EndpointState, Repeatability
 from canvasyoke.transport import ExchangeHandle
+from fakes.object_store import ObjectStore
+from fakes.store_pool import SchedulingClock, StorePool
 
 CRASHING, FIRST, LATER = "segment-c0ffee", "segment-f1", "segment-1a"
 
@@ -201,6 +205,47 @@
     assert quarantines[1].time_since_end(["a"]) == {"a": 700}
 
 
+def test_verdicts_of_releases_without_segments_are_ignored() -> None:
+    """They take a segment for a whole request, and blame what all requests share."""
+    clock = ManualClock(start=100_000)
+    quarantine = quarantine_of(clock)
+    exchange = CrashExchange(quarantine, lambda _message: None)
+    exchange.receive(CrashUpdate(FIRST, 0, ["a", "b", "c"], is_blamed=True))
+    assert not quarantine.quarantined
+    exchange.receive(CrashUpdate(CRASHING, 0, ["d", "e", "f"], is_shared_blamed=True))
+    assert quarantine.quarantined == {CRASHING}
+
+
+@pytest.mark.parametrize(("field", "is_kept"), [("is_blamed", False), ("is_shared_blamed", True)])
+def test_stored_verdicts_on_segments(field: str, is_kept: bool) -> None:
+    clock = SchedulingClock(start=100_000)
+    store = ObjectStore()
+    store.put("quarantine", CRASHING, {"cleared": 0, "runs": ["a", "b", "c"], field: True})
+    client = ObjectsFleetStore("127.0.0.1:1")
+    client._pool = StorePool(store, clock)  # type: ignore[assignment]
+    quarantine = Quarantine(clock, lambda _name, _case: None)
+    notes = QuarantineNotes(client, quarantine, clock)
+    notes.sync()
+    assert notes.has_read
+    assert quarantine.is_quarantined(CRASHING) is is_kept
+
+
+def test_a_verdict_on_a_segment_is_stored() -> None:
+    clock = SchedulingClock(start=100_000)
+    store = ObjectStore()
+    client = ObjectsFleetStore("127.0.0.1:1")
+    client._pool = StorePool(store, clock)  # type: ignore[assignment]
+    quarantine = quarantine_of(clock)
+    for run in "abc":
+        quarantine.record_end(CRASHING, run)
+        clock.advance(400)
+    quarantine.refresh()
+    QuarantineNotes(client, quarantine, clock).sync()
+    other = Quarantine(clock, lambda _name, _case: None)
+    QuarantineNotes(client, other, clock).sync()
+    assert other.quarantined == {CRASHING}
+
+
 def test_a_released_segment_is_quarantined_again_after_further_ends() -> None:
     clock = ManualClock(start=100_000)
     quarantine = quarantine_of(clock)
--- a/src/canvasyoke/protocol/_messages.py
+++ b/src/canvasyoke/protocol/_messages.py
@@ -476,6 +476,9 @@
     is_blamed: bool = False
     #: Milliseconds since each of ``runs`` crashed; empty if the sender does not know.
     ages: Annotated[list[Count], msgspec.Meta(max_length=10_000)] = []
+    #: Whether an entry has identified a shared trait as the cause. ``is_blamed`` is not used for
+    #: those: releases that know whole requests only would judge them alike.
+    is_shared_blamed: bool = False
     #: Whether requests with the trait were answered before the first crash.
     was_answered: bool = False
     #: Answers to requests with the trait that were sent after the first crash, by entry.
