--- a/src/canvasyoke/crashes/tests/test_segments_fleet.py
+++ b/src/canvasyoke/crashes/tests/test_segments_fleet.py
@@ -46,6 +46,22 @@
         assert not segments_in(fleet.blamed), (seed, fleet.blamed)
 
 
+def test_a_hot_request_is_not_blamed_for_other_ends_in_one_group() -> None:
+    """A group that stands still answers no other copy of a request either."""
+    (cause,) = [c for c in EXTERNAL_CAUSES if c[0] == "a tenth, and one request is hot"]
+    _, plan, every, hot_fraction, caller_retries = cause
+    for seed in range(20):
+        fleet = CrashingFleet(
+            seed,
+            hot_fraction=hot_fraction,
+            has_segments=True,
+            is_one_group=True,
+            caller_retries=caller_retries,
+        )
+        fleet.simulate(20, every, plan(random.Random(seed)))
+        assert not fleet.blamed, (seed, fleet.blamed)
+
+
 #: Description, whether all backends form one group, fraction of crashing requests, and range of
 #: milliseconds after which the end of a backend is known.
 CRASHES = [
