What all requests share is not blamed while nothing is answered

Callers saw: nothing yet; found on review. A group that opens for moments only answers nothing for minutes while its backends go on ending. Cause: how common a segment is was taken from answers, and their counts ran out with time; without any, each counted as rare. And rare segments explained ends for one another, so that none was left to speak against them. What changed: common is also what half of the callers' requests have, answered or not; counts run out only as new ones come; at most three segments (or sets under the same ends) are taken for guilty at once, and they must be under more ends than not, from their first to their last; twice as many if answered before. Conclusion: a share of requests needs no answers, so it holds in an outage of any length.

--- a/src/canvasyoke/crashes/_attribution.py
+++ b/src/canvasyoke/crashes/_attribution.py
@@ -33,10 +33,11 @@
 #: Number of different moments in which backends must have ended under a shared trait whose requests
 #: were answered before.
 _MIN_MOMENTS_AFTER_ANSWERS: Final = 3
-#: Largest part of all answered requests that may have a shared trait to blame. Of a dozen requests
-#: that a backend runs, every second dozen has one with such a trait, so that a more common one is
-#: under most ends whatever their cause.
-_MAX_PREVALENCE: Final = 0.05
+#: How many times as many backends must have ended under such a trait as without it. It is under
+#: some ends whatever their cause, and there are many such traits.
+_ANSWERED_BACKGROUND_FACTOR: Final = 2
+#: Maximum number of shared traits that crash backends at the same time and are told apart.
+_MAX_SHARED_CULPRITS: Final = 3
 #: Milliseconds for which reports on an ended run are awaited before it counts against a shared
 #: trait. Until then, that of a harmless request beside it may be the only one known.
 _REPORT_TIME: Final = 300
@@ -48,8 +49,8 @@
 _ANSWER_WAIT: Final = 2_000
 #: Milliseconds after the last end for which time alone can make a verdict possible.
 MAX_VERDICT_DELAY: Final = _REPORT_TIME + _ANSWER_WAIT + SECOND
-#: Only ends within this many milliseconds of those under a request count as background. Repetitions
-#: of one request were 4.2 to 4.7 s apart.
+#: Only ends within this many milliseconds of those under a trait count as background. Covers the
+#: pause between two repetitions of a request by its caller.
 _BACKGROUND_WINDOW: Final = 5_000
 
 
@@ -77,11 +78,11 @@
 def find_responsible(
     cases: Mapping[str, CrashCase],
     ends: Ends,
-    prevalence: Callable[[str], float] = lambda _name: 0.0,
+    is_common: Callable[[str, bool], bool] = lambda _name, _was_answered: False,
 ) -> frozenset[str]:
     """Return the names of traits newly found responsible.
 
-    ``prevalence`` returns the part of the requests answered lately that have a trait, from 0 to 1.
+    ``is_common`` returns whether a shared trait, answered before or not, is too common to blame.
     Runs of cleared traits count as ends without the trait for every other suspect.
     """
     suspects = {
@@ -92,7 +93,7 @@
     if not suspects:
         return frozenset()
     segments = {
-        n: c for n, c in suspects.items() if is_shared(n) and prevalence(n) <= _MAX_PREVALENCE
+        n: c for n, c in suspects.items() if is_shared(n) and not is_common(n, c.was_answered)
     }
     requests = {n: c.runs for n, c in suspects.items() if not is_shared(n)}
     unanswered = {n: ends.reported(c.runs) for n, c in segments.items() if not c.was_answered}
@@ -107,9 +108,9 @@
         for n, runs in unanswered.items()
         if not any(runs <= of_request for of_request in blamed_requests)
     }
-    found = _blame(wider, ends, explained, rivals=requests)
+    found = _blame_segments(wider, ends, explained)
     explained |= _union(blamed_requests) | _union(cases[n].runs for n in found)
-    found |= _blame(requests, ends, explained, rivals=unanswered)
+    found |= _blame_requests(requests, ends, explained)
     explained |= _union(cases[n].runs for n in found)
     return found | _blame_answered(answered, ends, explained)
 
@@ -118,27 +119,62 @@
     return case.answer_count >= max(1, len(case.runs))
 
 
-def _blame(
-    suspects: Mapping[str, frozenset[str]],
-    ends: Ends,
-    explained: frozenset[str],
-    rivals: Mapping[str, frozenset[str]],
+def _blame_segments(
+    suspects: Mapping[str, frozenset[str]], ends: Ends, explained: frozenset[str]
+) -> frozenset[str]:
+    """Return the segments found responsible among those that were never answered.
+
+    Several may crash backends at once, each beside the ends of the others. So the smallest group of
+    those with the most ends is found that together are under more ends than not.
+    """
+    responsible: frozenset[str] = frozenset()
+    while True:
+        suspects = _above_threshold({n: runs - explained for n, runs in suspects.items()})
+        culprits = _find_culprits(suspects, ends, explained)
+        if not culprits:
+            return responsible
+        responsible |= culprits
+        explained |= _union(suspects[name] for name in culprits)
+
+
+def _find_culprits(
+    suspects: Mapping[str, frozenset[str]], ends: Ends, explained: frozenset[str]
 ) -> frozenset[str]:
-    """Return the suspects found responsible, those with the most unexplained ends first.
+    """Return the smallest group of suspects that together are under more ends than not.
 
-    Ends that a rival may have caused do not count as ends without the suspect.
+    Segments under the same ends cannot be told apart and count as one.
     """
+    culprits: set[str] = set()
+    covered: frozenset[str] = frozenset()
+    count = 0
+    while True:
+        left = _above_threshold({n: runs - covered for n, runs in suspects.items()})
+        if not left:
+            return frozenset()
+        most = max(len(runs) for runs in left.values())
+        leading = {n: runs for n, runs in left.items() if len(runs) == most}
+        count += len(set(leading.values()))
+        if count > _MAX_SHARED_CULPRITS or _is_in_doubt(leading):
+            return frozenset()
+        culprits |= leading.keys()
+        covered |= _union(leading.values())
+        if _outnumbers_others(covered, explained, ends):
+            return frozenset(culprits)
+
+
+def _blame_requests(
+    suspects: Mapping[str, frozenset[str]], ends: Ends, explained: frozenset[str]
+) -> frozenset[str]:
+    """Return the requests found responsible, those with the most unexplained ends first."""
     responsible: set[str] = set()
-    others = _union(_above_threshold(rivals).values())
     while True:
         suspects = _above_threshold({n: runs - explained for n, runs in suspects.items()})
         if not suspects:
             return frozenset(responsible)
         most = max(len(runs) for runs in suspects.values())
         leading = {n: runs for n, runs in suspects.items() if len(runs) == most}
-        if _is_in_doubt(leading):
-            return frozenset(responsible)
-        background = ends.at.keys() - _union(suspects.values()) - others - explained
+        # Runs that another suspect may have ended do not exonerate a leading one.
+        background = ends.at.keys() - _union(suspects.values()) - explained
         for name, runs in leading.items():
             if _exceeds_background(runs, background, ends):
                 responsible.add(name)
@@ -147,11 +183,9 @@
 
 
 def _is_in_doubt(leading: Mapping[str, frozenset[str]]) -> bool:
-    """Return whether further ends may show which of several shared traits caused those so far."""
-    shared = [runs for name, runs in leading.items() if is_shared(name)]
-    distinct = _union(shared)
-    is_ambiguous = sum(len(runs) for runs in shared) > len(distinct)
-    return is_ambiguous and len(shared[0]) < _MIN_RUNS_IN_DOUBT
+    """Return whether further ends may show which of several segments caused those so far."""
+    is_ambiguous = sum(map(len, leading.values())) > len(_union(leading.values()))
+    return is_ambiguous and any(len(runs) < _MIN_RUNS_IN_DOUBT for runs in leading.values())
 
 
 def _blame_answered(
@@ -168,7 +202,7 @@
         if (
             len(unexplained) >= _MIN_RUNS_IN_DOUBT
             and len(_group_by_time(unexplained, ends)) >= _MIN_MOMENTS_AFTER_ANSWERS
-            and _exceeds_background(unexplained, ends.at.keys() - unexplained - explained, ends)
+            and _outnumbers_others(unexplained, explained, ends, _ANSWERED_BACKGROUND_FACTOR)
         ):
             responsible.add(name)
     return frozenset(responsible)
@@ -182,8 +216,10 @@
     return frozenset[str]().union(*sets)
 
 
-def _exceeds_background(runs: frozenset[str], background: Iterable[str], ends: Ends) -> bool:
-    """Return whether backends ended with a trait more often than without it.
+def _exceeds_background(
+    runs: frozenset[str], background: Iterable[str], ends: Ends, factor: int = 1
+) -> bool:
+    """Return whether backends ended with a trait more than ``factor`` times as often as without.
 
     Backends that ended at the same time without running such a request indicate an external cause.
     So does each other group of ends shortly before or after; it counts once, since the loss of a
@@ -200,7 +236,24 @@
             groups_without += 1
     if groups_with == 1 and (groups_without or ends.now - max(times) < _ANSWER_WAIT):
         return False
-    return len(runs) > groups_without
+    return len(runs) > factor * groups_without
+
+
+def _outnumbers_others(
+    runs: frozenset[str], explained: frozenset[str], ends: Ends, factor: int = 1
+) -> bool:
+    """Return whether more than ``factor`` times as many backends ended with a segment as without.
+
+    All from its first end to its last count, as there are many segments, and some are under several
+    of many ends by chance.
+    """
+    times = [ends.at[run] for run in runs]
+    first, last = min(times), max(times)
+    others = ends.at.keys() - runs - explained
+    between = {run for run in others if first <= ends.at[run] <= last}
+    if len(runs) <= factor * len(_group_by_time(between, ends)):
+        return False
+    return _exceeds_background(runs, others, ends, factor)
 
 
 def _group_by_time(runs: Set[str], ends: Ends) -> list[list[str]]:
--- a/src/canvasyoke/crashes/_quarantine.py
+++ b/src/canvasyoke/crashes/_quarantine.py
@@ -16,7 +16,6 @@
 from typing import Final
 
 from canvasyoke._clock import SECOND, Clock
-from canvasyoke.crashes._answer_counts import AnswerCounts
 from canvasyoke.crashes._attribution import (
     MAX_VERDICT_DELAY,
     MIN_ENDED_RUNS,
@@ -24,6 +23,7 @@
     find_responsible,
 )
 from canvasyoke.crashes._cases import CrashCase
+from canvasyoke.crashes._prevalence import Prevalence
 from canvasyoke.crashes._traits import is_shared
 from canvasyoke.observe import part_logger
 
@@ -65,7 +65,7 @@
         self._cases: dict[str, CrashCase] = {}
         #: Clock time of the last update of each case.
         self._updated_at: dict[str, int] = {}
-        self._answer_counts = AnswerCounts(clock)
+        self._prevalence = Prevalence(clock)
         #: All runs that ended under a request, with the clock time at which they ended, or at which
         #: this entry learned of it if the time is not known.
         self._ended_at: dict[str, int] = {}
@@ -132,6 +132,12 @@
             changes = self._take_changes()
         self._publish_all(changes)
 
+    def record_request(self, shared_traits: Collection[str]) -> None:
+        """Record a caller's request with its shared traits."""
+        if shared_traits:
+            with self._lock:
+                self._prevalence.record_request(shared_traits)
+
     def record_shared_answer(self, names: Collection[str], sent_at: int) -> None:
         """Record that a backend goes on with its response to a request with shared traits.
 
@@ -141,7 +147,7 @@
         if not names:
             return
         with self._lock:
-            self._answer_counts.record(names)
+            self._prevalence.record_answer(names)
             for name in names:
                 case = self._cases.get(name)
                 if case is not None and case.runs and not case.is_blamed:
@@ -244,7 +250,7 @@
     ) -> None:
         """Merge ``case`` into the known one and re-evaluate all cases if necessary."""
         known = self._cases.get(name)
-        if known is None and is_shared(name) and self._answer_counts.has(name):
+        if known is None and is_shared(name) and self._prevalence.was_answered(name):
             case = case.with_earlier_answers()
         merged = case if known is None else known.merged(case)
         now = self._clock.now()
@@ -267,7 +273,7 @@
         self._evaluated_at = self._clock.now()
         self._has_changed = False
         ends = Ends(self._ended_at, self._clock.now(), self._released_runs)
-        for name in find_responsible(self._cases, ends, self._answer_counts.prevalence):
+        for name in find_responsible(self._cases, ends, self._prevalence.is_common):
             self._update(name, self._cases[name].with_verdict())
         self._update_quarantined()
 
--- a/src/canvasyoke/crashes/tests/crash_simulation.py
+++ b/src/canvasyoke/crashes/tests/crash_simulation.py
@@ -93,6 +93,7 @@
         return not self.crashing.isdisjoint(self.segments_of(name))
 
     def send(self, name: str, attempts: int) -> None:
+        self.quarantine.record_request(self.segments_of(name))
         if self.quarantine.find_quarantined([name, *self.segments_of(name)]):
             self.refused += 1
             return
--- a/src/canvasyoke/crashes/tests/test_segments.py
+++ b/src/canvasyoke/crashes/tests/test_segments.py
@@ -9,10 +9,10 @@
 
 from canvasyoke._clock import SECOND, ManualClock
 from canvasyoke.backend import MayHaveRun, NotRun, NotRunCause, OutboundRequest, SendResult
-from canvasyoke.crashes._answer_counts import _INTERVAL, _MAX_TRAITS, AnswerCounts
 from canvasyoke.crashes._attribution import Ends, find_responsible
 from canvasyoke.crashes._cases import CrashCase
 from canvasyoke.crashes._exchange import CrashExchange
+from canvasyoke.crashes._prevalence import _INTERVAL, _MAX_TRAITS, _MIN_SAMPLE, Prevalence
 from canvasyoke.crashes._quarantine import Quarantine
 from canvasyoke.crashes._quarantine_notes import QuarantineNotes
 from canvasyoke.crashes._traits import TRAITS, RequestIdentity, find_traits, is_shared
@@ -76,6 +76,20 @@
         set(),
         {CRASHING, LATER},
     ),
+    (
+        "five under the same five ends",
+        {f"segment-{n}": case("abcde") for n in range(5)},
+        "",
+        set(),
+        {f"segment-{n}" for n in range(5)},
+    ),
+    (
+        "five with three ends each",
+        {f"segment-{n}": case("abcdefghijklmno"[3 * n : 3 * n + 3]) for n in range(5)},
+        "",
+        set(),
+        set(),
+    ),
     ("four ends of an answered one", {CRASHING: case("abcd", answered=True)}, "", set(), set()),
     (
         "five ends of an answered one",
@@ -125,7 +139,7 @@
 ) -> None:
     runs = sorted({*beside}.union(*(each.runs for each in known.values())))
     ends = Ends({run: 100_000 + 1_000 * n for n, run in enumerate(runs)}, now=120_000)
-    found = find_responsible(known, ends, lambda name: 1.0 if name in common else 0.0)
+    found = find_responsible(known, ends, lambda name, _was_answered: name in common)
     assert found == blamed
 
 
@@ -141,6 +155,7 @@
     """Return a quarantine in which requests without the segments above were answered."""
     quarantine = Quarantine(clock, lambda _name, _case: None, "e")
     for number in range(100):
+        quarantine.record_request([f"segment-{number}"])
         quarantine.record_shared_answer([f"segment-{number}"], clock.now())
     return quarantine
 
@@ -259,26 +274,58 @@
         assert not quarantine.quarantined
 
 
-def test_answer_counts_expire_and_take_bounded_memory() -> None:
+def prevalence_of(share: float, *, answered: bool) -> Prevalence:
+    """Return the prevalence after 100 requests, of which ``share`` have the first segment."""
+    prevalence = Prevalence(ManualClock(start=100_000))
+    for number in range(100):
+        traits = [FIRST] if number < 100 * share else [f"segment-{number}"]
+        prevalence.record_request(traits)
+        if answered:
+            prevalence.record_answer(traits)
+    return prevalence
+
+
+#: Share of the requests with a segment, whether they were answered, and whether it is common.
+COMMON_CASES = [(1.0, False, True), (0.6, False, True), (0.4, False, False), (0.0, False, False)]
+COMMON_CASES += [(1.0, True, True), (0.06, True, True), (0.05, True, False)]
+
+
+@pytest.mark.parametrize(("share", "answered", "is_common"), COMMON_CASES)
+def test_common_segments(share: float, answered: bool, is_common: bool) -> None:
+    prevalence = prevalence_of(share, answered=answered)
+    assert prevalence.was_answered(FIRST) is answered
+    assert prevalence.is_common(FIRST, answered) is is_common
+
+
+def test_an_entry_that_has_seen_few_requests_blames_no_segment() -> None:
+    prevalence = Prevalence(ManualClock(start=100_000))
+    for _ in range(_MIN_SAMPLE - 1):
+        prevalence.record_request([FIRST])
+    assert prevalence.is_common(CRASHING, False)
+    prevalence.record_request([FIRST])
+    assert not prevalence.is_common(CRASHING, False)
+
+
+def test_answers_are_remembered_while_none_come() -> None:
     clock = ManualClock(start=100_000)
-    counts = AnswerCounts(clock)
-    counts.record([FIRST, LATER])
-    counts.record([FIRST])
-    assert (counts.prevalence(LATER), counts.prevalence(FIRST)) == (0.5, 1.0)
-    clock.advance(_INTERVAL)
-    assert counts.has(LATER)
-    clock.advance(_INTERVAL)
-    assert not counts.has(LATER)
-    assert counts.prevalence(LATER) == 0.0
+    prevalence = Prevalence(clock)
+    prevalence.record_answer([FIRST])
+    clock.advance(10 * _INTERVAL)
+    assert prevalence.was_answered(FIRST)
+    for _ in range(2):
+        prevalence.record_answer([LATER])
+        clock.advance(_INTERVAL)
+    assert not prevalence.was_answered(FIRST)
+
+
+def test_prevalence_takes_bounded_memory() -> None:
+    prevalence = Prevalence(ManualClock(start=100_000))
     for number in range(3 * _MAX_TRAITS):
-        counts.record([f"segment-{number}"])
+        prevalence.record_request([f"segment-{number}"])
+    counts = prevalence._requests
     assert len(counts._current) + len(counts._previous) <= 2 * _MAX_TRAITS
 
 
-def test_a_fresh_entry_judges_no_segment_before_any_answer() -> None:
-    assert AnswerCounts(ManualClock(start=100_000)).prevalence(FIRST) == 1.0
-
-
 def test_the_traits_of_a_request_are_its_digest_and_its_shared_segments() -> None:
     traits = find_traits(RequestIdentity("POST", "/a", "o", b"body", ("c0ffee", "f1")))
     assert TRAITS.names() == ["request", "segment"]
--- a/src/canvasyoke/crashes/tests/test_segments_fleet.py
+++ b/src/canvasyoke/crashes/tests/test_segments_fleet.py
@@ -106,6 +106,17 @@
         assert late_crashes(fleet) <= MAX_LATE_CRASHES, seed
 
 
+def test_nothing_is_blamed_while_nothing_is_answered_for_minutes() -> None:
+    """A group that opens for moments only: what all requests share is under each of its ends."""
+    for seed in range(20):
+        fleet = CrashingFleet(seed, backends=4, has_segments=True, is_one_group=True)
+        fleet.simulate(10, 1_000, [])
+        rng = random.Random(seed)
+        fleet.simulate(240, 3_700, [[rng.randrange(4)] for _ in range(60)])
+        assert fleet.ends > 50
+        assert not segments_in(fleet.blamed), (seed, fleet.blamed)
+
+
 @pytest.mark.parametrize("is_one_group", [False, True])
 def test_two_segments_that_crash_backends_are_both_quarantined(is_one_group: bool) -> None:
     """What they have in common must not be blamed for the crashes of both."""
--- a/src/canvasyoke/direct/_forwarder.py
+++ b/src/canvasyoke/direct/_forwarder.py
@@ -82,6 +82,7 @@
     def run(self, call: DirectCall) -> Iterator[AnswerPart]:
         """Yield the parts of the response; the last one tells how it ended."""
         self._budget.record_request(call.service)
+        self._quarantine.record_request(call.shared_traits)
         while True:
             trait = self._quarantined_trait(call)
             if trait:
