A request that is quarantined while it waits for a place is refused at once

Callers saw: nothing yet; found on review. A request that waited for a place of a group when the verdict on its segment fell was held until a place came, up to seconds, and refused then. Cause: the verdict was asked before the wait and before the write, and not by the reviews of those that wait. Ruled out: that it was sent; the check before the write held. Conclusion: the review of every 50 ms settles such a request as it does one whose caller has left, and the forwarder asks for the verdict before it believes that.

--- a/src/canvasyoke/direct/_forwarder.py
+++ b/src/canvasyoke/direct/_forwarder.py
@@ -72,6 +72,7 @@
         self._recorder = AttemptRecorder(roster, exit_monitor, quarantine, clock)
         self._notice_handler = notice_handler
         self._waiting = waiting
+        waiting.refuse_when(lambda call: bool(self._quarantined_trait(call)))
         self._clock = clock
         self._refusals = RefusalPolicy(roster, return_times, clock, rng)
         self._retries = RetryPolicy(roster, budget, clock)
@@ -90,6 +91,8 @@
                 return
             chosen = self._choose(call)
             if isinstance(chosen, NoneAvailable):
+                if self._quarantined_trait(call):
+                    continue
                 if chosen.reason is Reason.CANCELLED:
                     yield CallerDisconnected()
                     return
--- a/src/canvasyoke/direct/_waiting.py
+++ b/src/canvasyoke/direct/_waiting.py
@@ -75,10 +75,16 @@
         self._logged: set[str] = set()
         #: Moving average of request durations in milliseconds, by route.
         self._durations: dict[str, float] = {}
+        #: Returns whether a request is known to be unservable.
+        self._is_unservable: Callable[[DirectCall], bool] = lambda _call: False
         self._changed = threading.Event()
         #: Assigns places; started with the first request that waits.
         self._thread = threading.Thread(target=self._run, name="waiting", daemon=True)
 
+    def refuse_when(self, is_unservable: Callable[[DirectCall], bool]) -> None:
+        """Set which requests do not wait any longer; checked at each review."""
+        self._is_unservable = is_unservable
+
     def applies_to(self, call: DirectCall) -> bool:
         """Return whether a request asks for its place here."""
         route = call.route
@@ -199,7 +205,7 @@
         with self._lock:
             now = self._clock.now()
             if is_review:
-                self._remove_disconnected()
+                self._remove_withdrawn()
             for service, queue in self._queues.items():
                 if queue:
                     self._settle(service, queue.assign(now))
@@ -207,9 +213,13 @@
                     self._settle(service, queue.review(now))
                 self._log_change(service, queue)
 
-    def _remove_disconnected(self) -> None:
-        gone = [key for key, holder in self._holders.items() if holder.call.is_disconnected()]
-        for service, ticket in gone:
+    def _remove_withdrawn(self) -> None:
+        withdrawn = [
+            key
+            for key, holder in self._holders.items()
+            if holder.call.is_disconnected() or self._is_unservable(holder.call)
+        ]
+        for service, ticket in withdrawn:
             self._queues[service].leave(ticket)
             self._settle(service, [Settled(ticket, NoneAvailable(Reason.CANCELLED))])
 
--- a/src/canvasyoke/direct/tests/calls.py
+++ b/src/canvasyoke/direct/tests/calls.py
@@ -38,6 +38,8 @@
 class CannedPort(DirectBackendPort):
     def __init__(self, send: Callable[[], SendResult]) -> None:
         self._send = send
+        #: Handle of the last exchange.
+        self.slot: ExchangeHandle | None = None
 
     def send(
         self,
@@ -46,6 +48,7 @@
         connect_timeout: int,
         slot: ExchangeHandle,
     ) -> SendResult:
+        self.slot = slot
         return self._send()
 
     def slowdown_of(self, endpoint: Endpoint) -> float | None:
--- a/src/canvasyoke/direct/tests/test_waiting.py
+++ b/src/canvasyoke/direct/tests/test_waiting.py
@@ -150,6 +150,20 @@
     assert result.reason is Reason.CANCELLED
 
 
+def test_a_request_that_becomes_unservable_does_not_wait_for_a_place(place: Place) -> None:
+    """It would be held until a place comes, and refused then."""
+    unservable: list[DirectCall] = []
+    place.waiting.refuse_when(lambda call: any(call is each for each in unservable))
+    place.fill()
+    waits, call = place.call(), place.call()
+    results = [place.ask_later(waits), place.ask_later(call)]
+    unservable.append(call)
+    assert results[1].result(5) == NoneAvailable(Reason.CANCELLED)
+    assert place.is_waiting(waits)
+    place.end_one()
+    assert isinstance(results[0].result(5), Chosen)
+
+
 def test_above_the_bound_the_last_in_the_order_is_refused(
     place: Place, monkeypatch: pytest.MonkeyPatch
 ) -> None:
