Kinds of traits say whether they are shared; what operators see of them

The command tells the answers since the first end, and how to lift a verdict. Conclusion: no behaviour changes but the text of the command and a field of its JSON.

--- a/src/canvasyoke/cli/_render.py
+++ b/src/canvasyoke/cli/_render.py
@@ -52,14 +52,20 @@
 
 
 def render_quarantine(data: bytes) -> str:
-    """Format the JSON list of quarantined and suspected requests as text."""
+    """Format the JSON list of quarantined and suspected traits as text."""
     listed = msgspec.json.decode(data, type=list[QuarantinedRequest])
-    lines = [
-        f"{req.fingerprint} {'kept from backends' if req.is_blamed else 'suspected'}: "
-        f"{len(req.runs)} ended ({', '.join(req.runs)})"
-        for req in sorted(listed, key=lambda req: (not req.is_blamed, -len(req.runs)))
-    ]
-    return "\n".join(lines) or "no backend has ended under a request"
+    ordered = sorted(listed, key=lambda each: (not each.is_blamed, -len(each.runs)))
+    return "\n".join(map(_render_trait, ordered)) or "no backend has ended under a request"
+
+
+def _render_trait(trait: QuarantinedRequest) -> str:
+    state = "kept from backends" if trait.is_blamed else "suspected"
+    text = f"{trait.fingerprint} {state}: {len(trait.runs)} ended ({', '.join(trait.runs)})"
+    if trait.answers:
+        text += f", {trait.answers} answers since the first"
+    if trait.is_blamed:
+        text += f"; once mended: --release {trait.fingerprint}"
+    return text
 
 
 def render_audit(entries: Sequence[AuditEntry]) -> str:
--- a/src/canvasyoke/crashes/__init__.py
+++ b/src/canvasyoke/crashes/__init__.py
@@ -7,7 +7,7 @@
 from canvasyoke.crashes._quarantine import Quarantine
 from canvasyoke.crashes._quarantine_notes import QuarantineNotes
 from canvasyoke.crashes._runs import BrokenExchange, OnRunChange, RunChange
-from canvasyoke.crashes._traits import RequestIdentity, find_traits, is_shared
+from canvasyoke.crashes._traits import RequestIdentity, own_traits, shared_traits
 
 __all__ = [
     "BackendLiveness",
@@ -21,6 +21,6 @@
     "QuarantineNotes",
     "RequestIdentity",
     "RunChange",
-    "find_traits",
-    "is_shared",
+    "own_traits",
+    "shared_traits",
 ]
--- a/src/canvasyoke/crashes/_quarantine.py
+++ b/src/canvasyoke/crashes/_quarantine.py
@@ -76,7 +76,7 @@
         self._evaluated_at = 0
         self._last_end_at = 0
         #: Whether any case has changed since the last evaluation.
-        self._has_changed = False
+        self._needs_evaluation = False
         #: Changed cases that have not been published yet.
         self._changed: set[str] = set()
         #: Recently answered requests with the clock time of the response, oldest first.
@@ -214,7 +214,7 @@
         if now - self._evaluated_at < _EVALUATION_INTERVAL:
             return False
         is_settled = self._evaluated_at - self._last_end_at > MAX_VERDICT_DELAY
-        if is_settled and not self._has_changed:
+        if is_settled and not self._needs_evaluation:
             return False
         return any(_is_pending(case) for case in self._cases.values())
 
@@ -271,7 +271,7 @@
 
     def _evaluate(self) -> None:
         self._evaluated_at = self._clock.now()
-        self._has_changed = False
+        self._needs_evaluation = False
         ends = Ends(self._ended_at, self._clock.now(), self._released_runs)
         for name in find_responsible(self._cases, ends, self._prevalence.is_common):
             self._update(name, self._cases[name].with_verdict())
@@ -281,7 +281,7 @@
         known = self._cases.get(name)
         if known is None or known.runs != case.runs:
             self._last_end_at = self._clock.now()
-        self._has_changed = True
+        self._needs_evaluation = True
         self._cases[name] = case
         self._updated_at[name] = self._clock.now()
         self._changed.add(name)
--- a/src/canvasyoke/crashes/_traits.py
+++ b/src/canvasyoke/crashes/_traits.py
@@ -9,9 +9,10 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Callable, Iterable
+from abc import ABC, abstractmethod
+from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import Final
+from typing import ClassVar, Final
 
 from canvasyoke._registry import Registry
 
@@ -19,7 +20,6 @@
 _DIGEST_BYTES: Final = 16
 #: Separates the parts before the body; none of them may contain it.
 _SEPARATOR: Final = b"\n"
-_SEGMENT_PREFIX: Final = "segment-"
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,30 +36,62 @@
     segments: tuple[str, ...] = ()
 
 
-#: Functions that return the names of the traits of one kind.
-TRAITS: Registry[Callable[[RequestIdentity], Iterable[str]]] = Registry("trait")
+class TraitKind(ABC):
+    """One kind of trait."""
+
+    #: Whether different requests may have such a trait, most of them harmless.
+    is_shared: ClassVar[bool]
+
+    @abstractmethod
+    def ids(self, identity: RequestIdentity) -> Iterable[str]:
+        """Return the ids of the traits of this kind that a request has."""
+
+
+#: Kinds of traits by name. The name of a shared trait is that of its kind, a hyphen and its id.
+TRAITS: Registry[type[TraitKind]] = Registry("trait")
 
 
 @TRAITS.register("request")
-def fingerprint_trait(identity: RequestIdentity) -> Iterable[str]:
-    """Return the digest of the whole request, which is the same for each repetition."""
-    return [fingerprint(identity.method, identity.target, identity.organisation, identity.body)]
+class RequestTrait(TraitKind):
+    """The digest of the whole request, which is the same for each repetition."""
+
+    is_shared = False
+
+    def ids(self, identity: RequestIdentity) -> Iterable[str]:
+        """Return the digest."""
+        yield fingerprint(identity.method, identity.target, identity.organisation, identity.body)
 
 
 @TRAITS.register("segment")
-def segment_traits(identity: RequestIdentity) -> Iterable[str]:
-    """Return the shared segments of the prompt."""
-    return [_SEGMENT_PREFIX + segment for segment in identity.segments]
+class SegmentTrait(TraitKind):
+    """A segment of the prompt that other requests may contain too."""
+
+    is_shared = True
+
+    def ids(self, identity: RequestIdentity) -> Iterable[str]:
+        """Return the ids of the segments."""
+        return identity.segments
+
+
+_KINDS: Final = {name: TRAITS.get(name)() for name in TRAITS.names()}
+_SHARED_PREFIXES: Final = tuple(f"{name}-" for name, kind in _KINDS.items() if kind.is_shared)
+
+
+def own_traits(identity: RequestIdentity) -> tuple[str, ...]:
+    """Return the traits that only repetitions of a request have. Digests its body."""
+    kinds = [kind for kind in _KINDS.values() if not kind.is_shared]
+    return tuple(each for kind in kinds for each in kind.ids(identity))
 
 
-def find_traits(identity: RequestIdentity) -> tuple[str, ...]:
-    """Return the names of all traits of a request."""
-    return tuple(name for kind in TRAITS.names() for name in TRAITS.get(kind)(identity))
+def shared_traits(identity: RequestIdentity) -> tuple[str, ...]:
+    """Return the traits that different requests may have too."""
+    kinds = {name: kind for name, kind in _KINDS.items() if kind.is_shared}
+    return tuple(f"{name}-{each}" for name, kind in kinds.items() for each in kind.ids(identity))
 
 
 def is_shared(name: str) -> bool:
-    """Return whether a trait may be common to different requests, most of them harmless."""
-    return name.startswith(_SEGMENT_PREFIX)
+    """Return whether a trait is one that different requests may have."""
+    return name.startswith(_SHARED_PREFIXES)
 
 
 def fingerprint(method: str, target: str, organisation: str, body: bytes) -> str:
--- a/src/canvasyoke/crashes/tests/crash_simulation.py
+++ b/src/canvasyoke/crashes/tests/crash_simulation.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Any, TypeAlias
 
 from canvasyoke._clock import SECOND, ManualClock
 from canvasyoke.crashes._quarantine import Quarantine
@@ -204,3 +206,17 @@
     ("a tenth, and callers repeat at once", _tenth, 1_000, 0.0, 3),
     ("a domain, one is hot, callers repeat", _domain, 4_000, 0.4, 3),
 ]
+
+#: Row of ``EXTERNAL_CAUSES``.
+ExternalCause: TypeAlias = tuple[str, Callable[[random.Random], list[list[int]]], int, float, int]
+
+
+def simulate_cause(cause: ExternalCause, seed: int, **settings: Any) -> CrashingFleet:
+    """Return a fleet after 20 seconds in which its backends ended for an external cause."""
+    _, plan, every, hot_fraction, caller_retries = cause
+    fleet = CrashingFleet(
+        seed, hot_fraction=hot_fraction, caller_retries=caller_retries, **settings
+    )
+    fleet.simulate(20, every, plan(random.Random(seed)))
+    assert fleet.ends
+    return fleet
--- a/src/canvasyoke/crashes/tests/test_quarantine_fleet.py
+++ b/src/canvasyoke/crashes/tests/test_quarantine_fleet.py
@@ -12,7 +12,12 @@
 
 from canvasyoke.crashes._attribution import MIN_ENDED_RUNS
 from canvasyoke.crashes._quarantine import Quarantine
-from canvasyoke.crashes.tests.crash_simulation import EXTERNAL_CAUSES, CrashingFleet
+from canvasyoke.crashes.tests.crash_simulation import (
+    EXTERNAL_CAUSES,
+    CrashingFleet,
+    ExternalCause,
+    simulate_cause,
+)
 from canvasyoke.direct import _peers
 from canvasyoke.direct.tests.fleet_model import SETTLE_STEPS, SimFleet, SimLinks
 
@@ -176,13 +181,10 @@
 
 
 @pytest.mark.parametrize("cause", EXTERNAL_CAUSES, ids=[c[0] for c in EXTERNAL_CAUSES])
-def test_ends_with_external_causes_quarantine_no_request(cause: tuple) -> None:  # type: ignore[type-arg]
+def test_ends_with_external_causes_quarantine_no_request(cause: ExternalCause) -> None:
     """Ends with an external cause must not lead to a quarantine."""
-    _, plan, every, hot_fraction, caller_retries = cause
     for seed in range(20):
-        fleet = CrashingFleet(seed, hot_fraction=hot_fraction, caller_retries=caller_retries)
-        fleet.simulate(20, every, plan(random.Random(seed)))
-        assert fleet.ends
+        fleet = simulate_cause(cause, seed)
         assert not fleet.blamed, (seed, fleet.blamed)
         assert not fleet.refused
 
@@ -195,20 +197,11 @@
 @pytest.mark.parametrize("delay", EVIDENCE_DELAYS, ids=str)
 @pytest.mark.parametrize("cause", EXTERNAL_CAUSES, ids=[c[0] for c in EXTERNAL_CAUSES])
 def test_late_evidence_of_external_causes_quarantines_no_request(
-    cause: tuple,  # type: ignore[type-arg]
-    delay: tuple[int, int],
+    cause: ExternalCause, delay: tuple[int, int]
 ) -> None:
     """Ends of one moment that become known one by one must not count as many moments."""
-    _, plan, every, hot_fraction, caller_retries = cause
     for seed in range(20):
-        fleet = CrashingFleet(
-            seed,
-            hot_fraction=hot_fraction,
-            caller_retries=caller_retries,
-            evidence_delay=delay,
-        )
-        fleet.simulate(20, every, plan(random.Random(seed)))
-        assert fleet.ends
+        fleet = simulate_cause(cause, seed, evidence_delay=delay)
         assert not fleet.blamed, (seed, fleet.blamed)
         assert not fleet.refused
 
--- a/src/canvasyoke/crashes/tests/test_segments.py
+++ b/src/canvasyoke/crashes/tests/test_segments.py
@@ -15,7 +15,7 @@
 from canvasyoke.crashes._prevalence import _INTERVAL, _MAX_TRAITS, _MIN_SAMPLE, Prevalence
 from canvasyoke.crashes._quarantine import Quarantine
 from canvasyoke.crashes._quarantine_notes import QuarantineNotes
-from canvasyoke.crashes._traits import TRAITS, RequestIdentity, find_traits, is_shared
+from canvasyoke.crashes._traits import RequestIdentity, is_shared, own_traits, shared_traits
 from canvasyoke.direct._budget import FleetRetryBudget, RetryAllowance
 from canvasyoke.direct._call import BEGIN_TIME, DirectCall, ErrorAnswer
 from canvasyoke.direct._choice import BackendQuery, NoneAvailable
@@ -328,10 +328,10 @@
 
 
 def test_the_traits_of_a_request_are_its_digest_and_its_shared_segments() -> None:
-    traits = find_traits(RequestIdentity("POST", "/a", "o", b"body", ("c0ffee", "f1")))
-    assert TRAITS.names() == ["request", "segment"]
-    assert [is_shared(name) for name in traits] == [False, True, True]
-    assert traits[1:] == (CRASHING, FIRST)
+    identity = RequestIdentity("POST", "/a", "o", b"body", ("c0ffee", "f1"))
+    assert shared_traits(identity) == (CRASHING, FIRST)
+    (digest,) = own_traits(identity)
+    assert [is_shared(name) for name in (digest, CRASHING, FIRST)] == [False, True, True]
 
 
 @pytest.mark.parametrize(("begun_before", "is_suspect"), [(None, True), (1, True), (301, False)])
--- a/src/canvasyoke/crashes/tests/test_segments_fleet.py
+++ b/src/canvasyoke/crashes/tests/test_segments_fleet.py
@@ -11,6 +11,8 @@
 from canvasyoke.crashes.tests.crash_simulation import (
     EXTERNAL_CAUSES,
     CrashingFleet,
+    ExternalCause,
+    simulate_cause,
 )
 
 #: Crashes after which all entries must know a segment, milliseconds until they do, and crashes
@@ -29,36 +31,18 @@
 @pytest.mark.parametrize("cause", EXTERNAL_CAUSES, ids=[c[0] for c in EXTERNAL_CAUSES])
 @pytest.mark.parametrize("is_one_group", [False, True])
 def test_ends_with_external_causes_quarantine_no_segment(
-    cause: tuple,  # type: ignore[type-arg]
-    is_one_group: bool,
+    cause: ExternalCause, is_one_group: bool
 ) -> None:
-    _, plan, every, hot_fraction, caller_retries = cause
     for seed in range(20):
-        fleet = CrashingFleet(
-            seed,
-            hot_fraction=hot_fraction,
-            has_segments=True,
-            is_one_group=is_one_group,
-            caller_retries=caller_retries,
-        )
-        fleet.simulate(20, every, plan(random.Random(seed)))
-        assert fleet.ends
+        fleet = simulate_cause(cause, seed, has_segments=True, is_one_group=is_one_group)
         assert not segments_in(fleet.blamed), (seed, fleet.blamed)
 
 
 def test_a_hot_request_is_not_blamed_for_other_ends_in_one_group() -> None:
     """A group that stands still answers no other copy of a request either."""
     (cause,) = [c for c in EXTERNAL_CAUSES if c[0] == "a tenth, and one request is hot"]
-    _, plan, every, hot_fraction, caller_retries = cause
     for seed in range(20):
-        fleet = CrashingFleet(
-            seed,
-            hot_fraction=hot_fraction,
-            has_segments=True,
-            is_one_group=True,
-            caller_retries=caller_retries,
-        )
-        fleet.simulate(20, every, plan(random.Random(seed)))
+        fleet = simulate_cause(cause, seed, has_segments=True, is_one_group=True)
         assert not fleet.blamed, (seed, fleet.blamed)
 
 
--- a/src/canvasyoke/direct/_admin.py
+++ b/src/canvasyoke/direct/_admin.py
@@ -48,7 +48,9 @@
 
     def _list_cases(self) -> list[QuarantinedRequest]:
         return [
-            QuarantinedRequest(name, case.is_blamed, sorted(case.runs), case.cleared)
+            QuarantinedRequest(
+                name, case.is_blamed, sorted(case.runs), case.cleared, case.answer_count
+            )
             for name, case in sorted(self._quarantine.cases().items())
             if case.runs
         ]
--- a/src/canvasyoke/direct/_call.py
+++ b/src/canvasyoke/direct/_call.py
@@ -8,7 +8,7 @@
 from typing import Final, TypeAlias
 
 from canvasyoke.backend import NO_NOTICE, BackendNotice
-from canvasyoke.crashes import BrokenExchange, RequestIdentity, find_traits, is_shared
+from canvasyoke.crashes import BrokenExchange, RequestIdentity, own_traits, shared_traits
 from canvasyoke.direct._choice import Chosen
 from canvasyoke.state import Endpoint, TableRoute, format_position
 from canvasyoke.transport import ExchangeHandle
@@ -171,7 +171,7 @@
     #: Whether the exchange was closed because the request was quarantined meanwhile.
     is_withdrawn: bool = False
     #: Cached traits; empty until first used.
-    _traits: tuple[str, ...] = ()
+    _own_traits: tuple[str, ...] = ()
 
     @property
     def has_begun(self) -> bool:
@@ -186,23 +186,25 @@
     @property
     def traits(self) -> tuple[str, ...]:
         """Return the names of the traits by which crashes of backends are attributed."""
-        if not self._traits:
-            self._traits = find_traits(
-                RequestIdentity(
-                    self.method, self.target, self.organisation, self.body, self.shared_segments
-                )
-            )
-        return self._traits
+        return self.own_traits + self.shared_traits
 
     @property
     def own_traits(self) -> tuple[str, ...]:
         """Return the traits that only repetitions of this request have."""
-        return tuple(name for name in self.traits if not is_shared(name))
+        if not self._own_traits:
+            self._own_traits = own_traits(self._identity)
+        return self._own_traits
 
     @property
     def shared_traits(self) -> tuple[str, ...]:
         """Return the traits that different requests have too."""
-        return tuple(name for name in self.traits if is_shared(name))
+        return shared_traits(self._identity)
+
+    @property
+    def _identity(self) -> RequestIdentity:
+        return RequestIdentity(
+            self.method, self.target, self.organisation, self.body, self.shared_segments
+        )
 
     def broken_exchange(self, endpoint: Endpoint, detail: str, now: int) -> BrokenExchange:
         """Return the current exchange after its connection was lost.
--- a/src/canvasyoke/protocol/_status.py
+++ b/src/canvasyoke/protocol/_status.py
@@ -70,3 +70,5 @@
     runs: list[str]
     #: Number of times it was cleared.
     cleared: int
+    #: Answers to requests with a shared trait that were sent after the first crash.
+    answers: int = 0
