--- a/review/stream_engine.py
+++ b/review/stream_engine.py
@@ -1,7 +1,8 @@
 """Stand-in engine as a process of its own: answers in pieces, with or without a length.
 
-    python3 -m review.stream_engine ADDRESS ID EVENTS PAUSE_MS
+    python3 -m review.stream_engine SOCKET ID EVENTS PAUSE_MS
 
+``SOCKET`` is the number of the listening socket, which the engine inherits from its supervisor.
 ``POST`` is answered with a stream of ``EVENTS`` events, ``GET`` with a body of as many parts, one
 each ``PAUSE_MS``. The answers carry neither a length nor chunks and finish when their channel does.
 An answer takes up at ``Last-Event-Id``. Each request that begins and ends is printed.
@@ -9,6 +10,7 @@
 
 from __future__ import annotations
 
+import socket
 import sys
 import time
 
@@ -27,8 +29,7 @@
 
 def main() -> None:
     """Serve until killed."""
-    address, engine_id, events, pause = sys.argv[1:]
-    host, port = address.split(":")
+    descriptor, engine_id, events, pause = sys.argv[1:]
 
     class _Handler(Handler):
         def handle_request(
@@ -55,7 +56,11 @@
                 self.wfile.write(event(number) if is_stream else part(number))
             print(f"{engine_id} has ended its answer to {request_id}", flush=True)
 
-    Server((host, int(port)), _Handler).serve_forever()
+    listener = socket.socket(fileno=int(descriptor))
+    server = Server(listener.getsockname(), _Handler, bind_and_activate=False)
+    server.socket.close()
+    server.socket = listener
+    server.serve_forever()
 
 
 if __name__ == "__main__":
