Review: bytes that are no answer end the entries that asked for one

Replaces the entry of another writer, now run with WRITER=1, as the trouble of the third case: an engine that starts garbles two of its answers to GET /report. A nonsensical length raises OverflowError in the thread that asked, which ends the entry and loses what it holds.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,13 +1,18 @@
-"""LOST: an entry of another writer in the store ends every process that carries traffic.
+"""LOST: bytes that are not an answer to a question about an engine end the entries that asked.
 
-Three entries in three zones and two engines of one service. Callers keep their channels and send
-one request after the other. Another writer puts an entry of kind ``servers`` whose ``Slots`` is a
-number of 128 bits. Processes that end are started again after a short delay.
+Four entries in two zones, engines of a model service and of an application. Callers keep their
+channels to the application and send one request after the other; others ask for streams. An engine
+of the model service starts and garbles two of its first answers. Processes that end are started
+again after a short delay.
+
+With WRITER=1 the trouble is an entry of another writer in the store instead, whose ``Slots`` is a
+number of 128 bits.
 """
 
 from __future__ import annotations
 
 import http.client
+import os
 import sys
 import threading
 import time
@@ -35,16 +40,31 @@
     wait_until_ready,
 )
 
-ZONES = ("hall-delft", "hall-leiden", "hall-gouda")
-#: Kept channels to each entry, and seconds that an engine works on a request.
-CHANNELS, WORK_SECONDS = 5, 0.25
-#: Seconds of traffic before the other writer's entry and after it.
-BEFORE_SECONDS, AFTER_SECONDS = 4.0, 16.0
+ZONES = ("hall-delft", "hall-leiden")
+MODEL, APPLICATION = "lith-llm", "corelog-app"
+GEOMETRY = {
+    "LinkMbps": 44_000.0,
+    "sets": 3,
+    "experts": 96,
+    "places": 11,
+    "spare": 4,
+    "expert_mb": 2_200.0,
+    "form_ms": 600.0,
+}
+#: Kept channels and callers of streams by entry, and seconds that the application works.
+CHANNELS, STREAMS, WORK_SECONDS = 7, 4, 0.25
+#: Seconds of traffic before the trouble and after it.
+BEFORE_SECONDS, AFTER_SECONDS = 4.0, 8.0
+#: Seconds of the disturbance of the engine, and the share of its answers that it may garble.
+GARBLE_SECONDS, GARBLE_SHARE = 5.0, 0.02
+#: Answers that it garbles, and the bytes that it sends in their place.
+GARBLED = 2
+GARBAGE = b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\n\x00"
 #: Seconds until a process that has ended is started again.
 RESTART_SECONDS = 1.0
-#: Requests of a kept channel that may be lost, and ends of a process that are no fault.
-ALLOWED_LOSSES, ALLOWED_ENDS = 3, 2
-#: The other writer's number of slots: the largest one of 128 bits, as some write for "no limit".
+#: Requests of kept channels that may be lost.
+ALLOWED_LOSSES = 3
+#: The other writer's number of slots.
 ODD_SLOTS = 2**128 - 1
 
 
@@ -61,11 +81,12 @@
 
 @dataclass
 class Callers:
-    """Callers that keep their channels."""
+    """Callers of the application that keep their channels, and callers of streams."""
 
     record: Record
     stop: threading.Event = field(default_factory=threading.Event)
     outcomes: list[Outcome] = field(default_factory=list)
+    streams: int = 0
 
     def run(self, entry: str, address: str, channel: int) -> None:
         """Send requests on one channel after the other until stopped."""
@@ -73,34 +94,68 @@
         while not self.stop.is_set():
             conn = http.client.HTTPConnection(address, timeout=6)
             is_kept = False
-            try:
-                while not self.stop.is_set():
-                    number += 1
-                    request_id = f"{entry}-{channel}-{number}"
-                    status = self._send(conn, request_id)
-                    self.outcomes.append(Outcome(request_id, entry, status, is_kept))
-                    if not status:
-                        break
-                    is_kept = True
-            finally:
-                conn.close()
+            while not self.stop.is_set():
+                number += 1
+                request_id = f"{entry}-{channel}-{number}"
+                status = _send(conn, request_id, "/tag/1")
+                self.outcomes.append(Outcome(request_id, entry, status, is_kept))
+                if not status:
+                    self.record.write(f"caller {request_id}: no answer")
+                    break
+                is_kept = True
+            conn.close()
             self.stop.wait(0.2)
 
-    def _send(self, conn: http.client.HTTPConnection, request_id: str) -> int:
-        headers = {
-            "Host": HOST,
-            "Attempt-Id": request_id,
-            "Request-Deadline": "4000",
-            "Authorization": f"Bearer {KEY}",
-        }
-        try:
-            conn.request("POST", "/tag/1", body=b"tray photo", headers=headers)
-            response = conn.getresponse()
-            response.read()
-        except (OSError, http.client.HTTPException) as exc:
-            self.record.write(f"caller {request_id}: no answer ({type(exc).__name__})")
-            return 0
-        return response.status
+    def ask_for_streams(self, entry: str, address: str, caller: int) -> None:
+        """Ask for streams, each on a channel of its own, until stopped."""
+        number = 0
+        while not self.stop.is_set():
+            number += 1
+            conn = http.client.HTTPConnection(address, timeout=6)
+            status = _send(conn, f"{entry}-s{caller}-{number}", "/describe/stream")
+            conn.close()
+            self.streams += status == 200
+            self.stop.wait(0.02 if status else 0.2)
+
+
+def _send(conn: http.client.HTTPConnection, request_id: str, path: str) -> int:
+    """Send a request and read its answer; return its status, or 0 without a whole one."""
+    headers = {
+        "Host": HOST,
+        "Attempt-Id": request_id,
+        "Request-Deadline": "4000",
+        "Authorization": f"Bearer {KEY}",
+    }
+    try:
+        conn.request("POST", path, body=request_id.encode(), headers=headers)
+        response = conn.getresponse()
+        response.read()
+    except (OSError, http.client.HTTPException):
+        return 0
+    return response.status
+
+
+@dataclass
+class GarblingEngine(PlatformEngine):
+    """An engine that garbles some of its first answers to ``GET /report``."""
+
+    started_at: float = field(default_factory=time.monotonic)
+    garbled: int = 0
+
+    def report(self, handler: Handler) -> None:
+        """Send the report, or bytes that are not an answer."""
+        if self.garbled >= GARBLED or time.monotonic() - self.started_at > GARBLE_SECONDS:
+            super().report(handler)
+            return
+        self.reports += 1
+        self.garbled += 1
+        handler.wfile.write(GARBAGE)
+        handler.close_connection = True
+
+    def answers_during_disturbance(self) -> int:
+        """Return the requests and questions that came within ``GARBLE_SECONDS`` of its start."""
+        until = self.started_at + GARBLE_SECONDS
+        return self.reports + sum(arrival.at < until for arrival in self.arrivals)
 
 
 def work(handler: Handler, engine: PlatformEngine) -> None:
@@ -119,51 +174,77 @@
 
 def keep_running(deployment: Deployment, ends: dict[str, int], stop: threading.Event) -> None:
     """Start processes that have ended again, and count their ends."""
+    ended_at: dict[str, float] = {}
     while not stop.wait(0.05):
         for name, process in list(deployment.processes.items()):
-            if process.poll() is not None:
+            if process.poll() is None:
+                continue
+            if name not in ended_at:
                 ends[name] += 1
-                stop.wait(RESTART_SECONDS)
-                if not stop.is_set():
-                    deployment.restart(name)
+                ended_at[name] = time.monotonic()
+            elif time.monotonic() - ended_at[name] >= RESTART_SECONDS:
+                del ended_at[name]
+                deployment.restart(name)
+
+
+def cause_trouble(deployment: Deployment, record: Record) -> GarblingEngine | None:
+    """Start an engine that garbles answers, or put another writer's entry into the store."""
+    if os.environ.get("WRITER", "0") == "1":
+        odd = PlatformEngine("i-other").store_entry(APPLICATION, zone=ZONES[0])
+        deployment.store.put("servers", "i-other", odd | {"Slots": ODD_SLOTS})
+        record.write(f"another writer puts servers/i-other with Slots {ODD_SLOTS}")
+        return None
+    engine = GarblingEngine("i-new", group="g-2")
+    deployment.store.put("servers", engine.id, engine.store_entry(MODEL, zone=ZONES[0]))
+    record.write(f"{engine.id} starts; it garbles {GARBLED} of its answers")
+    return engine
 
 
 def run(record: Record, has_trouble: bool) -> int:
     """Run the case and return its exit code."""
     deployment = Deployment()
-    engines = [PlatformEngine(f"i-0{n}") for n in (1, 2)]
+    application = [PlatformEngine(f"i-a{n}") for n in range(5)]
+    models = [PlatformEngine(f"i-m{n}", group="g-1") for n in range(2)]
     callers = Callers(record)
     stop = threading.Event()
     try:
-        routes = [route("tag", "corelog-app", "unsafe", MaxAttempts=1, TimeoutMs=2_000)]
-        services = [{"Name": "corelog-app", "MaxConnections": 96}]
+        routes = [
+            route("tag", APPLICATION, "unsafe", MaxAttempts=1, TimeoutMs=2_000),
+            route("describe", MODEL, "streaming", gap_aim_ms=120),
+        ]
+        services = [
+            {"Name": APPLICATION, "MaxConnections": 96},
+            {"Name": MODEL, "MaxConnections": 408, "Engine": GEOMETRY},
+        ]
         deployment.store.put("config", "main", configuration(routes, services))
-        for engine in engines:
+        for number, engine in enumerate([*application, *models]):
+            service = APPLICATION if engine in application else MODEL
+            entry = engine.store_entry(service, zone=ZONES[number % len(ZONES)])
+            deployment.store.put("servers", engine.id, entry)
+        for engine in application:
             engine.behaviours = _Behaviours()  # type: ignore[assignment]
-            deployment.store.put(
-                "servers", engine.id, engine.store_entry("corelog-app", zone=ZONES[0])
-            )
         entries = {
-            f"entry-{zone}": deployment.add_entry(f"entry-{zone}", domain=zone) for zone in ZONES
+            name: deployment.add_entry(name, domain=zone)
+            for zone in ZONES
+            for name in (f"entry-{zone}-1", f"entry-{zone}-2")
         }
         for settings in entries.values():
             wait_until_ready(settings["ready"])
         ends = dict.fromkeys(deployment.processes, 0)
-        threads = [
-            threading.Thread(target=callers.run, args=(name, settings["http"], channel))
-            for name, settings in entries.items()
-            for channel in range(CHANNELS)
-        ]
-        threads.append(threading.Thread(target=keep_running, args=(deployment, ends, stop)))
+        threads = [threading.Thread(target=keep_running, args=(deployment, ends, stop))]
+        for name, settings in entries.items():
+            address = settings["http"]
+            for target, count in ((callers.run, CHANNELS), (callers.ask_for_streams, STREAMS)):
+                threads += [
+                    threading.Thread(target=target, args=(name, address, number))
+                    for number in range(count)
+                ]
         for thread in threads:
             thread.start()
         time.sleep(BEFORE_SECONDS)
         if any(ends.values()):
             raise CaseError("a process has ended before the case began")
-        if has_trouble:
-            odd = engines[0].store_entry("corelog-app", zone=ZONES[0]) | {"Slots": ODD_SLOTS}
-            deployment.store.put("servers", "i-other", odd)
-            record.write(f"another writer puts servers/i-other with Slots {ODD_SLOTS}")
+        garbling = cause_trouble(deployment, record) if has_trouble else None
         time.sleep(AFTER_SECONDS)
         callers.stop.set()
         stop.set()
@@ -172,35 +253,41 @@
         for name in deployment.processes:
             for line in deployment.log_path(name).read_text().splitlines():
                 if "exception" in line:
-                    record.write(f"{name}: {line[:120]} ... {line[-90:]}")
-        return judge(record, callers.outcomes, engines, ends)
+                    record.write(f"{name}: {line[:140]} ... {line[-90:]}")
+        if garbling is not None:
+            answers = garbling.answers_during_disturbance()
+            record.write(f"{garbling.id} garbled {garbling.garbled} of {answers} answers")
+            if garbling.garbled > GARBLE_SHARE * answers:
+                raise CaseError("the engine garbled more than its share")
+        return judge(record, callers, application, ends)
     finally:
         callers.stop.set()
         stop.set()
         deployment.close()
-        for engine in engines:
-            engine.close()
 
 
 def judge(
-    record: Record, outcomes: list[Outcome], engines: list[PlatformEngine], ends: dict[str, int]
+    record: Record, callers: Callers, engines: list[PlatformEngine], ends: dict[str, int]
 ) -> int:
-    """Count the requests that were passed on and lost with their kept channel."""
+    """Count the requests that were passed on to sound engines and lost with a kept channel."""
     arrived = {a.headers.get("Attempt-Id") for e in engines for a in e.arrivals}
     lost = [
-        each for each in outcomes if each.is_kept and not each.status and each.request_id in arrived
+        each
+        for each in callers.outcomes
+        if each.is_kept and not each.status and each.request_id in arrived
     ]
-    answered = sum(each.status == 200 for each in outcomes)
-    unanswered = sum(each.status != 200 for each in outcomes)
-    record.write(f"requests: {len(outcomes)}, answered {answered}, not answered {unanswered}")
+    answered = sum(each.status == 200 for each in callers.outcomes)
+    record.write(
+        f"application: {len(callers.outcomes)} requests, answered {answered}; "
+        f"streams answered: {callers.streams}"
+    )
     for each in lost:
         record.write(f"lost after it was passed on: {each.request_id} at {each.entry}")
     record.write(f"lost from kept channels after they were passed on: {len(lost)}")
     record.write(f"ends of processes on their own: {ends}")
-    if not answered:
-        raise CaseError("no request was answered")
-    is_fault = sum(count > ALLOWED_ENDS for count in ends.values()) >= 2
-    return BROKEN if len(lost) > ALLOWED_LOSSES or is_fault else HELD
+    if not answered or not callers.streams:
+        raise CaseError("requests were not answered")
+    return BROKEN if len(lost) > ALLOWED_LOSSES else HELD
 
 
 def main() -> int:
