--- a/review/1/case.py
+++ b/review/1/case.py
@@ -50,7 +50,7 @@
 #: Share of the orders that get no answer from the arrival of requests on, and for how many seconds.
 LATE_SHARE, LATE_SECONDS = 0.5, 5.0
 #: Seconds from the start after which no further requests are sent.
-RUN_SECONDS = 97.0
+RUN_SECONDS = 90.0
 #: Seconds of the pause after each group of requests.
 PAUSE_SECONDS = (5.0, 6.5)
 #: Requests that arrive together, and the seconds within which they do.
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -2,8 +2,8 @@
 
 Four entries in two zones, engines of a model service and of an application. Callers keep their
 channels to the application and send one request after the other; others ask for streams. An engine
-of the model service starts and garbles two of its first answers. Processes that end are started
-again after a short delay.
+of the model service starts and garbles two of its first answers, or none without the disruption.
+Processes that end are started again after a short delay.
 
 With WRITER=1 the trouble is an entry of another writer in the store instead, whose ``Slots`` is a
 number of 128 bits.
@@ -57,6 +57,8 @@
 BEFORE_SECONDS, AFTER_SECONDS = 4.0, 8.0
 #: Seconds of the disturbance of the engine, and the share of its answers that it may garble.
 GARBLE_SECONDS, GARBLE_SHARE = 5.0, 0.02
+#: Seconds of ``ContactMs``: an entry is in touch if it has run for so long.
+CONTACT_SECONDS = 3.0
 #: Answers that it garbles, and the bytes that it sends in their place.
 GARBLED = 2
 GARBAGE = b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\n\x00"
@@ -64,8 +66,8 @@
 RESTART_SECONDS = 1.0
 #: Requests of kept channels that may be lost.
 ALLOWED_LOSSES = 3
-#: The other writer's number of slots.
-ODD_SLOTS = 2**128 - 1
+#: Whether the trouble is an entry of another writer, and its number of slots.
+IS_WRITER, ODD_SLOTS = os.environ.get("WRITER", "0") == "1", 2**128 - 1
 
 
 @dataclass
@@ -77,6 +79,8 @@
     status: int
     #: Whether an earlier request was answered on the same channel.
     is_kept: bool
+    #: Monotonic time in seconds at which it ended.
+    at: float = field(default_factory=time.monotonic)
 
 
 @dataclass
@@ -99,7 +103,7 @@
                 request_id = f"{entry}-{channel}-{number}"
                 status = _send(conn, request_id, "/tag/1")
                 self.outcomes.append(Outcome(request_id, entry, status, is_kept))
-                if not status:
+                if status <= 0:
                     self.record.write(f"caller {request_id}: no answer")
                     break
                 is_kept = True
@@ -115,11 +119,14 @@
             status = _send(conn, f"{entry}-s{caller}-{number}", "/describe/stream")
             conn.close()
             self.streams += status == 200
-            self.stop.wait(0.02 if status else 0.2)
+            self.stop.wait(0.02 if status > 0 else 0.2)
 
 
 def _send(conn: http.client.HTTPConnection, request_id: str, path: str) -> int:
-    """Send a request and read its answer; return its status, or 0 without a whole one."""
+    """Send a request and read its answer; return its status.
+
+    It is 0 if the channel ended without a whole answer, and -1 if the caller gave up.
+    """
     headers = {
         "Host": HOST,
         "Attempt-Id": request_id,
@@ -130,24 +137,32 @@
         conn.request("POST", path, body=request_id.encode(), headers=headers)
         response = conn.getresponse()
         response.read()
+    except TimeoutError:
+        return -1
     except (OSError, http.client.HTTPException):
         return 0
     return response.status
 
 
 @dataclass
-class GarblingEngine(PlatformEngine):
-    """An engine that garbles some of its first answers to ``GET /report``."""
+class ModelEngine(PlatformEngine):
+    """An engine that is a rank of a group, and may garble its first answers to ``GET /report``."""
 
+    rank: int = 0
+    ranks: int = 1
+    #: Number of answers to garble.
+    to_garble: int = 0
     started_at: float = field(default_factory=time.monotonic)
     garbled: int = 0
 
     def report(self, handler: Handler) -> None:
         """Send the report, or bytes that are not an answer."""
-        if self.garbled >= GARBLED or time.monotonic() - self.started_at > GARBLE_SECONDS:
-            super().report(handler)
-            return
         self.reports += 1
+        is_over = time.monotonic() - self.started_at > GARBLE_SECONDS
+        if self.garbled >= self.to_garble or is_over:
+            group = {"Name": self.group, "epoch": 1, "rank": self.rank, "State": "open"}
+            handler.reply_json({"Stage": "dual", "group": group, "size": self.ranks})
+            return
         self.garbled += 1
         handler.wfile.write(GARBAGE)
         handler.close_connection = True
@@ -187,16 +202,16 @@
                 deployment.restart(name)
 
 
-def cause_trouble(deployment: Deployment, record: Record) -> GarblingEngine | None:
-    """Start an engine that garbles answers, or put another writer's entry into the store."""
-    if os.environ.get("WRITER", "0") == "1":
-        odd = PlatformEngine("i-other").store_entry(APPLICATION, zone=ZONES[0])
-        deployment.store.put("servers", "i-other", odd | {"Slots": ODD_SLOTS})
-        record.write(f"another writer puts servers/i-other with Slots {ODD_SLOTS}")
-        return None
-    engine = GarblingEngine("i-new", group="g-2")
+def start_engine(deployment: Deployment, record: Record, has_trouble: bool) -> ModelEngine:
+    """Start another engine of the model service, a group of its own."""
+    is_garbling = has_trouble and not IS_WRITER
+    engine = ModelEngine("i-new", group="g-2", to_garble=GARBLED if is_garbling else 0)
     deployment.store.put("servers", engine.id, engine.store_entry(MODEL, zone=ZONES[0]))
-    record.write(f"{engine.id} starts; it garbles {GARBLED} of its answers")
+    record.write(f"{engine.id} starts; it garbles {engine.to_garble} of its answers")
+    if has_trouble and IS_WRITER:
+        odd = engine.store_entry(APPLICATION, zone=ZONES[0]) | {"Slots": ODD_SLOTS}
+        deployment.store.put("servers", "i-other", odd)
+        record.write(f"another writer puts servers/i-other with Slots {ODD_SLOTS}")
     return engine
 
 
@@ -204,7 +219,7 @@
     """Run the case and return its exit code."""
     deployment = Deployment()
     application = [PlatformEngine(f"i-a{n}") for n in range(5)]
-    models = [PlatformEngine(f"i-m{n}", group="g-1") for n in range(2)]
+    models = [ModelEngine(f"i-m{n}", group="g-1", rank=n, ranks=4) for n in range(4)]
     callers = Callers(record)
     stop = threading.Event()
     try:
@@ -230,6 +245,7 @@
         }
         for settings in entries.values():
             wait_until_ready(settings["ready"])
+        ready_at = time.monotonic()
         ends = dict.fromkeys(deployment.processes, 0)
         threads = [threading.Thread(target=keep_running, args=(deployment, ends, stop))]
         for name, settings in entries.items():
@@ -244,7 +260,7 @@
         time.sleep(BEFORE_SECONDS)
         if any(ends.values()):
             raise CaseError("a process has ended before the case began")
-        garbling = cause_trouble(deployment, record) if has_trouble else None
+        started = start_engine(deployment, record, has_trouble)
         time.sleep(AFTER_SECONDS)
         callers.stop.set()
         stop.set()
@@ -254,12 +270,11 @@
             for line in deployment.log_path(name).read_text().splitlines():
                 if "exception" in line:
                     record.write(f"{name}: {line[:140]} ... {line[-90:]}")
-        if garbling is not None:
-            answers = garbling.answers_during_disturbance()
-            record.write(f"{garbling.id} garbled {garbling.garbled} of {answers} answers")
-            if garbling.garbled > GARBLE_SHARE * answers:
-                raise CaseError("the engine garbled more than its share")
-        return judge(record, callers, application, ends)
+        answers = started.answers_during_disturbance()
+        record.write(f"{started.id} garbled {started.garbled} of {answers} answers")
+        if started.garbled > GARBLE_SHARE * answers:
+            raise CaseError("the engine garbled more than its share")
+        return judge(record, callers, application, ends, ready_at)
     finally:
         callers.stop.set()
         stop.set()
@@ -267,14 +282,21 @@
 
 
 def judge(
-    record: Record, callers: Callers, engines: list[PlatformEngine], ends: dict[str, int]
+    record: Record,
+    callers: Callers,
+    engines: list[PlatformEngine],
+    ends: dict[str, int],
+    ready_at: float,
 ) -> int:
     """Count the requests that were passed on to sound engines and lost with a kept channel."""
     arrived = {a.headers.get("Attempt-Id") for e in engines for a in e.arrivals}
     lost = [
         each
         for each in callers.outcomes
-        if each.is_kept and not each.status and each.request_id in arrived
+        if each.is_kept
+        and each.status == 0
+        and each.request_id in arrived
+        and each.at - ready_at > CONTACT_SECONDS
     ]
     answered = sum(each.status == 200 for each in callers.outcomes)
     record.write(
