Review: an owner that wakes goes on with a change that the standby has ended

The first case has another disruption as its default: the process that owns the map is stopped for 2 to 4 s as it gives orders to arm (node_freeze, giver). The standby disarms all ranks and releases the hold. The owner then wakes, takes the ranks that had answered before as armed, arms the others under its old fence, and counts the map as in force; the next pass begins with two maps. No order is lost or late.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,9 +1,12 @@
-"""MAP: an engine that does not require fencing carries an order out late, after newer ones.
+"""MAP: an owner of a map that wakes again goes on with its change after the standby has ended it.
 
-One entry and the rank processes of one group. Requests come in small groups; between them the
-engines are idle and begin no pass. For 5 s from each arrival on, a share of the orders to the
-engines gets no answer and is carried out 2 to 12 s later. The engines compare their maps as a pass
-begins.
+One entry and the rank processes of one group, whose engines don't require fencing. Requests come in
+small groups; between them the engines are idle and begin no pass. The owner's process is stopped as
+it gives orders to arm, and continued seconds later; there is no other disruption. The engines
+compare their maps as a pass begins.
+
+With LATE=1 no process is stopped. Instead, for some seconds from each arrival of requests on, a
+share of the orders to the engines gets no answer and is carried out 2 to 12 s later.
 """
 
 from __future__ import annotations
@@ -12,10 +15,12 @@
 import itertools
 import os
 import random
+import signal
 import sys
 import threading
 import time
 from pathlib import Path
+from typing import Any
 
 ROOT = Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT))
@@ -37,6 +42,8 @@
     wait_until_ready,
 )
 
+#: The process beside the engine of rank 0, which owns the map unless it is out of reach.
+OWNER = "side-0"
 RANKS, LAYERS, EXPERTS = 24, 16, 96
 GEOMETRY = {
     "LinkMbps": 44_000.0,
@@ -47,12 +54,17 @@
     "expert_mb": 420.0,
     "form_ms": 600.0,
 }
+#: Seconds for which the owner's process is stopped.
+STOP_SECONDS = (2.0, 4.0)
+#: Seconds from the arrival of requests on within which orders to arm are expected, and from the
+#: continuation of the owner's process until the next requests.
+ARM_SECONDS, REST_SECONDS = 4.0, 1.0
 #: Share of the orders that get no answer from the arrival of requests on, and for how many seconds:
 #: the defaults of kinds, or with DOSE=site the figures of the site file.
 LATE_SHARE, LATE_SECONDS = (0.35, 5.5) if os.environ.get("DOSE") == "site" else (0.5, 5.0)
 #: Seconds from the start after which no further requests are sent.
 RUN_SECONDS = 90.0
-#: Seconds of the pause after each group of requests.
+#: Seconds of the pause after each group of requests with LATE=1, and without any disruption.
 PAUSE_SECONDS = (5.0, 6.5)
 #: Requests that arrive together, and the seconds within which they do.
 REQUESTS, ARRIVAL_SECONDS = 6, 0.06
@@ -103,6 +115,59 @@
         self._record.write(f"caller {request_id}: {result}")
 
 
+class OwnerStops:
+    """Stops the process that owns the map as it gives orders to arm, once each time it is asked."""
+
+    def __init__(
+        self, deployment: Deployment, engines: RankGroupEngines, record: Record, rng: random.Random
+    ) -> None:
+        self._deployment = deployment
+        self._engines = engines
+        self._record = record
+        self._rng = rng
+        self._lock = threading.Lock()
+        #: Orders to arm until the stop; 0 if none is due.
+        self._orders_left = 0
+        self._has_stopped = threading.Event()
+        # With ENGINE=1 the engine beside the owner stands still as well.
+        self._has_engine = os.environ.get("ENGINE", "0") == "1"
+        self.count = 0
+
+    def prepare(self) -> None:
+        """Have the owner stopped after one of the next orders to arm."""
+        self._has_stopped.clear()
+        with self._lock:
+            self._orders_left = self._rng.randrange(2, RANKS)
+        self._engines.on_order = self._see
+
+    def _see(self, order: dict[str, Any]) -> None:
+        with self._lock:
+            if order["op"] != "arm" or not self._orders_left:
+                return
+            self._orders_left -= 1
+            if self._orders_left:
+                return
+            self._deployment.signal(OWNER, signal.SIGSTOP)
+            if self._has_engine:
+                self._engines.first_runs.clear()
+            self.count += 1
+        self._record.write(f"{OWNER} is stopped")
+        self._has_stopped.set()
+
+    def finish(self) -> None:
+        """Wait for the stop, and continue the process some seconds later."""
+        if not self._has_stopped.wait(ARM_SECONDS):
+            with self._lock:
+                self._orders_left = 0
+            if not self._has_stopped.is_set():
+                return
+        time.sleep(self._rng.uniform(*STOP_SECONDS))
+        self._record.write(f"{OWNER} goes on")
+        self._deployment.signal(OWNER, signal.SIGCONT)
+        self._engines.first_runs.set()
+        time.sleep(REST_SECONDS)
+
+
 def run(record: Record, seed: int, has_trouble: bool) -> int:
     """Run the case and return its exit code."""
     started_at = time.monotonic()
@@ -110,7 +175,9 @@
     deployment = Deployment()
     # The deployment has ``RequireFencing`` false; with FENCING=1 the engines check fences.
     is_fenced = os.environ.get("FENCING", "0") == "1"
+    has_late_orders = os.environ.get("LATE", "0") == "1"
     engines = RankGroupEngines(RANKS, LAYERS, EXPERTS, GEOMETRY, record, rng, is_fenced)
+    stops = OwnerStops(deployment, engines, record, rng)
     try:
         services = [{"Name": "lith-llm", "MaxConnections": 408, "Engine": GEOMETRY}]
         routes = [route("describe", "lith-llm", "streaming", gap_aim_ms=120)]
@@ -133,25 +200,35 @@
             if time.monotonic() - started_at > RUN_SECONDS or engines.mismatches:
                 break
             engines.move_demand(rng.randrange(1_000_000))
-            if has_trouble:
+            if has_trouble and has_late_orders:
                 engines.leave_orders_unanswered(LATE_SHARE, LATE_SECONDS)
+            elif has_trouble:
+                stops.prepare()
             record.write(f"requests, group {group}")
             callers.send()
-            time.sleep(rng.uniform(*PAUSE_SECONDS))
+            if has_trouble and not has_late_orders:
+                stops.finish()
+            else:
+                time.sleep(rng.uniform(*PAUSE_SECONDS))
         changes = engines.activations
         record.write(
             f"answered={callers.answered} failed={callers.failed} map changes={changes} "
-            f"late orders={engines.late_orders} mismatches={engines.mismatches[:3]}"
+            f"stops={stops.count} late orders={engines.late_orders} "
+            f"mismatches={engines.mismatches[:3]}"
         )
         for name in ("side-0", "side-1"):
             for line in deployment.log_path(name).read_text().splitlines():
                 if "map" in line:
                     record.write(f"{name} {line[:400]}")
-        if not changes or not callers.answered:
-            raise CaseError("no map was ever changed")
+        # A stop shows that a change had begun.
+        if not (changes or stops.count) or not callers.answered:
+            raise CaseError("no map change was ever begun")
+        if has_trouble and not stops.count and not engines.late_orders:
+            raise CaseError("there was no disruption")
         return BROKEN if engines.mismatches else HELD
     finally:
         deployment.close()
+        engines.first_runs.set()
         engines.close()
 
 
--- a/review/engines.py
+++ b/review/engines.py
@@ -12,6 +12,7 @@
 import random
 import threading
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -82,6 +83,11 @@
         self._late_share = 0.0
         self._late_until = 0.0
         self._timers: list[threading.Timer] = []
+        #: Called with each order before it is carried out.
+        self.on_order: Callable[[dict[str, Any]], object] = lambda _order: None
+        #: Cleared while the engine of rank 0 stands still, as one whose machine does.
+        self.first_runs = threading.Event()
+        self.first_runs.set()
         self._stop = threading.Event()
         self._weights: list[list[int]] = []
         self.move_demand(0)
@@ -135,6 +141,8 @@
     def _run(self) -> None:
         while not self._stop.wait(_PASS_SECONDS):
             with self._changed:
+                if not self.first_runs.is_set():
+                    continue
                 if self._active and not any(r.held == self.step + 1 for r in self.ranks):
                     self._begin_pass()
 
@@ -166,6 +174,8 @@
             def handle_request(
                 self, method: str, path: str, query: dict[str, str], body: bytes
             ) -> None:
+                if number == 0:
+                    engines.first_runs.wait()
                 if path == "/order":
                     engines._receive_order(self, number, json.loads(body))
                 elif path in ("/report", "/picked"):
@@ -230,6 +240,7 @@
     # Orders.
 
     def _receive_order(self, handler: Handler, number: int, order: dict[str, Any]) -> None:
+        self.on_order(order)
         if not self._is_unanswered():
             with self._changed:
                 status = self._order(number, order)
