--- a/review/1/case.py
+++ b/review/1/case.py
@@ -128,16 +128,20 @@
         self._lock = threading.Lock()
         #: Orders to arm until the stop; 0 if none is due.
         self._orders_left = 0
+        self._seconds = 0.0
         self._has_stopped = threading.Event()
+        self._goes_on = threading.Event()
         # With ENGINE=1 the engine beside the owner stands still as well.
         self._has_engine = os.environ.get("ENGINE", "0") == "1"
         self.count = 0
 
     def prepare(self) -> None:
-        """Have the owner stopped after one of the next orders to arm."""
+        """Have the owner stopped after one of the next orders to arm, for some seconds."""
         self._has_stopped.clear()
+        self._goes_on.clear()
         with self._lock:
             self._orders_left = self._rng.randrange(2, RANKS)
+            self._seconds = self._rng.uniform(*STOP_SECONDS)
         self._engines.on_order = self._see
 
     def _see(self, order: dict[str, Any]) -> None:
@@ -151,20 +155,25 @@
             if self._has_engine:
                 self._engines.first_runs.clear()
             self.count += 1
+            timer = threading.Timer(self._seconds, self._go_on)
+            timer.daemon = True
+            timer.start()
+            self._has_stopped.set()
         self._record.write(f"{OWNER} is stopped")
-        self._has_stopped.set()
 
-    def finish(self) -> None:
-        """Wait for the stop, and continue the process some seconds later."""
-        if not self._has_stopped.wait(ARM_SECONDS):
-            with self._lock:
-                self._orders_left = 0
-            if not self._has_stopped.is_set():
-                return
-        time.sleep(self._rng.uniform(*STOP_SECONDS))
-        self._record.write(f"{OWNER} goes on")
+    def _go_on(self) -> None:
         self._deployment.signal(OWNER, signal.SIGCONT)
         self._engines.first_runs.set()
+        self._record.write(f"{OWNER} goes on")
+        self._goes_on.set()
+
+    def finish(self) -> None:
+        """Wait until the process has been stopped and goes on, if an order to arm comes in time."""
+        self._has_stopped.wait(ARM_SECONDS)
+        with self._lock:
+            self._orders_left = 0
+        if self._has_stopped.is_set():
+            self._goes_on.wait()
         time.sleep(REST_SECONDS)
 
 
