--- a/review/launch.py
+++ b/review/launch.py
@@ -21,7 +21,7 @@
     """Run the case in the folder named by the argument and return its exit code."""
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(_NOT_RUN))
     case = Path(__file__).resolve().parent / sys.argv[1] / "case.py"
-    with tempfile.TemporaryDirectory() as folder:
+    with tempfile.TemporaryDirectory(ignore_cleanup_errors=True) as folder:
         # The stand-ins keep their list of ports in the folder for temporary files.
         os.environ["TMPDIR"] = tempfile.tempdir = folder
         try:
