Roll map changes back by versions, not by fences alone

What callers saw: where a deployment does not require fencing, a step began while two ranks of a group had different maps, or the group stood still for good and all of its requests failed.

Cause: an owner that resumed after the standby had rolled its change back went on with it, and late orders of an abandoned change took effect. Recovery and rollback relied on fences to refuse both, and engines check fences only where that is required. Beside it, a late release could end a later hold at the same rank and step, a recovery completed changes for which an order to disarm could be under way, and a release was repeated for good where another hold had taken its place.

The state machine of owner and standby, with engines that do not check fences, began a step with two maps within 300 examples; so did a late release.

Why this holds: every engine arms a rank only for the map that is prepared and prepares only a version above all earlier ones. A rollback prepares the experts that a rank holds already under a newer version, so no order of an earlier change can take effect there, whenever it arrives. Ranks are disarmed only behind a hold of the process that rolls back, places of holds are used once, and a refused release is final. Owner and standby notice holds on any rank.

Seen failing before: the state machines without fencing, 7 of 7 cases of test_an_owner_that_resumes_cannot_go_on, the late release, the release that meets another hold (did not end), and the whole processes in tests/test_standby.py.

The mechanisms that a test of the state machine takes out are now those that prevent two maps: raised fences, and arming the owner's rank last, are no longer what it depends on there. Old reports of ranks without a link are tested to leave no rank armed alone, in both cases, where one was expected to.

--- a/fakes/rank_engines.py
+++ b/fakes/rank_engines.py
@@ -9,6 +9,7 @@
 import json
 import random
 import threading
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -35,8 +36,13 @@
 class RankEngines:
     """The engines of one group in its first epoch."""
 
-    def __init__(self, size: int, layers: int, experts: int) -> None:
+    def __init__(self, size: int, layers: int, experts: int, requires_fencing: bool = True) -> None:
         self.size, self.layers, self.experts = size, layers, experts
+        self._requires_fencing = requires_fencing
+        #: Whether no step begins, as if the group had no requests.
+        self.is_idle = False
+        #: Called with each order before it is executed.
+        self.on_order: Callable[[dict[str, Any]], object] = lambda _order: None
         self._lock = threading.Lock()
         self.step = 0
         self.ranks = [RankState(counts=[0] * (layers * experts)) for _ in range(size)]
@@ -87,7 +93,7 @@
                 self._begin_step()
 
     def _begin_step(self) -> None:
-        if any(rank.held == self.step + 1 for rank in self.ranks):
+        if self.is_idle or any(rank.held == self.step + 1 for rank in self.ranks):
             return
         self.step += 1
         flat = [_TOKENS * w // sum(layer) for layer in self.weights for w in layer]
@@ -138,9 +144,10 @@
 
     def _order(self, rank: RankState, order: dict[str, Any]) -> int:
         """Execute an order and return its status."""
-        if order["fence"] < rank.fence:
+        self.on_order(order)
+        if self._requires_fencing and order["fence"] < rank.fence:
             return 412
-        rank.fence = order["fence"]
+        rank.fence = max(rank.fence, order["fence"])
         version, step = order.get("Version", 0), order.get("step", 0)
         match order["op"]:
             case "prepare":
--- a/src/canvasyoke/experts/_acting_owner.py
+++ b/src/canvasyoke/experts/_acting_owner.py
@@ -71,6 +71,11 @@
         """Return whether the owner was silent at the last tick, so that ticks are frequent."""
         return self._is_silence
 
+    @property
+    def is_group_held(self) -> bool:
+        """Return whether another rank's reading, sent since the owner fell silent, shows a hold."""
+        return self._group is not None and bool(self._group.held_ranks())
+
     @property
     def skew(self) -> float:
         """Return the skew of the map in force; 0 while not acting."""
@@ -123,7 +128,7 @@
 
     def _begin(self, group: ActingGroup, report: RankReport) -> MapOwner | None:
         """Return an owner if the group can be changed from here."""
-        is_under_way = report.armed is not None or report.held_step
+        is_under_way = report.armed is not None or report.held_step or group.held_ranks()
         if not report.is_open or is_under_way or not group.is_linked:
             return None
         return self._make_owner(group, self._pause)
--- a/src/canvasyoke/experts/_change.py
+++ b/src/canvasyoke/experts/_change.py
@@ -1,22 +1,22 @@
 """Atomic change of a group's expert map: all ranks switch at the same step, or none does.
 
 No step may begin while two ranks have different maps. Orders can be lost or executed seconds after
-their timeout, and the owner can die between any two orders.
+their timeout, and the owner can die or stand still between any two orders.
 
 The protocol is: prepare all ranks, hold the group before a step, arm all ranks for that step,
 release the hold. While the hold stands, the step cannot begin. It is released only after every rank
-has reported that it is armed for the step, or every rank has reported that it is not armed. Before
-a release without armed ranks, every rank has seen a fence above that of all earlier orders, so that
-delayed orders are rejected.
-
-A hold does not expire. Each new owner therefore starts with ``recover``, which completes or rolls
-back an interrupted change. It first raises the fences of all ranks: the earlier owner may resume at
-any time, and an order of it that arrived between the reports and a release would split the group.
-
-The owner's host can fail together with its rank. For this reason the hold is never placed on the
-owner's rank, and that rank is armed last and disarmed first: it can be armed only while all other
-ranks are. If any other rank is not armed, another process can roll the change back without reaching
-the owner's rank (``recover_without_owner``).
+has reported that it is armed for the step, or after the change has been rolled back
+(``_rollback``). Preparing a map also ends all changes of earlier owners, as their versions are
+lower.
+
+A hold does not expire. Each new owner therefore starts with ``recover``, which rolls back an
+interrupted change. It never completes one: an order to disarm that its owner has given may still be
+on its way. Only where all ranks are armed and no hold is left, the change was complete.
+
+The owner's host can fail together with its rank. For this reason holds are not placed on the
+owner's rank if there is another one, and that rank is armed last and rolled back first: it can be
+armed only while all other ranks are. If any other rank is not armed, another process can roll the
+change back without reaching the owner's rank (``recover_without_owner``).
 """
 
 from __future__ import annotations
@@ -27,7 +27,6 @@
 
 from canvasyoke._clock import SECOND, Clock
 from canvasyoke.experts._change_types import (
-    HOLD_RANK,
     OWNER_RANK,
     ChangeResult,
     ChangeTimings,
@@ -35,7 +34,8 @@
 )
 from canvasyoke.experts._fences import FenceSequence
 from canvasyoke.experts._group import NewMap, OrderResult, RankGroup
-from canvasyoke.experts._group_control import GroupControl, GroupReformedError
+from canvasyoke.experts._group_control import GroupReformedError
+from canvasyoke.experts._hold_ledger import HoldLedger, HoldPlace
 from canvasyoke.experts._rank_port import (
     Armed,
     MapOrder,
@@ -43,6 +43,7 @@
     OrderOutcome,
     RankReport,
 )
+from canvasyoke.experts._rollback import RollbackControl
 from canvasyoke.experts._step_timing import StepTiming
 from canvasyoke.observe import part_logger
 
@@ -65,7 +66,7 @@
 _MAX_LOGGED_RANKS: Final = 8
 
 
-class MapChanger(GroupControl):
+class MapChanger(RollbackControl):
     """Executes map changes of one group, one at a time."""
 
     def __init__(
@@ -75,8 +76,11 @@
         fences: FenceSequence,
         clock: Clock,
         pause: Callable[[float], object] | None = None,
+        holds: HoldLedger | None = None,
     ) -> None:
-        super().__init__(group, epoch, fences, pause or threading.Event().wait)
+        super().__init__(
+            group, epoch, fences, pause or threading.Event().wait, holds or HoldLedger()
+        )
         self._clock = clock
         #: Timings of the last change.
         self.timings = ChangeTimings()
@@ -100,18 +104,18 @@
         self.timings.prepare_time = self._clock.now() - started_at
         if not is_prepared:
             return ChangeResult.NOT_PREPARED
-        step = self._hold()
-        if not step:
+        hold = self._hold()
+        if hold is None:
             return ChangeResult.NOT_HELD
         started_at = self._clock.now()
-        armed = self._arm(new_map.version, step)
+        is_armed = self._arm(new_map.version, hold.step)
         self.timings.arm_time = self._clock.now() - started_at
         self._timing.record_arming(self.timings.arm_time)
         self._timing.forget_last_step()
-        if not armed:
-            self._disarm_all(dict.fromkeys(range(self._group.size), new_map.version))
-        self._release({HOLD_RANK: step})
-        return ChangeResult.IN_FORCE if armed else ChangeResult.ABANDONED
+        if not is_armed and not self._roll_back(self._all_ranks, {}, {}):
+            return ChangeResult.NOT_HELD
+        self._release({})
+        return ChangeResult.IN_FORCE if is_armed else ChangeResult.ABANDONED
 
     def recover_without_owner(self) -> ChangeResult:
         """Roll back a change of an unresponsive owner whose rank cannot be reached either."""
@@ -120,58 +124,35 @@
     def _recover_without_owner(self) -> ChangeResult:
         if not self._raise_fences(self._non_owner_ranks):
             return ChangeResult.NOT_HELD
-        reports = self._group.fetch_reports(self._order_timeout)
-        self._check_epoch(reports.values())
+        reports = self._fetch_reports()
         if not self._non_owner_ranks <= reports.keys():
             return ChangeResult.NOT_HELD
-        armed = {r: report.armed for r, report in reports.items() if report.armed is not None}
+        armed, held = _armed_ranks(reports), _held_steps(reports)
         if self._non_owner_ranks <= armed.keys():
             return ChangeResult.NOT_HELD  # the owner's rank may be armed as well
-        held = {r: report.held_step for r, report in reports.items() if report.held_step}
-        first_step = min((state.step for state in armed.values()), default=0)
-        if armed and not self._ensure_held_by(first_step, held):
+        armed.pop(OWNER_RANK, None)
+        if not self._roll_back(self._non_owner_ranks, armed, held):
             return ChangeResult.NOT_HELD
-        self._disarm(self._non_owner_ranks, {r: state.version for r, state in armed.items()})
         self._release(held)
         return ChangeResult.ABANDONED
 
     def _recover(self) -> ChangeResult:
-        """Release holds, after completing or rolling back the change that they belong to.
-
-        If all ranks are armed for the same map and step, they stay armed, which is safe without a
-        hold. Otherwise all ranks are disarmed, including those that report not being armed: an
-        order to arm may still be in flight and must meet a higher fence before the hold is
-        released. During this the group must not reach the step for which some ranks are armed.
-        """
-        if not self._raise_fences(set(range(self._group.size))):
+        """Roll back what is held or armed, unless all ranks are armed and none is held."""
+        if not self._raise_fences(self._all_ranks):
             return ChangeResult.NOT_HELD
         reports = self._settled_reports()
-        held = {r: report.held_step for r, report in reports.items() if report.held_step}
-        armed = [report.armed for report in reports.values() if report.armed is not None]
-        is_complete = len(armed) == self._group.size and len(set(armed)) == 1
-        if (armed or held) and not is_complete:
-            if armed and not self._ensure_held_by(min(state.step for state in armed), held):
-                return ChangeResult.NOT_HELD
-            _log.info("recovering from an interrupted change", armed=len(armed), held=held)
-            self._disarm_all(
-                {
-                    r: rank_report.armed.version
-                    for r, rank_report in reports.items()
-                    if rank_report.armed is not None
-                }
-            )
-        self._release(held)
-        return ChangeResult.IN_FORCE if is_complete or not armed else ChangeResult.ABANDONED
-
-    def _ensure_held_by(self, first_step: int, held: dict[int, int]) -> bool:
-        """Ensure that the group is held at or before ``first_step``; add a new hold to ``held``."""
-        if any(step <= first_step for step in held.values()):
-            return True
-        self._had_timeout = False
-        step = self._hold()
-        if step:
-            held[HOLD_RANK] = step
-        return 0 < step <= first_step
+        armed, held = _armed_ranks(reports), _held_steps(reports)
+        is_complete = len(armed) == self._group.size and len(set(armed.values())) == 1
+        if not held and (is_complete or not armed):
+            self._own_hold = None
+            return ChangeResult.IN_FORCE
+        _log.info("rolling back an interrupted change", armed=len(armed), held=held)
+        if self._own_hold is not None and held.get(self._own_hold.rank) != self._own_hold.step:
+            self._own_hold = None
+        if not self._roll_back(self._all_ranks, armed, held):
+            return ChangeResult.NOT_HELD
+        self._release(held | _held_steps(self._all_reports()))
+        return ChangeResult.ABANDONED
 
     def _prepare(self, new_map: NewMap) -> bool:
         """Have all ranks copy their experts; return whether all copies are complete."""
@@ -220,8 +201,7 @@
         reports: Mapping[int, RankReport] = {}
         while self._clock.now() < deadline:
             self.timings.polls += 1
-            reports = self._group.fetch_reports(self._order_timeout)
-            self._check_epoch(reports.values())
+            reports = self._fetch_reports()
             pending = set(range(self._group.size)) - {
                 r for r, report in reports.items() if report.prepared == new_map.version
             }
@@ -237,27 +217,22 @@
         )
         return False
 
-    def _hold(self) -> int:
-        """Hold the group before an upcoming step; return that step, or 0 on failure."""
-        fence = self._fences.next()
+    def _hold(self) -> HoldPlace | None:
+        """Hold the group before an upcoming step; return the hold, or ``None`` on failure."""
+        ordered: list[HoldPlace] = []
         for steps_ahead in _STEPS_AHEAD_AFTER_TIMEOUT if self._had_timeout else _STEPS_AHEAD:
             own = self._own_report()
+            self._holds.begin(self._epoch)
             self._timing.record_step(own.step, self._clock.now())
             step = own.step + steps_ahead + self._timing.extra_steps
-            order = MapOrder(MapOrderKind.HOLD, fence, self._epoch, step=step)
-            results = self._group.send_orders_directly({HOLD_RANK: order}, self._order_timeout)
-            self._check_results(results)
-            if results[HOLD_RANK].outcome is OrderOutcome.DONE:
-                return step
-            held = self._current_hold()
-            if held:
-                return held
-        return 0
-
-    def _current_hold(self) -> int:
-        """Return the step at which the group is known to be held, or 0."""
-        report = self._group.fetch_reports(self._order_timeout).get(HOLD_RANK)
-        return report.held_step if report is not None else 0
+            place = self._next_place(step)
+            if place is not None and self._place_hold(place, own.step):
+                return place
+            ordered += [place] if place is not None else []
+            for each in ordered:
+                if self._is_in_place(each):
+                    return each
+        return None
 
     def _arm(self, version: int, step: int) -> bool:
         """Arm all ranks for ``step``; return whether every rank reports that it is armed."""
@@ -294,6 +269,14 @@
         return ChangeResult.REFORMED
 
 
+def _armed_ranks(reports: Mapping[int, RankReport]) -> dict[int, Armed]:
+    return {r: report.armed for r, report in reports.items() if report.armed is not None}
+
+
+def _held_steps(reports: Mapping[int, RankReport]) -> dict[int, int]:
+    return {r: report.held_step for r, report in reports.items() if report.held_step}
+
+
 def _has_accepted(result: OrderResult, version: int) -> bool:
     if result.outcome is OrderOutcome.DONE:
         return True
--- a/src/canvasyoke/experts/_direct_group.py
+++ b/src/canvasyoke/experts/_direct_group.py
@@ -29,7 +29,7 @@
 
     def __init__(self, clients: Mapping[int, RankClient], own_rank: int) -> None:
         self._clients = clients
-        self._own_rank = own_rank
+        self.own_rank = own_rank
 
     @property
     def size(self) -> int:
@@ -55,7 +55,11 @@
 
     def own_report(self) -> RankReport | None:
         """Return the report of the rank beside this process."""
-        return self._clients[self._own_rank].report()
+        return self._clients[self.own_rank].report()
+
+    def expert_count(self) -> int:
+        """Return the number of experts in each layer; 0 if the own rank does not answer."""
+        return self._clients[self.own_rank].expert_count()
 
     def _call_each(
         self, ranks: Mapping[int, object], call: Callable[[int, RankClient], ResultT]
--- a/src/canvasyoke/experts/_fences.py
+++ b/src/canvasyoke/experts/_fences.py
@@ -35,6 +35,11 @@
     base: int
     _allocated: int = 0
 
+    @property
+    def last(self) -> int:
+        """Return the number allocated last; no version of this owner's maps is above it."""
+        return self.base + self._allocated
+
     def next(self) -> int:
         """Return a number greater than all earlier ones."""
         self._allocated += 1
--- a/src/canvasyoke/experts/_group.py
+++ b/src/canvasyoke/experts/_group.py
@@ -21,6 +21,9 @@
 class RankGroup(ABC):
     """The ranks of one group in one epoch. Times are in milliseconds."""
 
+    #: Rank beside this process.
+    own_rank: int
+
     @property
     @abstractmethod
     def size(self) -> int:
@@ -70,6 +73,10 @@
     def own_report(self) -> RankReport | None:
         """Return a current report of the owner's own rank."""
 
+    @abstractmethod
+    def expert_count(self) -> int:
+        """Return the number of experts in each layer; 0 if the own rank does not answer."""
+
 
 @dataclass(frozen=True, slots=True)
 class NewMap:
--- a/src/canvasyoke/experts/_linked_group.py
+++ b/src/canvasyoke/experts/_linked_group.py
@@ -36,7 +36,7 @@
 from canvasyoke.transport import Session
 
 _log = part_logger("map")
-#: Milliseconds to wait for a rank to confirm that it still holds the group.
+#: Milliseconds to wait for ranks to confirm that they still hold the group.
 _HOLD_QUERY_TIMEOUT: Final = 200
 
 #: Relative processing time from which a rank counts as slow. Smaller slowdowns are within the error
@@ -218,19 +218,31 @@
             reports[self.own_rank] = own_report
         return reports
 
-    def confirms_hold(self, rank: int) -> bool:
-        """Return whether both the rank's last reading and a current report show a hold."""
+    def held_ranks(self) -> set[int]:
+        """Return the ranks whose last reading shows a hold."""
         with self._condition:
-            link = self._links.get(rank)
-        if link is None or not link.reading.held_step:
+            return {
+                rank
+                for rank, link in self._links.items()
+                if link.reading.held_step and not link.session.closed
+            }
+
+    def confirms_hold(self) -> bool:
+        """Return whether both the last reading and a current report of some rank show a hold."""
+        held = self.held_ranks()
+        if not held:
             return False
-        report = self.fetch_reports(_HOLD_QUERY_TIMEOUT).get(rank)
-        return report is not None and bool(report.held_step)
+        reports = self.fetch_reports(_HOLD_QUERY_TIMEOUT)
+        return any(reports[rank].held_step for rank in held & reports.keys())
 
     def own_report(self) -> RankReport | None:
         """Return the own rank's report."""
         return self._own_client.report()
 
+    def expert_count(self) -> int:
+        """Return the number of experts in each layer; 0 if the own rank does not answer."""
+        return self._own_client.expert_count()
+
     def own_layers(self) -> RankMap | None:
         """Return the own rank's part of the map in force."""
         return self._own_client.layers()
--- a/src/canvasyoke/experts/_owner.py
+++ b/src/canvasyoke/experts/_owner.py
@@ -24,9 +24,10 @@
     plan_map_update,
 )
 from canvasyoke.experts._change import MapChanger
-from canvasyoke.experts._change_types import HOLD_RANK, OWNER_RANK, ChangeResult
+from canvasyoke.experts._change_types import OWNER_RANK, ChangeResult
 from canvasyoke.experts._fences import FenceSequence, allocate_fences
 from canvasyoke.experts._group import NewMap
+from canvasyoke.experts._hold_ledger import HoldLedger
 from canvasyoke.experts._linked_group import LinkedGroup
 from canvasyoke.experts._rank_port import RankLayers, RankReport
 from canvasyoke.experts._reading_schedule import READ_INTERVAL, intervals_per_round
@@ -75,6 +76,7 @@
         change_counter: Counter,
         clock: Clock,
         pause: Callable[[float], object] | None = None,
+        holds: HoldLedger | None = None,
     ) -> None:
         self._group = group
         self._store = store
@@ -83,6 +85,7 @@
         self._demand = demand
         self._clock = clock
         self._pause = pause
+        self._holds = holds or HoldLedger()
         #: Whether this is the standby, which stops for good when it is replaced.
         self._is_standby = group.own_rank != OWNER_RANK
         self._changer: MapChanger | None = None
@@ -143,6 +146,8 @@
             if not self._record_result(result):
                 return False
             self._has_paused = result is ChangeResult.NOT_HELD
+            if self._has_paused:
+                return True
         is_frame_complete = self._add_counts(self._group.take_counts())
         if not report.is_open or report.armed is not None:
             return True
@@ -159,12 +164,14 @@
         fences = self._fences or self._allocate_fences()
         if fences is None:
             return True
-        changer = MapChanger(self._group, self._group.epoch, fences, self._clock, self._pause)
+        changer = MapChanger(
+            self._group, self._group.epoch, fences, self._clock, self._pause, self._holds
+        )
         result = changer.recover()
         if not self._record_result(result):
             self._fences = None
             return not self._is_standby and self._group.epoch == self._current_epoch()
-        if self._is_standby and result is ChangeResult.NOT_HELD:
+        if result is ChangeResult.NOT_HELD:
             self._fences = fences
             return True
         if not self._read_layers():
@@ -189,7 +196,7 @@
 
     def _is_held(self, own: RankReport) -> bool:
         """Return whether a hold exists although no change is in progress."""
-        return bool(own.held_step) or self._group.confirms_hold(HOLD_RANK)
+        return bool(own.held_step) or self._group.confirms_hold()
 
     def _current_epoch(self) -> int:
         report = self._group.own_report()
--- a/src/canvasyoke/experts/_process.py
+++ b/src/canvasyoke/experts/_process.py
@@ -15,6 +15,7 @@
 from canvasyoke.coordination import DemandStabilityEstimator
 from canvasyoke.experts._acting_owner import Pause
 from canvasyoke.experts._change_types import OWNER_RANK, OWNER_TIMEOUT
+from canvasyoke.experts._hold_ledger import HoldLedger
 from canvasyoke.experts._linked_group import LinkedGroup
 from canvasyoke.experts._lookup_limiter import LookupLimiter
 from canvasyoke.experts._note_keeper import NoteKeeper
@@ -107,6 +108,7 @@
         self._metrics.gauge(
             "canvasyoke_owns_map", "1 where this process owns a map.", self._owns_map
         )
+        self._holds = HoldLedger()
         self._standby = StandbyRole(
             self._rank_client,
             self._directory.client,
@@ -117,6 +119,7 @@
             self._incarnation,
             self._change_counter,
             self._clock,
+            self._holds,
         )
         self._metrics.gauge(
             "canvasyoke_acts_for_owner",
@@ -313,6 +316,7 @@
             self._change_counter,
             self._clock,
             pause,
+            self._holds,
         )
 
     def _on_message(self, session: Session, message: Message) -> None:
--- a/src/canvasyoke/experts/_rank_client.py
+++ b/src/canvasyoke/experts/_rank_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from dataclasses import replace
 
 from canvasyoke.experts._group import OrderResult
 from canvasyoke.experts._packing import PackingError, pack_counts, unpack_layers
@@ -11,6 +12,7 @@
     MapOrder,
     MapOrderKind,
     OrderOutcome,
+    RankLayers,
     RankMap,
     RankPort,
     RankReport,
@@ -58,8 +60,41 @@
 
     def order(self, order: MapOrder) -> OrderResult:
         """Execute an order and read the rank's report after it."""
+        if order.kind is MapOrderKind.PREPARE and not order.layers_by_rank:
+            layers_by_rank = self._unchanged_layers(order.experts)
+            if not layers_by_rank:
+                return OrderResult(OrderOutcome.UNKNOWN, self.report())
+            order = replace(order, layers_by_rank=layers_by_rank)
         return OrderResult(self._port.order(order), self.report())
 
+    def expert_count(self) -> int:
+        """Return the number of experts in each layer; 0 if the rank does not answer."""
+        rank_map = self.layers()
+        with self._lock:
+            counts = self._last_counts
+        if not counts:
+            response = self._port.counts()
+            counts = () if isinstance(response, RankUnreachable) else response
+        return len(counts) // len(rank_map.layers) if rank_map is not None else 0
+
+    def _unchanged_layers(self, experts: int) -> tuple[RankLayers, ...]:
+        """Return a map in which the rank keeps its experts; empty if it does not answer.
+
+        The other experts are dealt to the other ranks in turn, as the platform accepts complete
+        maps only.
+        """
+        rank_map, report = self.layers(), self.report()
+        if rank_map is None or report is None:
+            return ()
+        others = [rank for rank in range(report.size) if rank != report.rank]
+        layers_by_rank: list[list[tuple[int, ...]]] = [[] for _ in range(report.size)]
+        for held in rank_map.layers:
+            missing = [expert for expert in range(experts) if expert not in set(held)]
+            layers_by_rank[report.rank].append(held)
+            for index, rank in enumerate(others):
+                layers_by_rank[rank].append(tuple(missing[index :: len(others)]))
+        return tuple(tuple(layers) for layers in layers_by_rank)
+
     def execute(self, message: RankOrder) -> OrderResult:
         """Execute an order or a request for a report."""
         if message.kind not in (READ, READ_LAYERS):
@@ -92,6 +127,7 @@
         message.version,
         message.step,
         unpack_layers(message.layers_by_rank),
+        message.experts,
     )
 
 
@@ -105,6 +141,7 @@
         version=order.version,
         step=order.step,
         layers_by_rank=packed_layers,
+        experts=order.experts,
         rank=rank,
     )
 
--- a/src/canvasyoke/experts/_rank_port.py
+++ b/src/canvasyoke/experts/_rank_port.py
@@ -46,6 +46,12 @@
     #: Processing time relative to the usual one for the same work.
     slowdown: float = 1.0
 
+    @property
+    def newest_version(self) -> int:
+        """Return the newest version of a map that the rank has prepared, armed or in force."""
+        armed = self.armed.version if self.armed is not None else 0
+        return max(self.map_version, self.prepared, armed)
+
 
 @dataclass(frozen=True, slots=True)
 class RankUnreachable:
@@ -87,8 +93,11 @@
     epoch: int
     version: int = 0
     step: int = 0
-    #: For ``PREPARE``: the layers of each rank of the group.
+    #: For ``PREPARE``: the layers of each rank of the group. Without them the rank keeps the
+    #: experts that it holds.
     layers_by_rank: tuple[RankLayers, ...] = field(default=(), repr=False)
+    #: For ``PREPARE`` without layers: the number of experts in each layer.
+    experts: int = 0
 
 
 class OrderOutcome(enum.StrEnum):
--- a/src/canvasyoke/experts/_standby.py
+++ b/src/canvasyoke/experts/_standby.py
@@ -2,8 +2,8 @@
 
 A hold does not expire, so an owner that hangs or dies between hold and release stops its group. The
 process beside rank 1 monitors its link to the owner. If the link is silent for too long while a
-change is in progress, it allocates fences above the owner's, disarms the ranks unless all of them
-are armed, and releases the hold. Changes of its own begin only when the ranks send it their
+change is in progress, it allocates fences above the owner's, rolls the change back and releases the
+hold. Changes of its own begin only when the ranks send it their
 readings (``_acting_owner``). An owner that resumes finds its fences rejected and takes ownership
 again.
 """
@@ -19,6 +19,7 @@
 from canvasyoke.experts._change_types import HOLD_RANK, OWNER_TIMEOUT, ChangeResult
 from canvasyoke.experts._fences import FenceSequence, allocate_fences
 from canvasyoke.experts._group import RankGroup
+from canvasyoke.experts._hold_ledger import HoldLedger
 from canvasyoke.experts._rank_client import RankClient
 from canvasyoke.experts._rank_port import Armed, RankReport
 from canvasyoke.observe import Counter, part_logger
@@ -64,6 +65,7 @@
         incarnation: str,
         change_counter: Counter,
         clock: Clock,
+        holds: HoldLedger | None = None,
     ) -> None:
         self._name = report.group
         #: Epoch of the group.
@@ -74,6 +76,7 @@
         self._incarnation = incarnation
         self._change_counter = change_counter
         self._clock = clock
+        self._holds = holds or HoldLedger()
         #: Map that all ranks are armed for; it needs no further recovery.
         self._completed: Armed | None = None
         #: Fences above those of the currently unresponsive owner.
@@ -81,20 +84,25 @@
         #: Outcome of the last check; only differing outcomes are logged.
         self._last_outcome = StandbyOutcome.OWNER_ALIVE
 
-    def check(self, report: RankReport, silence: int) -> StandbyOutcome:
-        """Check the owner; ``silence`` is the time since its last message."""
-        result = self._evaluate(report, silence)
+    def check(
+        self, report: RankReport, silence: int, is_group_held: bool = False
+    ) -> StandbyOutcome:
+        """Check the owner; ``silence`` is the time since its last message.
+
+        ``is_group_held`` tells whether another rank has reported a hold during the silence.
+        """
+        result = self._evaluate(report, silence, is_group_held)
         if result is not self._last_outcome:
             self._last_outcome = result
             _log.info(result.value, group=self._name, epoch=self.epoch, silence=silence)
         return result
 
-    def _evaluate(self, report: RankReport, silence: int) -> StandbyOutcome:
+    def _evaluate(self, report: RankReport, silence: int, is_group_held: bool) -> StandbyOutcome:
         if silence < OWNER_TIMEOUT:
             self._fences = None
             return StandbyOutcome.OWNER_ALIVE
         is_armed = report.armed is not None and report.armed != self._completed
-        if not is_armed and not report.held_step:
+        if not is_armed and not report.held_step and not is_group_held:
             return StandbyOutcome.NOTHING_LEFT
         group = self._group()
         if group is None:
@@ -120,7 +128,7 @@
     def _recover(self, group: RankGroup) -> ChangeResult:
         """Recover the current change, including the owner's rank if that responds."""
         assert self._fences is not None
-        changer = MapChanger(group, self.epoch, self._fences, self._clock)
+        changer = MapChanger(group, self.epoch, self._fences, self._clock, holds=self._holds)
         is_reachable = self._is_owner_rank_reachable()
         result = changer.recover() if is_reachable else changer.recover_without_owner()
         self._change_counter.add(f"standby: {result.value}")
--- a/src/canvasyoke/experts/_standby_role.py
+++ b/src/canvasyoke/experts/_standby_role.py
@@ -9,6 +9,7 @@
 from canvasyoke.experts._acting_owner import ActingOwner, Pause
 from canvasyoke.experts._change_types import OWNER_RANK
 from canvasyoke.experts._direct_group import DirectGroup
+from canvasyoke.experts._hold_ledger import HoldLedger
 from canvasyoke.experts._owner import MapOwner
 from canvasyoke.experts._rank_client import RankClient
 from canvasyoke.experts._rank_port import RankReport
@@ -31,6 +32,7 @@
         incarnation: str,
         change_counter: Counter,
         clock: Clock,
+        holds: HoldLedger,
     ) -> None:
         self._own_client = own_client
         self._remote_client = remote_client
@@ -40,6 +42,7 @@
         self._incarnation = incarnation
         self._change_counter = change_counter
         self._clock = clock
+        self._holds = holds
         self._standby: Standby | None = None
         self.acting = ActingOwner(
             lambda report: ActingGroup(own_client, report, clock, remote_client),
@@ -53,7 +56,7 @@
         if self._standby is None or self._standby.epoch != report.epoch:
             self._standby = self._make_standby(report)
         if not self.acting.tick(report, self._own_client.read_counts):
-            self._standby.check(report, self._silence())
+            self._standby.check(report, self._silence(), self.acting.is_group_held)
 
     def _make_standby(self, report: RankReport) -> Standby:
         return Standby(
@@ -64,6 +67,7 @@
             self._incarnation,
             self._change_counter,
             self._clock,
+            self._holds,
         )
 
     def _direct_group(self, report: RankReport) -> DirectGroup | None:
--- a/src/canvasyoke/experts/tests/group_model.py
+++ b/src/canvasyoke/experts/tests/group_model.py
@@ -34,11 +34,13 @@
     armed: Armed | None = None
     held_step: int = 0
     fence: int = 0
+    #: Whether orders below the highest fence are rejected.
+    requires_fencing: bool = True
 
     def apply(self, order: MapOrder, step: int) -> OrderOutcome:
-        if order.fence < self.fence:
+        if self.requires_fencing and order.fence < self.fence:
             return OrderOutcome.FENCED
-        self.fence = order.fence
+        self.fence = max(self.fence, order.fence)
         if order.epoch != self.epoch:
             return OrderOutcome.CONFLICT
         match order.kind:
@@ -53,8 +55,9 @@
             case MapOrderKind.HOLD:
                 return self._hold(order.step, step)
             case MapOrderKind.RELEASE:
-                if self.held_step == order.step:
-                    self.held_step = 0
+                if self.held_step not in (0, order.step):
+                    return OrderOutcome.CONFLICT
+                self.held_step = 0
                 return OrderOutcome.DONE
 
     def _prepare(self, version: int) -> OrderOutcome:
@@ -104,12 +107,15 @@
     step_rate: float = 0.5
     arrival_rate: float = 0.2
     reform_rate: float = 0.0
+    requires_fencing: bool = True
 
     #: Past reports of each rank with their times.
     history: list[list[tuple[int, RankReport]]] = field(default_factory=list)
 
     def __post_init__(self) -> None:
-        self.ranks = [Rank(number) for number in range(self.size)]
+        self.ranks = [
+            Rank(number, requires_fencing=self.requires_fencing) for number in range(self.size)
+        ]
         self.history = [[] for _ in self.ranks]
         self.record_reports()
 
@@ -150,7 +156,11 @@
         for rank in self.ranks:
             fence = 0 if rank.number == restarted else rank.fence
             self.ranks[rank.number] = Rank(
-                rank.number, epoch=self.epoch, highest_version=highest_version, fence=fence
+                rank.number,
+                epoch=self.epoch,
+                highest_version=highest_version,
+                fence=fence,
+                requires_fencing=self.requires_fencing,
             )
 
     def report(self, rank: Rank) -> RankReport:
@@ -179,7 +189,7 @@
         lag: int = 0,
     ) -> None:
         self.model = model
-        self._own_rank = own_rank
+        self.own_rank = own_rank
         self._unreachable = unreachable
         self._lag = lag
 
@@ -202,7 +212,7 @@
         return self._report_of(rank, self._lag)
 
     def _report_of(self, rank: Rank, lag: int) -> RankReport:
-        if not lag or rank.number == self._own_rank:
+        if not lag or rank.number == self.own_rank:
             return self.model.report(rank)
         latest = self.model.clock.now() - lag
         history = [each for at, each in self.model.history[rank.number] if at <= latest]
@@ -258,4 +268,7 @@
 
     def own_report(self) -> RankReport | None:
         self.model.advance()
-        return self.model.report(self.model.ranks[self._own_rank])
+        return self.model.report(self.model.ranks[self.own_rank])
+
+    def expert_count(self) -> int:
+        return 1
--- a/src/canvasyoke/experts/tests/test_acting_changes.py
+++ b/src/canvasyoke/experts/tests/test_acting_changes.py
@@ -4,19 +4,22 @@
 
 import random
 import threading
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Set
 
 import pytest
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule, run_state_machine_as_test
 
-from canvasyoke.experts import MapOrder, MapOrderKind, RankReport
+from canvasyoke.experts import Armed, MapOrder, MapOrderKind, OrderOutcome, RankReport
 from canvasyoke.experts._acting_group import _with_effect
 from canvasyoke.experts._change import MapChanger
 from canvasyoke.experts._change_types import HOLD_RANK, OWNER_RANK, ChangeResult
 from canvasyoke.experts._fences import FenceSequence
 from canvasyoke.experts._group import NewMap, OrderResult
+from canvasyoke.experts._hold_control import HoldControl
+from canvasyoke.experts._hold_ledger import HoldLedger
+from canvasyoke.experts._rollback import RollbackControl
 from canvasyoke.experts.tests.group_model import (
     GroupModel,
     MapMismatchError,
@@ -32,16 +35,9 @@
 class _StandbysGroup(ModelRankGroup):
     """The group as the standby reaches it: the owner's rank by calls to its engine."""
 
-    def __init__(
-        self, model: GroupModel, lagging: frozenset[int] = frozenset(), link_lag: int = 0
-    ) -> None:
+    def __init__(self, model: GroupModel, lagging: frozenset[int] = frozenset()) -> None:
         super().__init__(model, own_rank=HOLD_RANK)
         self._lagging = lagging | {OWNER_RANK}
-        self._link_lag = link_lag
-
-    @property
-    def link_report_lag(self) -> int:
-        return self._link_lag
 
     @property
     def owner_report_lag(self) -> int:
@@ -126,13 +122,21 @@
 class ActingChanges(RuleBasedStateMachine):
     """Silence, resumption, lost and late orders, deaths and re-formed groups."""
 
+    requires_fencing = True
+
     def __init__(self) -> None:
         super().__init__()
         self.model = _Model(
-            3, random.Random(0), unanswered_rate=0.1, delay_rate=0.15, loss_rate=0.1
+            3,
+            random.Random(0),
+            unanswered_rate=0.1,
+            delay_rate=0.15,
+            loss_rate=0.1,
+            requires_fencing=self.requires_fencing,
         )
         self.model.arrival_rate = 0.1
         self.number = 0
+        self.standby_holds = HoldLedger()
         self.owner = _Process(self.own)
         self.standby = _Process(lambda: None)
         self.turn(self.standby, 1)
@@ -144,23 +148,25 @@
         finally:
             self.model.current = None
 
-    def changer(self, group: ModelRankGroup) -> tuple[MapChanger, FenceSequence]:
+    def changer(self, group: ModelRankGroup, holds: HoldLedger) -> tuple[MapChanger, FenceSequence]:
         self.number += 1
         fences = FenceSequence(self.number * 100_000)
-        changer = MapChanger(group, self.model.epoch, fences, self.model.clock, group.pause)
+        clock = self.model.clock
+        changer = MapChanger(group, self.model.epoch, fences, clock, group.pause, holds)
         return changer, fences
 
     def own(self) -> None:
         """The owner's process: takes ownership anew whenever it is replaced."""
+        holds = HoldLedger()
         while True:
-            changer, fences = self.changer(ModelRankGroup(self.model))
+            changer, fences = self.changer(ModelRankGroup(self.model), holds)
             if self.recover(changer):
                 while changer.change(self.new_map(fences)) not in _LOST:
                     self.recover(changer)
 
     def act(self) -> None:
         """The standby: acts until it is replaced."""
-        changer, fences = self.changer(_StandbysGroup(self.model))
+        changer, fences = self.changer(_StandbysGroup(self.model), self.standby_holds)
         if self.recover(changer):
             while changer.change(self.new_map(fences)) not in _LOST:
                 pass
@@ -202,6 +208,7 @@
     @rule()
     def standby_dies(self) -> None:
         self.standby.kill()
+        self.standby_holds = HoldLedger()
 
     @rule(step_rate=st.sampled_from([0.05, 0.3, 0.9]))
     def load_changes(self, step_rate: float) -> None:
@@ -221,7 +228,7 @@
         self.owner.kill()
         self.standby.kill()
         self.model.loss_rate = self.model.unanswered_rate = self.model.delay_rate = 0.0
-        changer, _ = self.changer(ModelRankGroup(self.model))
+        changer, _ = self.changer(ModelRankGroup(self.model), HoldLedger())
         self.recover(changer)
         assert not any(rank.held_step for rank in self.model.ranks)
 
@@ -235,33 +242,66 @@
     derandomize=True,
     suppress_health_check=list(HealthCheck),
 )
+
+
+class ActingChangesWithoutFencing(ActingChanges):
+    """The same with engines that do not check fences."""
+
+    requires_fencing = False
+
+
 TestActingChanges = ActingChanges.TestCase
 TestActingChanges.settings = _SETTINGS
+TestActingChangesWithoutFencing = ActingChangesWithoutFencing.TestCase
+TestActingChangesWithoutFencing.settings = settings(_SETTINGS, max_examples=120)
+
+
+def _only_disarm(
+    rollback: RollbackControl,
+    ranks: Set[int],
+    armed: Mapping[int, Armed],
+    _found: Mapping[int, int],
+) -> bool:
+    """Roll back by disarming alone."""
+    pending = dict(armed)
+    while pending:
+        fence = rollback._fences.next()
+        results = rollback._group.send_orders(
+            {
+                rank: MapOrder(MapOrderKind.DISARM, fence, rollback._epoch, state.version)
+                for rank, state in pending.items()
+            },
+            rollback._order_timeout,
+        )
+        rollback._check_results(results)
+        done = [r for r, each in results.items() if each.outcome is OrderOutcome.DONE]
+        pending = {r: state for r, state in pending.items() if r not in done}
+    return True
 
 
-def _arm_all_at_once(changer: MapChanger, version: int, step: int) -> bool:
-    order = MapOrder(MapOrderKind.ARM, changer._fences.next(), changer._epoch, version, step)
-    return changer._arm_ranks(set(range(changer._group.size)), order)
+def _rely_on_found(rollback: HoldControl, step: int, found: Mapping[int, int]) -> bool:
+    return rollback._own_hold is not None or any(held <= step for held in found.values())
 
 
 #: Mechanisms, and replacements that take them out.
-MECHANISMS: list[tuple[str, Callable[..., object]]] = [
-    ("_raise_fences", lambda changer, ranks: True),
-    ("_arm", _arm_all_at_once),
-    ("_settled_reports", lambda changer: changer._all_reports()),
+MECHANISMS: list[tuple[type, str, Callable[..., object]]] = [
+    (RollbackControl, "_roll_back", _only_disarm),
+    (HoldControl, "_ensure_held", _rely_on_found),
 ]
 
 
-@pytest.mark.parametrize(("name", "replacement"), MECHANISMS, ids=[m[0] for m in MECHANISMS])
+@pytest.mark.parametrize(
+    ("owner", "name", "replacement"), MECHANISMS, ids=[m[1] for m in MECHANISMS]
+)
 def test_steps_begin_with_two_maps_without_the_mechanism(
-    monkeypatch: pytest.MonkeyPatch, name: str, replacement: Callable[..., object]
+    monkeypatch: pytest.MonkeyPatch, owner: type, name: str, replacement: Callable[..., object]
 ) -> None:
     """Shows that the state machine sees what each mechanism prevents."""
-    monkeypatch.setattr(MapChanger, name, replacement)
+    monkeypatch.setattr(owner, name, replacement)
     with pytest.raises(MapMismatchError):
         run_state_machine_as_test(
-            ActingChanges,
-            settings=settings(_SETTINGS, max_examples=1_000, phases=[Phase.generate]),
+            ActingChangesWithoutFencing,
+            settings=settings(_SETTINGS, max_examples=3_000, phases=[Phase.generate]),
         )
 
 
@@ -276,8 +316,8 @@
         return super().send_orders(orders, timeout)
 
 
-@pytest.mark.parametrize(("link_lag", "result"), [(500, True), (0, False)])
-def test_reports_of_ranks_without_a_link_are_waited_for(link_lag: int, result: bool) -> None:
+@pytest.mark.parametrize("lagging", [frozenset(), frozenset({2})], ids=["linked", "not linked"])
+def test_old_reports_do_not_leave_some_ranks_armed(lagging: frozenset[int]) -> None:
     """Guards against a rank's old report making the owner's rank count as not armed."""
     model = GroupModel(4, random.Random(1), step_rate=0.0)
     fences = FenceSequence(100_000)
@@ -286,8 +326,7 @@
         MapChanger(owners, 1, fences, model.clock, owners.pause).change(
             NewMap(fences.next(), ((),), copy_time=0)
         )
-    group = _StandbysGroup(model, frozenset({2}), link_lag)
+    group = _StandbysGroup(model, lagging)
     changer = MapChanger(group, 1, FenceSequence(200_000), model.clock, group.pause)
     changer.recover()
-    armed = {rank.armed is None for rank in model.ranks}
-    assert (len(armed) == 1) is result
+    assert len({rank.armed is None for rank in model.ranks}) == 1
--- a/src/canvasyoke/experts/tests/test_change.py
+++ b/src/canvasyoke/experts/tests/test_change.py
@@ -65,10 +65,17 @@
     assert {rank.map_version for rank in model.ranks} == {new.version}
 
 
+@pytest.mark.parametrize("requires_fencing", [True, False])
 @pytest.mark.parametrize("seed", range(200))
-def test_lost_and_delayed_orders_leave_no_hold(seed: int) -> None:
+def test_lost_and_delayed_orders_leave_no_hold(seed: int, requires_fencing: bool) -> None:
     model = GroupModel(
-        4, random.Random(seed), unanswered_rate=0.1, delay_rate=0.2, loss_rate=0.1, step_rate=0.3
+        4,
+        random.Random(seed),
+        unanswered_rate=0.1,
+        delay_rate=0.2,
+        loss_rate=0.1,
+        step_rate=0.3,
+        requires_fencing=requires_fencing,
     )
     changer, fences = owner(model)
     for _ in range(5):
@@ -84,10 +91,17 @@
     assert model.step == before + 1
 
 
+@pytest.mark.parametrize("requires_fencing", [True, False])
 @pytest.mark.parametrize("seed", range(300))
-def test_the_next_owner_recovers_after_an_owner_died(seed: int) -> None:
+def test_the_next_owner_recovers_after_an_owner_died(seed: int, requires_fencing: bool) -> None:
     model = GroupModel(
-        4, random.Random(seed), unanswered_rate=0.1, delay_rate=0.1, loss_rate=0.1, death_rate=0.05
+        4,
+        random.Random(seed),
+        unanswered_rate=0.1,
+        delay_rate=0.1,
+        loss_rate=0.1,
+        death_rate=0.05,
+        requires_fencing=requires_fencing,
     )
     for number in range(1, 6):
         changer, fences = owner(model, number)
@@ -104,10 +118,18 @@
     assert not any(rank.held_step for rank in model.ranks)
 
 
+@pytest.mark.parametrize("requires_fencing", [True, False])
 @pytest.mark.parametrize("seed", range(300))
-def test_the_standby_recovers_without_the_owners_rank(seed: int) -> None:
+def test_the_standby_recovers_without_the_owners_rank(seed: int, requires_fencing: bool) -> None:
     """The group can continue without the owner's rank unless all other ranks are armed."""
-    model = GroupModel(4, random.Random(seed), death_rate=0.08, step_rate=0.3, arrival_rate=0.0)
+    model = GroupModel(
+        4,
+        random.Random(seed),
+        death_rate=0.08,
+        step_rate=0.3,
+        arrival_rate=0.0,
+        requires_fencing=requires_fencing,
+    )
     changer, fences = owner(model)
     with contextlib.suppress(OwnerDiedError):
         changer.change(new_map(fences))
@@ -146,9 +168,18 @@
         return super()._send_one(rank, order)
 
 
+@pytest.mark.parametrize("requires_fencing", [True, False])
 @pytest.mark.parametrize("disarms", range(5))
-def test_an_owner_that_dies_while_disarming_leaves_one_map(disarms: int) -> None:
-    model = GroupModel(4, random.Random(1), step_rate=0.0, arrival_rate=0.0)
+def test_an_owner_that_dies_while_disarming_leaves_one_map(
+    disarms: int, requires_fencing: bool
+) -> None:
+    model = GroupModel(
+        4,
+        random.Random(1),
+        step_rate=0.0,
+        arrival_rate=0.0,
+        requires_fencing=requires_fencing,
+    )
     fences = FenceSequence(_OWNER_RANGE)
     group = _DelayedOwnerArm(model, disarms)
     with contextlib.suppress(OwnerDiedError):
@@ -161,8 +192,9 @@
         model.begin_step()
 
 
-def test_an_owner_that_was_replaced_stops() -> None:
-    model = GroupModel(4, random.Random(1))
+@pytest.mark.parametrize("requires_fencing", [True, False])
+def test_an_owner_that_was_replaced_stops(requires_fencing: bool) -> None:
+    model = GroupModel(4, random.Random(1), requires_fencing=requires_fencing)
     old, old_fences = owner(model, 1)
     assert old.change(new_map(old_fences)) is ChangeResult.IN_FORCE
     for _ in range(10):
@@ -192,6 +224,8 @@
 class MapChanges(RuleBasedStateMachine):
     """Random sequences of changes, owner failures, re-formed groups and faulty orders."""
 
+    requires_fencing = True
+
     def __init__(self) -> None:
         super().__init__()
         self.model = GroupModel(
@@ -201,6 +235,7 @@
             delay_rate=0.2,
             loss_rate=0.1,
             arrival_rate=0.1,
+            requires_fencing=self.requires_fencing,
         )
         self.number = 0
         self.replace_owner()
@@ -280,8 +315,15 @@
         assert not any(rank.held_step for rank in self.model.ranks)
 
 
+class MapChangesWithoutFencing(MapChanges):
+    """The same with engines that do not check fences."""
+
+    requires_fencing = False
+
+
 TestMapChanges = MapChanges.TestCase
-TestMapChanges.settings = settings(
+TestMapChangesWithoutFencing = MapChangesWithoutFencing.TestCase
+TestMapChanges.settings = TestMapChangesWithoutFencing.settings = settings(
     max_examples=40,
     stateful_step_count=25,
     deadline=None,
--- a/src/canvasyoke/experts/tests/test_owner.py
+++ b/src/canvasyoke/experts/tests/test_owner.py
@@ -46,7 +46,7 @@
     def slowdowns(self) -> dict[int, float]:
         return self.slow_ranks
 
-    def confirms_hold(self, rank: int) -> bool:
+    def confirms_hold(self) -> bool:
         return False
 
     def fetch_layers(self, timeout: int) -> dict[int, Any]:
--- a/src/canvasyoke/protocol/_messages.py
+++ b/src/canvasyoke/protocol/_messages.py
@@ -277,7 +277,7 @@
     pace: Annotated[float, msgspec.Meta(ge=1)] = 1.0
 
 
-class RankOrder(msgspec.Struct, frozen=True, tag="rank_order"):
+class RankOrder(msgspec.Struct, frozen=True, tag="rank_order", omit_defaults=True):
     """Owner of a group's map to a rank process: an order for its rank."""
 
     #: Number of the order within one run of the owner.
@@ -288,8 +288,11 @@
     epoch: Count
     version: Count = 0
     step: Count = 0
-    #: For ``prepare``: experts by rank and layer, packed by :mod:`canvasyoke.experts`.
+    #: For ``prepare``: experts by rank and layer, packed by :mod:`canvasyoke.experts`; empty if the
+    #: rank is to keep its experts.
     layers_by_rank: Annotated[bytes, msgspec.Meta(max_length=1_000_000)] = b""
+    #: For ``prepare`` without a map: experts in each layer.
+    experts: Count = 0
     #: Rank that executes the order.
     rank: Count = 0
 
--- a/tests/test_standby.py
+++ b/tests/test_standby.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import Iterator
 from pathlib import Path
+from typing import Any
 
 import pytest
 import yaml
@@ -27,11 +28,11 @@
 class RankProcesses:
     """The processes beside the engines of one group."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, requires_fencing: bool = True) -> None:
         store = ObjectStore()
         store.put("config", "main", configuration(1))
         self.store = StoreEndpoint(store)
-        self.engines = RankEngines(RANKS, LAYERS, EXPERTS)
+        self.engines = RankEngines(RANKS, LAYERS, EXPERTS, requires_fencing)
         self.metrics = [free_address() for _ in range(RANKS)]
         self.logs = [folder / f"{rank}.log" for rank in range(RANKS)]
         self.processes = [self._start(folder, rank) for rank in range(RANKS)]
@@ -106,3 +107,39 @@
     assert max(later) < 1.5
     print(f"first map after {first:.2f} s, then {later} s; the owner's after {resumed:.2f} s")
     assert ranks.logs[1].read_text().count("no longer acts for the owner") == 1
+
+
+def test_an_owner_that_wakes_while_arming_splits_no_group_without_fencing(tmp_path: Path) -> None:
+    """Guards against orders of a change that the standby has rolled back meanwhile."""
+    ranks = RankProcesses(tmp_path, requires_fencing=False)
+    engines, owner = ranks.engines, ranks.processes[0]
+    arms: list[int] = []
+
+    def stop_owner(order: dict[str, Any]) -> None:
+        if order["op"] != "arm":
+            return
+        arms.append(order["Version"])
+        if len(arms) == 2:
+            engines.is_idle = True
+            owner.send_signal(signal.SIGSTOP)
+
+    try:
+        wait_until(lambda: ranks.metric(0, "canvasyoke_owns_map"), "the owner has the map")
+        linked = "canvasyoke_standby_linked"
+        wait_until(lambda: all(ranks.metric(r, linked) for r in range(2, RANKS)), linked)
+        engines.on_order = stop_owner
+        engines.move_demand(1)
+        wait_until(lambda: len(arms) >= 2, "the owner stops while it arms ranks")
+        wait_until(
+            lambda: all(r.prepared > arms[0] and not r.held for r in engines.ranks),
+            "the standby rolls the change back",
+        )
+        engines.on_order = lambda _order: None
+        owner.send_signal(signal.SIGCONT)
+        replaced = 'canvasyoke_map_changes_total{result="replaced"}'
+        wait_until(lambda: ranks.metric(0, replaced), "the owner has been replaced")
+        engines.is_idle = False
+        ranks.follow(2)
+        assert engines.mismatches == []
+    finally:
+        ranks.close()
