--- a/src/canvasyoke/experts/_change_types.py
+++ b/src/canvasyoke/experts/_change_types.py
@@ -8,7 +8,7 @@
 
 #: Rank whose process owns the group's map; it is armed last and disarmed first.
 OWNER_RANK: Final = 0
-#: Rank on which holds are placed; its process is the owner's standby.
+#: Rank on which the owner prefers to place holds; its process is the owner's standby.
 HOLD_RANK: Final = 1
 
 
--- a/src/canvasyoke/experts/_standby.py
+++ b/src/canvasyoke/experts/_standby.py
@@ -25,8 +25,8 @@
 from canvasyoke.state import FleetStore, Unavailable, Unusable
 
 _log = part_logger("standby")
-#: Rank whose process is the standby. Holds are placed on it, so that they can be released if the
-#: owner's host is lost.
+#: Rank whose process is the standby. The owner prefers it for its holds, so that the standby sees
+#: them in its own rank's report.
 STANDBY_RANK: Final = HOLD_RANK
 
 
