review: drop the case of the leaving server, which review/2 shows already

The cases of the quarantine and of the stopped daemon become review/4 and review/5; nothing else in them changes but figures in a claim.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,22 +1,20 @@
-"""A leaving server ends while it answers streams without a length."""
+"""A request that crashes its servers is quarantined while one of them still answers it."""
 
 from __future__ import annotations
 
 import http.client
 import os
-import signal
 import subprocess
 import sys
 import tempfile
 import threading
 import time
-from dataclasses import dataclass
 from pathlib import Path
 
 from fakes.object_store import ObjectStore, StoreEndpoint
 from fakes.ports import free_address
+from review.standins.deadly_server import DEADLY_PATH, WHOLE
 from review.standins.deployment import (
-    BOUNDS,
     HOST,
     KEY,
     ROOT,
@@ -27,36 +25,23 @@
     wait_until,
 )
 from review.standins.record import Record
-from review.standins.stream_server import LONG_PATH, SHORT_EVENTS, event
 
 FOLDER = Path(__file__).resolve().parent
 IS_DISTURBED = os.environ.get("TROUBLE", "1") != "0"
-#: One of seven servers leaves: 15 in 100 at most.
-SERVERS = 7
-LEAVING = "writer-1"
-#: Short streams before the long ones, so that those without a length are 3 in 100 at most.
-SHORT_STREAMS = 800
-SHORT_CLIENTS = 8
-LONG_STREAMS = 28
-EVENTS = 40
-PAUSE_SECONDS = 0.1
-#: Seconds from the first request until a server says that it leaves, and from then until it ends.
-NOTICE_AFTER = 0.5
-ENDS_AFTER = BOUNDS["DrainMs"] / 1_000 + 0.5
-WHOLE = b"".join(event(number) for number in range(1, EVENTS + 1))
-
-
-@dataclass
-class Answer:
-    """What a client got."""
-
-    status: int = 0
-    body: bytes = b""
-    is_complete: bool = False
-
-
-def ask(address: str, attempt: str, path: str) -> Answer:
-    """Send one request and read its stream to the end."""
+SERVERS = 4
+#: Requests that crash their servers, and harmless ones before them: a share of 3 in 100 at most,
+#: of the requests and, as the former are answered without a length, of the answers of a server.
+REQUESTS = 4
+HARMLESS = 800
+HARMLESS_CLIENTS = 8
+#: Seconds between two requests that crash their servers, and from the first half of an answer to
+#: them until its end.
+GAP_SECONDS = 0.4
+PAUSE_SECONDS = 1.5
+
+
+def ask(address: str, attempt: str, path: str, bodies: dict[str, bytes], record: Record) -> None:
+    """Send one request; keep the body of a complete success."""
     conn = http.client.HTTPConnection(address, timeout=20)
     headers = {
         "Host": HOST,
@@ -64,52 +49,33 @@
         "Request-Deadline": "8000",
         "Authorization": f"Bearer {KEY}",
     }
-    conn.request("POST", path, body=f"prompt of {attempt}".encode(), headers=headers)
-    response = conn.getresponse()
-    answer = Answer(response.status)
     try:
-        answer.body = response.read()
-        answer.is_complete = True
-    except http.client.IncompleteRead as exc:
-        answer.body = exc.partial
-    conn.close()
-    return answer
-
-
-def ask_long(address: str, number: int, answers: list[Answer], record: Record) -> None:
-    """Request one long stream."""
-    record.add(f"sent long-{number}")
-    answer = ask(address, f"long-{number}", f"{LONG_PATH}{number}")
-    answers.append(answer)
-    record.add(
-        f"answered long-{number}: status {answer.status}, {answer.body.count(b'id: ')} events,"
-        f" {'complete' if answer.is_complete else 'broken off'}"
-    )
-
-
-def ask_short(address: str, client: int, wrong: list[str]) -> None:
-    """Request short streams, one after the other."""
-    for number in range(SHORT_STREAMS // SHORT_CLIENTS):
-        answer = ask(address, f"short-{client}-{number}", f"/talk/short/{number}")
-        if not answer.is_complete or answer.body.count(b"id: ") != SHORT_EVENTS:
-            wrong.append(f"short-{client}-{number}: status {answer.status}")
-
-
-def start_servers(
-    folder: Path, store: ObjectStore, closing: list[subprocess.Popen[bytes]]
-) -> dict[str, tuple[str, subprocess.Popen[bytes]]]:
-    """Start the servers and enter them in the store; return addresses and processes."""
-    servers: dict[str, tuple[str, subprocess.Popen[bytes]]] = {}
-    for number in range(1, SERVERS + 1):
-        name, address = f"writer-{number}", free_address()
-        command = [sys.executable, "-m", "review.standins.stream_server", name]
-        command += [address.rsplit(":", 1)[1], str(EVENTS), str(PAUSE_SECONDS)]
-        with (folder / f"{name}.log").open("wb") as log:
-            process = subprocess.Popen(command, cwd=ROOT, stdout=log, stderr=log)
-        closing.append(process)
-        servers[name] = (address, process)
-        store.put("servers", name, server_entry("writers", address))
-    return servers
+        conn.request("GET", path, headers=headers)
+        response = conn.getresponse()
+        body = response.read()
+        if 200 <= response.status < 300:
+            bodies[attempt] = body
+        outcome = f"status {response.status}, {body!r}"
+    except (OSError, http.client.HTTPException) as exc:
+        outcome = f"no complete answer: {exc!r}"
+    finally:
+        conn.close()
+    if path == DEADLY_PATH or bodies.get(attempt) != WHOLE:
+        record.add(f"answered {attempt}: {outcome}")
+
+
+def ask_harmless(address: str, client: int, bodies: dict[str, bytes], record: Record) -> None:
+    """Send harmless requests, one after the other."""
+    for number in range(HARMLESS // HARMLESS_CLIENTS):
+        attempt = f"harmless-{client}-{number}"
+        ask(address, attempt, f"/fetch/{client}-{number}", bodies, record)
+
+
+def ask_deadly(address: str, number: int, bodies: dict[str, bytes], record: Record) -> None:
+    """Send a request that crashes its server, in its turn."""
+    time.sleep(number * GAP_SECONDS)
+    record.add(f"sent deadly-{number}: GET {DEADLY_PATH}")
+    ask(address, f"deadly-{number}", DEADLY_PATH, bodies, record)
 
 
 def run_all(threads: list[threading.Thread]) -> None:
@@ -124,64 +90,52 @@
     """Play the case; return the exit code."""
     store = ObjectStore()
     endpoint = StoreEndpoint(store)
-    desired = configuration(
-        1, [route("talk", "writers", "streaming")], Services=[{"Name": "writers"}]
-    )
-    store.put("config", "main", desired)
-    servers = start_servers(folder, store, closing)
+    store.put("config", "main", configuration(1, [route("fetch", "shelf", "safe")]))
+    names = [f"shelf-{number}" for number in range(1, SERVERS + 1)]
+    for name in names:
+        address = free_address()
+        command = [sys.executable, "-m", "review.standins.deadly_server", name]
+        command += [address.rsplit(":", 1)[1], str(PAUSE_SECONDS)]
+        command.append("crashes" if IS_DISTURBED else "sound")
+        with (folder / f"{name}.log").open("wb") as log:
+            closing.append(subprocess.Popen(command, cwd=ROOT, stdout=log, stderr=log))
+        store.put("servers", name, server_entry("shelf", address))
     entry = Program("entry", "front-1", endpoint.address, folder)
     assert entry.process is not None
     closing.append(entry.process)
     entry.wait_ready()
     wait_until(lambda: entry.metric("canvasyoke_backends") == SERVERS, "the list of servers")
-    wrong: list[str] = []
+    bodies: dict[str, bytes] = {}
     run_all(
         [
-            threading.Thread(target=ask_short, args=(entry.http, client, wrong))
-            for client in range(SHORT_CLIENTS)
+            threading.Thread(target=ask_harmless, args=(entry.http, client, bodies, record))
+            for client in range(HARMLESS_CLIENTS)
         ]
     )
-    record.add(f"{SHORT_STREAMS} short streams sent, wrong answers: {wrong}")
-    answers: list[Answer] = []
-    threads = [
-        threading.Thread(target=ask_long, args=(entry.http, number, answers, record))
-        for number in range(LONG_STREAMS)
-    ]
-    if IS_DISTURBED:
-        threads.append(threading.Thread(target=leave, args=(store, *servers[LEAVING], record)))
-    run_all(threads)
-    for name in servers:
+    record.add(f"{HARMLESS} harmless requests sent, {len(bodies)} answered with success")
+    run_all(
+        [
+            threading.Thread(target=ask_deadly, args=(entry.http, number, bodies, record))
+            for number in range(REQUESTS)
+        ]
+    )
+    for name in names:
         for line in (folder / f"{name}.log").read_text().splitlines():
             record.add(f"ran: {line}")
     endpoint.close()
-    return judge(answers, record)
-
-
-def leave(
-    store: ObjectStore, address: str, process: subprocess.Popen[bytes], record: Record
-) -> None:
-    """Have a server say that it leaves, and end it later than it has to serve."""
-    time.sleep(NOTICE_AFTER)
-    store.put("servers", LEAVING, server_entry("writers", address, State="draining"))
-    record.add(f"{LEAVING} says that it leaves")
-    time.sleep(ENDS_AFTER)
-    process.send_signal(signal.SIGTERM)
-    process.wait()
-    store.remove("servers", LEAVING)
-    record.add(f"{LEAVING} has ended")
-
-
-def judge(answers: list[Answer], record: Record) -> int:
-    """Return 1 if a stream ended as complete before its last event, or has wrong events."""
-    successes = [answer for answer in answers if answer.status == 200]
-    short = [a for a in successes if a.is_complete and a.body != WHOLE]
-    mixed = [a for a in successes if not WHOLE.startswith(a.body)]
-    record.add(f"result: {len(short)} of {len(answers)} streams end as complete too early")
-    record.add(f"result: {len(mixed)} of {len(answers)} streams have wrong events")
-    if not IS_DISTURBED and len(successes) < len(answers):
-        record.add("could not run: not every stream was answered")
+    return judge(bodies, record)
+
+
+def judge(bodies: dict[str, bytes], record: Record) -> int:
+    """Return 1 if a client got a success whose body is not the server's whole body."""
+    if not IS_DISTURBED and len(bodies) != REQUESTS + HARMLESS:
+        record.add("could not run: not every request was answered")
         return 2
-    return 1 if short or mixed else 0
+    cut = [attempt for attempt, body in sorted(bodies.items()) if body != WHOLE]
+    for attempt in cut:
+        record.add(f"BROKEN: the success of {attempt} has {len(bodies[attempt])} bytes")
+    record.add(f"result: {len(cut)} answers break MIXED")
+    return 1 if cut else 0
 
 
 def main() -> int:
