--- a/review/4/case.py
+++ b/review/4/case.py
@@ -12,7 +12,6 @@
 from pathlib import Path
 
 from fakes.object_store import ObjectStore, StoreEndpoint
-from fakes.ports import free_address
 from review.standins.deadly_server import DEADLY_PATH, WHOLE
 from review.standins.deployment import (
     HOST,
@@ -20,6 +19,7 @@
     ROOT,
     Program,
     configuration,
+    free_address,
     route,
     server_entry,
     wait_until,
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 PYTHONDONTWRITEBYTECODE=1 PYTHONPATH=target/deps:. python3 -c '
-import fakes.object_store, fakes.platform_engine, fakes.ports
+import fakes.object_store, fakes.platform_engine
 import review.standins.deployment, review.standins.record, review.standins.slow_client
 import review.standins.deadly_server, review.standins.kept_channel
 '
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -5,9 +5,11 @@
 import http.client
 import json
 import os
+import random
 import re
 import shlex
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -16,13 +18,14 @@
 from pathlib import Path
 from typing import Any
 
-from fakes.ports import free_address
-
 ROOT = Path(__file__).resolve().parent.parent.parent
 #: Where the deploy file expects the settings of a process.
 _SETTINGS_PATH = "/etc/canvasyoke/node.json"
 _SECTION = re.compile(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", re.DOTALL)
 _GAP = re.compile(r"\{\{([\w.]+)\}\}")
+#: Ports below those that the kernel gives to outgoing connections.
+_PORTS = range(12_000, 32_000)
+_taken_ports: set[int] = set()
 HOST = "reader.example"
 KEY = "key-of-kibanda"
 
@@ -52,6 +55,20 @@
 }
 
 
+def free_address() -> str:
+    """Return a loopback address whose port is free, another one each time."""
+    for port in random.SystemRandom().sample(_PORTS, len(_PORTS)):
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in _taken_ports:
+            _taken_ports.add(port)
+            return f"127.0.0.1:{port}"
+    raise OSError("no free port found")
+
+
 def _look_up(name: str, fields: dict[str, Any]) -> Any:
     value: Any = fields
     for part in name.split("."):
