review/4: more time between the ends of the servers

The third end and the own end of the fourth server are now 0.6 s apart in place of 0.4 s, so that the case does not depend on the speed of the machine as much.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -36,8 +36,8 @@
 HARMLESS_CLIENTS = 8
 #: Seconds between two requests that crash their servers, and from the first half of an answer to
 #: them until its end.
-GAP_SECONDS = 0.4
-PAUSE_SECONDS = 1.5
+GAP_SECONDS = 0.6
+PAUSE_SECONDS = 2.0
 
 
 def ask(address: str, attempt: str, path: str, bodies: dict[str, bytes], record: Record) -> None:
