--- a/src/canvasyoke/transport/_http_client.py
+++ b/src/canvasyoke/transport/_http_client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from typing import Final
 
@@ -12,10 +12,17 @@
 from canvasyoke._clock import SECOND
 from canvasyoke.transport._answer_errors import ExchangeError, answer_errors, check_length
 
-#: Read size in bytes for responses that are not chunked.
+#: Bytes read at a time. The length stated by an answer is not trusted for allocations.
 _READ_BYTES: Final = 64 << 10
 
 
+#: Exceptions after which the backend has not seen the request.
+_NOT_SENT_ERRORS: Final = (
+    urllib3.exceptions.NewConnectionError,
+    urllib3.exceptions.ConnectTimeoutError,
+)
+
+
 class HttpFailure(enum.Enum):
     """Whether a failed call may have reached the backend."""
 
@@ -25,13 +32,6 @@
     MAYBE_SENT = enum.auto()
 
 
-def failure_of(exc: ExchangeError) -> HttpFailure:
-    """Return whether the request of a failed call may have reached the backend."""
-    not_sent = (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError)
-    is_unsent = isinstance(exc.__cause__, not_sent)
-    return HttpFailure.NOT_SENT if is_unsent else HttpFailure.MAYBE_SENT
-
-
 class HttpReply:
     """A response: status, headers and a streamed body."""
 
@@ -41,6 +41,8 @@
         self.status = response.status
         #: Header names and values, in the order received.
         self.headers = list(response.headers.items())
+        #: Values by header name; lookups ignore case.
+        self.named_headers: Mapping[str, str] = response.headers
 
     def chunks(self) -> Iterator[bytes]:
         """Yield the body as it is received; raises ``OSError`` if it is incomplete."""
@@ -90,7 +92,7 @@
         path: str,
         *,
         headers: dict[str, str] | None = None,
-        body: bytes = b"",
+        body: bytes | None = None,
         connect_timeout: int = 1 * SECOND,
         read_timeout: int = 30 * SECOND,
     ) -> HttpReply | CallFailed:
@@ -111,5 +113,7 @@
                 )
                 check_length(response)
         except ExchangeError as exc:
-            return CallFailed(failure_of(exc), str(exc))
+            is_unsent = isinstance(exc.__cause__, _NOT_SENT_ERRORS)
+            failure = HttpFailure.NOT_SENT if is_unsent else HttpFailure.MAYBE_SENT
+            return CallFailed(failure, str(exc))
         return HttpReply(response)
