direct: count exchanges that the entry closes itself, by cause

Three hypotheses: the entry closes the exchange and takes that for the end of the answer; the backend ended and its answer was not recognised as cut off; the backend closed early and lives. Log and metrics could not tell them apart: an attempt that this entry closed is logged as answered, and only ends of backends are counted.

--- a/src/canvasyoke/direct/_call.py
+++ b/src/canvasyoke/direct/_call.py
@@ -99,6 +99,14 @@
         )
 
 
+class CloseCause(enum.StrEnum):
+    """Why an entry closed an exchange before its answer was complete."""
+
+    CALLER_LEFT = "caller left"
+    QUARANTINED = "quarantined"
+    UNRESPONSIVE = "unresponsive"
+
+
 class Lateness(enum.StrEnum):
     """Why a complete response was late, by the limits of its route.
 
--- a/src/canvasyoke/direct/_callers.py
+++ b/src/canvasyoke/direct/_callers.py
@@ -13,6 +13,7 @@
     AnswerEnd,
     AnswerHead,
     CallerDisconnected,
+    CloseCause,
     DirectCall,
     ErrorAnswer,
     IncompleteAnswer,
@@ -257,12 +258,24 @@
             with self._lock:
                 active_calls = list(self._active_calls.values())
             for call in active_calls:
-                if call.slot is not None and not call.slot.is_cancelled and call.is_disconnected():
-                    call.slot.cancel()
-                elif self._forwarder.close_if_quarantined(call):
-                    continue
-                elif self._forwarder.close_if_unresponsive(call):
-                    self._on_unresponsive(call.backend)
+                cause = self._close_if_useless(call)
+                if cause is not None:
+                    self._metrics.record_closed_exchange(cause)
+
+    def _close_if_useless(self, call: DirectCall) -> CloseCause | None:
+        """Close the exchange of a call if its answer is not wanted any more; return why."""
+        slot = call.slot
+        if slot is None or slot.is_cancelled:
+            return None
+        if call.is_disconnected():
+            slot.cancel()
+            return CloseCause.CALLER_LEFT
+        if self._forwarder.close_if_quarantined(call):
+            return CloseCause.QUARANTINED
+        if self._forwarder.close_if_unresponsive(call):
+            self._on_unresponsive(call.backend)
+            return CloseCause.UNRESPONSIVE
+        return None
 
 
 def _find_organisation(
--- a/src/canvasyoke/direct/_metrics.py
+++ b/src/canvasyoke/direct/_metrics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from canvasyoke.direct._call import DirectCall, Lateness
+from canvasyoke.direct._call import CloseCause, DirectCall, Lateness
 from canvasyoke.direct._roster import Roster
 from canvasyoke.observe import Metrics
 
@@ -32,6 +32,12 @@
             "backend",
         )
 
+        self._closed_exchanges = self.all.counter(
+            "canvasyoke_closed_exchanges_total",
+            "Exchanges that this entry closed before their answer was complete, by cause.",
+            "cause",
+        )
+
         self._late_exits = self.all.counter(
             "canvasyoke_late_exits_total",
             "Backends found to have ended after they still listened, by evidence.",
@@ -74,6 +80,10 @@
         """Count a failed exchange, by the state of its backend."""
         self._failed_exchanges.add(liveness)
 
+    def record_closed_exchange(self, cause: CloseCause) -> None:
+        """Count an exchange that this entry closed before its answer was complete."""
+        self._closed_exchanges.add(cause.value)
+
     def record_late_exit(self, evidence: str) -> None:
         """Count a backend that was found to have ended some time after an exchange failed."""
         self._late_exits.add(evidence)
