transport: no answer without framing is complete once its exchange was cancelled

Cause: without a length or chunks the end of the connection delimits the body, and the reader could not tell the end that its own process had brought about from the peer's. The same end came with each other close: after a caller had left, a stream counted as answered, its duration as a finished request, and it cleared the shared segments of its prompt in the quarantine.

The handle that cancels an exchange now classifies how reading it ends, so that no place that closes one can forget to tell the reader.

--- a/fakes/platform_engine.py
+++ b/fakes/platform_engine.py
@@ -249,13 +249,13 @@
         return
     body = f"answer of {engine.id}".encode()
     if engine.is_unframed:
-        _begin_answer(handler, engine, {})
+        begin_answer(handler, engine, {})
         handler.wfile.write(body)
         return
     handler.reply(200, body, _seal_headers(handler, engine))
 
 
-def _begin_answer(handler: Handler, engine: PlatformEngine, framing: dict[str, str]) -> None:
+def begin_answer(handler: Handler, engine: PlatformEngine, framing: dict[str, str]) -> None:
     """Send the head of a response; without ``framing``, the response ends with the connection."""
     handler.send_response(200)
     for name, value in {**_seal_headers(handler, engine), **framing}.items():
@@ -277,7 +277,7 @@
     """Send the head of a response and its first bytes, then crash."""
     is_stream = "/stream" in handler.path
     framing = {"Transfer-Encoding": "chunked"} if is_stream else {"Content-Length": "100"}
-    _begin_answer(handler, engine, {} if engine.is_unframed else framing)
+    begin_answer(handler, engine, {} if engine.is_unframed else framing)
     if is_stream:
         _write_piece(handler, engine, event(1)[:6])
     else:
@@ -289,7 +289,7 @@
 def stream(handler: Handler, engine: PlatformEngine, until: int) -> None:
     """Send the events after ``Last-Event-Id`` up to number ``until``."""
     framing = {} if engine.is_unframed else {"Transfer-Encoding": "chunked"}
-    _begin_answer(handler, engine, framing)
+    begin_answer(handler, engine, framing)
     first = int(handler.headers.get("Last-Event-Id") or 0) + 1
     for number in range(first, until + 1):
         engine.running.wait()
--- a/src/canvasyoke/backend/_direct.py
+++ b/src/canvasyoke/backend/_direct.py
@@ -57,8 +57,10 @@
 
     detail: str
     #: Whether the connection ended before the complete answer was received; false after a
-    #: timeout or an answer that does not belong to the request.
+    #: timeout, a cancellation or an answer that does not belong to the request.
     is_connection_lost: bool = False
+    #: Whether this entry ended the exchange, which is no evidence of a failure of the backend.
+    is_cancelled: bool = False
     #: Notice in the headers, if any were received.
     notice: BackendNotice = NO_NOTICE
 
--- a/src/canvasyoke/direct/_answer_relay.py
+++ b/src/canvasyoke/direct/_answer_relay.py
@@ -80,7 +80,7 @@
                     return MayHaveRun("the answer is too long to collect")
                 answer.wait_at_most(self._time_left(call))
         except ExchangeError as exc:
-            return MayHaveRun(f"the answer broke off: {exc}", is_connection_lost=not exc.is_timeout)
+            return _broken("answer", exc)
         if self._is_cut_off(endpoint, answer):
             return MayHaveRun("the backend ended with its answer", is_connection_lost=True)
         head = AnswerHead(answer.status, answer.headers, len(body))
@@ -120,11 +120,10 @@
                     call.last_event = current_id or call.last_event
                     yield event
                 if self._retries.should_move(call):
-                    call.is_moved = True
-                    return MayHaveRun("the backend is too slow for the stream")
+                    return MayHaveRun("the backend is too slow for the stream", is_cancelled=True)
                 answer.wait_at_most(self._time_left(call))
         except ExchangeError as exc:
-            return MayHaveRun(f"the stream broke off: {exc}", is_connection_lost=not exc.is_timeout)
+            return _broken("stream", exc)
         finally:
             if last_event_at:
                 self._roster.record_stream_end(backend)
@@ -140,3 +139,12 @@
 
     def _time_left(self, call: DirectCall) -> int:
         return call.deadline - self._clock.now() + _TIMEOUT_REPORT_GRACE
+
+
+def _broken(what: str, exc: ExchangeError) -> MayHaveRun:
+    """Return the failure of an exchange whose response was not read to its end."""
+    return MayHaveRun(
+        f"the {what} broke off: {exc}",
+        is_connection_lost=exc.is_connection_lost,
+        is_cancelled=exc.is_cancelled,
+    )
--- a/src/canvasyoke/direct/_attempt_recorder.py
+++ b/src/canvasyoke/direct/_attempt_recorder.py
@@ -74,13 +74,7 @@
                 self._exit_monitor.record_address_conflict(endpoint)
             else:
                 self._roster.record_refusal(backend, _FULL_BACKOFF)
-        elif (
-            _is_withdrawn(failure)
-            or call.is_moved
-            or call.is_unresponsive
-            or call.is_withdrawn
-            or (failure is not None and call.is_disconnected())
-        ):
+        elif failure is not None and _closed_by_entry(call, failure):
             self._roster.record_cancelled(backend)
         else:
             self._roster.record_finished(backend, duration, failed=failure is not None)
@@ -92,7 +86,7 @@
             self._roster.record_group_failure(endpoint.run, is_refused=True)
         if isinstance(failure, MayHaveRun):
             call.may_have_run = True
-            if call.route.is_stream and not _closed_by_entry(call):
+            if call.route.is_stream and not _closed_by_entry(call, failure):
                 self._roster.record_group_failure(endpoint.run)
 
     def _update_quarantine(
@@ -110,7 +104,7 @@
         if (
             not isinstance(failure, MayHaveRun)
             or not failure.is_connection_lost
-            or _closed_by_entry(call)
+            or _closed_by_entry(call, failure)
         ):
             return
         self._roster.record_connection_lost(endpoint.run)
@@ -130,10 +124,8 @@
                 self._quarantine.record_answer(name)
 
 
-def _is_withdrawn(failure: NotRun | MayHaveRun | None) -> bool:
-    return isinstance(failure, NotRun) and failure.cause is NotRunCause.WITHDRAWN
-
-
-def _closed_by_entry(call: DirectCall) -> bool:
+def _closed_by_entry(call: DirectCall, failure: NotRun | MayHaveRun) -> bool:
     """Return whether this entry closed the exchange, which is no evidence of a backend failure."""
-    return call.is_moved or call.is_unresponsive or call.is_withdrawn or call.is_disconnected()
+    if isinstance(failure, NotRun):
+        return failure.cause is NotRunCause.WITHDRAWN or call.is_disconnected()
+    return failure.is_cancelled or call.is_disconnected()
--- a/src/canvasyoke/direct/_call.py
+++ b/src/canvasyoke/direct/_call.py
@@ -172,12 +172,6 @@
     begun_at: int = 0
     #: Whether events of the current exchange have come for longer than ``BEGIN_TIME``.
     is_established: bool = False
-    #: Whether the exchange was closed because the backend did not respond.
-    is_unresponsive: bool = False
-    #: Whether the exchange was closed because the backend is too slow.
-    is_moved: bool = False
-    #: Whether the exchange was closed because the request was quarantined meanwhile.
-    is_withdrawn: bool = False
     #: Cached traits; empty until first used.
     _own_traits: tuple[str, ...] = ()
 
--- a/src/canvasyoke/direct/_forwarder.py
+++ b/src/canvasyoke/direct/_forwarder.py
@@ -155,7 +155,6 @@
         call.retry_charged = False
         call.backend, call.sent_at = endpoint.run, began
         call.has_head = call.is_established = False
-        call.is_unresponsive = call.is_moved = call.is_withdrawn = False
         call.begun_at = 0
         if call.is_disconnected():
             call.slot.cancel()
@@ -232,7 +231,6 @@
         slot = call.slot
         if slot is None or slot.is_cancelled or call.has_begun or not self._quarantined_trait(call):
             return False
-        call.is_withdrawn = True
         slot.cancel()
         return True
 
@@ -244,7 +242,6 @@
         slot = call.slot
         if slot is None or slot.is_cancelled or not self._retries.is_overdue(call):
             return False
-        call.is_unresponsive = True
         slot.cancel()
         return True
 
--- a/src/canvasyoke/platform/_engine.py
+++ b/src/canvasyoke/platform/_engine.py
@@ -120,7 +120,11 @@
         if isinstance(sent, Withdrawn):
             return NotRun(NotRunCause.WITHDRAWN, sent.detail)
         if isinstance(sent, NoResponse):
-            return MayHaveRun(sent.detail, is_connection_lost=not sent.is_timeout)
+            return MayHaveRun(
+                sent.detail,
+                is_connection_lost=sent.is_connection_lost,
+                is_cancelled=sent.is_cancelled,
+            )
         return _classify_answer(sent, request.request_id)
 
     def slowdown_of(self, endpoint: Endpoint) -> float | None:
--- a/src/canvasyoke/transport/_answer_errors.py
+++ b/src/canvasyoke/transport/_answer_errors.py
@@ -9,12 +9,21 @@
 
 
 class ExchangeError(OSError):
-    """A response was incomplete, malformed or timed out."""
+    """A response was incomplete, malformed, timed out or cancelled."""
 
-    def __init__(self, detail: str, *, is_timeout: bool = False) -> None:
+    def __init__(
+        self, detail: str, *, is_timeout: bool = False, is_cancelled: bool = False
+    ) -> None:
         super().__init__(detail)
         #: Whether a timeout expired, which says nothing about the peer's state.
         self.is_timeout = is_timeout
+        #: Whether this process ended the exchange, which says nothing about the peer either.
+        self.is_cancelled = is_cancelled
+
+    @property
+    def is_connection_lost(self) -> bool:
+        """Return whether the peer or the network ended the exchange."""
+        return not (self.is_timeout or self.is_cancelled)
 
 
 @contextlib.contextmanager
--- a/src/canvasyoke/transport/_exchange.py
+++ b/src/canvasyoke/transport/_exchange.py
@@ -62,16 +62,24 @@
     """The peer may have received the request, but no valid response arrived."""
 
     detail: str
-    #: Whether a timeout expired, which says nothing about the peer's state.
-    is_timeout: bool = False
+    #: Whether the peer or the network ended the exchange; false after a timeout or a cancellation.
+    is_connection_lost: bool = True
+    #: Whether this process cancelled the exchange.
+    is_cancelled: bool = False
 
 
 class Exchange:
     """A request that was sent, and its response."""
 
-    def __init__(self, connection: HTTPConnection, response: urllib3.HTTPResponse) -> None:
+    def __init__(
+        self,
+        connection: HTTPConnection,
+        response: urllib3.HTTPResponse,
+        handle: ExchangeHandle,
+    ) -> None:
         self._connection = connection
         self._response = response
+        self._handle = handle
         #: HTTP status.
         self.status = response.status
         #: Header names and values, in the order received.
@@ -86,7 +94,7 @@
 
     def chunks(self) -> Iterator[bytes]:
         """Yield the body as it is received; raises :class:`ExchangeError` if it is incomplete."""
-        with answer_errors():
+        with self._handle.answer_errors():
             if self._response.chunked:
                 yield from self._response.read_chunked(_READ_BYTES, decode_content=False)
                 return
@@ -94,6 +102,8 @@
                 yield chunk
             if self._response.length_remaining:
                 raise ExchangeError(f"{self._response.length_remaining} bytes are missing")
+            if not self.is_framed and self._handle.is_cancelled:
+                raise ExchangeError("nothing but the end of the connection delimits the body")
 
     def set_read_timeout(self, duration: int) -> None:
         """Set the timeout of each further read, in milliseconds."""
@@ -130,6 +140,20 @@
                 return "given up before anything was sent"
         return "" if self._may_send() else "the backend takes no requests any more"
 
+    @contextlib.contextmanager
+    def answer_errors(self) -> Iterator[None]:
+        """Raise :class:`ExchangeError` for any exception raised while the answer is read.
+
+        To the reader, the end of a cancelled exchange looks like the peer's.
+        """
+        try:
+            with answer_errors():
+                yield
+        except ExchangeError as exc:
+            if not self.is_cancelled:
+                raise
+            raise ExchangeError(f"the exchange was cancelled: {exc}", is_cancelled=True) from exc
+
     def cancel(self) -> None:
         """Shut the socket down, or prevent the request from being sent if there is none yet."""
         with self._lock:
@@ -196,11 +220,12 @@
     connection.timeout = max(_MIN_TIMEOUT, read_timeout) / SECOND
     connection.sock.settimeout(connection.timeout)
     try:
-        with answer_errors():
-            return _send(connection, method, target, headers, body)
+        with handle.answer_errors():
+            response = _send(connection, method, target, headers, body)
     except ExchangeError as exc:
         connection.close()
-        return NoResponse(str(exc), exc.is_timeout)
+        return NoResponse(str(exc), exc.is_connection_lost, exc.is_cancelled)
+    return Exchange(connection, response, handle)
 
 
 def _send(
@@ -209,7 +234,7 @@
     target: str,
     headers: Sequence[tuple[str, str]],
     body: bytes,
-) -> Exchange:
+) -> urllib3.HTTPResponse:
     """Send a request on an open connection and wait for the response headers."""
     # A backend may respond and close before it has read the whole body: the response is then
     # available although sending failed.
@@ -224,7 +249,7 @@
         )
     response = connection.getresponse()
     check_length(response)
-    return Exchange(connection, response)
+    return response
 
 
 def _is_refused(exc: Exception) -> bool:
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -1,18 +1,20 @@
 """Answers of backends with neither a length nor chunks, which end with their connection.
 
-Guards against handing on as complete what a crash or a reset has cut off.
+Guards against handing on as complete what a crash, a reset or the entry itself has cut off.
 """
 
 from __future__ import annotations
 
+import threading
 from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
 
 import pytest
 
 from fakes import platform_engine
 from fakes.http_base import Handler
 from fakes.platform_engine import PlatformEngine, event, stream
-from tests.direct import DirectEntry, DirectFleet
+from tests.direct import DirectEntry, DirectFleet, read_reply, wait_until
 
 EVENTS = 5
 WHOLE = b"".join(event(number) for number in range(1, EVENTS + 1))
@@ -117,6 +119,75 @@
     assert entry.call("/save/1").status == 502
 
 
+CRASHING_BODY = b"ends whoever begins to run it"
+CRASHING_BACKENDS = 3
+
+
+@dataclass
+class _HalfAnswer:
+    """A behaviour that sends half of an answer, and the rest once it may."""
+
+    begun: threading.Event = field(default_factory=threading.Event)
+    resumed: threading.Event = field(default_factory=threading.Event)
+
+    def __call__(self, handler: Handler, engine: PlatformEngine) -> None:
+        is_stream = "/stream" in handler.path
+        whole = WHOLE if is_stream else f"answer of {engine.id}".encode()
+        half = 2 * len(event(1)) if is_stream else len(whole) // 2
+        platform_engine.begin_answer(handler, engine, {})
+        handler.wfile.write(whole[:half])
+        self.begun.set()
+        self.resumed.wait(30)
+        handler.wfile.write(whole[half:])
+
+
+def test_an_answer_whose_request_is_quarantined_meanwhile_does_not_look_complete(
+    fleet: DirectFleet, entry: DirectEntry
+) -> None:
+    """Guards against the entry's own close that is taken for the end of the answer."""
+    half = _HalfAnswer()
+    sound, *others = fleet.shelf
+    for engine in others:
+        fleet.store.remove("servers", engine.id)
+    wait_until(lambda: entry.metric("canvasyoke_backends") == 4, "one backend of the service")
+    fleet.queue_behaviour([sound], half)
+    held = entry.send("/safe/1", body=CRASHING_BODY, request_id="held")
+    wait_until(half.begun.is_set, "half of the answer is sent")
+    for number in range(CRASHING_BACKENDS):
+        engine = PlatformEngine(f"deadly-{number}", crash_body=CRASHING_BODY)
+        fleet.shelf.append(engine)
+        fleet.store.put("servers", engine.id, engine.store_entry("shelf"))
+        _wait_until_known(entry, engine)
+        while not engine.crashed.is_set():
+            entry.call("/safe/1", body=CRASHING_BODY, request_id=f"deadly-{number}")
+    reply = read_reply(held)
+    half.resumed.set()
+    assert reply.status == 502
+    assert entry.metric('canvasyoke_closed_exchanges_total{cause="quarantined"}') == 1
+
+
+@pytest.mark.parametrize("path", ["/safe/1", "/shelf-stream/stream"])
+def test_an_answer_whose_caller_leaves_is_not_recorded_as_complete(
+    fleet: DirectFleet, entry: DirectEntry, path: str
+) -> None:
+    """Guards against a success that clears what the request may have crashed."""
+    half = _HalfAnswer()
+    fleet.queue_behaviour(fleet.shelf, half)
+    conn = entry.send(path, request_id="left")
+    wait_until(half.begun.is_set, "half of the answer is sent")
+    conn.close()
+    closed = 'canvasyoke_closed_exchanges_total{cause="caller left"}'
+    wait_until(lambda: entry.metric(closed) == 1, "the entry closes the exchange")
+    wait_until(lambda: entry.metric("canvasyoke_requests_in_flight") == 0, "the request has ended")
+    half.resumed.set()
+    assert not entry.metric('canvasyoke_requests_total{outcome="answered"}')
+    assert "ms answered" not in entry.logged()
+
+
+def _wait_until_known(entry: DirectEntry, engine: PlatformEngine) -> None:
+    wait_until(lambda: f'"{engine.id}"' in entry.logged(), f"the entry knows {engine.id}")
+
+
 def _queue_for_first(fleet: DirectFleet, behaviour: Callable[..., None]) -> None:
     """Apply ``behaviour`` to the first request, whichever backend gets it."""
 
