transport: limit the time and the bytes of a whole answer on the socket

Callers of a request whose backend sends interim answers, trailers or single bytes without end got no answer at their time limit: the request was held until they left. A report answered so was read for good, and no other backend was asked for one.

Cause: clients limited single reads, the libraries single lines. Nothing limited the answer, and http.client and urllib3 skip 100 Continue, trailers and chunk extensions in loops of their own. On connections that the backend announces to close, the time left was not applied after the head.

Each read from the socket is now checked below the libraries against the time of the whole answer and against the bytes received since the last piece that was delivered, whatever loop reads. All HTTP clients use the same connection class, and answers that are collected have a limit in bytes in each of them.

--- a/src/canvasyoke/backend/_direct.py
+++ b/src/canvasyoke/backend/_direct.py
@@ -105,7 +105,7 @@
 
     @abstractmethod
     def wait_at_most(self, duration: int) -> None:
-        """Limit each further read to ``duration`` milliseconds."""
+        """Limit the rest of the body to ``duration`` milliseconds."""
 
     @abstractmethod
     def close(self) -> None:
--- a/src/canvasyoke/backend/_engine.py
+++ b/src/canvasyoke/backend/_engine.py
@@ -33,6 +33,8 @@
 #: Id of one attempt at the engine; a retried request has several.
 _RUN_ID_HEADER: Final = "X-Run-Id"
 _ORDER_TIMEOUT: Final = 2_000
+#: Largest answer to an order or a question about load and cache events.
+_MAX_ANSWER_BYTES: Final = 4 << 20
 
 
 BodyT = TypeVar("BodyT")
@@ -113,7 +115,7 @@
         if isinstance(reply, CallFailed):
             return RankAnswer(False, reply.detail)
         try:
-            answer = msgspec.json.decode(b"".join(reply.chunks()), type=RankAnswer)
+            answer = msgspec.json.decode(reply.read(_MAX_ANSWER_BYTES), type=RankAnswer)
         except (OSError, msgspec.DecodeError) as exc:
             reply.close()
             return RankAnswer(False, f"the rank's answer cannot be read: {exc}")
@@ -156,7 +158,7 @@
         if isinstance(reply, CallFailed):
             return None
         try:
-            body = msgspec.json.decode(b"".join(reply.chunks()), type=body_type)
+            body = msgspec.json.decode(reply.read(_MAX_ANSWER_BYTES), type=body_type)
         except (OSError, msgspec.DecodeError):
             reply.close()
             return None
--- a/src/canvasyoke/direct/_answer_relay.py
+++ b/src/canvasyoke/direct/_answer_relay.py
@@ -55,6 +55,7 @@
             name.lower() == "content-type" and _STREAM_TYPE in value
             for name, value in answer.headers
         )
+        answer.wait_at_most(call.deadline - self._clock.now() + _TIMEOUT_REPORT_GRACE)
         if is_stream:
             return (yield from self._relay_stream(call, endpoint, answer))
         if call.delivered:
@@ -78,7 +79,6 @@
                 body += piece
                 if len(body) > _BUFFER_LIMIT:
                     return MayHaveRun("the answer is too long to collect")
-                answer.wait_at_most(self._time_left(call))
         except ExchangeError as exc:
             return _broken("answer", exc)
         if self._is_cut_off(endpoint, answer):
@@ -121,7 +121,6 @@
                     yield event
                 if self._retries.should_move(call):
                     return MayHaveRun("the backend is too slow for the stream", is_cancelled=True)
-                answer.wait_at_most(self._time_left(call))
         except ExchangeError as exc:
             return _broken("stream", exc)
         finally:
@@ -137,9 +136,6 @@
             yield AnswerHead(answer.status, answer.headers, None)
         return None
 
-    def _time_left(self, call: DirectCall) -> int:
-        return call.deadline - self._clock.now() + _TIMEOUT_REPORT_GRACE
-
 
 def _broken(what: str, exc: ExchangeError) -> MayHaveRun:
     """Return the failure of an exchange whose response was not read to its end."""
--- a/src/canvasyoke/platform/_engine.py
+++ b/src/canvasyoke/platform/_engine.py
@@ -85,8 +85,8 @@
         return self._exchange.chunks()
 
     def wait_at_most(self, duration: int) -> None:
-        """Limit each further read to ``duration`` milliseconds."""
-        self._exchange.set_read_timeout(duration)
+        """Limit the rest of the body to ``duration`` milliseconds."""
+        self._exchange.limit_time(duration)
 
     def close(self) -> None:
         """Close the connection."""
--- a/src/canvasyoke/transport/_answer_errors.py
+++ b/src/canvasyoke/transport/_answer_errors.py
@@ -4,26 +4,37 @@
 
 import contextlib
 from collections.abc import Iterator
+from typing import Final
 
 import urllib3
 
+#: Timeouts of the library, of single reads and of the TCP stack.
+_TIMEOUTS: Final = (TimeoutError, urllib3.exceptions.TimeoutError)
+
 
 class ExchangeError(OSError):
-    """A response was incomplete, malformed, timed out or cancelled."""
+    """A response was incomplete, malformed, too large, timed out or cancelled."""
 
     def __init__(
-        self, detail: str, *, is_timeout: bool = False, is_cancelled: bool = False
+        self,
+        detail: str,
+        *,
+        is_timeout: bool = False,
+        is_cancelled: bool = False,
+        is_too_large: bool = False,
     ) -> None:
         super().__init__(detail)
         #: Whether a timeout expired, which says nothing about the peer's state.
         self.is_timeout = is_timeout
         #: Whether this process ended the exchange, which says nothing about the peer either.
         self.is_cancelled = is_cancelled
+        #: Whether the peer sent more than is accepted.
+        self.is_too_large = is_too_large
 
     @property
     def is_connection_lost(self) -> bool:
         """Return whether the peer or the network ended the exchange."""
-        return not (self.is_timeout or self.is_cancelled)
+        return not (self.is_timeout or self.is_cancelled or self.is_too_large)
 
 
 @contextlib.contextmanager
@@ -39,7 +50,12 @@
     except ExchangeError:
         raise
     except Exception as exc:
-        raise ExchangeError(f"{type(exc).__name__}: {exc}", is_timeout=is_timeout(exc)) from exc
+        causes = _causes(exc)
+        raise ExchangeError(
+            f"{type(exc).__name__}: {exc}",
+            is_timeout=any(isinstance(each, _TIMEOUTS) for each in causes),
+            is_too_large=any(isinstance(e, ExchangeError) and e.is_too_large for e in causes),
+        ) from exc
 
 
 def check_length(response: urllib3.BaseHTTPResponse) -> None:
@@ -53,7 +69,6 @@
         raise ExchangeError("the stated length is not a number")
 
 
-def is_timeout(exc: Exception) -> bool:
-    """Return whether an exchange failed by a timeout, including those of the TCP stack."""
-    causes = (exc, exc.__cause__, *exc.args)
-    return any(isinstance(each, TimeoutError | urllib3.exceptions.TimeoutError) for each in causes)
+def _causes(exc: Exception) -> tuple[object, ...]:
+    """Return an exception and those that the libraries have wrapped in it."""
+    return (exc, exc.__cause__, *exc.args)
--- a/src/canvasyoke/transport/_api_client.py
+++ b/src/canvasyoke/transport/_api_client.py
@@ -4,9 +4,13 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
+from typing import Final
 
 from canvasyoke.transport._answer_errors import ExchangeError
-from canvasyoke.transport._http_client import BackendPool, CallFailed, HttpFailure, HttpReply
+from canvasyoke.transport._http_client import BackendPool, CallFailed, HttpFailure
+
+#: Longest time for a body, in read timeouts. A large list over a slow link takes several.
+_BODY_TIMEOUTS: Final = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,7 +40,10 @@
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
     ) -> ApiAnswer | CallFailed:
-        """Send a request and read the answer; times are in milliseconds."""
+        """Send a request and read the answer; times are in milliseconds.
+
+        ``read_timeout`` limits the head and each read; a body may take several times as long.
+        """
         reply = self._pool.call(
             method,
             path,
@@ -47,21 +54,12 @@
         )
         if isinstance(reply, CallFailed):
             return reply
+        reply.limit_time(_BODY_TIMEOUTS * read_timeout, read_timeout)
         try:
-            return ApiAnswer(reply.status, reply.named_headers, self._read(reply))
+            body = reply.read(self._max_answer_bytes)
+            return ApiAnswer(reply.status, reply.named_headers, body)
         except ExchangeError as exc:
             reply.close()
             return CallFailed(HttpFailure.MAYBE_SENT, str(exc))
         finally:
             reply.release()
-
-    def _read(self, reply: HttpReply) -> bytes:
-        """Return the body; raises :class:`ExchangeError` if it is invalid or too large."""
-        pieces: list[bytes] = []
-        size = 0
-        for piece in reply.chunks():
-            pieces.append(piece)
-            size += len(piece)
-            if size > self._max_answer_bytes:
-                raise ExchangeError(f"more than {self._max_answer_bytes} bytes")
-        return b"".join(pieces)
--- /dev/null
+++ b/src/canvasyoke/transport/_bounded_connection.py
@@ -0,0 +1,131 @@
+"""HTTP connections whose answers are bounded in time and in undelivered bytes.
+
+The HTTP libraries bound single reads and single lines. A peer that sends lines, interim answers or
+single bytes without end keeps their loops running, so the bounds are applied to the socket itself.
+"""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Iterator
+from typing import TYPE_CHECKING, Final
+
+import urllib3
+from urllib3.connection import HTTPConnection
+
+from canvasyoke._clock import SECOND, SystemClock
+from canvasyoke.transport._answer_errors import ExchangeError
+
+if TYPE_CHECKING:
+    from _typeshed import WriteableBuffer
+
+#: Bytes that may be received for a head, or for one piece of a body with its framing.
+_MAX_UNDELIVERED_BYTES: Final = 256 << 10
+#: Bytes that may be read past the time limit: what the kernel may hold of a complete answer that
+#: arrived before it.
+_MAX_LATE_BYTES: Final = 1 << 20
+#: Minimum socket timeout in milliseconds; zero would make the socket non-blocking.
+_MIN_TIMEOUT: Final = 1
+
+
+class AnswerBounds:
+    """Limits of the answer that is read from a connection; times are in milliseconds."""
+
+    def __init__(self) -> None:
+        self._clock = SystemClock()
+        #: Longest time for a single read.
+        self._read_timeout = 0
+        #: Clock time by which the answer has to be complete.
+        self._deadline = 0
+        self._undelivered_bytes = 0
+        self._late_bytes = 0
+
+    def begin(self, timeout: int) -> None:
+        """Expect an answer that takes at most ``timeout``."""
+        self._late_bytes = 0
+        self.limit_time(timeout, timeout)
+        self.begin_piece()
+
+    def limit_time(self, timeout: int, read_timeout: int) -> None:
+        """Limit the rest of the answer to ``timeout``, and each read to ``read_timeout``."""
+        self._deadline = self._clock.now() + timeout
+        self._read_timeout = read_timeout
+
+    def begin_piece(self) -> None:
+        """Expect the next piece of the answer."""
+        self._undelivered_bytes = 0
+
+    def limit(self, pieces: Iterator[bytes]) -> Iterator[bytes]:
+        """Yield the pieces of a body, each within the limits."""
+        self.begin_piece()
+        for piece in pieces:
+            yield piece
+            self.begin_piece()
+
+    def next_timeout(self) -> int:
+        """Return the timeout of the next read; raises ``TimeoutError`` past the time limit."""
+        left = self._deadline - self._clock.now()
+        if left <= 0 and self._late_bytes > _MAX_LATE_BYTES:
+            raise TimeoutError("the answer is not complete at its time limit")
+        return max(_MIN_TIMEOUT, min(left, self._read_timeout))
+
+    def record(self, received: int) -> None:
+        """Count received bytes; raises :class:`ExchangeError` if there are too many."""
+        if self._clock.now() >= self._deadline:
+            self._late_bytes += received
+        self._undelivered_bytes += received
+        if self._undelivered_bytes > _MAX_UNDELIVERED_BYTES:
+            raise ExchangeError(
+                f"more than {_MAX_UNDELIVERED_BYTES} bytes without an end of the head or a piece",
+                is_too_large=True,
+            )
+
+
+class _BoundedSocket(socket.socket):
+    """Takes over a connected socket and applies the bounds to each read."""
+
+    def __init__(self, connected: socket.socket, bounds: AnswerBounds) -> None:
+        family, kind, proto = connected.family, connected.type, connected.proto
+        timeout = connected.gettimeout()
+        super().__init__(family, kind, proto, fileno=connected.detach())
+        self.settimeout(timeout)
+        self._bounds = bounds
+
+    def recv_into(self, buffer: WriteableBuffer, nbytes: int = 0, flags: int = 0) -> int:
+        """Read what has arrived; raises ``TimeoutError`` or :class:`ExchangeError`."""
+        self.settimeout(self._bounds.next_timeout() / SECOND)
+        received = super().recv_into(buffer, nbytes, flags)
+        self._bounds.record(received)
+        return received
+
+
+class BoundedConnection(HTTPConnection):
+    """A connection whose timeout also limits the time of the whole answer."""
+
+    #: Limits of the current answer.
+    bounds: AnswerBounds
+
+    def connect(self) -> None:
+        """Connect; raises what urllib3 raises."""
+        super().connect()
+        self.bounds = AnswerBounds()
+        self.sock = _BoundedSocket(self.sock, self.bounds)
+
+    def getresponse(self) -> urllib3.HTTPResponse:  # type: ignore[override]
+        """Wait for the response headers; raises what urllib3 raises."""
+        assert self.timeout is not None
+        self.bounds.begin(round(self.timeout * SECOND))
+        return super().getresponse()
+
+
+class BoundedPool(urllib3.HTTPConnectionPool):
+    """A pool of such connections."""
+
+    ConnectionCls = BoundedConnection
+
+
+def bounds_of(response: urllib3.BaseHTTPResponse) -> AnswerBounds:
+    """Return the limits of a response that was just received over a pooled connection."""
+    connection = response.connection
+    assert isinstance(connection, BoundedConnection)
+    return connection.bounds
--- a/src/canvasyoke/transport/_exchange.py
+++ b/src/canvasyoke/transport/_exchange.py
@@ -15,10 +15,10 @@
 from typing import Final
 
 import urllib3
-from urllib3.connection import HTTPConnection
 
 from canvasyoke._clock import SECOND
 from canvasyoke.transport._answer_errors import ExchangeError, answer_errors, check_length
+from canvasyoke.transport._bounded_connection import BoundedConnection
 
 #: TCP keep-alive detects a dead peer behind a silent connection: two probes, one second apart,
 #: after one second without traffic. Shorter intervals would add wake-ups. With longer ones a stream
@@ -73,7 +73,7 @@
 
     def __init__(
         self,
-        connection: HTTPConnection,
+        connection: BoundedConnection,
         response: urllib3.HTTPResponse,
         handle: ExchangeHandle,
     ) -> None:
@@ -95,21 +95,20 @@
     def chunks(self) -> Iterator[bytes]:
         """Yield the body as it is received; raises :class:`ExchangeError` if it is incomplete."""
         with self._handle.answer_errors():
-            if self._response.chunked:
-                yield from self._response.read_chunked(_READ_BYTES, decode_content=False)
-                return
-            while chunk := self._response.read1(_READ_BYTES, decode_content=False):
-                yield chunk
-            if self._response.length_remaining:
+            yield from self._connection.bounds.limit(self._pieces())
+            if not self._response.chunked and self._response.length_remaining:
                 raise ExchangeError(f"{self._response.length_remaining} bytes are missing")
             if not self.is_framed and self._handle.is_cancelled:
                 raise ExchangeError("nothing but the end of the connection delimits the body")
 
-    def set_read_timeout(self, duration: int) -> None:
-        """Set the timeout of each further read, in milliseconds."""
-        sock = self._connection.sock
-        if sock is not None:
-            sock.settimeout(max(_MIN_TIMEOUT, duration) / SECOND)
+    def _pieces(self) -> Iterator[bytes]:
+        if self._response.chunked:
+            return self._response.read_chunked(_READ_BYTES, decode_content=False)
+        return iter(lambda: self._response.read1(_READ_BYTES, decode_content=False), b"")
+
+    def limit_time(self, duration: int) -> None:
+        """Limit the rest of the answer to ``duration`` milliseconds."""
+        self._connection.bounds.limit_time(duration, duration)
 
     def close(self) -> None:
         """Close the connection."""
@@ -127,7 +126,6 @@
     def __init__(self, may_send: Callable[[], bool] = lambda: True) -> None:
         self._lock = threading.Lock()
         self._may_send = may_send
-        self._connection: HTTPConnection | None = None
         self._sock: socket.socket | None = None
         #: Whether the exchange was cancelled.
         self.is_cancelled = False
@@ -202,10 +200,14 @@
     read_timeout: int,
     handle: ExchangeHandle | None = None,
 ) -> Exchange | NotConnected | Withdrawn | NoResponse:
-    """Send a request and wait for the response headers; times are in milliseconds."""
+    """Send a request and wait for the response headers; times are in milliseconds.
+
+    ``read_timeout`` is also the time limit of the whole answer, unless :meth:`Exchange.limit_time`
+    sets another one.
+    """
     handle = handle or ExchangeHandle()
     host, port = address.rsplit(":", 1)
-    connection = HTTPConnection(
+    connection = BoundedConnection(
         host, int(port), timeout=connect_timeout / SECOND, socket_options=_SOCKET_OPTIONS
     )
     try:
@@ -229,7 +231,7 @@
 
 
 def _send(
-    connection: HTTPConnection,
+    connection: BoundedConnection,
     method: str,
     target: str,
     headers: Sequence[tuple[str, str]],
--- a/src/canvasyoke/transport/_http_client.py
+++ b/src/canvasyoke/transport/_http_client.py
@@ -11,9 +11,12 @@
 
 from canvasyoke._clock import SECOND
 from canvasyoke.transport._answer_errors import ExchangeError, answer_errors, check_length
+from canvasyoke.transport._bounded_connection import BoundedPool, bounds_of
 
 #: Bytes read at a time. The length stated by an answer is not trusted for allocations.
 _READ_BYTES: Final = 64 << 10
+#: Longest line that is collected.
+_MAX_LINE_BYTES: Final = 1 << 20
 
 
 #: Exceptions after which the backend has not seen the request.
@@ -37,6 +40,7 @@
 
     def __init__(self, response: urllib3.BaseHTTPResponse) -> None:
         self._response = response
+        self._bounds = bounds_of(response)
         #: HTTP status.
         self.status = response.status
         #: Header names and values, in the order received.
@@ -47,17 +51,34 @@
     def chunks(self) -> Iterator[bytes]:
         """Yield the body as it is received; raises ``OSError`` if it is incomplete."""
         with answer_errors():
-            yield from self._response.stream(_READ_BYTES)
+            yield from self._bounds.limit(self._response.stream(_READ_BYTES))
+
+    def read(self, max_bytes: int) -> bytes:
+        """Return the body; raises :class:`ExchangeError` if it is incomplete or larger."""
+        body = bytearray()
+        for piece in self.chunks():
+            body += piece
+            if len(body) > max_bytes:
+                raise ExchangeError(f"more than {max_bytes} bytes", is_too_large=True)
+        return bytes(body)
 
     def lines(self) -> Iterator[bytes]:
-        """Yield the lines of the body, without line ends."""
+        """Yield the lines of the body, without line ends; raises ``OSError`` if one is too long."""
         rest = b""
         for chunk in self.chunks():
             *whole, rest = (rest + chunk).split(b"\n")
             yield from whole
+            if len(rest) > _MAX_LINE_BYTES:
+                raise ExchangeError(
+                    f"a line of more than {_MAX_LINE_BYTES} bytes", is_too_large=True
+                )
         if rest:
             raise OSError("the answer broke off within a line")
 
+    def limit_time(self, timeout: int, read_timeout: int) -> None:
+        """Limit the rest of the answer, and each read of it; both are in milliseconds."""
+        self._bounds.limit_time(timeout, read_timeout)
+
     def close(self) -> None:
         """Close the connection."""
         self._response.close()
@@ -82,9 +103,7 @@
 
     def __init__(self, address: str, connections: int) -> None:
         host, port = address.rsplit(":", 1)
-        self._pool = urllib3.HTTPConnectionPool(
-            host, int(port), maxsize=connections, block=False, retries=False
-        )
+        self._pool = BoundedPool(host, int(port), maxsize=connections, block=False, retries=False)
 
     def call(
         self,
@@ -96,7 +115,11 @@
         connect_timeout: int = 1 * SECOND,
         read_timeout: int = 30 * SECOND,
     ) -> HttpReply | CallFailed:
-        """Send a request and wait for the response headers; times are in milliseconds."""
+        """Send a request and wait for the response headers; times are in milliseconds.
+
+        ``read_timeout`` is also the time limit of the whole answer, unless
+        :meth:`HttpReply.limit_time` sets another one.
+        """
         timeout = urllib3.Timeout(connect=connect_timeout / SECOND, read=read_timeout / SECOND)
         try:
             with answer_errors():
