direct: limit the size of an event that is collected

A stream whose backend sends an event without end was answered at its time limit, although nothing of it could be delivered, and slowed the other requests of the entry.

Cause: the buffer of an incomplete event had no limit, and it was copied and searched from its beginning with each piece. Evidence: six such streams at a time end with 504 at their time limit on the code before; they end with 502 at once now. In that test the memory stays below 160 MiB before and after, so it does not show the growth that single streams over seconds may cause.

The splitter appends in place, searches only what is new, and the relay ends the exchange once an event exceeds 1 MiB.

--- a/src/canvasyoke/direct/_answer_relay.py
+++ b/src/canvasyoke/direct/_answer_relay.py
@@ -119,6 +119,8 @@
                         yield AnswerHead(answer.status, answer.headers, None)
                     call.last_event = current_id or call.last_event
                     yield event
+                if splitter.is_event_too_large:
+                    return MayHaveRun("an event of the stream is too large to collect")
                 if self._retries.should_move(call):
                     return MayHaveRun("the backend is too slow for the stream", is_cancelled=True)
         except ExchangeError as exc:
--- a/src/canvasyoke/direct/_events.py
+++ b/src/canvasyoke/direct/_events.py
@@ -5,6 +5,8 @@
 from typing import Final
 
 _EVENT_END: Final = b"\n\n"
+#: Largest event that is collected before it is delivered.
+_MAX_EVENT_BYTES: Final = 1 << 20
 _ID_FIELD: Final = b"id:"
 
 
@@ -12,12 +14,26 @@
     """Splits a byte stream into complete events."""
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
 
     def feed(self, data: bytes) -> list[bytes]:
         """Return the events that ``data`` completes."""
-        *events, self._buffer = (self._buffer + data).split(_EVENT_END)
-        return [event + _EVENT_END for event in events]
+        events: list[bytes] = []
+        begin = 0
+        # Only an end that begins with the last byte received before can be within it.
+        searched = max(0, len(self._buffer) - len(_EVENT_END) + 1)
+        self._buffer += data
+        while (end := self._buffer.find(_EVENT_END, searched)) >= 0:
+            searched = end + len(_EVENT_END)
+            events.append(bytes(self._buffer[begin:searched]))
+            begin = searched
+        del self._buffer[:begin]
+        return events
+
+    @property
+    def is_event_too_large(self) -> bool:
+        """Return whether the incomplete event in the buffer exceeds the limit."""
+        return len(self._buffer) > _MAX_EVENT_BYTES
 
     @property
     def has_partial_event(self) -> bool:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -12,12 +12,14 @@
 
 from fakes.http_base import Handler
 from fakes.platform_engine import PlatformEngine
-from tests.direct import TIMEOUT_SECONDS, DirectEntry, DirectFleet, wait_until
+from tests.direct import TIMEOUT_SECONDS, DirectEntry, DirectFleet, read_reply, wait_until
 
 #: Largest memory of an entry, in KiB: that of the smallest machine it runs on.
 MAX_MEMORY_KIB = 160 << 10
 #: Milliseconds that callers wait.
 PATIENCE = "1500"
+#: Requests at the same time.
+CONCURRENT = 6
 #: Seconds between two bytes of a slow answer.
 BYTE_INTERVAL = 0.05
 SEALED = b"HTTP/1.1 200 OK\r\nAttempt-Id: r-1\r\nResponse-Seal: s\r\n"
@@ -37,7 +39,8 @@
     def __call__(self, handler: Handler, engine: PlatformEngine) -> None:
         """Send the answer until the connection ends."""
         handler.close_connection = True
-        handler.wfile.write(self.begin)
+        request_id = handler.headers.get("Attempt-Id", "").encode()
+        handler.wfile.write(self.begin.replace(b"r-1", request_id))
         if not self.is_slow:
             while not engine.exited.is_set():
                 handler.wfile.write(self.rest)
@@ -115,6 +118,22 @@
     assert peak_memory(entry) < MAX_MEMORY_KIB
 
 
+def test_a_stream_whose_event_has_no_end_fails_at_once(
+    fleet: DirectFleet, entry: DirectEntry
+) -> None:
+    """Guards against collecting an event until the time limit of its request."""
+    event = Endless(STREAM, b"1f40\r\n" + FILL + b"\r\n")
+    for _ in range(CONCURRENT):
+        fleet.queue_behaviour(fleet.shelf, event)
+    calls = [
+        entry.send("/shelf-stream/stream", request_id=f"r-{n}", Request_Deadline="4000")
+        for n in range(CONCURRENT)
+    ]
+    replies = [read_reply(conn) for conn in calls]
+    assert [reply.status for reply in replies] == [502] * CONCURRENT
+    assert peak_memory(entry) < MAX_MEMORY_KIB
+
+
 @pytest.mark.parametrize("answer", ANSWERS.values(), ids=ANSWERS)
 def test_a_report_without_end_is_given_up(fleet: DirectFleet, answer: Endless) -> None:
     """Guards against a report that is read for good, so that no other one is requested."""
