transport: responses to HEAD have no body, whoever writes one

Cause: refusals have a body whatever the method, and the HTTP servers sent it.

Responses are rendered in one place for all servers, which leaves the body out.

--- a/src/canvasyoke/transport/_caller_server.py
+++ b/src/canvasyoke/transport/_caller_server.py
@@ -13,12 +13,12 @@
 from typing import Any, Final
 
 from waitress.adjustments import Adjustments
-from waitress.channel import HTTPChannel
 from waitress.server import TcpWSGIServer
-from waitress.task import ThreadedTaskDispatcher, WSGITask
+from waitress.task import ThreadedTaskDispatcher
 from waitress.utilities import Error
 
 from canvasyoke._clock import Clock
+from canvasyoke.transport._response_tasks import ApplicationTask, Channel
 
 #: A WSGI application.
 Application = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
@@ -68,16 +68,16 @@
             self.set_thread_count(min(self._limit, required))
 
 
-class _ResponseTask(WSGITask):
+class _ResponseTask(ApplicationTask):
     channel: Any
 
     def build_response_header(self) -> bytes:
         if self.channel.server.is_draining:
             self.set_close_on_finish()
-        return bytes(super().build_response_header())
+        return super().build_response_header()
 
 
-class _Channel(HTTPChannel):
+class _Channel(Channel):
     """A caller's connection that records its activity for the timeouts."""
 
     task_class = _ResponseTask
--- a/src/canvasyoke/transport/_http_server.py
+++ b/src/canvasyoke/transport/_http_server.py
@@ -7,7 +7,9 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from waitress.server import create_server
+from waitress.server import TcpWSGIServer, create_server
+
+from canvasyoke.transport._response_tasks import Channel
 
 #: A WSGI application.
 Application = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
@@ -27,8 +29,10 @@
     def __init__(
         self, application: Application, addresses: list[str], threads: int, max_body: int
     ) -> None:
+        servers: dict[int, Any] = {}
         self._server = create_server(
             application,
+            servers,
             listen=" ".join(addresses),
             threads=threads,
             max_request_body_size=max_body,
@@ -43,6 +47,9 @@
             ident="canvasyoke",
             clear_untrusted_proxy_headers=True,
         )
+        for server in servers.values():
+            if isinstance(server, TcpWSGIServer):
+                server.channel_class = Channel
         self._thread = threading.Thread(target=self._run, name="http-server", daemon=True)
 
     def start(self) -> None:
--- a/tests/test_direct_requests.py
+++ b/tests/test_direct_requests.py
@@ -255,3 +255,55 @@
     )
     assert f'"tried":["{served_by} load=' in line
     assert '"first":' in line
+
+
+#: Path, key and behaviour of the engines, and the status of the response.
+HEADS: list[tuple[str, str, Any, int]] = [
+    ("/save/1", KEY, engines.answer, 200),
+    ("/save/1", KEY, engines.overloaded, 503),
+    ("/save/1", KEY, engines.answer_lost, 502),
+    ("/save/1", KEY, engines.failing, 500),
+    ("/save/1", "unknown", engines.answer, 401),
+    ("/nowhere", KEY, engines.answer, 404),
+]
+
+
+@pytest.mark.parametrize(("path", "key", "behaviour", "status"), HEADS)
+def test_a_response_to_head_leaves_the_next_one_readable(
+    fleet: DirectFleet, entry: DirectEntry, path: str, key: str, behaviour: Any, status: int
+) -> None:
+    """Guards against a refusal with a body that is read as the beginning of the next response."""
+    fleet.queue_behaviour(fleet.shelf, behaviour)
+    with socket.create_connection(_host_and_port(entry), 20) as sock:
+        sock.sendall(_request("HEAD", path, key))
+        head = _read_until(sock, b"\r\n\r\n")
+        assert head.startswith(f"HTTP/1.1 {status} ".encode())
+        for engine in fleet.shelf:
+            engine.behaviours.clear()
+        sock.sendall(_request("POST", "/save/2", KEY))
+        assert _read_until(sock, b"\r\n\r\n").startswith(b"HTTP/1.1 200 ")
+
+
+def _host_and_port(entry: DirectEntry) -> tuple[str, int]:
+    host, port = entry.http.rsplit(":", 1)
+    return host, int(port)
+
+
+def _request(method: str, path: str, key: str) -> bytes:
+    lines = [
+        f"{method} {path} HTTP/1.1",
+        f"Host: {HOST}",
+        f"Authorization: Bearer {key}",
+        "Attempt-Id: r-1",
+        "Request-Deadline: 4000",
+    ]
+    return "".join(f"{line}\r\n" for line in [*lines, ""]).encode()
+
+
+def _read_until(sock: socket.socket, end: bytes) -> bytes:
+    received = b""
+    while not received.endswith(end):
+        data = sock.recv(1)
+        assert data
+        received += data
+    return received
