direct: pass on the length that a backend states in response to HEAD

Callers that ask with HEAD for the length of a body were told 0: the entry stated the length of what it had received. A response to HEAD states the length for GET (RFC 9110, 8.6).

--- a/src/canvasyoke/direct/_answer_relay.py
+++ b/src/canvasyoke/direct/_answer_relay.py
@@ -83,7 +83,7 @@
             return _broken("answer", exc)
         if self._is_cut_off(endpoint, answer):
             return MayHaveRun("the backend ended with its answer", is_connection_lost=True)
-        head = AnswerHead(answer.status, answer.headers, len(body))
+        head = AnswerHead(answer.status, answer.headers, _body_length(call, answer, len(body)))
         if answer.status >= _SERVER_ERROR and self._retries.should_retry_failure(call):
             call.saved_failure = SavedFailure(head, bytes(body))
             return MayHaveRun(f"the backend failed with status {answer.status}")
@@ -139,6 +139,14 @@
         return None
 
 
+def _body_length(call: DirectCall, answer: BackendAnswer, received: int) -> int | None:
+    """Return the length to state; that of a response to ``HEAD`` is the one for ``GET``."""
+    if call.method != "HEAD":
+        return received
+    stated = (value for name, value in answer.headers if name.lower() == "content-length")
+    return next((int(value) for value in stated if value.isdecimal()), None)
+
+
 def _broken(what: str, exc: ExchangeError) -> MayHaveRun:
     """Return the failure of an exchange whose response was not read to its end."""
     return MayHaveRun(
--- a/tests/test_direct_requests.py
+++ b/tests/test_direct_requests.py
@@ -284,6 +284,14 @@
         assert _read_until(sock, b"\r\n\r\n").startswith(b"HTTP/1.1 200 ")
 
 
+def test_a_response_to_head_states_the_length_of_the_engine(
+    fleet: DirectFleet, entry: DirectEntry
+) -> None:
+    reply = entry.call("/save/1", method="HEAD")
+    assert (reply.status, reply.body) == (200, b"")
+    assert reply.headers["Content-Length"] == str(len("answer of shelf-1"))
+
+
 def _host_and_port(entry: DirectEntry) -> tuple[str, int]:
     host, port = entry.http.rsplit(":", 1)
     return host, int(port)
