transport: skip all interim responses before an answer

A backend that sends 103 Early Hints before its answer had that taken for the answer, by requests as by reports, orders and calls to the store; the answer was dropped with the connection.

Cause: http.client skips interim responses with status 100 only. A client has to skip all of them, expected or not (RFC 9110, 15.2). Not shown with whole processes.

The connection class skips them within the limits of a head. 101 is a failed call, as no request asks for another protocol.

--- a/src/canvasyoke/transport/_bounded_connection.py
+++ b/src/canvasyoke/transport/_bounded_connection.py
@@ -6,8 +6,10 @@
 
 from __future__ import annotations
 
+import http.client
 import socket
 from collections.abc import Iterator
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Final
 
 import urllib3
@@ -24,6 +26,7 @@
 #: Bytes that may be read past the time limit: what the kernel may hold of a complete answer that
 #: arrived before it.
 _MAX_LATE_BYTES: Final = 1 << 20
+_INTERIM: Final = range(100, 200)
 _LINE_FEED: Final = ord("\n")
 #: Minimum socket timeout in milliseconds; zero would make the socket non-blocking.
 _MIN_TIMEOUT: Final = 1
@@ -129,9 +132,24 @@
         return received
 
 
+class _FinalResponse(http.client.HTTPResponse):
+    """Skips all interim responses; the library skips those with status 100 only."""
+
+    def _read_status(self) -> tuple[str, int, str]:
+        while True:
+            version, status, reason = super()._read_status()  # type: ignore[misc]
+            if status not in _INTERIM:
+                return version, status, reason
+            if status == HTTPStatus.SWITCHING_PROTOCOLS:
+                raise http.client.BadStatusLine(f"{status} without a request for it")
+            http.client.parse_headers(self.fp)
+
+
 class BoundedConnection(HTTPConnection):
     """A connection whose timeout also limits the time of the whole answer."""
 
+    response_class = _FinalResponse
+
     #: Limits of the current answer.
     bounds: AnswerBounds
 
--- a/src/canvasyoke/transport/tests/test_endless_answers.py
+++ b/src/canvasyoke/transport/tests/test_endless_answers.py
@@ -53,6 +53,7 @@
     "long header lines": _Endless(_OK, b"A: " + _FILL + b"\r\n"),
     "interim answers": _Endless(b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 50),
     "interim answers with headers": _Endless(b"", b"HTTP/1.1 100 Continue\r\nA: b\r\n\r\n" * 50),
+    "early hints": _Endless(b"", b"HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n" * 50),
     "length that is never reached": _Endless(_OK + b"Content-Length: 99999999999\r\n\r\n", _FILL),
     "no length": _Endless(_OK + b"Connection: close\r\n\r\n", _FILL),
     "chunks": _Endless(_CHUNKED, b"1f40\r\n" + _FILL + b"\r\n"),
--- a/src/canvasyoke/transport/tests/test_malformed_answers.py
+++ b/src/canvasyoke/transport/tests/test_malformed_answers.py
@@ -47,6 +47,8 @@
     "head cut before its empty line ends": _OK + b"Connection: close\r\n\r",
     "chunk size cut after its leading zero": _CHUNKED + b"3\r\nabc\r\n0",
     "chunk size cut within its line end": _CHUNKED + b"3\r\nabc\r\n0\r",
+    "protocol that was not asked for": b"HTTP/1.1 101 Switching Protocols\r\n\r\n" + _OK + b"\r\n",
+    "interim response alone": b"HTTP/1.1 103 Early Hints\r\nContent-Length: 3\r\n\r\nabc",
     "long line": _OK + b"A: " + b"b" * 100_000 + b"\r\n\r\n",
 }
 #: Bodies of ``abc`` whose last chunk was received whole.
@@ -169,6 +171,19 @@
     assert call_api(peer.address) is None
 
 
+@pytest.mark.parametrize("call", CLIENTS)
+@pytest.mark.parametrize(
+    "interim", [b"100 Continue", b"102 Processing", b"103 Early Hints", b"199"]
+)
+def test_the_final_response_is_read_after_interim_ones(
+    peer: _Peer, call: Callable[[str], bytes | None], interim: bytes
+) -> None:
+    """Guards against an interim response that is taken for the answer."""
+    head = b"HTTP/1.1 " + interim + b"\r\nLink: </a>\r\n\r\n"
+    peer.answer = 2 * head + _OK + b"Content-Length: 3\r\n\r\nabc"
+    assert call(peer.address) == b"abc"
+
+
 _HEAD_PARTS = st.sampled_from(
     [b"Content-Length: ", b"Transfer-Encoding: chunked", b"\r\n", b"\r\n\r\n", b"HTTP/1.1 200 "]
 )
