transport: a connection is in use until its response has been sent

Cause: draining waited until answers were in the server's buffer, and connections without a request in progress were closed whatever was left to send. The idle timeout counted from the end of the request, so that an answer read for longer was cut without a stop, too.

Draining waits for connections that are busy, idle ones close once they are flushed, and what the caller takes from the kernel's queue counts as activity. A caller that takes nothing for the idle time is given up; waitress alone never closes such a connection.

--- a/src/canvasyoke/direct/_drain.py
+++ b/src/canvasyoke/direct/_drain.py
@@ -1,4 +1,4 @@
-"""Drains an entry that stops: withdraws readiness and completes the requests in progress."""
+"""Drains an entry that stops: withdraws readiness, and completes and sends what it has begun."""
 
 from __future__ import annotations
 
@@ -14,14 +14,17 @@
 #: Milliseconds for which the balancer may still open connections after readiness is withdrawn: it
 #: probes once a second and needs two failures.
 _BALANCER_GRACE: Final = 2_300
-#: Milliseconds between checks whether all requests have finished while draining.
+#: Milliseconds between checks whether all responses have been sent while draining.
 _DRAIN_POLL_INTERVAL: Final = 50
-#: Milliseconds to flush sockets before the process exits.
+#: Milliseconds in which the server closes its connections before the process exits.
 _FLUSH_TIME: Final = 100
 
 
 def drain(caller_app: CallerApp, caller_server: CallerServer) -> None:
-    """Withdraw readiness and return when the requests in progress are complete."""
+    """Withdraw readiness and return when the responses to all requests have been sent.
+
+    A caller that has stopped reading is given up after the idle time of its connection.
+    """
     _log.info("stopping", in_flight=caller_app.in_flight)
     caller_server.set_draining(True)
     pause = threading.Event()
@@ -30,7 +33,7 @@
     # another entry.
     caller_app.close()
     caller_server.close_idle()
-    while caller_app.in_flight:
+    while caller_server.is_busy:
         pause.wait(_DRAIN_POLL_INTERVAL / SECOND)
         caller_server.close_idle()
     pause.wait(_FLUSH_TIME / SECOND)
--- a/src/canvasyoke/transport/_caller_server.py
+++ b/src/canvasyoke/transport/_caller_server.py
@@ -7,6 +7,11 @@
 
 from __future__ import annotations
 
+import contextlib
+import fcntl
+import socket
+import struct
+import termios
 import threading
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -32,6 +37,7 @@
 _OUTPUT_HIGH_WATERMARK: Final = 1 << 20
 #: Buffer size in bytes beyond which waitress uses a temporary file; keeps buffers in memory.
 _BUFFER_OVERFLOW: Final = 1 << 30
+_C_INT: Final = struct.Struct("i")
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,17 +87,17 @@
     """A caller's connection that records its activity for the timeouts."""
 
     task_class = _ResponseTask
-    # Missing or wrong in the type stubs of waitress.
+    # Wrong in the type stubs of waitress.
     server: Any
-    requests: Any
-    requests_lock: threading.Lock
 
     def __init__(self, server: Any, *args: Any, **kw: Any) -> None:
-        #: Clock time of the last received data or completed response. Waitress keeps its own
-        #: ``last_activity`` on the wall clock.
+        #: Clock time of the last data received or sent, or of the last request finished. Waitress
+        #: keeps its own ``last_activity`` on the wall clock.
         self.last_active_at = server.clock.now()
         #: Clock time of the first byte of the request being read; 0 between requests.
         self.header_started_at = 0
+        #: Bytes in the kernel's buffer that the caller had not taken at the last check.
+        self._unread = 0
         super().__init__(server, *args, **kw)
 
     def received(self, data: bytes) -> bool:
@@ -108,8 +114,38 @@
     def service(self) -> None:
         """Run the application for the queued requests."""
         super().service()
+        self.record_activity()
+
+    def record_activity(self) -> None:
+        """Record that the connection is in use, for the idle timeout."""
         self.last_active_at = self.server.clock.now()
 
+    def is_being_read(self) -> bool:
+        """Return whether the caller has taken data since the last call.
+
+        The kernel accepts more data only once a large part of its buffer is free, which takes a
+        slow caller longer than the idle timeout.
+        """
+        before = self._unread
+        if self.socket is None:
+            return False
+        try:
+            queued = fcntl.ioctl(self.socket, termios.TIOCOUTQ, bytes(_C_INT.size))
+        except OSError:
+            return False
+        (self._unread,) = _C_INT.unpack(queued)
+        return self._unread != before
+
+    def drop(self) -> None:
+        """Close the connection, also if the caller takes nothing of what is left to send.
+
+        Waitress closes connections only when they can be written to.
+        """
+        self.will_close = True
+        if self.total_outbufs_len:
+            with contextlib.suppress(OSError):
+                self.socket.shutdown(socket.SHUT_RDWR)  # type: ignore[union-attr]
+
     def time_out(self) -> None:
         """Answer an incomplete request with 408."""
         with self.requests_lock:
@@ -155,10 +191,12 @@
         for channel in list(self.active_channels.values()):
             if channel.requests:
                 continue
+            if channel.total_outbufs_len and channel.is_being_read():
+                channel.record_activity()
             request = channel.request
             if request is None or not channel.header_started_at:
                 if now - channel.last_active_at > self.limits.idle_time:
-                    channel.will_close = True
+                    channel.drop()
             elif request.headers_finished:
                 if now - channel.last_active_at > self.limits.idle_time:
                     channel.time_out()
@@ -166,10 +204,9 @@
                 channel.time_out()
 
     def close_idle(self) -> None:
-        """Close every connection that has no request in progress."""
+        """Close every connection that has no request in progress, once its response is sent."""
         for channel in list(self.active_channels.values()):
-            if not channel.requests and channel.request is None:
-                channel.will_close = True
+            channel.close_if_idle()
         self.pull_trigger()
 
 
@@ -222,9 +259,14 @@
         self._server.is_draining = is_draining
 
     def close_idle(self) -> None:
-        """Close every connection that has no request in progress."""
+        """Close every connection that has no request in progress, once its response is sent."""
         self._server.close_idle()
 
+    @property
+    def is_busy(self) -> bool:
+        """Return whether a request is handled, or a part of a response has not been sent."""
+        return any(channel.is_busy for channel in list(self._server.active_channels.values()))
+
     @property
     def connections(self) -> int:
         """Return the number of open connections."""
--- a/src/canvasyoke/transport/_http_server.py
+++ b/src/canvasyoke/transport/_http_server.py
@@ -47,9 +47,12 @@
             ident="canvasyoke",
             clear_untrusted_proxy_headers=True,
         )
-        for server in servers.values():
-            if isinstance(server, TcpWSGIServer):
-                server.channel_class = Channel
+        # Any, as the type stubs of waitress are wrong about their channels.
+        self._listeners: list[Any] = [
+            each for each in servers.values() if isinstance(each, TcpWSGIServer)
+        ]
+        for listener in self._listeners:
+            listener.channel_class = Channel
         self._thread = threading.Thread(target=self._run, name="http-server", daemon=True)
 
     def start(self) -> None:
@@ -60,6 +63,12 @@
         """Close the listening sockets."""
         self._server.close()
 
+    @property
+    def is_busy(self) -> bool:
+        """Return whether a request is handled, or a part of a response has not been sent."""
+        channels = (c for each in self._listeners for c in list(each.active_channels.values()))
+        return any(channel.is_busy for channel in channels)
+
     def _run(self) -> None:
         try:
             self._server.run()
--- a/src/canvasyoke/transport/_response_tasks.py
+++ b/src/canvasyoke/transport/_response_tasks.py
@@ -1,7 +1,11 @@
-"""Response rendering that all HTTP servers share."""
+"""Rendering and sending of responses, which all HTTP servers share."""
 
 from __future__ import annotations
 
+import threading
+import time
+from typing import Any
+
 from waitress.channel import HTTPChannel
 from waitress.task import ErrorTask, Task, WSGITask
 
@@ -37,7 +41,36 @@
 
 
 class Channel(HTTPChannel):
-    """A connection whose responses are rendered by these tasks."""
+    """A connection whose responses are rendered by these tasks.
+
+    It is in use while the caller still reads, not only while its request is handled.
+    """
 
     task_class = ApplicationTask
     error_task_class = RefusalTask
+    # Missing in the type stubs of waitress.
+    requests: Any
+    requests_lock: threading.Lock
+    total_outbufs_len: int
+
+    def send(self, data: bytes, do_close: bool = True) -> int:
+        """Send what the caller takes now; return the number of bytes."""
+        sent = int(super().send(data, do_close))
+        if sent:
+            self.record_activity()
+        return sent
+
+    def record_activity(self) -> None:
+        """Record that the connection is in use, for the idle timeout."""
+        self.last_activity = time.time()
+
+    @property
+    def is_busy(self) -> bool:
+        """Return whether a request is handled, or a part of its response has not been sent."""
+        return bool(self.requests or self.total_outbufs_len)
+
+    def close_if_idle(self) -> None:
+        """Close the connection, after the rest of a response, if no request has begun."""
+        with self.requests_lock:
+            if not self.requests and self.request is None:
+                self.close_when_flushed = True
