platform: limit the bytes of a list over all of its pages

An entry whose store promises a further page with each answer read on and kept all items for as long as they came. Single answers were limited, the number of pages was not.

Evidence: the new test does not end on the code before (stopped after 20 s). A list of more than 64 MiB is unusable now, as one that cannot be read is. Not shown with whole processes.

--- a/src/canvasyoke/platform/_store.py
+++ b/src/canvasyoke/platform/_store.py
@@ -54,6 +54,8 @@
 _POOL_SIZE: Final = 3
 #: Largest answer. A page of a list has about 1 MB.
 _MAX_ANSWER_BYTES: Final = 32 << 20
+#: Largest list of all pages together, in bytes.
+_MAX_LIST_BYTES: Final = 64 << 20
 _OK: Final = 200
 _CREATED: Final = 201
 _NOT_FOUND: Final = 404
@@ -214,6 +216,7 @@
         A watch from that position repeats the changes made while later pages were read.
         """
         items: list[bytes] = []
+        size = 0
         position: StorePosition = 0
         after = ""
         while True:
@@ -233,6 +236,9 @@
             page = _decode_items(answer.data, _Page, "Items")
             if isinstance(page, Unusable):
                 return Unusable(f"a list of {kind} cannot be read: {page.detail}")
+            size += len(answer.data)
+            if size > _MAX_LIST_BYTES:
+                return Unusable(f"the list of {kind} has more than {_MAX_LIST_BYTES} bytes")
             items.extend(bytes(item) for item in page.items)
             position = position or store_position(era, page.revision)
             if not page.more or not page.items:
