cli: read answers of entries with the limits of the other clients

status and quarantine used a client of the library of their own, whose answers had no limit in time or bytes. They use the client of calls whose answers are read as a whole. No test of its own: the limits are those of transport/tests/test_endless_answers.py.

--- a/src/canvasyoke/cli/_operator.py
+++ b/src/canvasyoke/cli/_operator.py
@@ -12,9 +12,8 @@
 from typing import Final
 
 import msgspec
-import urllib3
 
-from canvasyoke._clock import SystemClock
+from canvasyoke._clock import SECOND, SystemClock
 from canvasyoke._version import PROTOCOL_VERSION, VERSION
 from canvasyoke.cli._registry import COMMANDS, DONE, REFUSED, USAGE
 from canvasyoke.cli._render import render_audit, render_quarantine, render_status
@@ -40,9 +39,12 @@
     submit,
     validate,
 )
+from canvasyoke.transport import ApiAnswer, ApiClient, CallFailed
 
 _OUTPUTS: Final = ("text", "json")
-_STATUS_TIMEOUT: Final = 5.0
+_STATUS_TIMEOUT: Final = 5 * SECOND
+#: Largest answer of an entry, in bytes.
+_MAX_ANSWER_BYTES: Final = 32 << 20
 
 
 class _LoadedFiles(msgspec.Struct):
@@ -201,12 +203,9 @@
     """
     if output not in _OUTPUTS:
         return _usage_error(f"--output takes text or json, not {output!r}")
-    try:
-        response = urllib3.PoolManager().request(
-            "GET", f"http://{entry}/status", timeout=_STATUS_TIMEOUT, retries=False
-        )
-    except (urllib3.exceptions.HTTPError, OSError) as exc:
-        print(f"canvasyoke: the entry does not answer: {exc}", file=sys.stderr)
+    response = _ask_entry(entry, "GET", "/status")
+    if isinstance(response, CallFailed):
+        print(f"canvasyoke: the entry does not answer: {response.detail}", file=sys.stderr)
         return REFUSED
     print(response.data.decode() if output == "json" else render_status(response.data))
     return DONE
@@ -223,15 +222,9 @@
     if output not in _OUTPUTS:
         return _usage_error(f"--output takes text or json, not {output!r}")
     path = f"/quarantine/{release}" if release else "/quarantine"
-    try:
-        response = urllib3.PoolManager().request(
-            "DELETE" if release else "GET",
-            f"http://{entry}{path}",
-            timeout=_STATUS_TIMEOUT,
-            retries=False,
-        )
-    except (urllib3.exceptions.HTTPError, OSError) as exc:
-        print(f"canvasyoke: the entry does not answer: {exc}", file=sys.stderr)
+    response = _ask_entry(entry, "DELETE" if release else "GET", path)
+    if isinstance(response, CallFailed):
+        print(f"canvasyoke: the entry does not answer: {response.detail}", file=sys.stderr)
         return REFUSED
     if response.status != HTTPStatus.OK:
         print(f"canvasyoke: {response.data.decode().strip()}", file=sys.stderr)
@@ -325,3 +318,9 @@
     """Print the program version and the protocol version."""
     print(f"canvasyoke {VERSION}, protocol {PROTOCOL_VERSION}")
     return DONE
+
+
+def _ask_entry(entry: str, method: str, path: str) -> ApiAnswer | CallFailed:
+    """Send a request to the administrative address of an entry."""
+    client = ApiClient(entry, 1, _MAX_ANSWER_BYTES)
+    return client.call(method, path, connect_timeout=_STATUS_TIMEOUT, read_timeout=_STATUS_TIMEOUT)
