--- a/tests/test_crashing_segments.py
+++ b/tests/test_crashing_segments.py
@@ -136,6 +136,7 @@
         held.behaviours.append(platform_engine.silent)
         traffic.shelf.append(held)
         traffic.store.put("servers", held.id, held.store_entry("held"))
+        wait_until(lambda: f'"{held.id}"' in entries[0].logged(), "the entry knows the backend")
         queued = entries[0].send(
             "/held/1",
             body=b"queued",
