transport: limit the time in which an answer is read past its limit

What arrived before the time limit of an answer is read after it, for an entry that stood still. That was limited in bytes, so that single bytes that come within a millisecond of one another could go on for minutes. It is limited to 200 ms from the first such read. The minimum of a socket's timeout is defined once.

--- a/src/canvasyoke/transport/_bounded_connection.py
+++ b/src/canvasyoke/transport/_bounded_connection.py
@@ -23,13 +23,12 @@
 
 #: Bytes that may be received for a head, or for one piece of a body with its framing.
 _MAX_UNDELIVERED_BYTES: Final = 256 << 10
-#: Bytes that may be read past the time limit: what the kernel may hold of a complete answer that
-#: arrived before it.
-_MAX_LATE_BYTES: Final = 1 << 20
+#: Milliseconds in which data that arrived before the time limit is still read after it.
+_MAX_LATE_TIME: Final = 200
 _INTERIM: Final = range(100, 200)
 _LINE_FEED: Final = ord("\n")
 #: Minimum socket timeout in milliseconds; zero would make the socket non-blocking.
-_MIN_TIMEOUT: Final = 1
+MIN_TIMEOUT: Final = 1
 
 
 class AnswerBounds:
@@ -42,14 +41,14 @@
         #: Clock time by which the answer has to be complete.
         self._deadline = 0
         self._undelivered_bytes = 0
-        self._late_bytes = 0
+        #: Clock time of the first read past the time limit; 0 before it.
+        self._late_since = 0
         #: Whether the connection has ended, and the last byte before its end.
         self._has_ended = False
         self._last_byte = 0
 
     def begin(self, timeout: int) -> None:
         """Expect an answer that takes at most ``timeout``."""
-        self._late_bytes = 0
         self._has_ended = False
         self.limit_time(timeout, timeout)
         self.begin_piece()
@@ -58,6 +57,7 @@
         """Limit the rest of the answer to ``timeout``, and each read to ``read_timeout``."""
         self._deadline = self._clock.now() + timeout
         self._read_timeout = read_timeout
+        self._late_since = 0
 
     def begin_piece(self) -> None:
         """Expect the next piece of the answer."""
@@ -72,10 +72,13 @@
 
     def next_timeout(self) -> int:
         """Return the timeout of the next read; raises ``TimeoutError`` past the time limit."""
-        left = self._deadline - self._clock.now()
-        if left <= 0 and self._late_bytes > _MAX_LATE_BYTES:
+        now = self._clock.now()
+        if now < self._deadline:
+            return max(MIN_TIMEOUT, min(self._deadline - now, self._read_timeout))
+        self._late_since = self._late_since or now
+        if now - self._late_since > _MAX_LATE_TIME:
             raise TimeoutError("the answer is not complete at its time limit")
-        return max(_MIN_TIMEOUT, min(left, self._read_timeout))
+        return MIN_TIMEOUT
 
     def check_head(self) -> None:
         """Raise :class:`ExchangeError` if the head that was read was cut off.
@@ -101,8 +104,6 @@
     def record(self, received: int, last_byte: int) -> None:
         """Count received bytes; raises :class:`ExchangeError` if there are too many."""
         self._last_byte = last_byte
-        if self._clock.now() >= self._deadline:
-            self._late_bytes += received
         self._undelivered_bytes += received
         if self._undelivered_bytes > _MAX_UNDELIVERED_BYTES:
             raise ExchangeError(
--- a/src/canvasyoke/transport/_exchange.py
+++ b/src/canvasyoke/transport/_exchange.py
@@ -18,7 +18,7 @@
 
 from canvasyoke._clock import SECOND
 from canvasyoke.transport._answer_errors import ExchangeError, answer_errors, check_length
-from canvasyoke.transport._bounded_connection import BoundedConnection
+from canvasyoke.transport._bounded_connection import MIN_TIMEOUT, BoundedConnection
 
 #: TCP keep-alive detects a dead peer behind a silent connection: two probes, one second apart,
 #: after one second without traffic. Shorter intervals would add wake-ups. With longer ones a stream
@@ -37,8 +37,6 @@
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT),
 ]
 _READ_BYTES: Final = 64 << 10
-#: Minimum socket timeout in milliseconds; zero would make the socket non-blocking.
-_MIN_TIMEOUT: Final = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -221,7 +219,7 @@
     if abort_reason:
         connection.close()
         return Withdrawn(abort_reason)
-    connection.timeout = max(_MIN_TIMEOUT, read_timeout) / SECOND
+    connection.timeout = max(MIN_TIMEOUT, read_timeout) / SECOND
     connection.sock.settimeout(connection.timeout)
     try:
         with handle.answer_errors():
