tests: wait until the request of a slow reader is finished, not only queued

By the code of the test: it took a moment in which no thread was busy for the end of the request, which also holds before the first thread takes it. Idle connections were then closed while this one had its request, and the test waited for an end that did not come.

--- a/src/canvasyoke/transport/tests/test_slow_readers.py
+++ b/src/canvasyoke/transport/tests/test_slow_readers.py
@@ -42,9 +42,12 @@
         self.socket.settimeout(_TIMEOUT)
         self.socket.connect((host, int(port)))
         self.socket.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
-        dispatcher = self.server._server.task_dispatcher
-        wait_until(lambda: self.server.is_busy, "the response has begun")
-        wait_until(lambda: dispatcher.active_count == 0, "the request is finished")
+        channels = self.server._server.active_channels
+        wait_until(lambda: self.server.is_busy, "the request is received")
+        wait_until(
+            lambda: not any(channel.requests for channel in list(channels.values())),
+            "the request is finished",
+        )
         self.received = bytearray()
 
     def read(self, size: int) -> int:
