direct: one cause for each incomplete answer, counted

An answer that ended at a limit was seen only in the line of its request: nothing counted it, so that an operator could not tell a backend that sends bytes without end from a slow one. And the result had three flags of which at most one could hold.

The flood and drip tables of two test files are one stand-in now, fakes/endless_answer.py.

--- a/src/canvasyoke/backend/_direct.py
+++ b/src/canvasyoke/backend/_direct.py
@@ -15,7 +15,7 @@
 from canvasyoke._registry import Registry
 from canvasyoke.backend._notice import NO_NOTICE, BackendNotice
 from canvasyoke.state import Endpoint
-from canvasyoke.transport import ExchangeHandle
+from canvasyoke.transport import ExchangeHandle, FailureCause
 
 
 class NotRunCause(enum.StrEnum):
@@ -56,11 +56,7 @@
     """The request may have run, but there is no complete answer."""
 
     detail: str
-    #: Whether the connection ended before the complete answer was received; false after a
-    #: timeout, a cancellation or an answer that does not belong to the request.
-    is_connection_lost: bool = False
-    #: Whether this entry ended the exchange, which is no evidence of a failure of the backend.
-    is_cancelled: bool = False
+    cause: FailureCause = FailureCause.MISMATCH
     #: Notice in the headers, if any were received.
     notice: BackendNotice = NO_NOTICE
 
--- a/src/canvasyoke/crashes/tests/test_exit_monitor.py
+++ b/src/canvasyoke/crashes/tests/test_exit_monitor.py
@@ -29,7 +29,7 @@
 from canvasyoke.direct._roster import Roster
 from canvasyoke.direct.tests.calls import ROUTE, CannedPort, make_call, make_forwarder
 from canvasyoke.state import Endpoint, EndpointState, Repeatability
-from canvasyoke.transport import ProbeResult
+from canvasyoke.transport import FailureCause, ProbeResult
 
 RUN = Endpoint("b-1", "ink", "10.0.0.1:1", "nbo-a", 6, EndpointState.READY, 1)
 NEXT_RUN = Endpoint("b-2", "ink", RUN.address, "nbo-a", 6, EndpointState.READY, 3)
@@ -296,7 +296,7 @@
 
 
 SAFE = replace(ROUTE, is_stream=False, repeatability=Repeatability.SAFE)
-BROKEN = MayHaveRun("reset", is_connection_lost=True)
+BROKEN = MayHaveRun("reset", FailureCause.CONNECTION_LOST)
 #: Results of a later attempt that show that the run of an earlier one has ended.
 SIGNS: list[SendResult] = [
     NotRun(NotRunCause.UNREACHABLE, "refused", is_port_closed=True),
--- a/src/canvasyoke/crashes/tests/test_quarantine.py
+++ b/src/canvasyoke/crashes/tests/test_quarantine.py
@@ -24,7 +24,7 @@
 from canvasyoke.direct.tests.calls import ROUTE, CannedPort, make_call, make_forwarder
 from canvasyoke.platform._store import ObjectsFleetStore
 from canvasyoke.state import Endpoint, EndpointState, Repeatability
-from canvasyoke.transport import ProbeResult
+from canvasyoke.transport import FailureCause, ProbeResult
 from fakes.object_store import ObjectStore
 from fakes.store_pool import SchedulingClock, StorePool
 
@@ -239,7 +239,7 @@
         pass
 
 
-BROKEN = MayHaveRun("reset", is_connection_lost=True)
+BROKEN = MayHaveRun("reset", FailureCause.CONNECTION_LOST)
 
 
 class Entry:
--- a/src/canvasyoke/direct/_answer_relay.py
+++ b/src/canvasyoke/direct/_answer_relay.py
@@ -18,7 +18,7 @@
 from canvasyoke.direct._retries import RetryPolicy
 from canvasyoke.direct._roster import Roster
 from canvasyoke.state import Endpoint
-from canvasyoke.transport import ExchangeError
+from canvasyoke.transport import ExchangeError, FailureCause
 
 #: Milliseconds past the deadline in which the backend may report its own timeout.
 _TIMEOUT_REPORT_GRACE: Final = 40
@@ -78,11 +78,11 @@
             for piece in answer.pieces():
                 body += piece
                 if len(body) > _BUFFER_LIMIT:
-                    return MayHaveRun("the answer is too long to collect")
+                    return MayHaveRun("the answer is too long to collect", FailureCause.TOO_LARGE)
         except ExchangeError as exc:
-            return _broken("answer", exc)
+            return MayHaveRun(f"the answer broke off: {exc}", exc.cause)
         if self._is_cut_off(endpoint, answer):
-            return MayHaveRun("the backend ended with its answer", is_connection_lost=True)
+            return MayHaveRun("the backend ended with its answer", FailureCause.CONNECTION_LOST)
         head = AnswerHead(answer.status, answer.headers, _body_length(call, answer, len(body)))
         if answer.status >= _SERVER_ERROR and self._retries.should_retry_failure(call):
             call.saved_failure = SavedFailure(head, bytes(body))
@@ -120,20 +120,24 @@
                     call.last_event = current_id or call.last_event
                     yield event
                 if splitter.is_event_too_large:
-                    return MayHaveRun("an event of the stream is too large to collect")
+                    detail = "an event of the stream is too large to collect"
+                    return MayHaveRun(detail, FailureCause.TOO_LARGE)
                 if self._retries.should_move(call):
-                    return MayHaveRun("the backend is too slow for the stream", is_cancelled=True)
+                    detail = "the backend is too slow for the stream"
+                    return MayHaveRun(detail, FailureCause.CANCELLED)
         except ExchangeError as exc:
-            return _broken("stream", exc)
+            return MayHaveRun(f"the stream broke off: {exc}", exc.cause)
         finally:
             if last_event_at:
                 self._roster.record_stream_end(backend)
         if splitter.has_partial_event:
-            return MayHaveRun("the stream ended within an event", is_connection_lost=True)
+            return MayHaveRun("the stream ended within an event", FailureCause.CONNECTION_LOST)
         if not (answer.is_framed or last_event_at):
-            return MayHaveRun("the stream ended before its first event", is_connection_lost=True)
+            return MayHaveRun(
+                "the stream ended before its first event", FailureCause.CONNECTION_LOST
+            )
         if self._is_cut_off(endpoint, answer):
-            return MayHaveRun("the backend ended with its stream", is_connection_lost=True)
+            return MayHaveRun("the backend ended with its stream", FailureCause.CONNECTION_LOST)
         if not call.delivered:
             yield AnswerHead(answer.status, answer.headers, None)
         return None
@@ -145,12 +149,3 @@
         return received
     stated = (value for name, value in answer.headers if name.lower() == "content-length")
     return next((int(value) for value in stated if value.isdecimal()), None)
-
-
-def _broken(what: str, exc: ExchangeError) -> MayHaveRun:
-    """Return the failure of an exchange whose response was not read to its end."""
-    return MayHaveRun(
-        f"the {what} broke off: {exc}",
-        is_connection_lost=exc.is_connection_lost,
-        is_cancelled=exc.is_cancelled,
-    )
--- a/src/canvasyoke/direct/_attempt_recorder.py
+++ b/src/canvasyoke/direct/_attempt_recorder.py
@@ -9,8 +9,10 @@
 from canvasyoke.crashes import ExitMonitor, Quarantine
 from canvasyoke.direct._call import Attempt, DirectCall
 from canvasyoke.direct._choice import Chosen
+from canvasyoke.direct._metrics import DirectMetrics
 from canvasyoke.direct._roster import Roster
 from canvasyoke.state import Endpoint
+from canvasyoke.transport import FailureCause
 
 #: Milliseconds for which a backend that refused for lack of capacity is not chosen.
 _FULL_BACKOFF: Final = 150
@@ -21,9 +23,15 @@
     """Passes the results of attempts on to the roster and to the quarantine."""
 
     def __init__(
-        self, roster: Roster, exit_monitor: ExitMonitor, quarantine: Quarantine, clock: Clock
+        self,
+        roster: Roster,
+        exit_monitor: ExitMonitor,
+        quarantine: Quarantine,
+        metrics: DirectMetrics,
+        clock: Clock,
     ) -> None:
         self._clock = clock
+        self._metrics = metrics
         self._roster = roster
         self._exit_monitor = exit_monitor
         self._quarantine = quarantine
@@ -54,6 +62,8 @@
         failure: NotRun | MayHaveRun | None,
     ) -> None:
         """Record an attempt that took ``duration`` milliseconds; ``failure`` is why it failed."""
+        if isinstance(failure, MayHaveRun):
+            self._metrics.record_incomplete_answer(failure.cause)
         self._record_load(call, chosen.endpoint, duration, failure)
         self._record_group(call, chosen.endpoint, failure)
         outcome = "answered" if failure is None else failure.detail
@@ -103,7 +113,7 @@
             return
         if (
             not isinstance(failure, MayHaveRun)
-            or not failure.is_connection_lost
+            or failure.cause is not FailureCause.CONNECTION_LOST
             or _closed_by_entry(call, failure)
         ):
             return
@@ -128,4 +138,4 @@
     """Return whether this entry closed the exchange, which is no evidence of a backend failure."""
     if isinstance(failure, NotRun):
         return failure.cause is NotRunCause.WITHDRAWN or call.is_disconnected()
-    return failure.is_cancelled or call.is_disconnected()
+    return failure.cause is FailureCause.CANCELLED or call.is_disconnected()
--- a/src/canvasyoke/direct/_forwarder.py
+++ b/src/canvasyoke/direct/_forwarder.py
@@ -27,6 +27,7 @@
     IncompleteAnswer,
 )
 from canvasyoke.direct._choice import BackendQuery, Chosen, NoneAvailable
+from canvasyoke.direct._metrics import DirectMetrics
 from canvasyoke.direct._notice_handler import NoticeHandler
 from canvasyoke.direct._refusals import MIN_ATTEMPT_TIME, RefusalPolicy
 from canvasyoke.direct._retries import RetryPolicy
@@ -62,6 +63,7 @@
         notice_handler: NoticeHandler,
         waiting: WaitingRequests,
         return_times: ReturnTimes,
+        metrics: DirectMetrics,
         clock: Clock,
         rng: random.Random,
     ) -> None:
@@ -69,7 +71,7 @@
         self._roster = roster
         self._budget = budget
         self._quarantine = quarantine
-        self._recorder = AttemptRecorder(roster, exit_monitor, quarantine, clock)
+        self._recorder = AttemptRecorder(roster, exit_monitor, quarantine, metrics, clock)
         self._notice_handler = notice_handler
         self._waiting = waiting
         waiting.refuse_when(lambda call: bool(self._quarantined_trait(call)))
--- a/src/canvasyoke/direct/_metrics.py
+++ b/src/canvasyoke/direct/_metrics.py
@@ -5,6 +5,7 @@
 from canvasyoke.direct._call import CloseCause, DirectCall, Lateness
 from canvasyoke.direct._roster import Roster
 from canvasyoke.observe import Metrics
+from canvasyoke.transport import FailureCause
 
 
 class DirectMetrics:
@@ -38,6 +39,12 @@
             "cause",
         )
 
+        self._incomplete_answers = self.all.counter(
+            "canvasyoke_incomplete_answers_total",
+            "Attempts that may have run and have no complete answer, by cause.",
+            "cause",
+        )
+
         self._late_exits = self.all.counter(
             "canvasyoke_late_exits_total",
             "Backends found to have ended after they still listened, by evidence.",
@@ -84,6 +91,10 @@
         """Count an exchange that this entry closed before its answer was complete."""
         self._closed_exchanges.add(cause.value)
 
+    def record_incomplete_answer(self, cause: FailureCause) -> None:
+        """Count an attempt that may have run and has no complete answer."""
+        self._incomplete_answers.add(cause.value)
+
     def record_late_exit(self, evidence: str) -> None:
         """Count a backend that was found to have ended some time after an exchange failed."""
         self._late_exits.add(evidence)
--- a/src/canvasyoke/direct/_process.py
+++ b/src/canvasyoke/direct/_process.py
@@ -137,6 +137,7 @@
             notice_handler,
             self._waiting,
             return_times,
+            self._metrics,
             self._clock,
             rng,
         )
--- a/src/canvasyoke/direct/tests/calls.py
+++ b/src/canvasyoke/direct/tests/calls.py
@@ -87,6 +87,7 @@
         notice_handler,
         build_waiting(roster, return_times, clock, metrics),
         return_times,
+        metrics,
         clock,
         random.Random(1),
     )
--- a/src/canvasyoke/direct/tests/test_forwarder.py
+++ b/src/canvasyoke/direct/tests/test_forwarder.py
@@ -21,7 +21,7 @@
 from canvasyoke.direct._roster import Roster
 from canvasyoke.direct.tests.calls import ROUTE, CannedPort, make_call, make_forwarder
 from canvasyoke.state import Endpoint, EndpointState
-from canvasyoke.transport import ExchangeError, ExchangeHandle
+from canvasyoke.transport import ExchangeError, ExchangeHandle, FailureCause
 
 
 class _BrokenStream(BackendAnswer):
@@ -97,7 +97,7 @@
 
 def test_a_lost_connection_sends_the_next_requests_elsewhere(roster: Roster) -> None:
     """A backend that closes all connections looks idle, and must not be the first choice."""
-    run(roster, lambda: MayHaveRun("reset", is_connection_lost=True))
+    run(roster, lambda: MayHaveRun("reset", FailureCause.CONNECTION_LOST))
     chosen = [roster.choose(BackendQuery("ink")) for _ in range(8)]
     assert len({c.endpoint.run for c in chosen if isinstance(c, Chosen)}) == 2
 
--- a/src/canvasyoke/platform/_engine.py
+++ b/src/canvasyoke/platform/_engine.py
@@ -120,11 +120,7 @@
         if isinstance(sent, Withdrawn):
             return NotRun(NotRunCause.WITHDRAWN, sent.detail)
         if isinstance(sent, NoResponse):
-            return MayHaveRun(
-                sent.detail,
-                is_connection_lost=sent.is_connection_lost,
-                is_cancelled=sent.is_cancelled,
-            )
+            return MayHaveRun(sent.detail, sent.cause)
         return _classify_answer(sent, request.request_id)
 
     def slowdown_of(self, endpoint: Endpoint) -> float | None:
--- a/src/canvasyoke/transport/__init__.py
+++ b/src/canvasyoke/transport/__init__.py
@@ -1,6 +1,6 @@
 """Links between canvasyoke's processes, HTTP servers and HTTP clients."""
 
-from canvasyoke.transport._answer_errors import ExchangeError
+from canvasyoke.transport._answer_errors import ExchangeError, FailureCause
 from canvasyoke.transport._api_client import ApiAnswer, ApiClient
 from canvasyoke.transport._caller_server import CallerServer, ServerLimits
 from canvasyoke.transport._exchange import (
@@ -29,6 +29,7 @@
     "Exchange",
     "ExchangeError",
     "ExchangeHandle",
+    "FailureCause",
     "HttpFailure",
     "HttpReply",
     "HttpServer",
--- a/src/canvasyoke/transport/_answer_errors.py
+++ b/src/canvasyoke/transport/_answer_errors.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import enum
 from collections.abc import Iterator
 from typing import Final
 
@@ -12,29 +13,28 @@
 _TIMEOUTS: Final = (TimeoutError, urllib3.exceptions.TimeoutError)
 
 
+class FailureCause(enum.StrEnum):
+    """Why there is no complete answer."""
+
+    #: The peer or the network ended the connection, or what came is no answer in HTTP.
+    CONNECTION_LOST = "connection lost"
+    #: A time limit expired, which says nothing about the peer's state.
+    TIMEOUT = "timeout"
+    #: This process ended the exchange, which says nothing about the peer either.
+    CANCELLED = "cancelled"
+    #: The peer sent more than is accepted.
+    TOO_LARGE = "too large"
+    #: The answer was received, but is not one to the request.
+    MISMATCH = "mismatch"
+
+
 class ExchangeError(OSError):
     """A response was incomplete, malformed, too large, timed out or cancelled."""
 
-    def __init__(
-        self,
-        detail: str,
-        *,
-        is_timeout: bool = False,
-        is_cancelled: bool = False,
-        is_too_large: bool = False,
-    ) -> None:
+    def __init__(self, detail: str, cause: FailureCause = FailureCause.CONNECTION_LOST) -> None:
         super().__init__(detail)
-        #: Whether a timeout expired, which says nothing about the peer's state.
-        self.is_timeout = is_timeout
-        #: Whether this process ended the exchange, which says nothing about the peer either.
-        self.is_cancelled = is_cancelled
-        #: Whether the peer sent more than is accepted.
-        self.is_too_large = is_too_large
-
-    @property
-    def is_connection_lost(self) -> bool:
-        """Return whether the peer or the network ended the exchange."""
-        return not (self.is_timeout or self.is_cancelled or self.is_too_large)
+        #: Why the response is not complete.
+        self.cause = cause
 
 
 @contextlib.contextmanager
@@ -50,12 +50,7 @@
     except ExchangeError:
         raise
     except Exception as exc:
-        causes = _causes(exc)
-        raise ExchangeError(
-            f"{type(exc).__name__}: {exc}",
-            is_timeout=any(isinstance(each, _TIMEOUTS) for each in causes),
-            is_too_large=any(isinstance(e, ExchangeError) and e.is_too_large for e in causes),
-        ) from exc
+        raise ExchangeError(f"{type(exc).__name__}: {exc}", _cause_of(exc)) from exc
 
 
 def check_length(response: urllib3.BaseHTTPResponse) -> None:
@@ -69,6 +64,10 @@
         raise ExchangeError("the stated length is not a number")
 
 
-def _causes(exc: Exception) -> tuple[object, ...]:
-    """Return an exception and those that the libraries have wrapped in it."""
-    return (exc, exc.__cause__, *exc.args)
+def _cause_of(exc: Exception) -> FailureCause:
+    """Return the cause of an exception, which the libraries may have wrapped in others."""
+    wrapped = (exc, exc.__cause__, *exc.args)
+    if any(isinstance(each, _TIMEOUTS) for each in wrapped):
+        return FailureCause.TIMEOUT
+    own = (each.cause for each in wrapped if isinstance(each, ExchangeError))
+    return next(own, FailureCause.CONNECTION_LOST)
--- a/src/canvasyoke/transport/_bounded_connection.py
+++ b/src/canvasyoke/transport/_bounded_connection.py
@@ -16,7 +16,7 @@
 from urllib3.connection import HTTPConnection
 
 from canvasyoke._clock import SECOND, SystemClock
-from canvasyoke.transport._answer_errors import ExchangeError
+from canvasyoke.transport._answer_errors import ExchangeError, FailureCause
 
 if TYPE_CHECKING:
     from _typeshed import WriteableBuffer
@@ -108,7 +108,7 @@
         if self._undelivered_bytes > _MAX_UNDELIVERED_BYTES:
             raise ExchangeError(
                 f"more than {_MAX_UNDELIVERED_BYTES} bytes without an end of the head or a piece",
-                is_too_large=True,
+                FailureCause.TOO_LARGE,
             )
 
 
--- a/src/canvasyoke/transport/_exchange.py
+++ b/src/canvasyoke/transport/_exchange.py
@@ -17,7 +17,12 @@
 import urllib3
 
 from canvasyoke._clock import SECOND
-from canvasyoke.transport._answer_errors import ExchangeError, answer_errors, check_length
+from canvasyoke.transport._answer_errors import (
+    ExchangeError,
+    FailureCause,
+    answer_errors,
+    check_length,
+)
 from canvasyoke.transport._bounded_connection import MIN_TIMEOUT, BoundedConnection
 
 #: TCP keep-alive detects a dead peer behind a silent connection: two probes, one second apart,
@@ -60,10 +65,7 @@
     """The peer may have received the request, but no valid response arrived."""
 
     detail: str
-    #: Whether the peer or the network ended the exchange; false after a timeout or a cancellation.
-    is_connection_lost: bool = True
-    #: Whether this process cancelled the exchange.
-    is_cancelled: bool = False
+    cause: FailureCause
 
 
 class Exchange:
@@ -150,7 +152,8 @@
         except ExchangeError as exc:
             if not self.is_cancelled:
                 raise
-            raise ExchangeError(f"the exchange was cancelled: {exc}", is_cancelled=True) from exc
+            detail = f"the exchange was cancelled: {exc}"
+            raise ExchangeError(detail, FailureCause.CANCELLED) from exc
 
     def cancel(self) -> None:
         """Shut the socket down, or prevent the request from being sent if there is none yet."""
@@ -226,7 +229,7 @@
             response = _send(connection, method, target, headers, body)
     except ExchangeError as exc:
         connection.close()
-        return NoResponse(str(exc), exc.is_connection_lost, exc.is_cancelled)
+        return NoResponse(str(exc), exc.cause)
     return Exchange(connection, response, handle)
 
 
--- a/src/canvasyoke/transport/_http_client.py
+++ b/src/canvasyoke/transport/_http_client.py
@@ -10,7 +10,12 @@
 import urllib3
 
 from canvasyoke._clock import SECOND
-from canvasyoke.transport._answer_errors import ExchangeError, answer_errors, check_length
+from canvasyoke.transport._answer_errors import (
+    ExchangeError,
+    FailureCause,
+    answer_errors,
+    check_length,
+)
 from canvasyoke.transport._bounded_connection import BoundedPool, bounds_of
 
 #: Bytes read at a time. The length stated by an answer is not trusted for allocations.
@@ -61,7 +66,7 @@
         for piece in self.chunks():
             body += piece
             if len(body) > max_bytes:
-                raise ExchangeError(f"more than {max_bytes} bytes", is_too_large=True)
+                raise ExchangeError(f"more than {max_bytes} bytes", FailureCause.TOO_LARGE)
         return bytes(body)
 
     def lines(self) -> Iterator[bytes]:
@@ -72,7 +77,7 @@
             yield from whole
             if len(rest) > _MAX_LINE_BYTES:
                 raise ExchangeError(
-                    f"a line of more than {_MAX_LINE_BYTES} bytes", is_too_large=True
+                    f"a line of more than {_MAX_LINE_BYTES} bytes", FailureCause.TOO_LARGE
                 )
         if rest:
             raise OSError("the answer broke off within a line")
--- a/src/canvasyoke/transport/tests/test_endless_answers.py
+++ b/src/canvasyoke/transport/tests/test_endless_answers.py
@@ -3,11 +3,8 @@
 from __future__ import annotations
 
 import contextlib
-import itertools
-import socket
 import threading
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
 
 import pytest
 
@@ -22,48 +19,15 @@
     NoResponse,
     exchange,
 )
+from fakes.endless_answer import DRIPS, FLOODS, EndlessAnswer, EndlessPeer
 
-#: Milliseconds for a call, and seconds between two bytes of a slow answer. Each byte comes within
-#: the time for a single read.
+#: Milliseconds for a call.
 _TIMEOUT = 400
-_BYTE_INTERVAL = 0.05
 #: Seconds after which a call is taken for endless.
 _PATIENCE = 20
 #: Bytes that a call may read. Buffers of the kernel on both sides are added to them.
 _MAX_READ_BYTES = 16 << 20
 _MAX_ANSWER_BYTES = 1 << 20
-_OK = b"HTTP/1.1 200 OK\r\n"
-_CHUNKED = _OK + b"Transfer-Encoding: chunked\r\n\r\n"
-_FILL = b"a" * 8_000
-
-
-@dataclass(frozen=True)
-class _Endless:
-    """The begin of an answer, and what follows again and again."""
-
-    begin: bytes
-    rest: bytes
-
-
-FLOODS = {
-    "status line": _Endless(b"", _FILL),
-    "status line after its begin": _Endless(b"HTTP/1.1 200 ", _FILL),
-    "header line": _Endless(_OK + b"A: ", _FILL),
-    "header lines": _Endless(_OK, b"A: b\r\n" * 50),
-    "long header lines": _Endless(_OK, b"A: " + _FILL + b"\r\n"),
-    "interim answers": _Endless(b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 50),
-    "interim answers with headers": _Endless(b"", b"HTTP/1.1 100 Continue\r\nA: b\r\n\r\n" * 50),
-    "early hints": _Endless(b"", b"HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n" * 50),
-    "length that is never reached": _Endless(_OK + b"Content-Length: 99999999999\r\n\r\n", _FILL),
-    "no length": _Endless(_OK + b"Connection: close\r\n\r\n", _FILL),
-    "chunks": _Endless(_CHUNKED, b"1f40\r\n" + _FILL + b"\r\n"),
-    "small chunks": _Endless(_CHUNKED, b"1\r\na\r\n" * 500),
-    "chunk that is never reached": _Endless(_CHUNKED + b"ffffffff\r\n", _FILL),
-    "chunk line": _Endless(_CHUNKED, b"1" * 8_000),
-    "chunk extension": _Endless(_CHUNKED + b"5;", _FILL),
-    "trailer line": _Endless(_CHUNKED + b"1\r\na\r\n0\r\nA: ", _FILL),
-    "trailers": _Endless(_CHUNKED + b"1\r\na\r\n0\r\n", b"A: b\r\n" * 50),
-}
 #: Floods of which the streaming clients deliver each piece.
 DELIVERED = {
     "length that is never reached",
@@ -72,70 +36,13 @@
     "small chunks",
     "chunk that is never reached",
 }
-DRIPS = {
-    "status line": _Endless(b"", b"H"),
-    "header line": _Endless(_OK + b"A: ", b"a"),
-    "header lines": _Endless(_OK, b"A: b\r\n"),
-    "interim answers": _Endless(b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
-    "length": _Endless(_OK + b"Content-Length: 99999\r\n\r\n", b"a"),
-    "no length": _Endless(_OK + b"Connection: close\r\n\r\n", b"a"),
-    "chunks": _Endless(_CHUNKED, b"1\r\na\r\n"),
-    "one chunk": _Endless(_CHUNKED + b"fff\r\n", b"a"),
-    "chunk line": _Endless(_CHUNKED, b"1"),
-    "trailers": _Endless(_CHUNKED + b"1\r\na\r\n0\r\n", b"A: b\r\n"),
-}
 
 
-class _Peer:
-    """Answers each connection without end, until the other side closes it."""
-
-    def __init__(self) -> None:
-        self.answer = _Endless(b"", b"")
-        self.interval = 0.0
-        #: Bytes of the last answer that were taken, and whether its connection has ended.
-        self.sent = 0
-        self.ended = threading.Event()
-        self._closed = threading.Event()
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
-        threading.Thread(target=self._run, daemon=True).start()
-
-    def _run(self) -> None:
-        while True:
-            try:
-                conn, _ = self._listener.accept()
-            except OSError:
-                return
-            with conn, contextlib.suppress(OSError):
-                conn.settimeout(_PATIENCE)
-                conn.recv(1 << 16)
-                self._send(conn)
-            self.ended.set()
-
-    def _send(self, conn: socket.socket) -> None:
-        pieces = itertools.chain([self.answer.begin], itertools.repeat(self.answer.rest))
-        if self.interval:
-            # Bytes of the repeated part come one by one.
-            pieces = itertools.chain(
-                [self.answer.begin],
-                (bytes([byte]) for byte in itertools.cycle(self.answer.rest)),
-            )
-        for piece in pieces:
-            conn.sendall(piece)
-            self.sent += len(piece)
-            if self._closed.wait(self.interval if self.sent > len(self.answer.begin) else 0):
-                return
-
-    def close(self) -> None:
-        self._closed.set()
-        self._listener.close()
-
-
-@pytest.fixture
-def peer() -> Iterator[_Peer]:
-    sender = _Peer()
-    yield sender
-    sender.close()
+@contextlib.contextmanager
+def sending(answer: EndlessAnswer) -> Iterator[EndlessPeer]:
+    peer = EndlessPeer(answer)
+    yield peer
+    peer.close()
 
 
 def call_api(address: str) -> bool:
@@ -189,7 +96,7 @@
 COLLECTING_CLIENTS = [call_api, call_pool_by_lines]
 
 
-def fails_in_time(call: Callable[[str], bool], peer: _Peer) -> bool:
+def fails_in_time(call: Callable[[str], bool], peer: EndlessPeer) -> bool:
     """Return whether a call fails, and closes its connection, before it counts as endless."""
     results: list[bool] = []
     caller = threading.Thread(target=lambda: results.append(call(peer.address)), daemon=True)
@@ -200,19 +107,17 @@
 
 @pytest.mark.parametrize("call", CLIENTS)
 @pytest.mark.parametrize("name", FLOODS)
-def test_an_answer_without_end_fails(peer: _Peer, call: Callable[[str], bool], name: str) -> None:
+def test_an_answer_without_end_fails(call: Callable[[str], bool], name: str) -> None:
     """Guards against a call that reads on, or keeps what it reads, for as long as bytes come."""
-    peer.answer = FLOODS[name]
-    assert fails_in_time(call, peer)
-    if call in COLLECTING_CLIENTS or name not in DELIVERED:
-        assert peer.sent < _MAX_READ_BYTES
+    with sending(FLOODS[name]) as peer:
+        assert fails_in_time(call, peer)
+        if call in COLLECTING_CLIENTS or name not in DELIVERED:
+            assert peer.sent < _MAX_READ_BYTES
 
 
 @pytest.mark.parametrize("call", CLIENTS)
 @pytest.mark.parametrize("name", DRIPS)
-def test_an_answer_of_single_bytes_fails(
-    peer: _Peer, call: Callable[[str], bool], name: str
-) -> None:
+def test_an_answer_of_single_bytes_fails(call: Callable[[str], bool], name: str) -> None:
     """Guards against a call that lasts as long as each byte comes in time."""
-    peer.answer, peer.interval = DRIPS[name], _BYTE_INTERVAL
-    assert fails_in_time(call, peer)
+    with sending(DRIPS[name]) as peer:
+        assert fails_in_time(call, peer)
--- a/src/canvasyoke/transport/tests/test_exchange.py
+++ b/src/canvasyoke/transport/tests/test_exchange.py
@@ -12,6 +12,7 @@
     Exchange,
     ExchangeError,
     ExchangeHandle,
+    FailureCause,
     NoResponse,
     Withdrawn,
     exchange,
@@ -117,7 +118,7 @@
     """Guards against an own shutdown that is taken for the end of the body."""
     end = read_cancelled(listener, _HEAD + PARTS[framing][cut])
     assert isinstance(end, ExchangeError)
-    assert (end.is_cancelled, end.is_connection_lost) == (True, False)
+    assert end.cause is FailureCause.CANCELLED
 
 
 @pytest.mark.parametrize("begin", [b"", b"HTTP/1.1 2", _HEAD, _HEAD + b"A: b\r\n"])
@@ -126,7 +127,7 @@
 ) -> None:
     end = read_cancelled(listener, begin)
     assert isinstance(end, NoResponse)
-    assert (end.is_cancelled, end.is_connection_lost) == (True, False)
+    assert end.cause is FailureCause.CANCELLED
 
 
 @pytest.mark.parametrize(
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -2,14 +2,22 @@
 
 from __future__ import annotations
 
-import itertools
 import threading
-from collections.abc import Iterator
-from dataclasses import dataclass
+from collections.abc import Callable, Iterator
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
 
+from fakes.endless_answer import (
+    BYTE_INTERVAL,
+    CHUNKED,
+    DRIPS,
+    FILL,
+    FLOODS,
+    OK,
+    EndlessAnswer,
+)
 from fakes.http_base import Handler
 from fakes.platform_engine import PlatformEngine
 from tests.direct import TIMEOUT_SECONDS, DirectEntry, DirectFleet, read_reply, wait_until
@@ -20,50 +28,24 @@
 PATIENCE = "1500"
 #: Requests at the same time.
 CONCURRENT = 6
-#: Seconds between two bytes of a slow answer.
-BYTE_INTERVAL = 0.05
-SEALED = b"HTTP/1.1 200 OK\r\nAttempt-Id: r-1\r\nResponse-Seal: s\r\n"
-CHUNKED = SEALED + b"Transfer-Encoding: chunked\r\n\r\n"
-STREAM = SEALED + b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-FILL = b"a" * 8_000
-
-
-@dataclass(frozen=True)
-class Endless:
-    """The begin of an answer, what follows again and again, and whether it comes byte by byte."""
-
-    begin: bytes
-    rest: bytes
-    is_slow: bool = False
-
-    def __call__(self, handler: Handler, engine: PlatformEngine) -> None:
-        """Send the answer until the connection ends."""
-        handler.close_connection = True
-        request_id = handler.headers.get("Attempt-Id", "").encode()
-        handler.wfile.write(self.begin.replace(b"r-1", request_id))
-        if not self.is_slow:
-            while not engine.exited.is_set():
-                handler.wfile.write(self.rest)
-        for byte in itertools.cycle(self.rest):
-            if engine.exited.wait(BYTE_INTERVAL):
-                return
-            handler.wfile.write(bytes([byte]))
+SEALED = OK + b"Attempt-Id: r-1\r\nResponse-Seal: s\r\n"
+STREAM = SEALED + b"Content-Type: text/event-stream\r\n" + CHUNKED
 
 
 ANSWERS = {
-    "interim answers": Endless(b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 50),
-    "header lines": Endless(b"HTTP/1.1 200 OK\r\n", b"A: b\r\n" * 50),
-    "trailers": Endless(CHUNKED + b"0\r\n", b"A: b\r\n" * 50),
-    "no length": Endless(SEALED + b"\r\n", FILL),
-    "slow interim answers": Endless(b"", b"HTTP/1.1 100 Continue\r\n\r\n", is_slow=True),
-    "slow header line": Endless(SEALED + b"A: ", b"a", is_slow=True),
-    "slow length": Endless(SEALED + b"Content-Length: 99999\r\n\r\n", b"a", is_slow=True),
-    "slow trailers": Endless(CHUNKED + b"0\r\n", b"A: b\r\n", is_slow=True),
+    "interim answers": FLOODS["interim answers"],
+    "header lines": FLOODS["header lines"],
+    "trailers": EndlessAnswer(SEALED + CHUNKED + b"0\r\n", b"A: b\r\n" * 50),
+    "no length": EndlessAnswer(SEALED + b"\r\n", FILL),
+    "slow interim answers": DRIPS["interim answers"],
+    "slow header line": EndlessAnswer(SEALED + b"A: ", b"a", BYTE_INTERVAL),
+    "slow length": EndlessAnswer(SEALED + b"Content-Length: 99999\r\n\r\n", b"a", BYTE_INTERVAL),
+    "slow trailers": EndlessAnswer(SEALED + CHUNKED + b"0\r\n", b"A: b\r\n", BYTE_INTERVAL),
 }
 STREAMS = {
-    "trailers": Endless(STREAM + b"0\r\n", b"A: b\r\n" * 50),
-    "slow event": Endless(STREAM, b"1\r\na\r\n", is_slow=True),
-    "slow trailers": Endless(STREAM + b"0\r\n", b"A: b\r\n", is_slow=True),
+    "trailers": EndlessAnswer(STREAM + b"0\r\n", b"A: b\r\n" * 50),
+    "slow event": EndlessAnswer(STREAM, b"1\r\na\r\n", BYTE_INTERVAL),
+    "slow trailers": EndlessAnswer(STREAM + b"0\r\n", b"A: b\r\n", BYTE_INTERVAL),
 }
 REQUESTS = [("/safe/1", name, answer) for name, answer in ANSWERS.items()]
 REQUESTS += [("/shelf-stream/stream", name, answer) for name, answer in STREAMS.items()]
@@ -86,6 +68,25 @@
     return entry
 
 
+def behaviour(answer: EndlessAnswer) -> Callable[[Handler, PlatformEngine], None]:
+    """Return the behaviour of an engine that sends ``answer`` until the connection ends."""
+
+    def send(handler: Handler, engine: PlatformEngine) -> None:
+        handler.close_connection = True
+        request_id = handler.headers.get("Attempt-Id", "").encode()
+        begin = answer.begin.replace(b"r-1", request_id)
+        replace(answer, begin=begin).send(handler.wfile.write, engine.exited)
+
+    return send
+
+
+def incomplete_answers(entry: DirectEntry) -> float:
+    """Return the number of answers that ended at a limit of this project or of its library."""
+    name = 'canvasyoke_incomplete_answers_total{cause="%s"}'
+    causes = ("timeout", "too large", "connection lost")
+    return sum(entry.metric(name % cause) for cause in causes)
+
+
 def peak_memory(entry: DirectEntry) -> int:
     """Return the peak of an entry's memory in KiB."""
     status = Path(f"/proc/{entry.process.pid}/status").read_text()
@@ -97,11 +98,11 @@
     ("path", "answer"), [r[::2] for r in REQUESTS], ids=[f"{r[0]} {r[1]}" for r in REQUESTS]
 )
 def test_a_request_whose_answer_has_no_end_fails_at_its_time_limit(
-    fleet: DirectFleet, entry: DirectEntry, path: str, answer: Endless
+    fleet: DirectFleet, entry: DirectEntry, path: str, answer: EndlessAnswer
 ) -> None:
     """Guards against requests that stay open and collect bytes until their callers leave."""
     for _ in range(2):
-        fleet.queue_behaviour(fleet.shelf, answer)
+        fleet.queue_behaviour(fleet.shelf, behaviour(answer))
     replies: list[int] = []
 
     def call() -> None:
@@ -115,6 +116,7 @@
     caller.join(TIMEOUT_SECONDS)
     assert replies
     assert replies[0] not in range(200, 300)
+    assert incomplete_answers(entry) >= 1
     assert peak_memory(entry) < MAX_MEMORY_KIB
 
 
@@ -122,20 +124,21 @@
     fleet: DirectFleet, entry: DirectEntry
 ) -> None:
     """Guards against collecting an event until the time limit of its request."""
-    event = Endless(STREAM, b"1f40\r\n" + FILL + b"\r\n")
+    event = EndlessAnswer(STREAM, b"1f40\r\n" + FILL + b"\r\n")
     for _ in range(CONCURRENT):
-        fleet.queue_behaviour(fleet.shelf, event)
+        fleet.queue_behaviour(fleet.shelf, behaviour(event))
     calls = [
         entry.send("/shelf-stream/stream", request_id=f"r-{n}", Request_Deadline="4000")
         for n in range(CONCURRENT)
     ]
     replies = [read_reply(conn) for conn in calls]
     assert [reply.status for reply in replies] == [502] * CONCURRENT
+    assert incomplete_answers(entry) >= CONCURRENT
     assert peak_memory(entry) < MAX_MEMORY_KIB
 
 
 @pytest.mark.parametrize("answer", ANSWERS.values(), ids=ANSWERS)
-def test_a_report_without_end_is_given_up(fleet: DirectFleet, answer: Endless) -> None:
+def test_a_report_without_end_is_given_up(fleet: DirectFleet, answer: EndlessAnswer) -> None:
     """Guards against a report that is read for good, so that no other one is requested."""
     asked = threading.Event()
 
@@ -144,7 +147,7 @@
             self.reports += 1
             if self.reports > 1:
                 asked.set()
-            answer(handler, self)
+            behaviour(answer)(handler, self)
 
     backend = _Backend("ink-9", group="g-9")
     fleet.ink.append(backend)
