transport: test the limits of an answer by a clock, and show what is dropped

- The time in which an answer is read past its limit had no test that could fail: the bytes of a trial came too slowly.
- A response that was given up because its caller stopped reading was neither logged nor counted: canvasyoke_responses_dropped counts it, asserted in test_slow_readers.py.
- A stopping entry that waits for callers looked like one that hangs: 'sending the rest' tells how many connections it waits for.
- The role entry waited for requests in progress and for busy connections; the latter include the former.

--- a/src/canvasyoke/direct/_drain.py
+++ b/src/canvasyoke/direct/_drain.py
@@ -33,7 +33,8 @@
     # another entry.
     caller_app.close()
     caller_server.close_idle()
-    while caller_server.is_busy:
+    _log.info("sending the rest", connections=caller_server.busy_connections)
+    while caller_server.busy_connections:
         pause.wait(_DRAIN_POLL_INTERVAL / SECOND)
         caller_server.close_idle()
     pause.wait(_FLUSH_TIME / SECOND)
--- a/src/canvasyoke/direct/_process.py
+++ b/src/canvasyoke/direct/_process.py
@@ -290,6 +290,11 @@
             "Requests held now.",
             lambda: self._caller_app.in_flight,
         )
+        gauge(
+            "canvasyoke_responses_dropped",
+            "Responses whose caller stopped reading before their end.",
+            lambda: self._caller_server.dropped_responses,
+        )
         gauge(
             "canvasyoke_config_version",
             "Version of the configuration in force.",
--- a/src/canvasyoke/entry/_process.py
+++ b/src/canvasyoke/entry/_process.py
@@ -102,7 +102,7 @@
         _log.info("draining", instance=self._settings.instance)
         timer = threading.Event()
         timer.wait(_BALANCER_GRACE / SECOND)
-        while self._callers.in_flight or self._http.is_busy:
+        while self._http.busy_connections:
             timer.wait(_DRAIN_POLL_INTERVAL / SECOND)
         self._http.stop()
         self._admin.stop()
--- a/src/canvasyoke/transport/_bounded_connection.py
+++ b/src/canvasyoke/transport/_bounded_connection.py
@@ -15,7 +15,7 @@
 import urllib3
 from urllib3.connection import HTTPConnection
 
-from canvasyoke._clock import SECOND, SystemClock
+from canvasyoke._clock import SECOND, Clock, SystemClock
 from canvasyoke.transport._answer_errors import ExchangeError, FailureCause
 
 if TYPE_CHECKING:
@@ -34,8 +34,8 @@
 class AnswerBounds:
     """Limits of the answer that is read from a connection; times are in milliseconds."""
 
-    def __init__(self) -> None:
-        self._clock = SystemClock()
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
         #: Longest time for a single read.
         self._read_timeout = 0
         #: Clock time by which the answer has to be complete.
@@ -157,7 +157,7 @@
     def connect(self) -> None:
         """Connect; raises what urllib3 raises."""
         super().connect()
-        self.bounds = AnswerBounds()
+        self.bounds = AnswerBounds(SystemClock())
         self.sock = _BoundedSocket(self.sock, self.bounds)
 
     def getresponse(self) -> urllib3.HTTPResponse:  # type: ignore[override]
--- a/src/canvasyoke/transport/_caller_server.py
+++ b/src/canvasyoke/transport/_caller_server.py
@@ -37,6 +37,7 @@
 _OUTPUT_HIGH_WATERMARK: Final = 1 << 20
 #: Buffer size in bytes beyond which waitress uses a temporary file; keeps buffers in memory.
 _BUFFER_OVERFLOW: Final = 1 << 30
+#: Result of ``TIOCOUTQ``.
 _C_INT: Final = struct.Struct("i")
 
 
@@ -120,8 +121,8 @@
         """Record that the connection is in use, for the idle timeout."""
         self.last_active_at = self.server.clock.now()
 
-    def is_being_read(self) -> bool:
-        """Return whether the caller has taken data since the last call.
+    def was_read_since(self) -> bool:
+        """Return whether the caller has taken data since the last check.
 
         The kernel accepts more data only once a large part of its buffer is free, which takes a
         slow caller longer than the idle timeout.
@@ -143,6 +144,7 @@
         """
         self.will_close = True
         if self.total_outbufs_len:
+            self.server.dropped_responses += 1
             with contextlib.suppress(OSError):
                 self.socket.shutdown(socket.SHUT_RDWR)  # type: ignore[union-attr]
 
@@ -167,6 +169,8 @@
     def __init__(self, clock: Clock, limits: ServerLimits, *args: Any, **kw: Any) -> None:
         self.clock = clock
         self.limits = limits
+        #: Number of responses whose caller stopped reading before their end.
+        self.dropped_responses = 0
         #: Whether each response closes its connection.
         self.is_draining = False
         #: Returns whether new connections are closed at once.
@@ -191,7 +195,7 @@
         for channel in list(self.active_channels.values()):
             if channel.requests:
                 continue
-            if channel.total_outbufs_len and channel.is_being_read():
+            if channel.total_outbufs_len and channel.was_read_since():
                 channel.record_activity()
             request = channel.request
             if request is None or not channel.header_started_at:
@@ -263,9 +267,14 @@
         self._server.close_idle()
 
     @property
-    def is_busy(self) -> bool:
-        """Return whether a request is handled, or a part of a response has not been sent."""
-        return any(channel.is_busy for channel in list(self._server.active_channels.values()))
+    def busy_connections(self) -> int:
+        """Return on how many connections a request is handled or a response not yet sent."""
+        return sum(channel.is_busy for channel in list(self._server.active_channels.values()))
+
+    @property
+    def dropped_responses(self) -> int:
+        """Return the number of responses whose caller stopped reading before their end."""
+        return self._server.dropped_responses
 
     @property
     def connections(self) -> int:
--- a/src/canvasyoke/transport/_http_server.py
+++ b/src/canvasyoke/transport/_http_server.py
@@ -64,10 +64,10 @@
         self._server.close()
 
     @property
-    def is_busy(self) -> bool:
-        """Return whether a request is handled, or a part of a response has not been sent."""
+    def busy_connections(self) -> int:
+        """Return on how many connections a request is handled or a response not yet sent."""
         channels = (c for each in self._listeners for c in list(each.active_channels.values()))
-        return any(channel.is_busy for channel in channels)
+        return sum(channel.is_busy for channel in channels)
 
     def _run(self) -> None:
         try:
--- a/src/canvasyoke/transport/tests/test_slow_readers.py
+++ b/src/canvasyoke/transport/tests/test_slow_readers.py
@@ -43,7 +43,7 @@
         self.socket.connect((host, int(port)))
         self.socket.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
         channels = self.server._server.active_channels
-        wait_until(lambda: self.server.is_busy, "the request is received")
+        wait_until(lambda: self.server.busy_connections > 0, "the request is received")
         wait_until(
             lambda: not any(channel.requests for channel in list(channels.values())),
             "the request is finished",
@@ -79,10 +79,10 @@
 def test_a_connection_is_closed_after_the_rest_of_its_response(reader: _Reader) -> None:
     """Guards against a stopping server that drops what it has not sent yet."""
     reader.server.close_idle()
-    assert reader.server.is_busy
+    assert reader.server.busy_connections
     reader.read_to_end()
     assert reader.is_whole
-    wait_until(lambda: not reader.server.is_busy, "everything is sent")
+    wait_until(lambda: not reader.server.busy_connections, "everything is sent")
 
 
 def test_a_response_that_is_read_slowly_is_not_idle(reader: _Reader) -> None:
@@ -113,8 +113,9 @@
     def is_closed() -> bool:
         # The kernel may take the last bytes that it has room for after the clock was advanced.
         reader.clock.advance(_LIMITS.idle_time + 1)
-        return not reader.server.is_busy
+        return not reader.server.busy_connections
 
     wait_until(is_closed, "the connection is closed")
     reader.read_to_end()
     assert not reader.is_whole
+    assert reader.server.dropped_responses == 1
