direct: count reports of rank groups that are missing, and name each backend once

One reader around the port serves all three: canvasyoke_missing_reports_total counts each missing report, and the line 'no readable report from a backend' comes once until the backend gives one.

--- a/src/canvasyoke/direct/_group_learner.py
+++ b/src/canvasyoke/direct/_group_learner.py
@@ -43,8 +43,6 @@
         self._clock = clock
         #: Time since which the group of a backend is unknown, or of the last fallback query.
         self._missing_since: dict[str, int] = {}
-        #: Backends whose missing answer has been logged.
-        self._unanswered: set[str] = set()
         self._roster = roster
         self._table = table
         self._stop = threading.Event()
@@ -66,9 +64,6 @@
             if not self._roster.may_query(endpoint):
                 continue
             group = self._port.group_of(endpoint)
-            if group is None and endpoint.run not in self._unanswered:
-                _log.warning("no readable report from a backend", run=endpoint.run)
-                self._unanswered.add(endpoint.run)
             if group is not None and self._roster.learn_group(endpoint.run, group):
                 self._on_learned(endpoint.run, group)
                 _log.info("group learned", backend=endpoint.run, group=group)
@@ -76,7 +71,6 @@
     def _due(self, missing: list[Endpoint]) -> list[Endpoint]:
         """Return the backends that this entry should query now."""
         now = self._clock.now()
-        self._unanswered &= {e.run for e in missing}
         missing_since = self._missing_since
         self._missing_since = {e.run: missing_since.get(e.run, now) for e in missing}
         own_domain = self._roster.domain if self._is_watching() else ""
--- a/src/canvasyoke/direct/_metrics.py
+++ b/src/canvasyoke/direct/_metrics.py
@@ -45,6 +45,11 @@
             "cause",
         )
 
+        self._missing_reports = self.all.counter(
+            "canvasyoke_missing_reports_total",
+            "Reports of rank groups that a backend did not give or that cannot be read.",
+        )
+
         self._late_exits = self.all.counter(
             "canvasyoke_late_exits_total",
             "Backends found to have ended after they still listened, by evidence.",
@@ -95,6 +100,10 @@
         """Count an attempt that may have run and has no complete answer."""
         self._incomplete_answers.add(cause.value)
 
+    def record_missing_report(self) -> None:
+        """Count a report of a rank group that is missing or cannot be read."""
+        self._missing_reports.add()
+
     def record_late_exit(self, evidence: str) -> None:
         """Count a backend that was found to have ended some time after an exchange failed."""
         self._late_exits.add(evidence)
--- a/src/canvasyoke/direct/_process.py
+++ b/src/canvasyoke/direct/_process.py
@@ -27,6 +27,7 @@
 from canvasyoke.direct._notice_handler import NoticeHandler
 from canvasyoke.direct._pace_monitor import PaceMonitor
 from canvasyoke.direct._peers import EntryPeers
+from canvasyoke.direct._report_reader import ReportReader
 from canvasyoke.direct._return_times import ReturnTimes
 from canvasyoke.direct._roster import Roster
 from canvasyoke.direct._table_follower import TableFollower, TableView
@@ -141,8 +142,9 @@
             self._clock,
             rng,
         )
+        report_reader = ReportReader(port, self._metrics)
         self._group_learner = GroupLearner(
-            port,
+            report_reader,
             self._roster,
             lambda: self._view.current,
             self._peers.is_watching,
@@ -151,7 +153,7 @@
         )
         self._roster.group_states.form_time = self._view.form_time
         self._group_monitor = GroupMonitor(
-            port,
+            report_reader,
             self._roster,
             self._peers.is_watching,
             self._peers.groups.share,
@@ -159,7 +161,7 @@
         )
         self._group_monitor.add_gauges(self._metrics.all)
         self._pace_monitor = PaceMonitor(
-            port,
+            report_reader,
             self._roster,
             lambda: self._view.current,
             self._peers.is_watching,
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -155,5 +155,7 @@
     entry = fleet.add_entry()
     entry.wait_ready()
     assert asked.wait(TIMEOUT_SECONDS)
+    assert entry.metric("canvasyoke_missing_reports_total") >= 1
+    assert f'"no readable report from a backend","run":"{backend.id}' in entry.logged()
     assert entry.call("/safe/1").status == 200
     assert peak_memory(entry) < MAX_MEMORY_KIB
