transport: no clock read for each send to a caller

For callers' connections it is covered by what the caller takes from the kernel's queue at each check, so it is gone from that path. The server of operators' pages and of the role entry has no such check and keeps it, now with a test of its own (test_sending_a_response_is_activity_of_an_http_server).

--- a/src/canvasyoke/transport/_caller_server.py
+++ b/src/canvasyoke/transport/_caller_server.py
@@ -92,8 +92,8 @@
     server: Any
 
     def __init__(self, server: Any, *args: Any, **kw: Any) -> None:
-        #: Clock time of the last data received or sent, or of the last request finished. Waitress
-        #: keeps its own ``last_activity`` on the wall clock.
+        #: Clock time of the last data received, or taken by the caller at a check, or of the last
+        #: request finished. Waitress keeps its own ``last_activity`` on the wall clock.
         self.last_active_at = server.clock.now()
         #: Clock time of the first byte of the request being read; 0 between requests.
         self.header_started_at = 0
--- a/src/canvasyoke/transport/_http_server.py
+++ b/src/canvasyoke/transport/_http_server.py
@@ -4,6 +4,7 @@
 
 import logging
 import threading
+import time
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -19,6 +20,17 @@
 logging.getLogger("waitress").setLevel(logging.CRITICAL)
 
 
+class _Channel(Channel):
+    """A connection that is not idle while its response is being sent."""
+
+    def send(self, data: bytes, do_close: bool = True) -> int:
+        """Send what the caller takes now; return the number of bytes."""
+        sent = int(super().send(data, do_close))
+        if sent:
+            self.last_activity = time.time()
+        return sent
+
+
 class HttpServer:
     """Serves one WSGI application on one or more addresses.
 
@@ -52,7 +64,7 @@
             each for each in servers.values() if isinstance(each, TcpWSGIServer)
         ]
         for listener in self._listeners:
-            listener.channel_class = Channel
+            listener.channel_class = _Channel
         self._thread = threading.Thread(target=self._run, name="http-server", daemon=True)
 
     def start(self) -> None:
--- a/src/canvasyoke/transport/_response_tasks.py
+++ b/src/canvasyoke/transport/_response_tasks.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import threading
-import time
 from typing import Any
 
 from waitress.channel import HTTPChannel
@@ -53,17 +52,6 @@
     requests_lock: threading.Lock
     total_outbufs_len: int
 
-    def send(self, data: bytes, do_close: bool = True) -> int:
-        """Send what the caller takes now; return the number of bytes."""
-        sent = int(super().send(data, do_close))
-        if sent:
-            self.record_activity()
-        return sent
-
-    def record_activity(self) -> None:
-        """Record that the connection is in use, for the idle timeout."""
-        self.last_activity = time.time()
-
     @property
     def is_busy(self) -> bool:
         """Return whether a request is handled, or a part of its response has not been sent."""
--- a/src/canvasyoke/transport/tests/test_slow_readers.py
+++ b/src/canvasyoke/transport/tests/test_slow_readers.py
@@ -9,7 +9,7 @@
 import pytest
 
 from canvasyoke._clock import SECOND, ManualClock
-from canvasyoke.transport import CallerServer, ServerLimits
+from canvasyoke.transport import CallerServer, HttpServer, ServerLimits
 from fakes.launcher import wait_until
 from fakes.ports import free_address
 
@@ -94,6 +94,25 @@
     assert reader.is_whole
 
 
+def test_sending_a_response_is_activity_of_an_http_server() -> None:
+    """Guards against an idle timeout that counts from the end of the request."""
+    address = free_address()
+    server = HttpServer(_answer, [address], 4, 4_096)
+    server.start()
+    host, port = address.rsplit(":", 1)
+    with socket.create_connection((host, int(port)), _TIMEOUT) as sock:
+        sock.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        (listener,) = server._listeners
+        wait_until(lambda: bool(listener.active_channels), "the connection is accepted")
+        (channel,) = listener.active_channels.values()
+        wait_until(
+            lambda: channel.total_outbufs_len > 0 and not channel.requests, "the rest is left"
+        )
+        channel.last_activity = 0
+        while not channel.last_activity:
+            assert sock.recv(64 << 10)
+
+
 def test_a_response_that_is_read_in_small_steps_is_not_idle(reader: _Reader) -> None:
     """Guards against an idle timeout while the kernel's buffer has no room for more."""
     maintenance = reader.server._server.maintenance
