--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -23,12 +23,12 @@
     )
 
 
-def start(spec: FleetSpec) -> Fleet:
+def start(spec: FleetSpec, configuration: Path = CONFIGURATION) -> Fleet:
     """Start a fleet and wait until it is ready."""
     fleet = Fleet(spec)
     try:
         fleet.start()
-        fleet.wait_ready(fleet.apply([CONFIGURATION], 0))
+        fleet.wait_ready(fleet.apply([configuration], 0))
     except BaseException:
         fleet.close()
         raise
