--- a/src/canvasyoke/transport/_caller_server.py
+++ b/src/canvasyoke/transport/_caller_server.py
@@ -23,7 +23,8 @@
 from waitress.utilities import Error
 
 from canvasyoke._clock import Clock
-from canvasyoke.transport._response_tasks import ApplicationTask, Channel
+from canvasyoke.transport._channel import Channel
+from canvasyoke.transport._response_tasks import ApplicationTask
 
 #: A WSGI application.
 Application = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
--- a/src/canvasyoke/transport/_http_server.py
+++ b/src/canvasyoke/transport/_http_server.py
@@ -10,7 +10,7 @@
 
 from waitress.server import TcpWSGIServer, create_server
 
-from canvasyoke.transport._response_tasks import Channel
+from canvasyoke.transport._channel import Channel
 
 #: A WSGI application.
 Application = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
--- a/src/canvasyoke/transport/_response_tasks.py
+++ b/src/canvasyoke/transport/_response_tasks.py
@@ -2,10 +2,6 @@
 
 from __future__ import annotations
 
-import threading
-from typing import Any
-
-from waitress.channel import HTTPChannel
 from waitress.task import ErrorTask, Task, WSGITask
 
 
@@ -37,28 +33,3 @@
 
 class RefusalTask(_ResponseTask, ErrorTask):
     """Sends the response to a request that cannot be read."""
-
-
-class Channel(HTTPChannel):
-    """A connection whose responses are rendered by these tasks.
-
-    It is in use while the caller still reads, not only while its request is handled.
-    """
-
-    task_class = ApplicationTask
-    error_task_class = RefusalTask
-    # Missing in the type stubs of waitress.
-    requests: Any
-    requests_lock: threading.Lock
-    total_outbufs_len: int
-
-    @property
-    def is_busy(self) -> bool:
-        """Return whether a request is handled, or a part of its response has not been sent."""
-        return bool(self.requests or self.total_outbufs_len)
-
-    def close_if_idle(self) -> None:
-        """Close the connection, after the rest of a response, if no request has begun."""
-        with self.requests_lock:
-            if not self.requests and self.request is None:
-                self.close_when_flushed = True
