transport: one budget for the memory of all requests of a process

Callers that nobody controls sent many bodies at once, most of them stopping just short of the end, and the entry was ended by its machine, with all requests that it held.

Cause: each request had a limit, the process none; 3,000 connections times 4 MiB are no limit. Bodies were kept twice while they were handled.

Why it holds: all servers of a process charge what they keep of a request, with what it announces, to one budget that is a part of the machine's memory, and release it where the request ends. 16 KiB of each request are free, so usual requests never wait on large ones. Without room, requests without progress give way; else the new one is refused before its body. Both get 503 with a time and have not run. A state machine checks the budget, and a case for each end of a request that nothing stays charged.

Ruled out: to stop reading (the kernel keeps what has arrived, and callers that stay would keep the rest); smaller limits for each connection (their number multiplies them).

--- a/fakes/launcher.py
+++ b/fakes/launcher.py
@@ -65,6 +65,8 @@
     #: Whether links go through a fault-injecting proxy, with one route per target and
     #: source domain.
     proxied: bool = False
+    #: Further settings of entries and targets.
+    settings: Mapping[str, Any] = field(default_factory=dict)
 
 
 @dataclass
@@ -266,6 +268,7 @@
             "link_key": LINK_KEY,
             "platform": {"address": self.ports.views[domain]},
             "log": {"level": self.spec.log_level},
+            **self.spec.settings,
         }
 
     def _start_role(self, role: str, name: str, settings: Mapping[str, Any]) -> None:
--- a/src/canvasyoke/direct/_callers.py
+++ b/src/canvasyoke/direct/_callers.py
@@ -23,6 +23,7 @@
 from canvasyoke.direct._metrics import DirectMetrics
 from canvasyoke.observe import part_logger
 from canvasyoke.state import RoutingTable, ServiceShare, TableOrganisation, TableRoute
+from canvasyoke.transport import take_body
 
 _log = part_logger("callers")
 _BAD_REQUEST: Final = 400
@@ -70,6 +71,7 @@
         rng: random.Random,
         metrics: DirectMetrics,
         on_unresponsive: Callable[[str], None],
+        max_requests: int,
     ) -> None:
         self._port = port
         self._table = table
@@ -78,6 +80,7 @@
         self._rng = rng
         self._metrics = metrics
         self._on_unresponsive = on_unresponsive
+        self._max_requests = max_requests
         self._lock = threading.Lock()
         self._active_calls: dict[int, DirectCall] = {}
         self._active_requests = 0
@@ -99,7 +102,7 @@
 
     def is_full(self) -> bool:
         """Return whether new callers should go to another entry."""
-        return self._active_requests >= _FULL_FRACTION * MAX_CONCURRENT_REQUESTS
+        return self._active_requests >= _FULL_FRACTION * self._max_requests
 
     def __call__(self, environ: dict[str, Any], start: StartResponse) -> Iterable[bytes]:
         """Handle one request."""
@@ -206,9 +209,9 @@
         organisation = _find_organisation(table, route, request)
         if isinstance(organisation, ErrorAnswer):
             return organisation
-        if self._active_requests > MAX_CONCURRENT_REQUESTS:
+        if self._active_requests > self._max_requests:
             return ErrorAnswer(_UNAVAILABLE, "the entry holds as many as it may", _RETRY_AFTER)
-        body = environ["wsgi.input"].read()
+        body = take_body(environ)
         return self._call(environ, request, table, route, organisation, body, now)
 
     def _call(
--- a/src/canvasyoke/direct/_process.py
+++ b/src/canvasyoke/direct/_process.py
@@ -32,7 +32,7 @@
 from canvasyoke.direct._roster import Roster
 from canvasyoke.direct._table_follower import TableFollower, TableView
 from canvasyoke.direct._waiting_gauges import build_waiting
-from canvasyoke.observe import LineWriter, part_logger
+from canvasyoke.observe import LineWriter, add_request_gauges, part_logger
 from canvasyoke.state import (
     FLEET_STORES,
     CallerLimits,
@@ -41,12 +41,19 @@
     WatchedFile,
     load_settings,
 )
-from canvasyoke.transport import CallerServer, ServerLimits
+from canvasyoke.transport import CallerServer, RequestBudget, ServerCapacity, ServerLimits
 
 _log = part_logger("entry")
 #: Additional threads, so that requests over the limit can be refused.
 _SPARE_THREADS: Final = 8
 _ADMIN_THREADS: Final = 2
+#: Part of the memory that requests may hold together. Connections, threads and responses take most
+#: of the rest.
+_REQUEST_MEMORY_FRACTION: Final = 0.3
+#: Parts of the descriptors for connections of callers, and for exchanges with backends.
+_CALLER_DESCRIPTORS_FRACTION: Final = 0.75
+_BACKEND_DESCRIPTORS_FRACTION: Final = 0.15
+_ADMIN_CONNECTIONS: Final = 32
 #: Milliseconds between checks of the settings file and of reachability.
 _CHECK_INTERVAL: Final = 500
 #: Assumed number of entries until it is known.
@@ -79,6 +86,9 @@
         self._roster = Roster(settings.domain, self._clock, rng)
         self._budget = FleetRetryBudget(retry_allowance(settings), self._clock)
         self._budget.entries = _ASSUMED_ENTRIES
+        self._request_budget = RequestBudget(
+            self._clock, round(_REQUEST_MEMORY_FRACTION * settings.machine.memory_bytes)
+        )
         self._metrics = DirectMetrics()
         self._cold_monitor = ColdMonitor(self._roster, self._metrics.all)
         return_times = ReturnTimes(self._roster, self._clock)
@@ -170,6 +180,9 @@
         self._domain_prober = DomainProber(
             self._roster.probe_addresses, self._roster.record_connect_success
         )
+        descriptors = settings.machine.descriptors
+        exchanges = int(_BACKEND_DESCRIPTORS_FRACTION * descriptors)
+        max_requests = min(MAX_CONCURRENT_REQUESTS, exchanges)
         self._caller_app = CallerApp(
             CALLER_PORTS.get(settings.adapter)(),
             lambda: self._view.current if self._may_admit() else RoutingTable(),
@@ -178,22 +191,35 @@
             rng,
             self._metrics,
             self._on_unresponsive_backend,
+            max_requests,
         )
         self._add_gauges()
         self._caller_server = CallerServer(
             self._caller_app,
             settings.http,
-            MAX_CONCURRENT_REQUESTS + _SPARE_THREADS,
+            max_requests + _SPARE_THREADS,
             self._clock,
             _server_limits(self._view.current.limits),
+            ServerCapacity(self._request_budget, int(_CALLER_DESCRIPTORS_FRACTION * descriptors)),
         )
         self._caller_server.set_full_check(self._caller_app.is_full)
+        admin_capacity = ServerCapacity(self._request_budget, _ADMIN_CONNECTIONS)
         admin = AdminApp(self._metrics.all, self._quarantine, self._not_ready)
         self._readiness_server = CallerServer(
-            admin, settings.ready, _ADMIN_THREADS, self._clock, _ADMIN_LIMITS
+            admin,
+            settings.ready,
+            _ADMIN_THREADS,
+            self._clock,
+            _ADMIN_LIMITS,
+            admin_capacity,
         )
         self._admin_server = CallerServer(
-            admin, settings.metrics, _ADMIN_THREADS, self._clock, _ADMIN_LIMITS
+            admin,
+            settings.metrics,
+            _ADMIN_THREADS,
+            self._clock,
+            _ADMIN_LIMITS,
+            admin_capacity,
         )
 
     def run(self) -> int:
@@ -254,7 +280,9 @@
 
     def _on_new_table(self, table: RoutingTable) -> None:
         self._cold_monitor.update(table, self._settings)
-        self._caller_server.set_limits(_server_limits(table.limits))
+        limits = table.limits
+        self._request_budget.set_longest_request(limits.header_bytes + limits.body_bytes)
+        self._caller_server.set_limits(_server_limits(limits))
         self._peers.announce_table()
 
     def _is_store_lost(self) -> bool:
@@ -292,6 +320,10 @@
             "Requests held now.",
             lambda: self._caller_app.in_flight,
         )
+        add_request_gauges(self._metrics.all, self._request_budget)
+        gauge(
+            "canvasyoke_connections", "Open connections.", lambda: self._caller_server.connections
+        )
         gauge(
             "canvasyoke_responses_dropped",
             "Responses whose caller stopped reading before their end.",
--- a/src/canvasyoke/entry/_callers.py
+++ b/src/canvasyoke/entry/_callers.py
@@ -30,6 +30,7 @@
     refusal_body,
 )
 from canvasyoke.state import ConfigView, FleetConfig, Organisation, Service
+from canvasyoke.transport import RETRY_AFTER, Overloaded, take_body
 
 _log = part_logger("callers")
 #: Maximum body size in bytes that the HTTP server reads. Up to it, a body over the limit of its
@@ -262,6 +263,13 @@
     return Refusal(Outcome.NOT_RUN, reason, detail)
 
 
+def overload_error() -> Overloaded:
+    """Return the refusal of a request for which there is no memory."""
+    detail = "the entry has no memory for the request"
+    refusal = Refusal(Outcome.NOT_RUN, Reason.OVERLOADED, detail, RETRY_AFTER)
+    return Overloaded(refusal_body(refusal, _new_request_id()), "application/json")
+
+
 def _new_request_id() -> str:
     return uuid.uuid4().hex
 
@@ -310,7 +318,7 @@
     """Return the body of the request; ``None`` if it exceeds ``limit`` bytes."""
     if int(environ.get("CONTENT_LENGTH") or 0) > limit:
         return None
-    body: bytes = environ["wsgi.input"].read(limit + 1)
+    body = take_body(environ)
     return body if len(body) <= limit else None
 
 
--- a/src/canvasyoke/entry/_process.py
+++ b/src/canvasyoke/entry/_process.py
@@ -12,22 +12,28 @@
 import msgspec
 
 from canvasyoke._clock import SECOND, Clock, SystemClock
-from canvasyoke.entry._callers import MAX_HTTP_BODY, CallerApp
+from canvasyoke.entry._callers import MAX_HTTP_BODY, CallerApp, overload_error
 from canvasyoke.entry._dispatch import Dispatcher
 from canvasyoke.entry._metrics import EntryMetrics
 from canvasyoke.entry._status import collect_status
 from canvasyoke.entry._target_pool import TargetPool
 from canvasyoke.entry._watcher import ConfigWatcher
-from canvasyoke.observe import part_logger
+from canvasyoke.observe import add_request_gauges, part_logger
 from canvasyoke.protocol import EntryStatus, Status
 from canvasyoke.state import PLATFORMS, ConfigKeeper, ConfigView, EntrySettings, FleetConfig
-from canvasyoke.transport import HttpServer
+from canvasyoke.transport import HttpServer, RequestBudget, ServerCapacity
 
 _log = part_logger("entry")
 _RANKER_NAME: Final = "two_choices"
 #: Additional HTTP threads, so that health checks and refusals are served at full load.
 _SPARE_THREADS: Final = 16
 _ADMIN_THREADS: Final = 4
+#: Part of the memory that requests may hold together. Links hold several copies of those that are
+#: being sent.
+_REQUEST_MEMORY_FRACTION: Final = 0.1
+#: Part of the descriptors for connections of callers.
+_CALLER_DESCRIPTORS_FRACTION: Final = 0.75
+_ADMIN_CONNECTIONS: Final = 32
 #: Milliseconds for the upstream balancer to notice that the entry is not ready.
 _BALANCER_GRACE: Final = 1 * SECOND
 #: Milliseconds between checks whether all requests have finished while draining.
@@ -78,9 +84,26 @@
             lambda: self._view.current.generation,
         )
         threads = settings.streams + _SPARE_THREADS
-        self._http = HttpServer(self._callers, [settings.http], threads, MAX_HTTP_BODY)
+        budget = RequestBudget(
+            self._clock, round(_REQUEST_MEMORY_FRACTION * settings.machine.memory_bytes)
+        )
+        budget.set_longest_request(MAX_HTTP_BODY)
+        add_request_gauges(self._metrics.all, budget)
+        connections = int(_CALLER_DESCRIPTORS_FRACTION * settings.machine.descriptors)
+        self._http = HttpServer(
+            self._callers,
+            settings.http,
+            threads,
+            MAX_HTTP_BODY,
+            ServerCapacity(budget, connections),
+            overload_error,
+        )
         self._admin = HttpServer(
-            self._handle_admin_request, [settings.admin], _ADMIN_THREADS, MAX_HTTP_BODY
+            self._handle_admin_request,
+            settings.admin,
+            _ADMIN_THREADS,
+            MAX_HTTP_BODY,
+            ServerCapacity(budget, _ADMIN_CONNECTIONS),
         )
 
     def run(self) -> int:
--- a/src/canvasyoke/experts/_process.py
+++ b/src/canvasyoke/experts/_process.py
@@ -47,7 +47,7 @@
     load_settings,
     read_link_key,
 )
-from canvasyoke.transport import HttpServer, LinkServer, Session
+from canvasyoke.transport import HttpServer, LinkServer, RequestBudget, ServerCapacity, Session
 
 _log = part_logger("ranks")
 #: Milliseconds between ticks of the owner.
@@ -57,6 +57,9 @@
 #: Limits of the metrics endpoint, which only operators call.
 _ADMIN_THREADS: Final = 1
 _ADMIN_MAX_BODY: Final = 4 << 10
+#: Part of the memory that requests for metrics may hold together.
+_REQUEST_MEMORY_FRACTION: Final = 0.1
+_ADMIN_CONNECTIONS: Final = 32
 
 
 class RanksProcess:
@@ -155,8 +158,15 @@
         signal.signal(signal.SIGTERM, lambda *_: self._stop.set())
         signal.signal(signal.SIGINT, lambda *_: self._stop.set())
         signal.signal(signal.SIGHUP, lambda *_: self._reload.set())
+        budget = RequestBudget(
+            self._clock, round(_REQUEST_MEMORY_FRACTION * self._settings.machine.memory_bytes)
+        )
         admin = HttpServer(
-            self._serve_metrics, [self._settings.metrics], _ADMIN_THREADS, _ADMIN_MAX_BODY
+            self._serve_metrics,
+            self._settings.metrics,
+            _ADMIN_THREADS,
+            _ADMIN_MAX_BODY,
+            ServerCapacity(budget, _ADMIN_CONNECTIONS),
         )
         admin.start()
         self._note_keeper.start()
--- a/src/canvasyoke/observe/__init__.py
+++ b/src/canvasyoke/observe/__init__.py
@@ -8,6 +8,7 @@
     part_logger,
 )
 from canvasyoke.observe._metrics import Counter, Gauge, LabelledGauge, Metrics, Timer
+from canvasyoke.observe._request_gauges import add_request_gauges
 
 __all__ = [
     "Counter",
@@ -17,6 +18,7 @@
     "Metrics",
     "PartLogger",
     "Timer",
+    "add_request_gauges",
     "configure_background_logging",
     "configure_logging",
     "part_logger",
--- a/src/canvasyoke/state/_settings.py
+++ b/src/canvasyoke/state/_settings.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import os
-from typing import Annotated, Literal, TypeAlias, TypeVar
+from typing import Annotated, Final, Literal, TypeAlias, TypeVar
 
 import msgspec
 from msgspec import Meta
@@ -17,6 +17,8 @@
 Name: TypeAlias = Annotated[str, Meta(pattern=r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$")]
 LinkKey: TypeAlias = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
 
+_BYTES_PER_MEGABYTE: Final = 1 << 20
+
 
 class _Model(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Base class of settings models."""
@@ -32,6 +34,22 @@
     format: Annotated[Literal["text", "json"], Meta(description="Output format.")] = "text"
 
 
+class MachineSettings(_Model, frozen=True, kw_only=True):
+    """What the machine has for a process; the limits for callers are fractions of it."""
+
+    memory_mb: Annotated[
+        float, Meta(gt=0, description="Memory in megabytes that the process may use.")
+    ] = 300.0
+    descriptors: Annotated[
+        int, Meta(ge=64, description="Descriptors that the process may have open.")
+    ] = 4_100
+
+    @property
+    def memory_bytes(self) -> int:
+        """Return the memory in bytes."""
+        return round(self.memory_mb * _BYTES_PER_MEGABYTE)
+
+
 class PlatformSettings(_Model, frozen=True, kw_only=True):
     """Access to the platform's object API and instance list."""
 
@@ -58,6 +76,7 @@
     link_key: Annotated[LinkKey, Meta(description="The fleet's link key: 32 bytes in hex.")]
     platform: PlatformSettings
     log: LogSettings = LogSettings()
+    machine: MachineSettings = MachineSettings()
     streams: Annotated[
         int, Meta(ge=1, le=2_000, description="Maximum number of requests in progress.")
     ] = 320
@@ -77,6 +96,7 @@
     link_key: Annotated[LinkKey, Meta(description="The fleet's link key: 32 bytes in hex.")]
     platform: PlatformSettings
     log: LogSettings = LogSettings()
+    machine: MachineSettings = MachineSettings()
     seed: Annotated[
         int, Meta(ge=0, description="Seed of the random number generator; 0 for a random seed.")
     ] = 0
@@ -132,6 +152,7 @@
         ),
     ] = 0
     log: LogSettings = LogSettings(format="json")
+    machine: MachineSettings = MachineSettings()
 
 
 class RanksSettings(_Model, frozen=True, kw_only=True):
@@ -150,6 +171,7 @@
     store: Annotated[Address, Meta(description="Address of the platform's store.")]
     adapter: Annotated[str, Meta(description="Name of the registered adapters.")]
     log: LogSettings = LogSettings(format="json")
+    machine: MachineSettings = MachineSettings()
 
 
 class WatchedFile:
--- /dev/null
+++ b/src/canvasyoke/transport/_bounded_server.py
@@ -0,0 +1,57 @@
+"""What the HTTP servers of all processes share."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from waitress.adjustments import Adjustments
+from waitress.server import TcpWSGIServer
+from waitress.utilities import Error
+
+from canvasyoke._clock import Clock
+from canvasyoke.transport._channel import Channel
+from canvasyoke.transport._request_budget import RequestBudget
+from canvasyoke.transport._request_parser import Overloaded
+
+
+@dataclass(frozen=True, slots=True)
+class ServerCapacity:
+    """What a server may use of its process."""
+
+    #: Memory for requests; shared by all servers of the process.
+    budget: RequestBudget
+    #: Maximum number of open connections.
+    connections: int
+
+
+class BoundedServer(TcpWSGIServer):
+    """Serves one WSGI application on one address, within the budget of its process."""
+
+    channel_class = Channel
+    # Wrong in the type stubs of waitress.
+    active_channels: Any
+
+    def __init__(
+        self,
+        clock: Clock,
+        capacity: ServerCapacity,
+        application: Any,
+        adj: Adjustments,
+        dispatcher: Any = None,
+    ) -> None:
+        self.clock = clock
+        self.budget = capacity.budget
+        #: Returns the refusal of a request for which there is no memory.
+        self.make_overload_error: Callable[[], Error] = Overloaded
+        super().__init__(application, adj=adj, dispatcher=dispatcher)
+
+    def reject_connection(self) -> None:
+        """Close a new connection unread.
+
+        The caller then knows that its request was not read, and may try another process at once.
+        """
+        accepted = self.accept()
+        if accepted is not None:
+            accepted[0].close()
--- a/src/canvasyoke/transport/_caller_server.py
+++ b/src/canvasyoke/transport/_caller_server.py
@@ -18,11 +18,11 @@
 from typing import Any, Final
 
 from waitress.adjustments import Adjustments
-from waitress.server import TcpWSGIServer
 from waitress.task import ThreadedTaskDispatcher
 from waitress.utilities import Error
 
 from canvasyoke._clock import Clock
+from canvasyoke.transport._bounded_server import BoundedServer, ServerCapacity
 from canvasyoke.transport._channel import Channel
 from canvasyoke.transport._response_tasks import ApplicationTask
 
@@ -31,7 +31,6 @@
 
 #: Seconds between checks for idle and slow connections.
 _MAINTENANCE_INTERVAL_S: Final = 1
-_CONNECTION_LIMIT: Final = 3_000
 #: Threads started with the server; more are started under load.
 _INITIAL_THREADS: Final = 4
 #: Bytes of a response buffered for a slow caller before the application is blocked.
@@ -89,13 +88,8 @@
     """A caller's connection that records its activity for the timeouts."""
 
     task_class = _ResponseTask
-    # Wrong in the type stubs of waitress.
-    server: Any
 
     def __init__(self, server: Any, *args: Any, **kw: Any) -> None:
-        #: Clock time of the last data received, or taken by the caller at a check, or of the last
-        #: request finished. Waitress keeps its own ``last_activity`` on the wall clock.
-        self.last_active_at = server.clock.now()
         #: Clock time of the first byte of the request being read; 0 between requests.
         self.header_started_at = 0
         #: Bytes in the kernel's buffer that the caller had not taken at the last check.
@@ -104,24 +98,13 @@
 
     def received(self, data: bytes) -> bool:
         """Parse data received from the caller."""
-        now = self.server.clock.now()
-        self.last_active_at = now
         if not self.header_started_at:
-            self.header_started_at = now
+            self.header_started_at = self.server.clock.now()
         received = bool(super().received(data))
         if self.request is None:
             self.header_started_at = 0
         return received
 
-    def service(self) -> None:
-        """Run the application for the queued requests."""
-        super().service()
-        self.record_activity()
-
-    def record_activity(self) -> None:
-        """Record that the connection is in use, for the idle timeout."""
-        self.last_active_at = self.server.clock.now()
-
     def was_read_since(self) -> bool:
         """Return whether the caller has taken data since the last check.
 
@@ -151,24 +134,17 @@
 
     def time_out(self) -> None:
         """Answer an incomplete request with 408."""
-        with self.requests_lock:
-            request = self.request
-            if request is None or self.requests:
-                return
-            request.error = _RequestTimeout("the request did not come in time")
-            request.completed = True
-            self.request = None
-            self.header_started_at = 0
-            self.requests.append(request)
-            self.server.add_task(self)
+        request = self.request
+        if request is None or self.requests:
+            return
+        self.header_started_at = 0
+        self.refuse(request, _RequestTimeout("the request did not come in time"))
 
 
-class _Server(TcpWSGIServer):
+class _Server(BoundedServer):
     channel_class = _Channel
-    active_channels: Any
 
-    def __init__(self, clock: Clock, limits: ServerLimits, *args: Any, **kw: Any) -> None:
-        self.clock = clock
+    def __init__(self, limits: ServerLimits, *args: Any, **kw: Any) -> None:
         self.limits = limits
         #: Number of responses whose caller stopped reading before their end.
         self.dropped_responses = 0
@@ -179,18 +155,13 @@
         super().__init__(*args, **kw)
 
     def handle_accept(self) -> None:
-        """Accept a connection; close it unread if the application is full.
-
-        The caller then knows that its request was not read, and tries another entry at once.
-        """
-        if not self.is_full():
+        """Accept a connection; close it unread if the application is full."""
+        if self.is_full():
+            self.reject_connection()
+        else:
             super().handle_accept()
-            return
-        accepted = self.accept()
-        if accepted is not None:
-            accepted[0].close()
 
-    def maintenance(self, _now: float) -> None:
+    def maintenance(self, _now: int) -> None:
         """Close idle connections and time out slow requests."""
         now = self.clock.now()
         for channel in list(self.active_channels.values()):
@@ -225,6 +196,7 @@
         threads: int,
         clock: Clock,
         limits: ServerLimits,
+        capacity: ServerCapacity,
     ) -> None:
         adj = Adjustments(
             listen=address,
@@ -234,13 +206,13 @@
             send_bytes=1,
             channel_request_lookahead=1,
             cleanup_interval=_MAINTENANCE_INTERVAL_S,
-            connection_limit=_CONNECTION_LIMIT,
+            connection_limit=capacity.connections,
             asyncore_use_poll=True,
             ident=None,
         )
         dispatcher = _ElasticDispatcher(threads)
         dispatcher.set_thread_count(min(threads, _INITIAL_THREADS))
-        self._server = _Server(clock, limits, application, adj=adj, dispatcher=dispatcher)
+        self._server = _Server(limits, clock, capacity, application, adj, dispatcher)
         self.set_limits(limits)
         self._thread = threading.Thread(target=self._run, name=f"http-{address}", daemon=True)
 
--- a/src/canvasyoke/transport/_http_server.py
+++ b/src/canvasyoke/transport/_http_server.py
@@ -8,9 +8,12 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from waitress.server import TcpWSGIServer, create_server
+from waitress.adjustments import Adjustments
 
+from canvasyoke._clock import SystemClock
+from canvasyoke.transport._bounded_server import BoundedServer, ServerCapacity
 from canvasyoke.transport._channel import Channel
+from canvasyoke.transport._request_parser import Overloaded
 
 #: A WSGI application.
 Application = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
@@ -31,21 +34,28 @@
         return sent
 
 
+class _Server(BoundedServer):
+    channel_class = _Channel
+
+
 class HttpServer:
-    """Serves one WSGI application on one or more addresses.
+    """Serves one WSGI application on one address.
 
     Requests are read completely, up to ``max_body`` bytes, before the application is
     called; responses are streamed.
     """
 
     def __init__(
-        self, application: Application, addresses: list[str], threads: int, max_body: int
+        self,
+        application: Application,
+        address: str,
+        threads: int,
+        max_body: int,
+        capacity: ServerCapacity,
+        make_overload_error: Callable[[], Overloaded] = Overloaded,
     ) -> None:
-        servers: dict[int, Any] = {}
-        self._server = create_server(
-            application,
-            servers,
-            listen=" ".join(addresses),
+        adj = Adjustments(
+            listen=address,
             threads=threads,
             max_request_body_size=max_body,
             inbuf_overflow=max_body + 1,
@@ -54,17 +64,13 @@
             send_bytes=1,
             channel_request_lookahead=1,
             channel_timeout=120,
-            connection_limit=4_000,
+            connection_limit=capacity.connections,
             asyncore_use_poll=True,
             ident="canvasyoke",
             clear_untrusted_proxy_headers=True,
         )
-        # Any, as the type stubs of waitress are wrong about their channels.
-        self._listeners: list[Any] = [
-            each for each in servers.values() if isinstance(each, TcpWSGIServer)
-        ]
-        for listener in self._listeners:
-            listener.channel_class = _Channel
+        self._server = _Server(SystemClock(), capacity, application, adj)
+        self._server.make_overload_error = make_overload_error
         self._thread = threading.Thread(target=self._run, name="http-server", daemon=True)
 
     def start(self) -> None:
@@ -72,14 +78,13 @@
         self._thread.start()
 
     def stop(self) -> None:
-        """Close the listening sockets."""
+        """Close the listening socket."""
         self._server.close()
 
     @property
     def busy_connections(self) -> int:
         """Return on how many connections a request is handled or a response not yet sent."""
-        channels = (c for each in self._listeners for c in list(each.active_channels.values()))
-        return sum(channel.is_busy for channel in channels)
+        return sum(channel.is_busy for channel in list(self._server.active_channels.values()))
 
     def _run(self) -> None:
         try:
--- a/src/canvasyoke/transport/tests/test_caller_server.py
+++ b/src/canvasyoke/transport/tests/test_caller_server.py
@@ -8,16 +8,21 @@
 import contextlib
 import socket
 from collections.abc import Callable, Iterable, Iterator
+from dataclasses import replace
 from typing import Any
 
 import pytest
 
 from canvasyoke._clock import SECOND, ManualClock
-from canvasyoke.transport import CallerServer, ServerLimits
+from canvasyoke.transport import CallerServer, RequestBudget, ServerCapacity, ServerLimits
+from canvasyoke.transport._request_budget import ALLOWANCE, Reservation
 from fakes.launcher import wait_until
 from fakes.ports import free_address
 
 LIMITS = ServerLimits(4_096, 4_096, header_time=2 * SECOND, idle_time=5 * SECOND)
+#: Bytes that requests may hold together.
+BUDGET = 64 << 10
+CONNECTIONS = 10
 REQUEST = b"POST /a HTTP/1.1\r\nHost: reader.example\r\nContent-Length: 4\r\n\r\n"
 #: Timeout in seconds for expected events.
 EVENT_TIMEOUT = 20.0
@@ -35,7 +40,9 @@
     def __init__(self) -> None:
         self.clock = ManualClock(start=100_000)
         address = free_address()
-        server = CallerServer(_answer, address, 4, self.clock, LIMITS)
+        self.budget = RequestBudget(self.clock, BUDGET)
+        capacity = ServerCapacity(self.budget, CONNECTIONS)
+        server = CallerServer(_answer, address, 4, self.clock, LIMITS, capacity)
         server.start()
         self.server = server
         host, port = address.rsplit(":", 1)
@@ -121,3 +128,75 @@
     with socket.create_connection(connection.socket.getpeername(), EVENT_TIMEOUT) as new:
         new.sendall(REQUEST + b"page")
         assert new.recv(4_096).startswith(b"HTTP/1.1 200")
+
+
+def test_nothing_of_a_refused_request_is_parsed_as_another(connection: Connection) -> None:
+    body = b"POST /b HTTP/1.1\r\nContent-Length: 4\r\n\r\nabcd" * 20
+    connection.socket.sendall(b"POST /a HTTP/1.1\r\nContent-Length: 1000000\r\n\r\n" + body)
+    assert connection.read_to_end().count(b"HTTP/1.1") == 1
+
+
+def _connect(connection: Connection) -> socket.socket:
+    return socket.create_connection(connection.socket.getpeername(), EVENT_TIMEOUT)
+
+
+def _hold_budget(connection: Connection) -> Reservation:
+    """Return a reservation of all memory for requests."""
+    reservation = connection.budget.open(lambda: None)
+    assert connection.budget.reserve(reservation, ALLOWANCE + BUDGET, 0)
+    return reservation
+
+
+def test_a_request_without_memory_is_told_to_return(connection: Connection) -> None:
+    """A legal request that finds no room has not run; 413 would be final."""
+    connection.server.set_limits(replace(LIMITS, body_bytes=32 << 10))
+    _hold_budget(connection)
+    connection.socket.sendall(b"POST /a HTTP/1.1\r\nContent-Length: 32768\r\n\r\n" + bytes(9_000))
+    answer = connection.read_to_end()
+    assert answer.startswith(b"HTTP/1.1 503 ")
+    assert b"\r\nRetry-After: 1\r\n" in answer
+    assert connection.budget.refused == 1
+
+
+def test_usual_requests_are_served_while_large_ones_hold_all_memory(connection: Connection) -> None:
+    _hold_budget(connection)
+    connection.socket.sendall(REQUEST + b"page")
+    assert connection.socket.recv(4_096).startswith(b"HTTP/1.1 200 ")
+
+
+def test_a_request_that_stops_gives_its_memory_to_others(connection: Connection) -> None:
+    connection.server.set_limits(replace(LIMITS, body_bytes=64 << 10))
+    head = b"POST /a HTTP/1.1\r\nContent-Length: 65536\r\n\r\n"
+    connection.send(head + b"x")
+    connection.clock.advance(SECOND)
+    with _connect(connection) as second:
+        second.sendall(head + bytes(64 << 10))
+        assert second.recv(4_096).startswith(b"HTTP/1.1 200 ")
+    assert connection.read_to_end().startswith(b"HTTP/1.1 503 ")
+    assert connection.budget.given_up == 1
+
+
+#: What ends a request of 20,000 bytes: the rest of what is sent, and the milliseconds that pass.
+ENDS = [
+    ("answered", bytes(20_000), 0),
+    ("refused", b"", 0),
+    ("timed out", b"ab", LIMITS.idle_time + 1),
+    ("disconnected", b"ab", 0),
+]
+
+
+@pytest.mark.parametrize(("case", "body", "wait"), ENDS, ids=[end[0] for end in ENDS])
+def test_each_end_of_a_request_releases_its_memory(
+    connection: Connection, case: str, body: bytes, wait: int
+) -> None:
+    connection.server.set_limits(replace(LIMITS, body_bytes=20_000))
+    length = b"20000" if case != "refused" else b"20001"
+    connection.socket.sendall(b"POST /a HTTP/1.1\r\nContent-Length: " + length + b"\r\n\r\n" + body)
+    if body == b"ab":
+        wait_until(lambda: connection.budget.held > 0, "the request has memory")
+    if case == "disconnected":
+        connection.socket.close()
+    connection.clock.advance(wait)
+    if case in ("answered", "refused"):
+        assert connection.socket.recv(4_096)
+    wait_until(lambda: connection.budget.held == 0, "all memory is released")
--- a/src/canvasyoke/transport/tests/test_response_tasks.py
+++ b/src/canvasyoke/transport/tests/test_response_tasks.py
@@ -10,10 +10,17 @@
 import pytest
 
 from canvasyoke._clock import SECOND, SystemClock
-from canvasyoke.transport import CallerServer, HttpServer, ServerLimits
+from canvasyoke.transport import (
+    CallerServer,
+    HttpServer,
+    RequestBudget,
+    ServerCapacity,
+    ServerLimits,
+)
 from fakes.ports import free_address
 
 _TIMEOUT = 20.0
+_CAPACITY = ServerCapacity(RequestBudget(SystemClock(), 1 << 20), 10)
 _LIMITS = ServerLimits(4_096, 4_096, header_time=20 * SECOND, idle_time=20 * SECOND)
 #: Status, headers and body of the application's response by path.
 RESPONSES: dict[str, tuple[str, list[tuple[str, str]], list[bytes]]] = {
@@ -34,11 +41,11 @@
 
 
 def _start_caller_server(address: str) -> None:
-    CallerServer(_application, address, 4, SystemClock(), _LIMITS).start()
+    CallerServer(_application, address, 4, SystemClock(), _LIMITS, _CAPACITY).start()
 
 
 def _start_http_server(address: str) -> None:
-    HttpServer(_application, [address], 4, 4_096).start()
+    HttpServer(_application, address, 4, 4_096, _CAPACITY).start()
 
 
 @pytest.fixture(params=[_start_caller_server, _start_http_server])
--- a/src/canvasyoke/transport/tests/test_slow_readers.py
+++ b/src/canvasyoke/transport/tests/test_slow_readers.py
@@ -8,11 +8,18 @@
 
 import pytest
 
-from canvasyoke._clock import SECOND, ManualClock
-from canvasyoke.transport import CallerServer, HttpServer, ServerLimits
+from canvasyoke._clock import SECOND, ManualClock, SystemClock
+from canvasyoke.transport import (
+    CallerServer,
+    HttpServer,
+    RequestBudget,
+    ServerCapacity,
+    ServerLimits,
+)
 from fakes.launcher import wait_until
 from fakes.ports import free_address
 
+_CAPACITY = ServerCapacity(RequestBudget(SystemClock(), 1 << 20), 10)
 _LIMITS = ServerLimits(4_096, 4_096, header_time=2 * SECOND, idle_time=5 * SECOND)
 _TIMEOUT = 20.0
 #: More than the kernel takes for a connection that is not read.
@@ -34,7 +41,14 @@
     def __init__(self) -> None:
         self.clock = ManualClock(start=100_000)
         address = free_address()
-        self.server = CallerServer(_answer, address, 4, self.clock, _LIMITS)
+        self.server = CallerServer(
+            _answer,
+            address,
+            4,
+            self.clock,
+            _LIMITS,
+            _CAPACITY,
+        )
         self.server.start()
         host, port = address.rsplit(":", 1)
         self.socket = socket.socket()
@@ -97,12 +111,12 @@
 def test_sending_a_response_is_activity_of_an_http_server() -> None:
     """Guards against an idle timeout that counts from the end of the request."""
     address = free_address()
-    server = HttpServer(_answer, [address], 4, 4_096)
+    server = HttpServer(_answer, address, 4, 4_096, _CAPACITY)
     server.start()
     host, port = address.rsplit(":", 1)
     with socket.create_connection((host, int(port)), _TIMEOUT) as sock:
         sock.sendall(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
-        (listener,) = server._listeners
+        listener = server._server
         wait_until(lambda: bool(listener.active_channels), "the connection is accepted")
         (channel,) = listener.active_channels.values()
         wait_until(
--- a/tests/test_caller_crowds.py
+++ b/tests/test_caller_crowds.py
@@ -14,7 +14,10 @@
     ILLEGAL,
     IN_CALM,
     LEGAL,
+    MACHINE_DESCRIPTORS,
+    MACHINE_MEMORY,
     MAX_BODY,
+    MEGABYTE,
     Crowd,
     Head,
     Script,
@@ -30,7 +33,9 @@
     "IdleTimeoutMs": 60_000,
 }
 #: Settings that tell the entry what its machine has.
-SETTINGS: dict[str, Any] = {}
+SETTINGS: dict[str, Any] = {
+    "machine": {"memory_mb": MACHINE_MEMORY / MEGABYTE, "descriptors": MACHINE_DESCRIPTORS}
+}
 CONNECTIONS = 300
 
 
--- a/tests/test_entry_crowds.py
+++ b/tests/test_entry_crowds.py
@@ -14,12 +14,27 @@
 from fakes.launcher import Fleet, FleetSpec, TargetSpec
 from tests.caller import TOKEN, Caller
 from tests.conftest import start
-from tests.crowd import BODY, CROWD_SIZE, ILLEGAL, IN_CALM, LEGAL, Crowd, Head, Script, Usage
+from tests.crowd import (
+    BODY,
+    CROWD_SIZE,
+    ILLEGAL,
+    IN_CALM,
+    LEGAL,
+    MACHINE_DESCRIPTORS,
+    MACHINE_MEMORY,
+    MEGABYTE,
+    Crowd,
+    Head,
+    Script,
+    Usage,
+)
 
 CONFIGURATION = Path(__file__).resolve().parent / "crowds.yaml"
 ENTRY, TARGET = "nbo-a-entry-1", "inkmodel-1"
 #: Settings that tell the processes what their machines have.
-SETTINGS: dict[str, Any] = {}
+SETTINGS: dict[str, Any] = {
+    "machine": {"memory_mb": MACHINE_MEMORY / MEGABYTE, "descriptors": MACHINE_DESCRIPTORS}
+}
 #: Long enough that requests of a crowd wait for one another at the target.
 TOKEN_MS = 200.0
 
@@ -40,7 +55,7 @@
 def fleet() -> Iterator[Fleet]:
     """Return a fleet for one test, as the peaks of memory are for the lifetime of its processes."""
     target = TargetSpec(TARGET, "nbo-a", "inkmodel", "engine")
-    spec = FleetSpec(("nbo-a",), 1, [target], token_ms=TOKEN_MS)
+    spec = FleetSpec(("nbo-a",), 1, [target], token_ms=TOKEN_MS, settings=SETTINGS)
     with start(spec, CONFIGURATION) as running:
         yield running
 
