transport: close the connection unused for longest to accept a new one

Callers that open connections and send nothing, or half a head, shut out all others: at its limit of connections an entry left new ones waiting until the idle time of the others was over.

Cause: the library stops accepting at its limit.

If all are in use, the new one is closed unread, as before when the entry was full.

--- a/src/canvasyoke/direct/_process.py
+++ b/src/canvasyoke/direct/_process.py
@@ -324,6 +324,11 @@
         gauge(
             "canvasyoke_connections", "Open connections.", lambda: self._caller_server.connections
         )
+        gauge(
+            "canvasyoke_connections_displaced",
+            "Connections closed for new ones at the limit, the one unused for longest each time.",
+            lambda: self._caller_server.displaced_connections,
+        )
         gauge(
             "canvasyoke_responses_dropped",
             "Responses whose caller stopped reading before their end.",
--- a/src/canvasyoke/transport/_bounded_server.py
+++ b/src/canvasyoke/transport/_bounded_server.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Final
 
 from waitress.adjustments import Adjustments
 from waitress.server import TcpWSGIServer
@@ -15,6 +15,9 @@
 from canvasyoke.transport._request_budget import RequestBudget
 from canvasyoke.transport._request_parser import Overloaded
 
+#: Connections from which on waitress accepts no more; above any limit that servers apply.
+NO_LIMIT: Final = 1 << 20
+
 
 @dataclass(frozen=True, slots=True)
 class ServerCapacity:
@@ -43,10 +46,30 @@
     ) -> None:
         self.clock = clock
         self.budget = capacity.budget
+        self._max_connections = capacity.connections
+        #: Number of connections that were closed for new ones.
+        self.displaced_connections = 0
         #: Returns the refusal of a request for which there is no memory.
         self.make_overload_error: Callable[[], Error] = Overloaded
         super().__init__(application, adj=adj, dispatcher=dispatcher)
 
+    def handle_accept(self) -> None:
+        """Accept a connection; at the limit, close the one unused for longest, or reject it.
+
+        Were connections left to wait, callers that send nothing would shut out all others.
+        """
+        if len(self.active_channels) < self._max_connections:
+            super().handle_accept()
+            return
+        unused = self._longest_unused()
+        if unused is None:
+            self.reject_connection()
+            return
+        # In this order, as events of the closed descriptor may be pending.
+        super().handle_accept()
+        unused.handle_close()
+        self.displaced_connections += 1
+
     def reject_connection(self) -> None:
         """Close a new connection unread.
 
@@ -55,3 +78,7 @@
         accepted = self.accept()
         if accepted is not None:
             accepted[0].close()
+
+    def _longest_unused(self) -> Channel | None:
+        unused = (each for each in self.active_channels.values() if not each.is_busy)
+        return min(unused, key=lambda each: int(each.last_active_at), default=None)
--- a/src/canvasyoke/transport/_caller_server.py
+++ b/src/canvasyoke/transport/_caller_server.py
@@ -22,7 +22,7 @@
 from waitress.utilities import Error
 
 from canvasyoke._clock import Clock
-from canvasyoke.transport._bounded_server import BoundedServer, ServerCapacity
+from canvasyoke.transport._bounded_server import NO_LIMIT, BoundedServer, ServerCapacity
 from canvasyoke.transport._channel import Channel
 from canvasyoke.transport._response_tasks import ApplicationTask
 
@@ -206,7 +206,7 @@
             send_bytes=1,
             channel_request_lookahead=1,
             cleanup_interval=_MAINTENANCE_INTERVAL_S,
-            connection_limit=capacity.connections,
+            connection_limit=NO_LIMIT,
             asyncore_use_poll=True,
             ident=None,
         )
@@ -249,6 +249,11 @@
         """Return the number of responses whose caller stopped reading before their end."""
         return self._server.dropped_responses
 
+    @property
+    def displaced_connections(self) -> int:
+        """Return the number of connections that were closed for new ones."""
+        return self._server.displaced_connections
+
     @property
     def connections(self) -> int:
         """Return the number of open connections."""
--- a/src/canvasyoke/transport/_http_server.py
+++ b/src/canvasyoke/transport/_http_server.py
@@ -11,7 +11,7 @@
 from waitress.adjustments import Adjustments
 
 from canvasyoke._clock import SystemClock
-from canvasyoke.transport._bounded_server import BoundedServer, ServerCapacity
+from canvasyoke.transport._bounded_server import NO_LIMIT, BoundedServer, ServerCapacity
 from canvasyoke.transport._channel import Channel
 from canvasyoke.transport._request_parser import Overloaded
 
@@ -64,7 +64,7 @@
             send_bytes=1,
             channel_request_lookahead=1,
             channel_timeout=120,
-            connection_limit=capacity.connections,
+            connection_limit=NO_LIMIT,
             asyncore_use_poll=True,
             ident="canvasyoke",
             clear_untrusted_proxy_headers=True,
--- a/src/canvasyoke/transport/tests/test_caller_server.py
+++ b/src/canvasyoke/transport/tests/test_caller_server.py
@@ -22,7 +22,7 @@
 LIMITS = ServerLimits(4_096, 4_096, header_time=2 * SECOND, idle_time=5 * SECOND)
 #: Bytes that requests may hold together.
 BUDGET = 64 << 10
-CONNECTIONS = 10
+CONNECTIONS = 3
 REQUEST = b"POST /a HTTP/1.1\r\nHost: reader.example\r\nContent-Length: 4\r\n\r\n"
 #: Timeout in seconds for expected events.
 EVENT_TIMEOUT = 20.0
@@ -200,3 +200,25 @@
     if case in ("answered", "refused"):
         assert connection.socket.recv(4_096)
     wait_until(lambda: connection.budget.held == 0, "all memory is released")
+
+
+def _serve(sock: socket.socket) -> bool:
+    """Return whether a request on this connection is answered."""
+    sock.sendall(REQUEST + b"page")
+    received = b""
+    while not received.endswith(b"done"):
+        received += sock.recv(4_096)
+    return received.startswith(b"HTTP/1.1 200 ")
+
+
+def test_a_new_connection_displaces_the_one_unused_for_longest(connection: Connection) -> None:
+    connection.clock.advance(1)
+    with contextlib.ExitStack() as stack:
+        others = [stack.enter_context(_connect(connection)) for _ in range(CONNECTIONS)]
+        for other in others:
+            assert _serve(other)
+            connection.wait_served()
+            connection.clock.advance(1)
+        assert connection.socket.recv(1) == b""
+        assert all(_serve(other) for other in others)
+    assert connection.server.displaced_connections == 1
