transport: let callers receive the refusal of a request that they are still sending

A caller whose request was refused before its body was read met a reset connection, and could not know whether its request had run.

Cause: the server closed the connection behind the refusal; data that arrives for a closed socket is answered with a reset.

Four refusals in a test of the server, sent while the body still comes, fail before.

Why it holds: such a connection is closed for sending only, and what still comes is discarded until the caller closes it, for at most two seconds and as many bytes as a body may have, so that a caller that never stops costs no more than one legal body.

--- a/src/canvasyoke/transport/_bounded_server.py
+++ b/src/canvasyoke/transport/_bounded_server.py
@@ -82,3 +82,9 @@
     def _longest_unused(self) -> Channel | None:
         unused = (each for each in self.active_channels.values() if not each.is_busy)
         return min(unused, key=lambda each: int(each.last_active_at), default=None)
+
+    def maintenance(self, now: int) -> None:
+        """Close connections that are not in use."""
+        for channel in list(self.active_channels.values()):
+            channel.close_overdue(self.clock.now())
+        super().maintenance(now)
--- a/src/canvasyoke/transport/_caller_server.py
+++ b/src/canvasyoke/transport/_caller_server.py
@@ -130,7 +130,7 @@
         if self.total_outbufs_len:
             self.server.dropped_responses += 1
             with contextlib.suppress(OSError):
-                self.socket.shutdown(socket.SHUT_RDWR)  # type: ignore[union-attr]
+                self.socket.shutdown(socket.SHUT_RDWR)
 
     def time_out(self) -> None:
         """Answer an incomplete request with 408."""
@@ -165,7 +165,7 @@
         """Close idle connections and time out slow requests."""
         now = self.clock.now()
         for channel in list(self.active_channels.values()):
-            if channel.requests:
+            if channel.requests or channel.close_overdue(now):
                 continue
             if channel.total_outbufs_len and channel.was_read_since():
                 channel.record_activity()
--- a/src/canvasyoke/transport/_channel.py
+++ b/src/canvasyoke/transport/_channel.py
@@ -2,16 +2,23 @@
 
 from __future__ import annotations
 
+import socket
 import threading
-from typing import Any
+from typing import Any, Final
 
 from waitress.channel import HTTPChannel
 from waitress.utilities import Error
 
+from canvasyoke._clock import SECOND
 from canvasyoke.transport._request_budget import RequestBudget
 from canvasyoke.transport._request_parser import RequestParser
 from canvasyoke.transport._response_tasks import ApplicationTask, RefusalTask
 
+#: Milliseconds in which a caller has to close the connection after it was sent a refusal.
+_LINGER_TIME: Final = 2 * SECOND
+#: Bytes read at a time to be discarded.
+_DISCARD_BYTES: Final = 64 << 10
+
 
 class Channel(HTTPChannel):
     """A connection whose responses are rendered by these tasks.
@@ -28,8 +35,14 @@
     total_outbufs_len: int
     # Wrong in the type stubs of waitress.
     server: Any
-    #: Whether a request was refused before its end, so that what follows is not parsed.
+    socket: Any
+    _flush_exception: Any
+    _flush_some: Any
+    #: Whether a request was refused, so that what follows is discarded.
     _is_refusing = False
+    _discarded_bytes = 0
+    #: Clock time until which data is discarded after the refusal was sent; 0 before that.
+    _lingers_until = 0
 
     def __init__(self, server: Any, *args: Any, **kw: Any) -> None:
         #: Clock time of the last data received, or taken by the caller at a check, or of the last
@@ -96,6 +109,57 @@
         self.record_activity()
         return not self._is_refusing and bool(super().received(data))
 
+    def readable(self) -> bool:
+        """Return whether to read from the connection now."""
+        return bool(super().readable()) and not self._has_discarded_enough
+
+    def handle_read(self) -> None:
+        """Read from the connection; discard what follows a refused request."""
+        if not self._is_refusing:
+            super().handle_read()
+            return
+        try:
+            self._discarded_bytes += len(self.recv(_DISCARD_BYTES))
+        except OSError:
+            self.handle_close()
+        if self._lingers_until and self._has_discarded_enough:
+            self.handle_close()
+
+    def handle_write(self) -> None:
+        """Send what the caller takes now, and close the connection if nothing else is to be done.
+
+        A connection that is closed with unread data is reset, and its caller may not receive the
+        refusal. So the connection is closed for sending only until the caller closes it as well.
+        """
+        if not (self._is_refusing and self.close_when_flushed) or self.will_close:
+            super().handle_write()
+            return
+        self._flush_exception(self._flush_some)
+        if self.will_close:
+            self.handle_close()
+        elif not self.total_outbufs_len:
+            self._linger()
+
+    def close_overdue(self, now: int) -> bool:
+        """Close a connection that has lingered for long; return whether it lingers."""
+        if self._lingers_until and now > self._lingers_until:
+            self.will_close = True
+        return self._lingers_until > 0
+
+    def _linger(self) -> None:
+        self.close_when_flushed = False
+        if self._lingers_until:
+            return
+        self._lingers_until = self.server.clock.now() + _LINGER_TIME
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.handle_close()
+
+    @property
+    def _has_discarded_enough(self) -> bool:
+        return self._discarded_bytes > int(self.adj.max_request_body_size)
+
     @property
     def is_busy(self) -> bool:
         """Return whether a request is handled, or a part of its response has not been sent."""
--- a/src/canvasyoke/transport/tests/test_caller_server.py
+++ b/src/canvasyoke/transport/tests/test_caller_server.py
@@ -130,6 +130,44 @@
         assert new.recv(4_096).startswith(b"HTTP/1.1 200")
 
 
+#: Requests that are refused before their end: the head, and the status.
+REFUSED_EARLY = [
+    ("announced", b"Content-Length: 1000000", b"413"),
+    ("chunked", b"Transfer-Encoding: chunked", b"413"),
+    ("expects to be told", b"Content-Length: 1000000\r\nExpect: 100-continue", b"413"),
+    ("a head over the limit", b"Name: " + b"x" * 5_000, b"431"),
+]
+
+
+@pytest.mark.parametrize(
+    ("field", "status"), [case[1:] for case in REFUSED_EARLY], ids=[c[0] for c in REFUSED_EARLY]
+)
+def test_a_refusal_is_not_lost_with_what_is_still_being_sent(
+    connection: Connection, field: bytes, status: bytes
+) -> None:
+    """Many callers read no answer before they have sent all, and none where sending fails."""
+    connection.socket.sendall(b"POST /a HTTP/1.1\r\n" + field + b"\r\n\r\n" + b"fffff\r\n")
+    assert connection.read_to_end().split(b" ")[1] == status
+    for _ in range(8):
+        connection.socket.sendall(bytes(LIMITS.body_bytes // 16))
+
+
+def test_a_caller_that_sends_on_after_a_refusal_is_closed(connection: Connection) -> None:
+    connection.socket.sendall(b"POST /a HTTP/1.1\r\nContent-Length: 1000000\r\n\r\n")
+    assert connection.read_to_end().startswith(b"HTTP/1.1 413 ")
+    with pytest.raises(ConnectionError):
+        for _ in range(1_000):
+            connection.socket.sendall(bytes(LIMITS.body_bytes))
+
+
+def test_a_caller_that_stays_after_a_refusal_is_closed(connection: Connection) -> None:
+    connection.socket.sendall(b"POST /a HTTP/1.1\r\nContent-Length: 1000000\r\n\r\n")
+    assert connection.read_to_end().startswith(b"HTTP/1.1 413 ")
+    assert connection.server.connections == 1
+    connection.clock.advance(3 * SECOND)
+    wait_until(lambda: connection.server.connections == 0, "the connection is closed")
+
+
 def test_nothing_of_a_refused_request_is_parsed_as_another(connection: Connection) -> None:
     body = b"POST /b HTTP/1.1\r\nContent-Length: 4\r\n\r\nabcd" * 20
     connection.socket.sendall(b"POST /a HTTP/1.1\r\nContent-Length: 1000000\r\n\r\n" + body)
