transport: take no end of a reset connection for the end of an answer

A backend answered a long upload at once without a length, sent part of its body and reset the connection while the upload was still written. The caller got that part as a complete answer.

Cause: a socket reports a reset once. Sending met it and its error was suppressed (by us for forwarded requests, by urllib3 in the pooled client); reading found a plain end, which ends a body without a length.

Why it holds: the socket that all clients share records that sending met a reset, and what reads a body without framing asks it before the body counts as complete.

Ruled out: to fail each call whose sending fails, as backends may answer and close early.

--- a/fakes/http_base.py
+++ b/fakes/http_base.py
@@ -41,9 +41,13 @@
         """Handle one request."""
         raise NotImplementedError
 
+    def read_body(self, length: int) -> bytes:
+        """Return the body of the request."""
+        return self.rfile.read(length)
+
     def _dispatch(self) -> None:
         length = int(self.headers.get("Content-Length") or 0)
-        body = self.rfile.read(length) if length else b""
+        body = self.read_body(length) if length else b""
         parts = urlsplit(self.path)
         query = {name: values[-1] for name, values in parse_qs(parts.query).items()}
         self.handle_request(self.command, parts.path, query, body)
--- a/fakes/platform_engine.py
+++ b/fakes/platform_engine.py
@@ -61,6 +61,8 @@
     crash_segments: frozenset[str] = frozenset()
     #: Whether responses have neither a length nor chunks, so that they end with the connection.
     is_unframed: bool = False
+    #: Whether requests are read to their end before they are answered.
+    reads_bodies: bool = True
     #: Arrivals within a second above which the engine crashes while it is cold; 0 for no limit.
     crash_rate: float = 0.0
     #: Monotonic time in seconds until which the engine is cold.
@@ -97,6 +99,9 @@
                 engine._connections.discard(self.connection)
                 super().finish()
 
+            def read_body(self, length: int) -> bytes:
+                return super().read_body(length) if engine.reads_bodies else b""
+
             def handle_request(
                 self, method: str, path: str, query: dict[str, str], body: bytes
             ) -> None:
--- a/src/canvasyoke/transport/_answer_errors.py
+++ b/src/canvasyoke/transport/_answer_errors.py
@@ -53,14 +53,17 @@
         raise ExchangeError(f"{type(exc).__name__}: {exc}", _cause_of(exc)) from exc
 
 
+def is_framed(response: urllib3.BaseHTTPResponse) -> bool:
+    """Return whether a length or chunks delimit the body, not only the end of the connection."""
+    return bool(getattr(response, "chunked", False)) or response.length_remaining is not None
+
+
 def check_length(response: urllib3.BaseHTTPResponse) -> None:
     """Raise :class:`ExchangeError` if a length is stated that is not a number.
 
     The libraries would read such a body to the end of the connection and take it for complete.
     """
-    stated = response.headers.get("Content-Length")
-    is_framed = getattr(response, "chunked", False) or response.length_remaining is not None
-    if stated is not None and not is_framed:
+    if response.headers.get("Content-Length") is not None and not is_framed(response):
         raise ExchangeError("the stated length is not a number")
 
 
--- a/src/canvasyoke/transport/_bounded_connection.py
+++ b/src/canvasyoke/transport/_bounded_connection.py
@@ -19,7 +19,7 @@
 from canvasyoke.transport._answer_errors import ExchangeError, FailureCause
 
 if TYPE_CHECKING:
-    from _typeshed import WriteableBuffer
+    from _typeshed import ReadableBuffer, WriteableBuffer
 
 #: Bytes that may be received for a head, or for one piece of a body with its framing.
 _MAX_UNDELIVERED_BYTES: Final = 256 << 10
@@ -46,6 +46,8 @@
         #: Whether the connection has ended, and the last byte before its end.
         self._has_ended = False
         self._last_byte = 0
+        #: Whether sending failed because the connection was reset or closed.
+        self._is_reset = False
 
     def begin(self, timeout: int) -> None:
         """Expect an answer that takes at most ``timeout``."""
@@ -97,6 +99,18 @@
         if self._has_ended and self._last_byte != _LINE_FEED:
             raise ExchangeError("the connection ended within a line of the chunks")
 
+    def check_end(self) -> None:
+        """Raise :class:`ExchangeError` if the end of the connection says nothing of a body's end.
+
+        A reset is reported once. If sending met it, reading finds the end of the connection.
+        """
+        if self._is_reset:
+            raise ExchangeError("the connection was reset, and nothing else delimits the body")
+
+    def record_reset(self) -> None:
+        """Record that the peer reset or closed the connection while the request was sent."""
+        self._is_reset = True
+
     def record_end(self) -> None:
         """Record that the connection has ended."""
         self._has_ended = True
@@ -132,6 +146,14 @@
             self._bounds.record_end()
         return received
 
+    def sendall(self, data: ReadableBuffer, flags: int = 0, /) -> None:
+        """Send data; raises what sockets raise."""
+        try:
+            super().sendall(data, flags)
+        except ConnectionError:
+            self._bounds.record_reset()
+            raise
+
 
 class _FinalResponse(http.client.HTTPResponse):
     """Skips all interim responses; the library skips those with status 100 only."""
--- a/src/canvasyoke/transport/_exchange.py
+++ b/src/canvasyoke/transport/_exchange.py
@@ -22,6 +22,7 @@
     FailureCause,
     answer_errors,
     check_length,
+    is_framed,
 )
 from canvasyoke.transport._bounded_connection import MIN_TIMEOUT, BoundedConnection
 
@@ -86,7 +87,7 @@
         self.headers: list[tuple[str, str]] = list(response.headers.items())
         #: Whether the body is delimited by a length or chunked encoding, not only by the
         #: end of the connection.
-        self.is_framed = bool(response.chunked) or response.length_remaining is not None
+        self.is_framed = is_framed(response)
 
     def header(self, name: str) -> str | None:
         """Return the value of a header, or ``None`` if it is absent."""
@@ -100,7 +101,10 @@
                 self._connection.bounds.check_chunks()
             elif self._response.length_remaining:
                 raise ExchangeError(f"{self._response.length_remaining} bytes are missing")
-            if not self.is_framed and self._handle.is_cancelled:
+            if self.is_framed:
+                return
+            self._connection.bounds.check_end()
+            if self._handle.is_cancelled:
                 raise ExchangeError("nothing but the end of the connection delimits the body")
 
     def _pieces(self) -> Iterator[bytes]:
--- a/src/canvasyoke/transport/_http_client.py
+++ b/src/canvasyoke/transport/_http_client.py
@@ -15,6 +15,7 @@
     FailureCause,
     answer_errors,
     check_length,
+    is_framed,
 )
 from canvasyoke.transport._bounded_connection import BoundedPool, bounds_of
 
@@ -59,6 +60,8 @@
             yield from self._bounds.limit(self._response.stream(_READ_BYTES))
             if getattr(self._response, "chunked", False):
                 self._bounds.check_chunks()
+            elif not is_framed(self._response):
+                self._bounds.check_end()
 
     def read(self, max_bytes: int) -> bytes:
         """Return the body; raises :class:`ExchangeError` if it is incomplete or larger."""
