transport: read heads and chunks of answers strictly, before the libraries do

Backends in trouble sent heads that were spoilt where they tell the length of the body, or held a line that is no field, a name with a blank or a control byte, or the status 000. Callers got complete answers, with such a line passed on, or with a body that was not the backend's.

Cause: the libraries read heads with a parser for e-mail, which ends them at a line that is no field, so that length and coding are lost and the body ends with the connection; and they read numbers as Python does.

Why it holds: a reader between the socket and the libraries gives them only lines and chunks that are an answer, and one length; all clients share it. The check for lengths that are no number, behind the library, is gone with it.

--- a/src/canvasyoke/transport/_answer_errors.py
+++ b/src/canvasyoke/transport/_answer_errors.py
@@ -58,15 +58,6 @@
     return bool(getattr(response, "chunked", False)) or response.length_remaining is not None
 
 
-def check_length(response: urllib3.BaseHTTPResponse) -> None:
-    """Raise :class:`ExchangeError` if a length is stated that is not a number.
-
-    The libraries would read such a body to the end of the connection and take it for complete.
-    """
-    if response.headers.get("Content-Length") is not None and not is_framed(response):
-        raise ExchangeError("the stated length is not a number")
-
-
 def _cause_of(exc: Exception) -> FailureCause:
     """Return the cause of an exception, which the libraries may have wrapped in others."""
     wrapped = (exc, exc.__cause__, *exc.args)
--- a/src/canvasyoke/transport/_bounded_connection.py
+++ b/src/canvasyoke/transport/_bounded_connection.py
@@ -10,13 +10,14 @@
 import socket
 from collections.abc import Iterator
 from http import HTTPStatus
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final
 
 import urllib3
 from urllib3.connection import HTTPConnection
 
 from canvasyoke._clock import SECOND, Clock, SystemClock
 from canvasyoke.transport._answer_errors import ExchangeError, FailureCause
+from canvasyoke.transport._answer_reader import AnswerReader
 
 if TYPE_CHECKING:
     from _typeshed import ReadableBuffer, WriteableBuffer
@@ -156,7 +157,17 @@
 
 
 class _FinalResponse(http.client.HTTPResponse):
-    """Skips all interim responses; the library skips those with status 100 only."""
+    """Reads the head strictly, and skips all interim responses.
+
+    The library skips those with status 100 only.
+    """
+
+    def begin(self) -> None:
+        """Read the head of the final response."""
+        reader: Any = AnswerReader(self.fp)
+        self.fp = reader
+        super().begin()
+        reader.begin_body()
 
     def _read_status(self) -> tuple[str, int, str]:
         while True:
--- a/src/canvasyoke/transport/_exchange.py
+++ b/src/canvasyoke/transport/_exchange.py
@@ -21,7 +21,6 @@
     ExchangeError,
     FailureCause,
     answer_errors,
-    check_length,
     is_framed,
 )
 from canvasyoke.transport._bounded_connection import MIN_TIMEOUT, BoundedConnection
@@ -256,9 +255,7 @@
             preload_content=False,
             decode_content=False,
         )
-    response = connection.getresponse()
-    check_length(response)
-    return response
+    return connection.getresponse()
 
 
 def _is_refused(exc: Exception) -> bool:
--- a/src/canvasyoke/transport/_http_client.py
+++ b/src/canvasyoke/transport/_http_client.py
@@ -14,7 +14,6 @@
     ExchangeError,
     FailureCause,
     answer_errors,
-    check_length,
     is_framed,
 )
 from canvasyoke.transport._bounded_connection import BoundedPool, bounds_of
@@ -144,7 +143,6 @@
                     preload_content=False,
                     decode_content=False,
                 )
-                check_length(response)
         except ExchangeError as exc:
             is_unsent = isinstance(exc.__cause__, _NOT_SENT_ERRORS)
             failure = HttpFailure.NOT_SENT if is_unsent else HttpFailure.MAYBE_SENT
--- a/src/canvasyoke/transport/tests/test_malformed_answers.py
+++ b/src/canvasyoke/transport/tests/test_malformed_answers.py
@@ -51,12 +51,76 @@
     "interim response alone": b"HTTP/1.1 103 Early Hints\r\nContent-Length: 3\r\n\r\nabc",
     "long line": _OK + b"A: " + b"b" * 100_000 + b"\r\n\r\n",
 }
+_LENGTH = b"Content-Length: 3\r\n"
+#: Heads that are spoilt, before a body of ``abc``.
+SPOILT = {
+    "length with a sign": _OK + b"Content-Length: +3\r\n\r\n",
+    "length with an underscore": _OK + b"Content-Length: 0_3\r\n\r\n",
+    "length that is no number": _OK + b"Content-Length: three\r\n\r\n",
+    "length with a blank before the colon": _OK + b"Content-Length : 3\r\n\r\n",
+    "length without a name": _OK + b": 3\r\n\r\n",
+    "length on a line of its own": _OK + b"Content-Length:\r\n3\r\n\r\n",
+    "length that is empty": _OK + b"Content-Length:\r\n\r\n",
+    "lengths that differ": _OK + _LENGTH + b"Content-Length: 2\r\n\r\n",
+    "coding that is unknown": _OK + b"Transfer-Encoding: chunkee\r\n\r\n",
+    "coding that is empty": _OK + b"Transfer-Encoding:\r\n\r\n",
+    "coding twice": _OK + b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "coding with a control byte": _OK + b"Transfer-Encoding: chun\x01ked\r\n\r\n",
+    "line without a colon": _OK + b"Name value\r\n" + _LENGTH + b"\r\n",
+    "line without a name": _OK + b": value\r\n" + _LENGTH + b"\r\n",
+    "blank before the first field": _OK + b" Name: value\r\n" + _LENGTH + b"\r\n",
+    "name with a blank": _OK + b"Na me: value\r\n" + _LENGTH + b"\r\n",
+    "name with a tab": _OK + b"Na\tme: value\r\n" + _LENGTH + b"\r\n",
+    "name with NUL": _OK + b"Na\0me: value\r\n" + _LENGTH + b"\r\n",
+    "name with a control byte": _OK + b"Na\x1bme: value\r\n" + _LENGTH + b"\r\n",
+    "name with DEL": _OK + b"Na\x7fme: value\r\n" + _LENGTH + b"\r\n",
+    "name with a byte above 127": _OK + b"Na\xe9me: value\r\n" + _LENGTH + b"\r\n",
+    "name with a bracket": _OK + b"Na[me: value\r\n" + _LENGTH + b"\r\n",
+    "value with NUL": _OK + b"Name: val\0ue\r\n" + _LENGTH + b"\r\n",
+    "value with a carriage return": _OK + b"Name: val\rue\r\n" + _LENGTH + b"\r\n",
+    "status 000": b"HTTP/1.1 000 OK\r\n" + _LENGTH + b"\r\n",
+    "status 099": b"HTTP/1.1 099 OK\r\n" + _LENGTH + b"\r\n",
+    "status 600": b"HTTP/1.1 600 OK\r\n" + _LENGTH + b"\r\n",
+    "status of four digits": b"HTTP/1.1 2000 OK\r\n" + _LENGTH + b"\r\n",
+    "status with a sign": b"HTTP/1.1 +200 OK\r\n" + _LENGTH + b"\r\n",
+    "status with an underscore": b"HTTP/1.1 2_0 OK\r\n" + _LENGTH + b"\r\n",
+    "no status": b"HTTP/1.1 OK\r\n" + _LENGTH + b"\r\n",
+    "version that is none": b"HTTP/1.1x 200 OK\r\n" + _LENGTH + b"\r\n",
+    "reason with a carriage return": b"HTTP/1.1 200 O\rK\r\n" + _LENGTH + b"\r\n",
+    "line before the status line": b"Name: value\r\n" + _OK + _LENGTH + b"\r\n",
+    "chunks in HTTP/1.0": b"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+}
+#: Chunks that are spoilt, of a body of ``abc``.
+SPOILT_CHUNKS = {
+    "size with a sign": _CHUNKED + b"+3\r\nabc\r\n0\r\n\r\n",
+    "size with an underscore": _CHUNKED + b"0_3\r\nabc\r\n0\r\n\r\n",
+    "size with a prefix": _CHUNKED + b"0x3\r\nabc\r\n0\r\n\r\n",
+    "size that is a negative zero": _CHUNKED + b"3\r\nabc\r\n-0\r\n\r\n",
+    "chunk that is longer than its size": _CHUNKED + b"3\r\nabcde0\r\n\r\n",
+}
+#: Heads in forms that HTTP allows, before a body of ``abc`` that ends with its connection.
+SOUND = {
+    "no reason": b"HTTP/1.1 200\r\n" + _LENGTH + b"\r\n",
+    "an empty reason": b"HTTP/1.1 200 \r\n" + _LENGTH + b"\r\n",
+    "HTTP/1.0": b"HTTP/1.0 200 OK\r\n" + _LENGTH + b"\r\n",
+    "blanks around a value": _OK + b"Content-Length:\t 3 \t\r\n\r\n",
+    "no blank before a value": _OK + b"Content-Length:3\r\n\r\n",
+    "an empty value": _OK + b"Name:\r\n" + _LENGTH + b"\r\n",
+    "a list of equal lengths": _OK + b"Content-Length: 3, 3\r\n\r\n",
+    "equal lengths": _OK + _LENGTH + _LENGTH + b"\r\n",
+    "a line that continues another": _OK + b"Name: a\r\n b\r\n" + _LENGTH + b"\r\n",
+    "line feeds alone": b"HTTP/1.1 200 OK\nContent-Length: 3\n\n",
+    "all characters of names": _OK + b"!#$%&'*+-.^_`|~09azAZ: value\r\n" + _LENGTH + b"\r\n",
+    "bytes above 127 in a value": _OK + b"Name: \xe9\r\n" + _LENGTH + b"\r\n",
+}
 #: Bodies of ``abc`` whose last chunk was received whole.
 COMPLETE = {
     "last chunk": _CHUNKED + b"3\r\nabc\r\n0\r\n\r\n",
     "last chunk and trailers": _CHUNKED + b"3\r\nabc\r\n0\r\nA: b\r\n\r\n",
     "last chunk without an empty line": _CHUNKED + b"3\r\nabc\r\n0\r\n",
     "no length": _OK + b"Connection: close\r\n\r\nabc",
+    "a coding in capitals": _OK + b"Transfer-Encoding: Chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+    "an extension": _CHUNKED + b"3 ;a=b\r\nabc\r\n000;c\r\n\r\n",
 }
 TOO_LARGE = {
     "length": _OK + b"Content-Length: 2000\r\n\r\n" + b"x" * 2_000,
@@ -148,6 +212,32 @@
     assert call(peer.address) is None
 
 
+@pytest.mark.parametrize("call", CLIENTS)
+@pytest.mark.parametrize("name", SPOILT)
+def test_a_spoilt_head_is_a_failed_call(
+    peer: _Peer, call: Callable[[str], bytes | None], name: str
+) -> None:
+    """Guards against a body that is read in another framing than the one that was sent."""
+    peer.answer = SPOILT[name] + b"abc"
+    assert call(peer.address) is None
+
+
+@pytest.mark.parametrize("call", CLIENTS)
+@pytest.mark.parametrize("name", SPOILT_CHUNKS)
+def test_spoilt_chunks_are_a_failed_call(
+    peer: _Peer, call: Callable[[str], bytes | None], name: str
+) -> None:
+    peer.answer = SPOILT_CHUNKS[name]
+    assert call(peer.address) is None
+
+
+@pytest.mark.parametrize("call", CLIENTS)
+@pytest.mark.parametrize("name", SOUND)
+def test_a_sound_head_is_read(peer: _Peer, call: Callable[[str], bytes | None], name: str) -> None:
+    peer.answer = SOUND[name] + b"abc"
+    assert call(peer.address) == b"abc"
+
+
 @pytest.mark.parametrize("call", CLIENTS)
 def test_an_answer_after_a_malformed_one_is_read(
     peer: _Peer, call: Callable[[str], bytes | None]
