target: drop bodies of requests that ended, and bound those of waiting ones

A target that gets many large requests could be ended by its machine, also some time after it had answered them: with the answer to a key, kept for ten minutes, the whole request was kept, and the queue is bounded by its length only.

Found by reading, no process was seen to end of it.

Why it holds: the body is dropped where the outcome is recorded, which each request reaches once, and a request is refused as overloaded, not run, while others' bodies take 0.2 of the machine's memory; one that is larger still runs alone.

--- a/src/canvasyoke/target/_process.py
+++ b/src/canvasyoke/target/_process.py
@@ -51,6 +51,9 @@
 _REPORT_INTERVAL: Final = 2 * SECOND
 #: Milliseconds between probes of the backend.
 _PROBE_INTERVAL: Final = 500
+#: Part of the memory that the bodies of requests may hold together. Links and backends hold further
+#: copies of those that arrive or are sent.
+_BODY_MEMORY_FRACTION: Final = 0.2
 #: Consecutive failed probes after which the backend is reported as down.
 _FAILED_PROBES_LIMIT: Final = 2
 #: Milliseconds between the last message to the entries and closing their links.
@@ -109,6 +112,7 @@
             self._backend,
             self._lease,
             self._on_load_change,
+            round(_BODY_MEMORY_FRACTION * settings.machine.memory_bytes),
         )
         self._scheduler = self._scheduler_ref.proxy()
         self._slot_manager = SlotManager(
--- a/src/canvasyoke/target/_scheduler.py
+++ b/src/canvasyoke/target/_scheduler.py
@@ -75,6 +75,7 @@
         backend: Backend,
         lease: LeaseManager,
         on_load: Callable[[SchedulerLoad], None],
+        max_body_bytes: int,
     ) -> None:
         super().__init__()
         self._service = service
@@ -91,6 +92,9 @@
         self._tracked: dict[AttemptId, _TrackedRequest] = {}
         self._seen = SeenAttempts()
         self._draining = False
+        #: Limit of the bodies of all requests that wait or run, and their bytes now.
+        self._max_body_bytes = max_body_bytes
+        self._body_bytes = 0
         self._executor = ThreadPoolExecutor(max_workers=4_096, thread_name_prefix="call")
 
     # Messages of the actor
@@ -227,8 +231,9 @@
         if joined is not None:
             self._join(joined, attempt, reader, run)
             return None
-        if self._draining:
-            return _leaving_refusal()
+        refusal = self._refuse_new(run)
+        if refusal is not None:
+            return refusal
         work = self._enqueue_new(run, attempt, reader, engine)
         if run.key and work.state is not WorkState.ENDED:
             self._joinable[_join_key(run, digest)] = work
@@ -262,8 +267,9 @@
         if decision.record is not None and isinstance(decision.record.work, Work):
             self._join(decision.record.work, attempt, reader, run)
             return None
-        if self._draining:
-            return _leaving_refusal()
+        refusal = self._refuse_new(run)
+        if refusal is not None:
+            return refusal
         work = self._new_work(run)
         self._idempotency_cache.begin(keyed_request.name, keyed_request.made, digest, work)
         self._enqueue(work, attempt, reader, engine)
@@ -274,7 +280,17 @@
         self._enqueue(work, attempt, reader, engine)
         return work
 
+    def _refuse_new(self, run: Run) -> Refusal | None:
+        """Return why no new request is admitted now, if none is."""
+        if self._draining:
+            return Refusal(Outcome.NOT_RUN, Reason.LEAVING, "the target is leaving", 100)
+        if self._body_bytes and self._body_bytes + len(run.body) > self._max_body_bytes:
+            detail = "the target has no memory for the request"
+            return Refusal(Outcome.NOT_RUN, Reason.OVERLOADED, detail, 1 * SECOND)
+        return None
+
     def _new_work(self, run: Run) -> Work:
+        self._body_bytes += len(run.body)
         return Work(run, self._clock.now() + run.remaining)
 
     def _enqueue(self, work: Work, attempt: AttemptId, reader: Reader, engine: Engine) -> None:
@@ -335,16 +351,17 @@
         self._record_outcome(work, refusal)
 
     def _record_outcome(self, work: Work, refusal: Refusal | None) -> None:
-        """Record the outcome for later attempts with the same key."""
+        """Record the outcome for later attempts with the same key, and drop the body."""
         run = work.run
         if run.repeatable:
             if run.key:
                 self._joinable.pop(_join_key(run, _digest(run)), None)
-            return
-        if refusal is not None and refusal.outcome is Outcome.NOT_RUN:
+        elif refusal is not None and refusal.outcome is Outcome.NOT_RUN:
             self._idempotency_cache.discard(_record_name(run))
         else:
             self._idempotency_cache.finish(_record_name(run), work.size)
+        self._body_bytes -= len(run.body)
+        work.drop_body()
 
     def _call(self, queued: QueuedRequest[Work]) -> None:
         """Execute a request on the backend; runs in a thread of the executor."""
@@ -402,10 +419,6 @@
         return released
 
 
-def _leaving_refusal() -> Refusal:
-    return Refusal(Outcome.NOT_RUN, Reason.LEAVING, "the target is leaving", 100)
-
-
 def _digest(run: Run) -> bytes:
     state = hashlib.blake2b(digest_size=16)
     for part in (run.organisation, run.method, run.path):
--- a/src/canvasyoke/target/_work.py
+++ b/src/canvasyoke/target/_work.py
@@ -6,6 +6,8 @@
 import threading
 from dataclasses import dataclass
 
+import msgspec
+
 from canvasyoke.backend import AnswerSink
 from canvasyoke.protocol import (
     Chunk,
@@ -100,6 +102,10 @@
         """Request that the backend's thread stops."""
         self._cancelled = True
 
+    def drop_body(self) -> None:
+        """Release the body of a request that ended; its answer may be kept for long."""
+        self.run = msgspec.structs.replace(self.run, body=b"")
+
     def attach(self, reader: Reader, offset: int) -> None:
         """Send ``reader`` the buffered answer from ``offset`` on, then each further chunk."""
         with self._lock:
--- a/src/canvasyoke/target/tests/test_scheduler.py
+++ b/src/canvasyoke/target/tests/test_scheduler.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
+import msgspec
 import pytest
 
 from canvasyoke import SystemClock
@@ -31,6 +32,8 @@
 from canvasyoke.target._slot_manager import Holding
 from fakes.launcher import wait_until
 
+#: Room for the bodies of two requests.
+MAX_BODY_BYTES = 8
 CONFIG = """
 services:
   shelf: {kind: plain}
@@ -102,6 +105,7 @@
             self.backend,
             self.lease,
             lambda load: None,
+            MAX_BODY_BYTES,
         )
         self.scheduler = self.ref.proxy()
         self.scheduler.apply_config(view.current).get()
@@ -114,6 +118,11 @@
     def wait_for(self, kind: type, attempt: int = 1) -> None:
         wait_until(lambda: kind in self.session.kinds(attempt), kind.__name__, 5)
 
+    def end(self, requests: int) -> None:
+        """Let the backend answer, and wait until so many requests have ended."""
+        self.backend.proceed.set()
+        wait_until(lambda: self.session.kinds().count(End) == requests, "they end", 5)
+
 
 def make_config() -> FleetConfig:
     model = check_file(CONFIG, "f")
@@ -285,3 +294,34 @@
         assert harness.session.refusal() == (Outcome.NOT_RUN, Reason.LEAVING)
     harness.submit(make_run(request=3, attempt=3, key=key))
     harness.wait_for(End, attempt=3)
+
+
+@pytest.mark.parametrize("is_keyed", [False, True])
+def test_bodies_of_waiting_requests_do_not_exhaust_the_memory(
+    harness: SchedulerHarness, is_keyed: bool
+) -> None:
+    """Guards against a target whose queue holds more than its machine has."""
+    for number in (1, 2, 3):
+        harness.submit(make_run(key=fresh_key() if is_keyed else "", request=number))
+    assert harness.session.refusal() == (Outcome.NOT_RUN, Reason.OVERLOADED)
+    harness.end(2)
+    assert harness.backend.runs == ["r-1-1", "r-2-1"]
+
+
+@pytest.mark.parametrize("is_keyed", [False, True])
+def test_the_bodies_of_requests_that_ended_are_released(
+    harness: SchedulerHarness, is_keyed: bool
+) -> None:
+    """Guards against bodies that are kept as long as the answers to their keys."""
+    harness.backend.proceed.set()
+    for number in range(1, 6):
+        harness.submit(make_run(key=fresh_key() if is_keyed else "", request=number))
+        harness.end(number)
+    actor = harness.ref._actor_weakref()
+    assert isinstance(actor, RequestScheduler)
+    assert {tracked.work.run.body for tracked in actor._tracked.values()} == {b""}
+
+
+def test_a_request_larger_than_the_memory_runs_alone(harness: SchedulerHarness) -> None:
+    harness.submit(msgspec.structs.replace(make_run(), body=bytes(2 * MAX_BODY_BYTES)))
+    harness.end(1)
