observe: show and log which limits callers meet

On-call could not see that callers were refused before their requests were read: nothing of it was logged or counted, as no application sees such a request.

Counted by status where a request is refused unread, shown with the memory for requests, open connections and those displaced; one line a check (half a second in direct entries, a second in entries) tells what was refused since the last. The tests with crowds now also wait until all memory is released.

--- a/src/canvasyoke/direct/_process.py
+++ b/src/canvasyoke/direct/_process.py
@@ -32,7 +32,7 @@
 from canvasyoke.direct._roster import Roster
 from canvasyoke.direct._table_follower import TableFollower, TableView
 from canvasyoke.direct._waiting_gauges import build_waiting
-from canvasyoke.observe import LineWriter, add_request_gauges, part_logger
+from canvasyoke.observe import CallerLoad, LineWriter, part_logger
 from canvasyoke.state import (
     FLEET_STORES,
     CallerLimits,
@@ -203,6 +203,9 @@
             ServerCapacity(self._request_budget, int(_CALLER_DESCRIPTORS_FRACTION * descriptors)),
         )
         self._caller_server.set_full_check(self._caller_app.is_full)
+        self._caller_load = CallerLoad(
+            self._metrics.all, self._request_budget, self._caller_server, _log
+        )
         admin_capacity = ServerCapacity(self._request_budget, _ADMIN_CONNECTIONS)
         admin = AdminApp(self._metrics.all, self._quarantine, self._not_ready)
         self._readiness_server = CallerServer(
@@ -257,6 +260,7 @@
             self._reload_requested.clear()
             self._load_settings()
         self._cold_monitor.update(self._view.current, self._settings)
+        self._caller_load.log_changes()
         isolated = self._roster.is_isolated()
         if isolated != self._was_isolated:
             self._was_isolated = isolated
@@ -320,15 +324,6 @@
             "Requests held now.",
             lambda: self._caller_app.in_flight,
         )
-        add_request_gauges(self._metrics.all, self._request_budget)
-        gauge(
-            "canvasyoke_connections", "Open connections.", lambda: self._caller_server.connections
-        )
-        gauge(
-            "canvasyoke_connections_displaced",
-            "Connections closed for new ones at the limit, the one unused for longest each time.",
-            lambda: self._caller_server.displaced_connections,
-        )
         gauge(
             "canvasyoke_responses_dropped",
             "Responses whose caller stopped reading before their end.",
--- a/src/canvasyoke/entry/_process.py
+++ b/src/canvasyoke/entry/_process.py
@@ -18,7 +18,7 @@
 from canvasyoke.entry._status import collect_status
 from canvasyoke.entry._target_pool import TargetPool
 from canvasyoke.entry._watcher import ConfigWatcher
-from canvasyoke.observe import add_request_gauges, part_logger
+from canvasyoke.observe import CallerLoad, part_logger
 from canvasyoke.protocol import EntryStatus, Status
 from canvasyoke.state import PLATFORMS, ConfigKeeper, ConfigView, EntrySettings, FleetConfig
 from canvasyoke.transport import HttpServer, RequestBudget, ServerCapacity
@@ -88,7 +88,6 @@
             self._clock, round(_REQUEST_MEMORY_FRACTION * settings.machine.memory_bytes)
         )
         budget.set_longest_request(MAX_HTTP_BODY)
-        add_request_gauges(self._metrics.all, budget)
         connections = int(_CALLER_DESCRIPTORS_FRACTION * settings.machine.descriptors)
         self._http = HttpServer(
             self._callers,
@@ -98,6 +97,7 @@
             ServerCapacity(budget, connections),
             overload_error,
         )
+        self._caller_load = CallerLoad(self._metrics.all, budget, self._http, _log)
         self._admin = HttpServer(
             self._handle_admin_request,
             settings.admin,
@@ -116,7 +116,7 @@
         self._admin.start()
         _log.info("serving", instance=self._settings.instance, http=self._settings.http)
         while not self._stopping.wait(1):
-            pass
+            self._caller_load.log_changes()
         self._drain()
         return 0
 
--- a/src/canvasyoke/observe/__init__.py
+++ b/src/canvasyoke/observe/__init__.py
@@ -1,5 +1,6 @@
 """Logging and metrics."""
 
+from canvasyoke.observe._caller_load import CallerLoad
 from canvasyoke.observe._line_writer import LineWriter
 from canvasyoke.observe._logs import (
     PartLogger,
@@ -8,9 +9,9 @@
     part_logger,
 )
 from canvasyoke.observe._metrics import Counter, Gauge, LabelledGauge, Metrics, Timer
-from canvasyoke.observe._request_gauges import add_request_gauges
 
 __all__ = [
+    "CallerLoad",
     "Counter",
     "Gauge",
     "LabelledGauge",
@@ -18,7 +19,6 @@
     "Metrics",
     "PartLogger",
     "Timer",
-    "add_request_gauges",
     "configure_background_logging",
     "configure_logging",
     "part_logger",
--- a/src/canvasyoke/transport/_bounded_server.py
+++ b/src/canvasyoke/transport/_bounded_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Final
@@ -47,6 +48,8 @@
         self.clock = clock
         self.budget = capacity.budget
         self._max_connections = capacity.connections
+        #: Number of requests refused before they were read to their end, by status.
+        self.refused_unread: Counter[int] = Counter()
         #: Number of connections that were closed for new ones.
         self.displaced_connections = 0
         #: Returns the refusal of a request for which there is no memory.
@@ -79,12 +82,12 @@
         if accepted is not None:
             accepted[0].close()
 
-    def _longest_unused(self) -> Channel | None:
-        unused = (each for each in self.active_channels.values() if not each.is_busy)
-        return min(unused, key=lambda each: int(each.last_active_at), default=None)
-
     def maintenance(self, now: int) -> None:
         """Close connections that are not in use."""
         for channel in list(self.active_channels.values()):
             channel.close_overdue(self.clock.now())
         super().maintenance(now)
+
+    def _longest_unused(self) -> Channel | None:
+        unused = (each for each in self.active_channels.values() if not each.is_busy)
+        return min(unused, key=lambda each: int(each.last_active_at), default=None)
--- a/src/canvasyoke/transport/_caller_server.py
+++ b/src/canvasyoke/transport/_caller_server.py
@@ -13,7 +13,7 @@
 import struct
 import termios
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from typing import Any, Final
 
@@ -249,6 +249,11 @@
         """Return the number of responses whose caller stopped reading before their end."""
         return self._server.dropped_responses
 
+    @property
+    def refused_unread(self) -> Mapping[int, int]:
+        """Return the number of requests refused before their end, by status."""
+        return self._server.refused_unread.copy()
+
     @property
     def displaced_connections(self) -> int:
         """Return the number of connections that were closed for new ones."""
--- a/src/canvasyoke/transport/_channel.py
+++ b/src/canvasyoke/transport/_channel.py
@@ -23,7 +23,7 @@
 
 
 class Channel(HTTPChannel):
-    """A connection whose responses are rendered by these tasks.
+    """A connection that receives requests within the budget of its process.
 
     It is in use while the caller still reads, not only while its request is handled.
     """
@@ -102,9 +102,10 @@
         if self.request is not None:
             self.request.close()
 
-    def stop_reading(self) -> None:
+    def stop_reading(self, error: Error) -> None:
         """Parse nothing of what follows a request that is refused."""
         self._is_refusing = True
+        self.server.refused_unread[error.code] += 1
 
     def received(self, data: bytes) -> bool:
         """Parse received data."""
--- a/src/canvasyoke/transport/_http_server.py
+++ b/src/canvasyoke/transport/_http_server.py
@@ -5,7 +5,7 @@
 import logging
 import threading
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 from waitress.adjustments import Adjustments
@@ -86,6 +86,21 @@
         """Return on how many connections a request is handled or a response not yet sent."""
         return sum(channel.is_busy for channel in list(self._server.active_channels.values()))
 
+    @property
+    def refused_unread(self) -> Mapping[int, int]:
+        """Return the number of requests refused before their end, by status."""
+        return self._server.refused_unread.copy()
+
+    @property
+    def displaced_connections(self) -> int:
+        """Return the number of connections that were closed for new ones."""
+        return self._server.displaced_connections
+
+    @property
+    def connections(self) -> int:
+        """Return the number of open connections."""
+        return len(self._server.active_channels)
+
     def _run(self) -> None:
         try:
             self._server.run()
--- a/src/canvasyoke/transport/_request_parser.py
+++ b/src/canvasyoke/transport/_request_parser.py
@@ -50,7 +50,7 @@
     def give_up(self, request: RequestParser) -> None:
         """End the request soon; called by any thread."""
 
-    def stop_reading(self) -> None:
+    def stop_reading(self, error: Error) -> None:
         """Parse nothing of what follows a request that is refused."""
 
 
@@ -108,7 +108,7 @@
         self.completed = True
         self.expect_continue = False
         self.close()
-        self._owner.stop_reading()
+        self._owner.stop_reading(error)
 
     def close(self) -> None:
         """Release the memory of the request."""
--- a/src/canvasyoke/transport/tests/test_caller_server.py
+++ b/src/canvasyoke/transport/tests/test_caller_server.py
@@ -194,6 +194,7 @@
     assert answer.startswith(b"HTTP/1.1 503 ")
     assert b"\r\nRetry-After: 1\r\n" in answer
     assert connection.budget.refused == 1
+    assert connection.server.refused_unread == {503: 1}
 
 
 def test_usual_requests_are_served_while_large_ones_hold_all_memory(connection: Connection) -> None:
--- a/tests/test_caller_crowds.py
+++ b/tests/test_caller_crowds.py
@@ -90,6 +90,7 @@
             _ask_until_answered(entry, "ordinary")
         _ask_until_answered(entry, "afterwards")
         _ask_until_answered(entry, "longest", BODY)
+        wait_until(lambda: not entry.metric("canvasyoke_request_bytes"), "all memory is released")
         assert entry.process.poll() is None
         usage.check()
     run = {a.headers["Attempt-Id"] for engine in fleet.shelf for a in engine.arrivals}
